chore(project): set down the shape

Cause: an empty repository. Ruled out: running TypeScript without a build, since Node.js 20 does not strip types.

--- /dev/null
+++ b/src/core/key_of_version.ts
@@ -0,0 +1,9 @@
+/**
+ * Key of a service version.
+ * @module
+ */
+
+/** Key of a service version in maps: `service@version`. */
+export function keyOfVersion(service: string, version: string): string {
+  return `${service}@${version}`;
+}
