--- /dev/null
+++ b/src/adapters/log_client.ts
@@ -0,0 +1,127 @@
+/**
+ * Client of the platform's append-only log.
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Pool } from "undici";
+import * as v from "valibot";
+import type { LogRecord } from "../config_log/messages.ts";
+import type { LagoonError } from "../core/errors.ts";
+import type { Offset } from "../core/types.ts";
+
+/** One page of a stream. */
+export interface LogPage {
+  readonly records: readonly LogRecord[];
+  /** Oldest offset that the log still keeps. */
+  readonly oldest: Offset;
+  /** Offset that the next record will get. */
+  readonly head: Offset;
+}
+
+/** The offsets asked for are past retention. */
+export const offsetGoneCode = "LAGOON_LOG_OFFSET_GONE";
+
+export interface LogClient {
+  /** Appends records in order. The reply may be lost after the effect. */
+  append(
+    stream: string,
+    bodies: readonly string[],
+  ): Promise<Result<Offset, LagoonError>>;
+  /** Reads from an offset on, waiting up to `waitMs` when there is nothing. */
+  read(opts: ReadPageOptions): Promise<Result<LogPage, LagoonError>>;
+  close(): Promise<void>;
+}
+
+/** Options of `LogClient.read`. */
+export interface ReadPageOptions {
+  readonly stream: string;
+  readonly from: Offset;
+  /** Longest wait for a new record, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** Options of `createLogClient`. */
+export interface CreateLogClientOptions {
+  readonly url: string;
+  /** Longest time for an append, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+const maxRecords = 500;
+const statusGone = 410;
+const statusOk = 200;
+
+const pageSchema = v.object({
+  records: v.array(v.object({ offset: v.number(), body: v.string() })),
+  oldest: v.number(),
+  head: v.number(),
+});
+const appendSchema = v.object({ first: v.number() });
+
+/** Creates a client. `close` ends its connections. */
+export function createLogClient(opts: CreateLogClientOptions): LogClient {
+  const url = new URL(opts.url);
+  const pool = new Pool(url.origin, { connections: 4 });
+  const call = <T extends v.GenericSchema>(request: LogRequest<T>) =>
+    callLog(pool, url.host, request);
+  return {
+    append: async (stream, bodies) => {
+      const reply = await call({
+        method: "POST",
+        path: `/streams/${stream}/records`,
+        body: JSON.stringify({ records: bodies }),
+        timeoutMs: opts.timeoutMs,
+        schema: appendSchema,
+      });
+      return reply.map((one) => one.first);
+    },
+    read: ({ stream, from, waitMs }) =>
+      call({
+        method: "GET",
+        path: `/streams/${stream}/records?from=${from}&max=${maxRecords}` +
+          `&wait_ms=${waitMs}`,
+        timeoutMs: waitMs + opts.timeoutMs,
+        schema: pageSchema,
+      }),
+    close: () => pool.destroy(),
+  };
+}
+
+interface LogRequest<T extends v.GenericSchema> {
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly body?: string;
+  readonly timeoutMs: number;
+  readonly schema: T;
+}
+
+async function callLog<T extends v.GenericSchema>(
+  pool: Pool,
+  peer: string,
+  request: LogRequest<T>,
+): Promise<Result<v.InferOutput<T>, LagoonError>> {
+  const step = `${request.method} ${request.path.split("?")[0]} of the log`;
+  const fail = (code: LagoonError["code"], message: string) =>
+    err<never, LagoonError>({ code, step, peer, message });
+  try {
+    const res = await pool.request({
+      method: request.method,
+      path: request.path,
+      headers: { "content-type": "application/json" },
+      ...(request.body === undefined ? {} : { body: request.body }),
+      headersTimeout: request.timeoutMs,
+      bodyTimeout: request.timeoutMs,
+    });
+    const text = await res.body.text();
+    if (res.statusCode === statusGone) return fail(offsetGoneCode, text);
+    if (res.statusCode !== statusOk) {
+      return fail("LAGOON_LOG_REFUSED", `status ${res.statusCode}: ${text}`);
+    }
+    const parsed = v.safeParse(request.schema, JSON.parse(text));
+    return parsed.success
+      ? ok(parsed.output)
+      : fail("LAGOON_LOG_REPLY_MALFORMED", parsed.issues[0].message);
+  } catch (cause) {
+    return fail("LAGOON_LOG_UNREACHABLE", String(cause));
+  }
+}
--- /dev/null
+++ b/src/adapters/run_node.ts
@@ -0,0 +1,84 @@
+/**
+ * Puts a node together: control, calls and the three ports.
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import createDebug from "debug";
+import type { NodeSettings } from "../settings/node_settings.ts";
+import { setUpAdmin } from "./admin_server.ts";
+import { createCallPath } from "./create_call_path.ts";
+import { type Control, createControl } from "./create_control.ts";
+import { openHttpServer } from "./http_server.ts";
+import { createLogClient } from "./log_client.ts";
+import { createPeerLinks, type PeerLinks } from "./peer_links.ts";
+
+const log = createDebug("lagoon:node");
+
+const logTimeoutMs = 5_000;
+
+export interface RunningNode {
+  readonly control: Control;
+  /** Graceful shutdown: finishes calls in flight, then closes all. */
+  close(): Promise<void>;
+}
+
+/** Starts a node. Rejects when a port is taken. */
+export async function runNode(settings: NodeSettings): Promise<RunningNode> {
+  const { keys, domain, region } = settings;
+  const self = {
+    id: settings.peerAddr,
+    domain,
+    region,
+    boot: randomUUID(),
+  };
+  const logClient = createLogClient({
+    url: settings.logUrl,
+    timeoutMs: logTimeoutMs,
+  });
+  // Links need the peers' server, which needs the call path.
+  let links: PeerLinks | undefined;
+  const control = createControl({
+    self,
+    seeds: settings.seeds,
+    log: logClient,
+    send: (to, message) => links?.send(to, message),
+  });
+  const callPath = createCallPath({ control, keys });
+  const peers = await openHttpServer({
+    address: settings.peerAddr,
+    setUp: (app, server) => {
+      callPath.setUpForwards(app);
+      links = createPeerLinks({
+        self,
+        server,
+        keys,
+        onMessage: control.receive,
+      });
+    },
+  });
+  const admin = await openHttpServer({
+    address: settings.adminAddr,
+    setUp: (app) => setUpAdmin({ app, control, keys, domain, nodeId: self.id }),
+  });
+  const calls = await openHttpServer({
+    address: settings.callAddr,
+    setUp: callPath.setUpCalls,
+  });
+  log("Node %s of %s is up.", self.id, domain);
+
+  return {
+    control,
+    async close() {
+      log("Node %s leaves.", self.id);
+      await control.leave();
+      await calls.close();
+      await callPath.close();
+      control.close();
+      links?.close();
+      await peers.close();
+      await admin.close();
+      await logClient.close();
+      log("Node %s is down.", self.id);
+    },
+  };
+}
--- /dev/null
+++ b/src/distribution/pick_readers.ts
@@ -0,0 +1,28 @@
+/**
+ * Chooses the nodes of a failure domain that follow the log.
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { NodeId } from "../core/types.ts";
+
+/** Readers in each failure domain, so that one may die unnoticed. */
+export const readersPerDomain = 2;
+
+/**
+ * Picks the first members by rendezvous hash. Members with the same view pick
+ * the same; a stale view gives one reader more, which is harmless.
+ */
+export function pickReaders(
+  members: readonly NodeId[],
+  domain: string,
+): NodeId[] {
+  return members
+    .map((id) => ({ id, weight: weigh(id, domain) }))
+    .sort((a, b) => a.weight < b.weight ? -1 : 1)
+    .slice(0, readersPerDomain)
+    .map((one) => one.id);
+}
+
+function weigh(id: NodeId, domain: string): string {
+  return createHash("sha1").update(`${domain} ${id}`).digest("hex");
+}
--- /dev/null
+++ b/tools/load.ts
@@ -0,0 +1,158 @@
+/**
+ * Open-loop load: calls leave at a steady rate, whatever the answers do.
+ * @module
+ */
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import { build, type Histogram } from "hdr-histogram-js";
+import { Agent } from "undici";
+import { SettingKind, splitList } from "../src/settings/read_settings.ts";
+import { runBinary } from "../src/settings/run_binary.ts";
+
+/** Options of `runLoad`. */
+export interface RunLoadOptions {
+  /** Callers' ports, used in turn. */
+  readonly nodes: readonly string[];
+  readonly customer: string;
+  readonly method: "GET" | "POST";
+  /** Path with the service, such as `/portaal/accounts`. */
+  readonly path: string;
+  /** Calls a second. */
+  readonly rate: number;
+  /** Ends the load early. */
+  readonly signal: AbortSignal;
+  /** Length of the load, in milliseconds. */
+  readonly durationMs: number;
+}
+
+/** What the calls came to. Latencies are in microseconds. */
+export interface LoadReport {
+  sent: number;
+  served: number;
+  /** Refused as not run. */
+  notRun: number;
+  failed: number;
+  /** Answers by version of the upstream. */
+  readonly versions: Map<string, number>;
+  readonly latencyUs: Histogram;
+}
+
+const maxTrackedUs = 60_000_000;
+
+/** Runs the load and waits for its last answer. */
+export async function runLoad(opts: RunLoadOptions): Promise<LoadReport> {
+  const agent = new Agent({ connections: 64 });
+  const report: LoadReport = {
+    sent: 0,
+    served: 0,
+    notRun: 0,
+    failed: 0,
+    versions: new Map(),
+    latencyUs: build({ highestTrackableValue: maxTrackedUs }),
+  };
+  const running = new Set<Promise<void>>();
+  const startedAt = performance.now();
+  const dueBy = (at: number) => Math.floor((at - startedAt) * opts.rate / 1000);
+  while (!opts.signal.aborted) {
+    const elapsedMs = performance.now() - startedAt;
+    if (elapsedMs >= opts.durationMs) break;
+    while (report.sent < dueBy(performance.now())) {
+      const call = sendCall(opts, agent, report);
+      running.add(call);
+      call.finally(() => running.delete(call));
+    }
+    await sleep(1);
+  }
+  await Promise.all(running);
+  await agent.close();
+  return report;
+}
+
+async function sendCall(
+  opts: RunLoadOptions,
+  agent: Agent,
+  report: LoadReport,
+) {
+  const node = opts.nodes[report.sent % opts.nodes.length];
+  report.sent++;
+  const sentAt = performance.now();
+  try {
+    const res = await agent.request({
+      origin: `http://${node}`,
+      method: opts.method,
+      path: opts.path,
+      headers: { "lagoon-customer": opts.customer },
+    });
+    await res.body.dump();
+    const version = String(res.headers["lagoon-version"] ?? "");
+    report.versions.set(version, (report.versions.get(version) ?? 0) + 1);
+    if (res.headers["lagoon-not-run"] === "true") report.notRun++;
+    else if (res.statusCode >= 400) report.failed++;
+    else report.served++;
+  } catch {
+    report.failed++;
+  }
+  const tookUs = Math.round((performance.now() - sentAt) * 1_000);
+  report.latencyUs.recordValue(Math.min(tookUs, maxTrackedUs));
+}
+
+if (process.argv[1]?.endsWith("load.js")) {
+  await runBinary({
+    binary: "lagoon-load",
+    summary: "Sends calls at a steady rate and tells what became of them.",
+    specs: [
+      {
+        flag: "nodes",
+        kind: SettingKind.Addresses,
+        describe: "callers' ports",
+        isRequired: true,
+      },
+      {
+        flag: "customer",
+        kind: SettingKind.Text,
+        describe: "customer to call as",
+        isRequired: true,
+      },
+      {
+        flag: "path",
+        kind: SettingKind.Text,
+        describe: "path with the service",
+        isRequired: true,
+      },
+      {
+        flag: "rate",
+        kind: SettingKind.Integer,
+        describe: "calls a second",
+        fallback: "100",
+      },
+      {
+        flag: "seconds",
+        kind: SettingKind.Integer,
+        describe: "length of the load",
+        fallback: "5",
+      },
+    ],
+    main: async (values) => {
+      const stopped = new AbortController();
+      process.once("SIGINT", () => stopped.abort());
+      const report = await runLoad({
+        nodes: splitList(values.get("nodes")),
+        customer: values.get("customer") ?? "",
+        method: "GET",
+        path: values.get("path") ?? "/",
+        rate: Number(values.get("rate")),
+        signal: stopped.signal,
+        durationMs: Number(values.get("seconds")) * 1_000,
+      });
+      const { latencyUs, versions, ...counts } = report;
+      const at = (share: number) => latencyUs.getValueAtPercentile(share);
+      const told = {
+        ...counts,
+        versions: Object.fromEntries(versions),
+        p50Ms: at(50) / 1_000,
+        p99Ms: at(99) / 1_000,
+      };
+      process.stdout.write(`${JSON.stringify(told)}\n`);
+    },
+  });
+}
