refactor(adapters): give each slice its own driver

Cause: one file drove every slice, so no two parts could grow side by side. Ruled out: comparing the lock file by time, which a fresh checkout always fails.

--- /dev/null
+++ b/src/adapters/control_context.ts
@@ -0,0 +1,15 @@
+/**
+ * What every driver of a slice shares within one node.
+ * @module
+ */
+import type { ControlLoop } from "../control/create_control_loop.ts";
+import type { MonotonicMs, NodeId, NodeInfo } from "../core/types.ts";
+import type { PeerMessage } from "./peer_message.ts";
+
+export interface ControlContext {
+  readonly self: NodeInfo;
+  readonly loop: ControlLoop;
+  readonly now: () => MonotonicMs;
+  /** Sends to a peer, or drops the message. Never blocks. */
+  readonly send: (to: NodeId, message: PeerMessage) => void;
+}
--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -2,9 +2,9 @@
 # Installs the locked dependencies when they are missing or stale, then builds.
 set -eu
 cd "$(dirname "$0")/.."
-if [ ! -f node_modules/.package-lock.json ] ||
-  [ package-lock.json -nt node_modules/.package-lock.json ]; then
+installed=node_modules/.lagoon-lock.json
+if ! cmp -s package-lock.json "$installed"; then
   npm ci --silent
-  touch node_modules/.package-lock.json
+  cp package-lock.json "$installed"
 fi
 npx tsc -p .
