feat(trace): record decisions and replay them

Cause: claims have to be rerun by others from recorded traces. Change: a recorder that wraps a slice's decision, an encoding that keeps maps, sets and references to other slices' states, and a replay that names the first event decided otherwise. Ruled out: recording effects alone, which can't show which event went wrong.

--- /dev/null
+++ b/src/trace/replay_trace_test.ts
@@ -0,0 +1,84 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { createRecorder } from "./create_recorder.ts";
+import { replayTrace } from "./replay_trace.ts";
+
+interface Sum {
+  total: number;
+}
+
+type Add = { amount: number; seen?: ReadonlySet<number>; of?: Sum };
+
+const slices = {
+  sum: {
+    create: (options: { start: number }): Sum => ({ total: options.start }),
+    decide: (state: Sum, event: Add) => {
+      state.total += event.amount + (event.seen?.size ?? 0);
+      return [{ total: state.total, twice: (event.of?.total ?? 0) * 2 }];
+    },
+  },
+};
+
+function record(): string[] {
+  const lines: string[] = [];
+  const recorder = createRecorder({
+    node: "n1",
+    binary: "test",
+    write: (line) => lines.push(line),
+    maxLength: 10_000,
+  });
+  const options = { start: 1 };
+  const state = recorder.created("sum", options, slices.sum.create(options));
+  const decide = recorder.traced("sum", slices.sum.decide);
+  decide(state, { amount: 2 });
+  decide(state, { amount: Infinity, seen: new Set([4, 5]), of: state });
+  return lines;
+}
+
+function replay(lines: readonly string[]) {
+  const decisions: unknown[] = [];
+  const result = replayTrace({
+    file: "sum.jsonl",
+    lines,
+    slices,
+    onDecision: (decision) => decisions.push(decision),
+  });
+  return { result, decisions };
+}
+
+test("replay repeats decisions", () => {
+  const { result, decisions } = replay(record());
+  assert.equal(result._unsafeUnwrap(), 2);
+  assert.equal(decisions.length, 2);
+});
+
+test("divergence names the first event", () => {
+  const lines = record().map((line) =>
+    line.replace('"amount":2', '"amount":3')
+  );
+  const { result, decisions } = replay(lines);
+  const err = result._unsafeUnwrapErr();
+  assert.equal(err.step, "replay sum.jsonl:3");
+  assert.match(err.message, /recorded .*"total":3.*replayed .*"total":4/);
+  assert.equal(decisions.length, 0);
+});
+
+test("unknown slice is refused", () => {
+  const lines = record().map((line) => line.replace('"sum"', '"none"'));
+  assert.match(
+    replay(lines).result._unsafeUnwrapErr().message,
+    /slice none was not created/,
+  );
+});
+
+test("recorder stops at its bound", () => {
+  const lines: string[] = [];
+  const recorder = createRecorder({
+    node: "n1",
+    binary: "test",
+    write: (line) => lines.push(line),
+    maxLength: 10,
+  });
+  recorder.created("sum", {}, {});
+  assert.equal(lines.length, 1);
+});
