--- a/tools/fake_upstream.ts
+++ b/tools/fake_upstream.ts
@@ -48,6 +48,8 @@
   readonly endpoint: string;
   readonly faults: UpstreamFaults;
   readonly totals: { calls: number; running: number };
+  /** Idempotency keys in the order of their runs, repeats included. */
+  readonly keysRun: readonly string[];
   /** Announces that it leaves, and finishes its calls. */
   drain(): Promise<void>;
   close(): Promise<void>;
@@ -69,9 +71,12 @@
 ): Promise<FakeUpstream> {
   const faults = { ...opts.faults };
   const totals = { calls: 0, running: 0 };
+  const keysRun: string[] = [];
   const server = createServer((req, res) => {
     totals.calls++;
     totals.running++;
+    const key = req.headers["idempotency-key"];
+    if (typeof key === "string") keysRun.push(key);
     res.once("close", () => totals.running--);
     answer(opts, faults, req, res).catch(() => res.destroy());
   });
@@ -103,6 +108,7 @@
     endpoint,
     faults,
     totals,
+    keysRun,
     async drain() {
       state = EndpointState.Draining;
       await announce();
