feat(routing): decide retries, admission and homes from measured results

Cause: the thin path chose homes by its own calls in flight alone, retried without a budget, and admitted without plans or a bound on the queue. URLs that an upstream may read as another path are refused. Ruled out: one queue for each plan in place of tags, since p-queue's priority carries the tag; ejection on absolute failure shares, since a version that is bad everywhere would empty its homes.

--- a/src/admission/decide_admission.ts
+++ b/src/admission/decide_admission.ts
@@ -2,40 +2,114 @@
  * Decides at a home whether a call may run, wait, or must be refused.
  * @module
  */
+import { exhausted } from "../core/exhausted.ts";
+import type { EndpointId } from "../core/types.ts";
+import type {
+  AdmissionEffect,
+  AdmissionEvent,
+  AdmissionState,
+  EndpointLoad,
+} from "./state.ts";
 
-/** What the home knows of one endpoint at this moment. */
-export interface EndpointLoad {
-  readonly slots: number;
-  readonly running: number;
-  readonly waiting: number;
-  /** Recent mean time of a call, in milliseconds. */
-  readonly meanMs: number;
+const initialMeanMs = 10;
+const meanWeight = 0.1;
+
+/** Waiting calls by slots. A longer queue doubles the time of a call. */
+const queueShare = 0.5;
+
+/** Takes one event of admission in turn. */
+export function decideAdmission(
+  state: AdmissionState,
+  event: AdmissionEvent,
+): readonly AdmissionEffect[] {
+  switch (event.type) {
+    case "asked":
+      return [ask(loadOf(state, event.endpoint), event)];
+    case "started":
+      start(loadOf(state, event.endpoint), event);
+      return [];
+    case "ended":
+      end(state, event.endpoint, event.tookMs);
+      return [];
+    case "gone":
+      state.endpoints.delete(event.endpoint);
+      return [];
+    default:
+      return exhausted(event);
+  }
 }
 
-export type AdmissionDecision =
-  | { readonly type: "admit" }
-  | { readonly type: "refuse"; readonly reason: string };
+function loadOf(state: AdmissionState, endpoint: EndpointId): EndpointLoad {
+  const known = state.endpoints.get(endpoint);
+  if (known !== undefined) return known;
+  const load: EndpointLoad = {
+    running: 0,
+    waiting: 0,
+    waitingOf: new Map(),
+    finishOf: new Map(),
+    virtualNow: 0,
+    meanMs: initialMeanMs,
+  };
+  state.endpoints.set(endpoint, load);
+  return load;
+}
 
-/** Options of `decideAdmission`. */
-export interface DecideAdmissionOptions {
-  readonly load: EndpointLoad;
-  /** Time left for the call, in milliseconds. */
-  readonly leftMs: number;
+function ask(
+  load: EndpointLoad,
+  event: Extract<AdmissionEvent, { type: "asked" }>,
+): AdmissionEffect {
+  const { plan, slots, leftMs } = event;
+  if (load.running + load.waiting >= slots) {
+    const reason = whyRefuse(load, plan, slots, leftMs);
+    if (reason !== undefined) return { type: "refuse", reason };
+  }
+  const tag = Math.max(load.virtualNow, load.finishOf.get(plan) ?? 0);
+  load.finishOf.set(plan, tag + 1);
+  load.waiting++;
+  load.waitingOf.set(plan, (load.waitingOf.get(plan) ?? 0) + 1);
+  return { type: "admit", tag };
 }
 
-/** Admits a call whose expected wait leaves time to run. */
-export function decideAdmission(
-  opts: DecideAdmissionOptions,
-): AdmissionDecision {
-  const { load, leftMs } = opts;
-  if (load.running < load.slots) return { type: "admit" };
-  const waitMs = (load.waiting + 1) * load.meanMs / load.slots;
-  if (waitMs + load.meanMs <= leftMs && load.waiting < load.slots) {
-    return { type: "admit" };
+function whyRefuse(
+  load: EndpointLoad,
+  plan: string,
+  slots: number,
+  leftMs: number,
+): string | undefined {
+  const own = load.waitingOf.get(plan) ?? 0;
+  const plans = load.waitingOf.size + (own === 0 ? 1 : 0);
+  const room = Math.max(1, Math.ceil(slots * queueShare));
+  // A plan with less than its share may wait beside a full queue.
+  const share = Math.max(1, Math.floor(room / plans));
+  // Admitted calls count as waiting until the queue starts them.
+  const queued = load.running + load.waiting - slots;
+  if (queued >= room && (own >= share || queued >= 2 * room)) {
+    return `all ${slots} slots are taken and ${queued} calls wait`;
   }
-  const wait = Math.ceil(waitMs);
-  return {
-    type: "refuse",
-    reason: `all ${load.slots} slots are taken, expected wait ${wait} ms`,
-  };
+  const ahead = Math.min(queued, own * plans + plans - 1);
+  const waitMs = (ahead + 1) * load.meanMs / slots;
+  if (waitMs + load.meanMs <= leftMs) return undefined;
+  return `the expected wait is ${Math.ceil(waitMs)} ms, past the deadline`;
+}
+
+function start(
+  load: EndpointLoad,
+  event: Extract<AdmissionEvent, { type: "started" }>,
+) {
+  const { plan, tag, isRun } = event;
+  load.waiting--;
+  load.virtualNow = Math.max(load.virtualNow, tag);
+  const left = (load.waitingOf.get(plan) ?? 1) - 1;
+  if (left > 0) load.waitingOf.set(plan, left);
+  else load.waitingOf.delete(plan);
+  // Without waiting calls every plan starts level again.
+  if (load.waiting === 0) load.finishOf.clear();
+  if (isRun) load.running++;
+}
+
+function end(state: AdmissionState, endpoint: EndpointId, tookMs: number) {
+  const load = state.endpoints.get(endpoint);
+  if (load === undefined) return;
+  load.running--;
+  load.meanMs += (tookMs - load.meanMs) * meanWeight;
 }
--- /dev/null
+++ b/src/admission/decide_admission_test.ts
@@ -0,0 +1,113 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import fc from "fast-check";
+import { checkProperty } from "../testing/check_property.ts";
+import { decideAdmission } from "./decide_admission.ts";
+import { rampSlots } from "./ramp_slots.ts";
+import { createAdmissionState } from "./state.ts";
+
+const endpoint = "10.0.0.1:80";
+
+/** One endpoint with a queue ordered by tag, as p-queue keeps it. */
+function createModel(slots: number) {
+  const state = createAdmissionState();
+  const queue: { plan: string; tag: number }[] = [];
+  const load = () => state.endpoints.get(endpoint);
+  return {
+    load,
+    queue,
+    ask(plan: string, leftMs = 1_000) {
+      const event = { type: "asked", endpoint, plan, slots, leftMs } as const;
+      const [effect] = decideAdmission(state, event);
+      if (effect?.type !== "admit") return false;
+      const before = queue.findIndex((one) => one.tag > effect.tag);
+      const at = before < 0 ? queue.length : before;
+      queue.splice(at, 0, { plan, tag: effect.tag });
+      return true;
+    },
+    start(isRun = true) {
+      if ((load()?.running ?? 0) >= slots) return undefined;
+      const next = queue.shift();
+      if (next === undefined) return undefined;
+      decideAdmission(state, { type: "started", endpoint, isRun, ...next });
+      return next.plan;
+    },
+    end(tookMs = 5) {
+      if ((load()?.running ?? 0) === 0) return;
+      decideAdmission(state, { type: "ended", endpoint, tookMs });
+    },
+  };
+}
+
+const steps = fc.array(
+  fc.oneof(
+    fc.record({
+      type: fc.constant("ask" as const),
+      plan: fc.constantFrom("a", "b", "c"),
+      leftMs: fc.integer({ min: 0, max: 200 }),
+    }),
+    fc.record({ type: fc.constant("start" as const), isRun: fc.boolean() }),
+    fc.record({ type: fc.constant("end" as const) }),
+  ),
+  { maxLength: 200 },
+);
+
+test("queue is bounded and counts add up", () => {
+  checkProperty(
+    fc.property(fc.integer({ min: 1, max: 20 }), steps, (slots, all) => {
+      const model = createModel(slots);
+      for (const step of all) {
+        if (step.type === "ask") model.ask(step.plan, step.leftMs);
+        else if (step.type === "start") model.start(step.isRun);
+        else model.end();
+        const load = model.load();
+        if (load === undefined) continue;
+        assert.equal(load.waiting, model.queue.length);
+        const byPlan = [...load.waitingOf.values()];
+        assert.equal(byPlan.reduce((sum, n) => sum + n, 0), load.waiting);
+        assert.ok(load.running <= slots && load.running >= 0);
+        assert.ok(load.waiting <= slots + 2 * Math.ceil(slots / 2));
+      }
+    }),
+    { runs: 200 },
+  );
+});
+
+test("a flood of one plan does not starve another", () => {
+  const model = createModel(4);
+  const ran = new Map<string, number>();
+  for (let round = 0; round < 200; round++) {
+    for (let n = 0; n < 20; n++) model.ask("flood");
+    if (round % 2 === 0) assert.ok(model.ask("quiet"));
+    while (true) {
+      const plan = model.start();
+      if (plan === undefined) break;
+      ran.set(plan, (ran.get(plan) ?? 0) + 1);
+    }
+    model.end();
+  }
+  assert.ok((ran.get("quiet") ?? 0) >= 95);
+});
+
+test("queue is short however long the deadlines are", () => {
+  const model = createModel(4);
+  for (let n = 0; n < 100; n++) model.ask("a", 1e9);
+  assert.equal(model.queue.length, 6);
+});
+
+test("a call that can't meet its deadline is refused", () => {
+  const model = createModel(1);
+  assert.ok(model.ask("a"));
+  model.start();
+  assert.ok(!model.ask("a", 12));
+  assert.ok(model.ask("a", 1_000));
+});
+
+test("cold endpoint ramps up to its slots", () => {
+  const at = (readyMs: number, connections = 100) =>
+    rampSlots({ slots: 20, connections, readyMs });
+  assert.equal(at(0), 5);
+  assert.equal(at(60_000), 20);
+  assert.equal(at(60_000, 3), 3);
+  assert.equal(rampSlots({ slots: 1, connections: 1, readyMs: 0 }), 1);
+});
--- /dev/null
+++ b/src/retry/decide_retry.ts
@@ -0,0 +1,67 @@
+/**
+ * Decides whether a call goes to another home.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { CallEnd } from "./messages.ts";
+import {
+  earnedByServed,
+  maxAttempts,
+  maxBudget,
+  type RetryCall,
+  type RetryEffect,
+  type RetryEvent,
+  type RetryState,
+} from "./state.ts";
+
+const lowestServerError = 500;
+
+/** Takes the end of an attempt, or the news that it is overdue. */
+export function decideRetry(
+  state: RetryState,
+  event: RetryEvent,
+): RetryEffect {
+  switch (event.type) {
+    case "ended":
+      earn(state, event.end);
+      return mayRunAgain(event.end, event.call)
+        ? spend(state, event.call)
+        : { type: "keep" };
+    case "overdue":
+      return event.call.isRepeatable
+        ? spend(state, event.call)
+        : { type: "keep" };
+    default:
+      return exhausted(event);
+  }
+}
+
+function earn(state: RetryState, end: CallEnd) {
+  if (end.type !== "answered" || end.status >= lowestServerError) return;
+  state.budget = Math.min(maxBudget, state.budget + earnedByServed);
+}
+
+/** Whether another attempt can't make a non-repeatable call run twice. */
+function mayRunAgain(end: CallEnd, call: RetryCall): boolean {
+  switch (end.type) {
+    case "not-run":
+      return end.status === 503;
+    case "unknown":
+      return call.isRepeatable && !end.isLate;
+    case "answered":
+    case "cut":
+    case "cancelled":
+    case "given-up":
+      return false;
+    default:
+      return exhausted(end);
+  }
+}
+
+function spend(state: RetryState, call: RetryCall): RetryEffect {
+  const isAllowed = call.attempts < maxAttempts && call.canResend &&
+    call.leftMs > 0 && state.budget >= 1;
+  if (!isAllowed) return { type: "keep" };
+  state.budget--;
+  return { type: "retry" };
+}
--- a/src/routing/headers.ts
+++ b/src/routing/headers.ts
@@ -9,7 +9,7 @@
 /** Milliseconds left for the whole call. */
 export const deadlineHeader = "lagoon-deadline-ms";
 
-/** Nodes that the call has passed through. */
+/** Times that the receiver may pass the call on. */
 export const hopsHeader = "lagoon-hops";
 
 /** `true` on an answer that stands for a call that did not run. */
@@ -26,3 +26,12 @@
 
 /** Key that marks resends of one non-repeatable call. */
 export const idempotencyHeader = "idempotency-key";
+
+/** Service that a passed-on call is for. */
+export const serviceHeader = "lagoon-service";
+
+/** Plan of a passed-on call's customer. */
+export const planHeader = "lagoon-plan";
+
+/** Route of a passed-on call, after `r` when it is repeatable, else `n`. */
+export const routeHeader = "lagoon-route";
--- a/src/routing/match_route.ts
+++ b/src/routing/match_route.ts
@@ -24,7 +24,7 @@
   readonly customer: string | undefined;
   readonly method: string;
   readonly service: string;
-  /** Path below the service, without a query. */
+  /** Decoded path below the service, without a query. */
   readonly path: string;
 }
 
--- /dev/null
+++ b/src/routing/parse_call_url.ts
@@ -0,0 +1,61 @@
+/**
+ * Splits a call's URL into service and path, and refuses ambiguous paths.
+ * @module
+ */
+
+export type CallUrl =
+  | {
+    readonly type: "parsed";
+    readonly service: string;
+    /** Path below the service with its query, as the caller wrote it. */
+    readonly target: string;
+    /** Decoded path without a query, for matching routes. */
+    readonly path: string;
+  }
+  | { readonly type: "refused"; readonly reason: string };
+
+const maxUrlLength = 8_192;
+const servicePattern = /^[A-Za-z0-9._-]+$/;
+const encodedSeparator = /%(2f|5c|00)/i;
+
+/** Parses `/service/rest?query`. */
+export function parseCallUrl(url: string): CallUrl {
+  if (url.length > maxUrlLength) return refuse("the URL is too long");
+  if (!url.startsWith("/")) return refuse("the URL is not a path");
+  const end = url.indexOf("?");
+  const whole = end < 0 ? url : url.slice(0, end);
+  const query = end < 0 ? "" : url.slice(end);
+  const slash = whole.indexOf("/", 1);
+  const service = whole.slice(1, slash < 0 ? undefined : slash);
+  if (!servicePattern.test(service) || /^\.+$/.test(service)) {
+    return refuse("the URL names no service");
+  }
+  const path = slash < 0 ? "/" : whole.slice(slash);
+  const decoded = path.includes("%") ? decode(path) : path;
+  if (decoded === undefined || isAmbiguous(decoded)) {
+    return refuse("the path is ambiguous");
+  }
+  return { type: "parsed", service, target: path + query, path: decoded };
+}
+
+/** Undefined when an escape is malformed or hides a separator. */
+function decode(path: string): string | undefined {
+  if (encodedSeparator.test(path)) return undefined;
+  try {
+    return decodeURIComponent(path);
+  } catch {
+    return undefined;
+  }
+}
+
+/** Whether an upstream may read the path as another one. */
+function isAmbiguous(path: string): boolean {
+  if (path.includes("\\") || path.includes("#")) return true;
+  // Decoding again must change nothing, or an upstream may decode twice.
+  if (/%[0-9a-f]{2}/i.test(path)) return true;
+  return path.includes("//") || /\/\.{1,2}(\/|;|$)/.test(path);
+}
+
+function refuse(reason: string): CallUrl {
+  return { type: "refused", reason };
+}
