feat(adapters): stream calls, and tell not run from unknown

Cause: bodies up to 1 MB were held whole and larger ones refused, broken connections could not be told from refusals, and a call to the own home took an HTTP hop to itself. Change: one relay passes an answer to one caller and names its end; undici's pool is driven by handlers, without an AbortController, a timer or a pipeline for each call; one watch carries all deadlines. Large bodies wait for the home's 100 Continue over node:http. The own home is called without a hop. A stopping node refuses new calls, closes keep-alive connections and waits for those in flight, bounded by the longest timeout. Ruled out: undici for uploads, since it sends head and first bytes together.

--- /dev/null
+++ b/src/adapters/call_totals.ts
@@ -0,0 +1,39 @@
+/**
+ * Counts of what became of calls at this node, for metrics.
+ * @module
+ */
+
+/** Counts since the start. Only the path of calls changes them. */
+export interface CallTotals {
+  /** Calls from callers. */
+  calls: number;
+  answered: number;
+  /** Refused as not run. */
+  notRun: number;
+  /** Ended after dispatch without a whole answer. */
+  broken: number;
+  /** Callers that left before their answer. */
+  cancelled: number;
+  retries: number;
+  overdue: number;
+  ejections: number;
+  /** Malformed requests. */
+  malformed: number;
+  /** Calls that other nodes passed on to this one. */
+  forwarded: number;
+}
+
+export function createCallTotals(): CallTotals {
+  return {
+    calls: 0,
+    answered: 0,
+    notRun: 0,
+    broken: 0,
+    cancelled: 0,
+    retries: 0,
+    overdue: 0,
+    ejections: 0,
+    malformed: 0,
+    forwarded: 0,
+  };
+}
--- a/src/adapters/calls.ts
+++ b/src/adapters/calls.ts
@@ -8,30 +8,45 @@
   ServerResponse,
 } from "node:http";
 import type { MonotonicMs } from "../core/types.ts";
-import { notRunHeader, reasonHeader } from "../routing/headers.ts";
+import {
+  customerHeader,
+  notRunHeader,
+  reasonHeader,
+} from "../routing/headers.ts";
+import type { CallBody } from "./call_body.ts";
+
+/** Headers as both HTTP clients take them. */
+export type SentHeaders = Record<string, string | string[]>;
 
 /** One call to a service version. */
 export interface CallRequest {
   readonly method: string;
   readonly service: string;
   readonly version: string;
+  readonly route: string;
+  readonly plan: string;
+  readonly isRepeatable: boolean;
   /** Path below the service, with its query. */
   readonly path: string;
-  readonly headers: IncomingHttpHeaders;
-  readonly body: Buffer;
+  /** End-to-end headers, the customer's included. Copied, never changed. */
+  readonly headers: SentHeaders;
+  readonly body: CallBody;
   readonly deadlineAt: MonotonicMs;
+  /** Times that the call may still be passed to another node. */
+  readonly hopsLeft: number;
 }
 
-/** Largest body that is held for a retry, in bytes. */
+/** Largest body of an operator's request, in bytes. */
 const maxBodyBytes = 1024 * 1024;
 
 const hopByHop = new Set([
   "connection",
-  "content-length",
+  "expect",
   "host",
   "keep-alive",
   "proxy-authenticate",
   "proxy-authorization",
+  "proxy-connection",
   "te",
   "trailer",
   "transfer-encoding",
@@ -40,17 +55,32 @@
 
 const internalPrefix = "lagoon-";
 
-/** Leaves out hop-by-hop and internal headers. */
+/**
+ * Copies end-to-end headers. Leaves out what belongs to one connection, what
+ * `connection` names, and all internal headers but the customer's.
+ */
 export function sendableHeaders(
   headers: IncomingHttpHeaders,
-): Record<string, string | string[]> {
-  const kept: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
+  extra: SentHeaders = {},
+): SentHeaders {
+  const kept: SentHeaders = {};
+  const { connection } = headers;
+  const named = connection === undefined || isPlainConnection(connection)
+    ? undefined
+    : new Set(connection.toLowerCase().split(/\s*,\s*/));
+  for (const name in headers) {
+    const value = headers[name];
     if (value === undefined || hopByHop.has(name)) continue;
-    if (name.startsWith(internalPrefix)) continue;
+    if (name.startsWith(internalPrefix) && name !== customerHeader) continue;
+    // A framing header can't be dropped by naming it.
+    if (named?.has(name) && name !== "content-length") continue;
     kept[name] = value;
   }
-  return kept;
+  return Object.assign(kept, extra);
+}
+
+function isPlainConnection(value: string): boolean {
+  return value === "keep-alive" || value === "close";
 }
 
 /** Answers for a call that did not run. */
@@ -69,19 +99,45 @@
     [notRunHeader]: "true",
     [reasonHeader]: code,
     ...(status === 503 ? { "retry-after": "1" } : {}),
+    ...closeUnread(res),
   });
   res.end(`${code}: ${reason}.\n`);
 }
 
+/** Answers for a call that may have run. */
+export function failUnknown(
+  res: ServerResponse,
+  reason: string,
+  isLate: boolean,
+) {
+  // A broken answer must not look whole.
+  if (res.headersSent) {
+    res.destroy();
+    return;
+  }
+  res.writeHead(isLate ? 504 : 502, {
+    "content-type": "text/plain",
+    [reasonHeader]: isLate ? "LAGOON_CALL_LATE" : "LAGOON_CALL_UNKNOWN",
+    ...closeUnread(res),
+  });
+  res.end(`${reason}. The call may have run.\n`);
+}
+
+/** A connection whose request was not read to its end can't be used again. */
+function closeUnread(res: ServerResponse): Record<string, string> {
+  return res.req.complete ? {} : { connection: "close" };
+}
+
 /** Reads a body. Undefined when it is larger than may be held. */
 export async function readBody(
   req: IncomingMessage,
+  maxBytes = maxBodyBytes,
 ): Promise<Buffer | undefined> {
   const chunks: Buffer[] = [];
   let length = 0;
   for await (const chunk of req) {
     length += chunk.length;
-    if (length > maxBodyBytes) return undefined;
+    if (length > maxBytes) return undefined;
     chunks.push(chunk);
   }
   return Buffer.concat(chunks);
--- a/src/adapters/create_call_path.ts
+++ b/src/adapters/create_call_path.ts
@@ -3,248 +3,211 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { pipeline } from "node:stream/promises";
 import createDebug from "debug";
 import type { Polka } from "polka";
-import { Agent } from "undici";
-import type { NodeId } from "../core/types.ts";
-import { CallOutcome } from "../rollout/state.ts";
-import { chooseHome } from "../routing/choose_home.ts";
-import { chooseVersion } from "../routing/choose_version.ts";
-import {
-  customerHeader,
-  deadlineHeader,
-  notRunHeader,
-  versionHeader,
-} from "../routing/headers.ts";
-import { matchRoute, type RouteMatch } from "../routing/match_route.ts";
-import {
-  type CallRequest,
-  readBody,
-  refuseNotRun,
-  sendableHeaders,
-} from "./calls.ts";
+import { exhausted } from "../core/exhausted.ts";
+import type { NodeInfo } from "../core/types.ts";
+import type { CallEnd } from "../retry/messages.ts";
+import { createRetryState } from "../retry/state.ts";
+import { decideRouting } from "../routing/decide_routing.ts";
+import { createRoutingState } from "../routing/state.ts";
+import { cacheDirectory } from "./cached_directory.ts";
+import { type CallTotals, createCallTotals } from "./call_totals.ts";
+import { type CallWatch, createCallWatch } from "./call_watch.ts";
+import { failUnknown, refuseNotRun } from "./calls.ts";
 import type { Control } from "./create_control.ts";
 import { createHome } from "./create_home.ts";
+import { createHomeLinks, forwardPrefix } from "./home_links.ts";
+import { createHeldBodies } from "./held_bodies.ts";
 import { isAuthorized } from "./is_authorized.ts";
+import { readCall, readForward, type ReadResult } from "./read_call.ts";
+import { tryHomes, type TryHomesContext } from "./try_homes.ts";
 
 const log = createDebug("lagoon:calls");
+const logTotals = createDebug("lagoon:totals");
 
-const forwardPrefix = "/forward";
-const serviceHeader = "lagoon-service";
-const maxAttempts = 3;
+/** Longest pause within an upload or an answer, in milliseconds. */
+const idleMs = 10_000;
+
+const sweepMs = 5_000;
 
 /** Options of `createCallPath`. */
 export interface CreateCallPathOptions {
   readonly control: Control;
+  readonly self: NodeInfo;
   readonly keys: readonly string[];
 }
 
 export interface CallPath {
+  readonly totals: Readonly<CallTotals>;
   /** Adds the callers' routes. */
   setUpCalls(app: Polka): void;
   /** Adds the routes for calls that other nodes pass on. */
   setUpForwards(app: Polka): void;
+  /** Refuses new calls as not run. Those in flight go on. */
+  stop(): void;
+  /** Resolves when no call is in flight, or after `boundMs`. */
+  idle(boundMs: number): Promise<void>;
   close(): Promise<void>;
 }
 
-type Matched = Extract<RouteMatch, { type: "matched" }>;
-
 /** Creates the call path of a node. */
 export function createCallPath(opts: CreateCallPathOptions): CallPath {
   const { control, keys } = opts;
-  const home = createHome({ endpoints: () => control.membership.own });
-  const agent = new Agent({ connections: 64 });
-  const inFlight = new Map<NodeId, number>();
+  const watch: CallWatch = createCallWatch({ idleMs });
+  const links = createHomeLinks({ keys, watch });
+  const home = createHome({ endpoints: () => control.membership.own, watch });
+  const totals = createCallTotals();
+  const now = () => performance.now();
+  const context: TryHomesContext = {
+    self: opts.self,
+    directory: cacheDirectory({ directory: control.directory, now }),
+    routing: createRoutingState(),
+    retry: createRetryState(),
+    home,
+    links,
+    totals,
+  };
+  const callers: TryHomesContext = {
+    ...context,
+    noteAnswer: control.noteAnswer,
+  };
+  const held = createHeldBodies();
+  const timer = setInterval(sweep, sweepMs);
+  let isStopping = false;
+  const active = new Set<ServerResponse>();
+  let onIdle = () => {};
 
-  async function takeCall(req: IncomingMessage, res: ServerResponse) {
-    const serving = control.serving();
-    if (serving === undefined) {
-      const reason = "this node has no configuration yet";
-      return refuseNotRun(res, "LAGOON_CALL_NO_CONFIG", reason);
+  function sweep() {
+    home.sweep();
+    for (const effect of decideRouting(context.routing, sweptNow())) {
+      if (effect.type === "idle") links.drop(effect.home);
     }
-    const { service, path } = splitUrl(req.url ?? "/");
-    const method = req.method ?? "GET";
-    const customer = req.headers[customerHeader];
-    const match = matchRoute({
-      config: serving,
-      customer: typeof customer === "string" ? customer : undefined,
-      method,
-      service,
-      path: path.split("?")[0] ?? path,
-    });
-    if (match.type === "refused") {
-      return refuseNotRun(res, match.code, match.reason, match.status);
-    }
-    const body = await readBody(req);
-    if (body === undefined) {
-      const reason = "the body is too large";
-      return refuseNotRun(res, "LAGOON_CALL_TOO_LARGE", reason, 413);
-    }
-    const asked = Number(req.headers[deadlineHeader]);
-    const leftMs = Math.min(match.route.timeoutMs, asked || Infinity);
-    await tryHomes(match, {
-      method,
-      service,
-      version: chooseVersion({
-        served: match.served,
-        held: control.held,
-        random: Math.random(),
-      }),
-      path,
-      headers: req.headers,
-      body,
-      deadlineAt: performance.now() + leftMs,
-    }, res);
   }
 
-  async function tryHomes(
-    match: Matched,
-    call: CallRequest,
-    res: ServerResponse,
-  ) {
-    const tried = new Set<NodeId>();
-    for (let attempt = 0; attempt < maxAttempts; attempt++) {
-      const to = chooseHome({
-        directory: control.directory,
-        service: call.service,
-        version: call.version,
-        inFlight,
-        tried,
-        random: [Math.random(), Math.random()],
-      });
-      if (to === undefined) break;
-      tried.add(to);
-      const isAnswered = await passOn(match, call, to, res);
-      if (isAnswered) return;
-    }
-    const reason = `no home of ${call.service}@${call.version} took the call`;
-    refuseNotRun(res, "LAGOON_CALL_NO_HOME", reason);
-  }
+  const sweptNow = () => ({ type: "swept", now: now() }) as const;
 
-  /** True when the caller has its answer, false when the call did not run. */
-  async function passOn(
-    match: Matched,
-    call: CallRequest,
-    to: NodeId,
-    res: ServerResponse,
-  ): Promise<boolean> {
-    const startedAt = performance.now();
-    inFlight.set(to, (inFlight.get(to) ?? 0) + 1);
-    const abort = new AbortController();
-    const timer = setTimeout(
-      () => abort.abort(),
-      call.deadlineAt - startedAt + 50,
-    );
-    res.once("close", () => abort.abort());
-    const note = (outcome: CallOutcome) =>
-      control.noteAnswer({
-        type: "answered",
-        service: call.service,
-        version: call.version,
-        route: match.route.name,
-        outcome,
-        latencyMs: performance.now() - startedAt,
-      });
-    try {
-      const answer = await agent.request({
-        origin: `http://${to}`,
-        method: call.method as "GET",
-        path: forwardPrefix + call.path,
-        headers: {
-          ...sendableHeaders(call.headers),
-          ...(keys[0] === undefined
-            ? {}
-            : { "proxy-authorization": `Bearer ${keys[0]}` }),
-          [serviceHeader]: call.service,
-          [versionHeader]: call.version,
-          [deadlineHeader]: String(
-            Math.floor(call.deadlineAt - performance.now()),
-          ),
-        },
-        body: call.body.length > 0 ? call.body : null,
-        signal: abort.signal,
-      });
-      if (answer.headers[notRunHeader] === "true") {
-        await answer.body.dump();
-        return false;
-      }
-      res.writeHead(answer.statusCode, {
-        ...sendableHeaders(answer.headers as IncomingMessage["headers"]),
-        [versionHeader]: call.version,
-      });
-      await pipeline(answer.body, res);
-      note(answer.statusCode >= 500 ? CallOutcome.Failed : CallOutcome.Served);
-      return true;
-    } catch (err) {
-      note(CallOutcome.Failed);
-      log("Call to %s by %s failed: %s.", call.service, to, String(err));
-      if (res.headersSent) res.destroy();
-      else {
-        res.writeHead(502, { "content-type": "text/plain" });
-        res.end(`The home ${to} failed after the call was passed on.\n`);
-      }
-      return true;
-    } finally {
-      clearTimeout(timer);
-      inFlight.set(to, (inFlight.get(to) ?? 1) - 1);
-    }
+  async function takeCall(req: IncomingMessage, res: ServerResponse) {
+    totals.calls++;
+    const read = await readCall({ control, held, watch, req, res });
+    if (read.type === "refused") return refuseRead(res, read);
+    const end = await tryHomes(callers, read.call, res);
+    count(end);
+    tell(res, end);
   }
 
   async function takeForward(req: IncomingMessage, res: ServerResponse) {
     if (!isAuthorized(req.headers["proxy-authorization"], keys)) {
       return refuseNotRun(res, "LAGOON_PEER_KEY", "wrong key", 401);
     }
-    const body = await readBody(req);
-    if (body === undefined) {
-      return refuseNotRun(res, "LAGOON_CALL_TOO_LARGE", "body too large", 413);
+    totals.forwarded++;
+    const read = await readForward({ held, watch, req, res });
+    if (read.type === "refused") return refuseRead(res, read);
+    const { call } = read;
+    // A gateway chooses a home of its domain, once. A home runs the call.
+    const end = call.hopsLeft > 0
+      ? await tryHomes(context, call, res)
+      : await home.run(call, res).end;
+    tell(res, end);
+  }
+
+  function refuseRead(
+    res: ServerResponse,
+    read: Extract<ReadResult, { type: "refused" }>,
+  ) {
+    if (read.status === 400) totals.malformed++;
+    totals.notRun++;
+    refuseNotRun(res, read.code, read.reason, read.status);
+  }
+
+  function count(end: CallEnd) {
+    switch (end.type) {
+      case "answered":
+        totals.answered++;
+        break;
+      case "not-run":
+        totals.notRun++;
+        break;
+      case "cancelled":
+        totals.cancelled++;
+        break;
+      case "unknown":
+      case "cut":
+      case "given-up":
+        totals.broken++;
+        break;
+      default:
+        exhausted(end);
     }
-    const service = String(req.headers[serviceHeader] ?? "");
-    const version = String(req.headers[versionHeader] ?? "");
-    const leftMs = Number(req.headers[deadlineHeader] ?? 0);
-    await home.run({
-      method: req.method ?? "GET",
-      service,
-      version,
-      path: (req.url ?? "/").slice(forwardPrefix.length) || "/",
-      headers: req.headers,
-      body,
-      deadlineAt: performance.now() + leftMs,
-    }, res);
   }
 
   const guard = (
     handle: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
   ) =>
   (req: IncomingMessage, res: ServerResponse) => {
+    if (isStopping) {
+      res.shouldKeepAlive = false;
+      return refuseNotRun(res, "LAGOON_CALL_STOPPING", "this node stops");
+    }
+    active.add(res);
+    // The caller's socket has the last say on whether an answer arrived.
+    res.once("close", () => {
+      active.delete(res);
+      if (active.size === 0) onIdle();
+    });
     handle(req, res).catch((err) => {
-      log("Call failed: %O.", err);
+      log("Call failed: %s.", String(err));
       res.destroy();
     });
   };
 
   return {
+    totals,
     setUpCalls: (app) => app.use(guard(takeCall) as never),
-    setUpForwards: (app) =>
+    setUpForwards: (app) => {
+      const forward = guard(takeForward);
       app.use((req, res, next) => {
         if (!(req.url ?? "").startsWith(`${forwardPrefix}/`)) return next();
-        guard(takeForward)(req, res);
-      }),
+        forward(req, res);
+      });
+    },
+    stop() {
+      isStopping = true;
+      for (const res of active) res.shouldKeepAlive = false;
+    },
+    async idle(boundMs) {
+      if (active.size === 0) return;
+      let bound: NodeJS.Timeout | undefined;
+      await new Promise<void>((resolve) => {
+        onIdle = resolve;
+        bound = setTimeout(resolve, boundMs);
+      });
+      clearTimeout(bound);
+    },
     async close() {
+      clearInterval(timer);
       await home.close();
-      await agent.close();
+      await links.close();
+      watch.close();
+      logTotals("%j", totals);
     },
   };
 }
 
-/** `/service/rest?query` as the service and the path below it. */
-function splitUrl(url: string): { service: string; path: string } {
-  const rest = url.slice(1);
-  const end = rest.search(/[/?]/);
-  if (end < 0) return { service: rest, path: "/" };
-  const path = rest.slice(end);
-  return {
-    service: rest.slice(0, end),
-    path: path.startsWith("?") ? `/${path}` : path,
-  };
+/** Tells the caller how its call ended, where the answer did not. */
+function tell(res: ServerResponse, end: CallEnd) {
+  switch (end.type) {
+    case "answered":
+    case "cancelled":
+    case "cut":
+      return;
+    case "not-run":
+      return refuseNotRun(res, end.code, end.reason, end.status);
+    case "unknown":
+      return failUnknown(res, end.reason, end.isLate);
+    case "given-up":
+      return failUnknown(res, "The home did not answer", false);
+    default:
+      exhausted(end);
+  }
 }
--- a/src/adapters/create_home.ts
+++ b/src/adapters/create_home.ts
@@ -2,99 +2,208 @@
  * Runs calls on the upstreams whose home this node is.
  * @module
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
-import { pipeline } from "node:stream/promises";
-import createDebug from "debug";
+import type { ServerResponse } from "node:http";
 import PQueue from "p-queue";
-import { Pool } from "undici";
+import Pool from "undici/lib/dispatcher/pool.js";
 import { decideAdmission } from "../admission/decide_admission.ts";
+import { rampSlots } from "../admission/ramp_slots.ts";
+import { createAdmissionState } from "../admission/state.ts";
 import { type EndpointId, EndpointState } from "../core/types.ts";
 import type { OwnEndpoint } from "../membership/state.ts";
+import type { CallEnd } from "../retry/messages.ts";
 import {
   deadlineHeader,
   loadHeader,
   versionHeader,
 } from "../routing/headers.ts";
-import { type CallRequest, refuseNotRun, sendableHeaders } from "./calls.ts";
+import { canSendBody } from "./call_body.ts";
+import type { CallWatch } from "./call_watch.ts";
+import type { CallRequest } from "./calls.ts";
+import type { Attempt } from "./create_relay.ts";
+import { dispatchCall } from "./dispatch_call.ts";
 
-const log = createDebug("lagoon:home");
-
-const meanWeight = 0.1;
-const initialMeanMs = 10;
+const keepAliveMs = 30_000;
 
 interface EndpointRunner {
   readonly queue: PQueue;
   readonly pool: Pool;
-  meanMs: number;
+  readonly connections: number;
 }
 
 /** Options of `createHome`. */
 export interface CreateHomeOptions {
   readonly endpoints: () => ReadonlyMap<EndpointId, OwnEndpoint>;
+  readonly watch: CallWatch;
 }
 
 export interface Home {
+  /** Whether an endpoint of the version, ready or draining, is here. */
+  has(service: string, version: string): boolean;
   /** Runs a call here, or refuses it as not run. */
-  run(call: CallRequest, res: ServerResponse): Promise<void>;
+  run(
+    call: CallRequest,
+    res: ServerResponse,
+    overdue?: { readonly afterMs: number; readonly onOverdue: () => void },
+  ): Attempt;
+  /** Closes what belongs to endpoints that are gone. */
+  sweep(): void;
   close(): Promise<void>;
 }
 
 /** Creates the home of this VM's upstreams. */
 export function createHome(opts: CreateHomeOptions): Home {
+  const { watch } = opts;
   const runners = new Map<EndpointId, EndpointRunner>();
+  const state = createAdmissionState();
+  const now = () => performance.now();
 
   function runnerOf(own: OwnEndpoint): EndpointRunner {
-    const { endpoint, slots, connections } = own.announcement;
+    const { endpoint, connections } = own.announcement;
     const known = runners.get(endpoint);
-    if (known !== undefined) return known;
+    if (known?.connections === connections) return known;
+    // The old pool finishes its calls, and no slot is given twice.
+    known?.pool.close();
     const runner = {
-      queue: new PQueue({ concurrency: slots }),
+      queue: known?.queue ?? new PQueue({ concurrency: 1 }),
       pool: new Pool(`http://${endpoint}`, {
-        connections: Math.min(slots, connections),
+        connections,
+        keepAliveTimeout: keepAliveMs,
+        // The watch of calls takes the place of the client's timers.
+        headersTimeout: 0,
+        bodyTimeout: 0,
       }),
-      meanMs: initialMeanMs,
+      connections,
     };
     runners.set(endpoint, runner);
     return runner;
   }
 
+  function loadOf(own: OwnEndpoint): number {
+    const { endpoint, slots } = own.announcement;
+    const load = state.endpoints.get(endpoint);
+    return ((load?.running ?? 0) + (load?.waiting ?? 0)) / slots;
+  }
+
   function pickEndpoint(call: CallRequest): OwnEndpoint | undefined {
-    const fitting = [...opts.endpoints().values()].filter((own) =>
-      own.announcement.service === call.service &&
-      own.announcement.version === call.version &&
-      own.announcement.state === EndpointState.Ready
-    );
-    const loadOf = (own: OwnEndpoint) => {
-      const { queue } = runnerOf(own);
-      return (queue.pending + queue.size) / own.announcement.slots;
+    let best: OwnEndpoint | undefined;
+    for (const own of opts.endpoints().values()) {
+      const { service, version } = own.announcement;
+      if (service !== call.service || version !== call.version) continue;
+      if (own.announcement.state !== EndpointState.Ready) continue;
+      if (best === undefined || loadOf(own) < loadOf(best)) best = own;
+    }
+    return best;
+  }
+
+  function run(
+    call: CallRequest,
+    res: ServerResponse,
+    overdue?: Parameters<Home["run"]>[2],
+  ): Attempt {
+    const own = pickEndpoint(call);
+    if (own === undefined) {
+      const reason = `no ready ${call.service}@${call.version} is here`;
+      return refused("LAGOON_CALL_NO_ENDPOINT", reason);
+    }
+    const { endpoint, slots, connections } = own.announcement;
+    const runner = runnerOf(own);
+    const concurrency = rampSlots({
+      slots,
+      connections,
+      readyMs: now() - own.readySince,
+    });
+    if (runner.queue.concurrency !== concurrency) {
+      runner.queue.concurrency = concurrency;
+    }
+    const leftMs = call.deadlineAt - now();
+    const { plan } = call;
+    const [effect] = decideAdmission(state, {
+      type: "asked",
+      endpoint,
+      plan,
+      slots: concurrency,
+      leftMs,
+    });
+    if (effect?.type !== "admit") {
+      return refused("LAGOON_CALL_OVERLOADED", effect?.reason ?? "overload");
+    }
+    const { tag } = effect;
+    let attempt: Attempt | undefined;
+    let isGivenUp = false;
+    const work = async (): Promise<CallEnd> => {
+      const refusal = isGivenUp
+        ? givenUp
+        : whyNotStart(call, res, opts.endpoints().get(endpoint));
+      const isRun = refusal === undefined;
+      decideAdmission(state, { type: "started", endpoint, plan, tag, isRun });
+      if (refusal !== undefined) return refusal;
+      const startedAt = now();
+      attempt = runAtUpstream({ runner, own, call, res, overdue });
+      const end = await attempt.end;
+      const tookMs = now() - startedAt;
+      decideAdmission(state, { type: "ended", endpoint, tookMs });
+      return end.type === "answered" ? { ...end, load: loadOf(own) } : end;
+    };
+    return {
+      end: runner.queue.add(work, { priority: -tag }),
+      giveUp() {
+        isGivenUp = true;
+        attempt?.giveUp();
+      },
     };
-    return fitting.sort((a, b) => loadOf(a) - loadOf(b))[0];
+  }
+
+  function runAtUpstream(at: {
+    readonly runner: EndpointRunner;
+    readonly own: OwnEndpoint;
+    readonly call: CallRequest;
+    readonly res: ServerResponse;
+    readonly overdue: Parameters<Home["run"]>[2];
+  }): Attempt {
+    const { call, overdue } = at;
+    return dispatchCall({
+      pool: at.runner.pool,
+      watch,
+      res: at.res,
+      method: call.method,
+      path: call.path,
+      headers: {
+        ...call.headers,
+        [deadlineHeader]: String(Math.ceil(call.deadlineAt - now())),
+      },
+      body: call.body,
+      deadlineAt: call.deadlineAt,
+      isPeer: false,
+      extra: () => ({
+        [versionHeader]: call.version,
+        [loadHeader]: loadOf(at.own).toFixed(2),
+      }),
+      ...(overdue === undefined ? {} : {
+        overdueMs: overdue.afterMs,
+        onOverdue: overdue.onOverdue,
+      }),
+    });
+  }
+
+  function sweep() {
+    const live = opts.endpoints();
+    for (const [endpoint, runner] of runners) {
+      if (live.has(endpoint)) continue;
+      if (runner.queue.pending + runner.queue.size > 0) continue;
+      runners.delete(endpoint);
+      runner.pool.close();
+      decideAdmission(state, { type: "gone", endpoint });
+    }
   }
 
   return {
-    async run(call, res) {
-      const own = pickEndpoint(call);
-      if (own === undefined) {
-        const reason = `no ${call.service}@${call.version} here`;
-        return refuseNotRun(res, "LAGOON_CALL_NO_ENDPOINT", reason);
-      }
-      const runner = runnerOf(own);
-      const { queue } = runner;
-      const { slots } = own.announcement;
-      const decision = decideAdmission({
-        load: {
-          slots,
-          running: queue.pending,
-          waiting: queue.size,
-          meanMs: runner.meanMs,
-        },
-        leftMs: call.deadlineAt - performance.now(),
-      });
-      if (decision.type === "refuse") {
-        return refuseNotRun(res, "LAGOON_CALL_OVERLOADED", decision.reason);
-      }
-      await queue.add(() => runAtUpstream(runner, slots, call, res));
-    },
+    has: (service, version) =>
+      [...opts.endpoints().values()].some((own) =>
+        own.announcement.service === service &&
+        own.announcement.version === version
+      ),
+    run,
+    sweep,
     async close() {
       await Promise.all([...runners.values()].map(async (runner) => {
         await runner.queue.onIdle();
@@ -104,55 +213,33 @@
   };
 }
 
-async function runAtUpstream(
-  runner: EndpointRunner,
-  slots: number,
+const givenUp: CallEnd = { type: "given-up" };
+
+/** Checks again at the turn of a call that has waited. */
+function whyNotStart(
   call: CallRequest,
   res: ServerResponse,
-) {
-  const leftMs = call.deadlineAt - performance.now();
-  if (leftMs <= 0 || res.destroyed) {
-    const reason = "the deadline passed while the call waited";
-    return refuseNotRun(res, "LAGOON_CALL_DEADLINE", reason);
+  own: OwnEndpoint | undefined,
+): CallEnd | undefined {
+  if (res.destroyed) return { type: "cancelled" };
+  if (call.deadlineAt <= performance.now()) {
+    return notRun(
+      "LAGOON_CALL_DEADLINE",
+      "the deadline passed while it waited",
+    );
   }
-  const startedAt = performance.now();
-  const abort = new AbortController();
-  const timer = setTimeout(() => abort.abort(), leftMs);
-  res.once("close", () => abort.abort());
-  try {
-    const answer = await runner.pool.request({
-      method: call.method as "GET",
-      path: call.path,
-      headers: {
-        ...sendableHeaders(call.headers),
-        [deadlineHeader]: String(Math.floor(leftMs)),
-      },
-      body: call.body.length > 0 ? call.body : null,
-      signal: abort.signal,
-    });
-    const load = (runner.queue.pending + runner.queue.size) / slots;
-    res.writeHead(answer.statusCode, {
-      ...sendableHeaders(answer.headers as IncomingMessage["headers"]),
-      [versionHeader]: call.version,
-      [loadHeader]: load.toFixed(2),
-    });
-    await pipeline(answer.body, res);
-  } catch (err) {
-    log("Call to %s failed: %s.", call.service, String(err));
-    failCall(res, abort.signal.aborted ? 504 : 502);
-  } finally {
-    clearTimeout(timer);
-    const tookMs = performance.now() - startedAt;
-    runner.meanMs += (tookMs - runner.meanMs) * meanWeight;
+  if (own?.announcement.state !== EndpointState.Ready) {
+    return notRun("LAGOON_CALL_DRAINING", "the upstream leaves");
   }
+  return canSendBody(call.body)
+    ? undefined
+    : notRun("LAGOON_CALL_BODY_GONE", "the body can't be sent again");
 }
 
-/** A broken answer must not look whole: the connection is destroyed. */
-function failCall(res: ServerResponse, status: number) {
-  if (res.headersSent) {
-    res.destroy();
-    return;
-  }
-  res.writeHead(status, { "content-type": "text/plain" });
-  res.end("The upstream failed after the call was dispatched.\n");
+function notRun(code: `LAGOON_${string}`, reason: string): CallEnd {
+  return { type: "not-run", code, reason, status: 503 };
+}
+
+function refused(code: `LAGOON_${string}`, reason: string): Attempt {
+  return { end: Promise.resolve(notRun(code, reason)), giveUp: () => {} };
 }
--- /dev/null
+++ b/src/adapters/home_links.ts
@@ -0,0 +1,115 @@
+/**
+ * Passes calls on to other nodes.
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import Pool from "undici/lib/dispatcher/pool.js";
+import type { NodeId } from "../core/types.ts";
+import { maxInFlight } from "../routing/choose_home.ts";
+import {
+  deadlineHeader,
+  hopsHeader,
+  planHeader,
+  routeHeader,
+  serviceHeader,
+  versionHeader,
+} from "../routing/headers.ts";
+import type { CallWatch } from "./call_watch.ts";
+import type { CallRequest, SentHeaders } from "./calls.ts";
+import type { Attempt } from "./create_relay.ts";
+import { dispatchCall } from "./dispatch_call.ts";
+import { dispatchUpload } from "./dispatch_upload.ts";
+
+/** Path prefix of calls between nodes. */
+export const forwardPrefix = "/forward";
+
+/** The home ends a late call first, so that its own answer comes through. */
+const graceMs = 50;
+
+const connectMs = 1_000;
+const keepAliveMs = 30_000;
+
+/** Options of `createHomeLinks`. */
+export interface CreateHomeLinksOptions {
+  readonly keys: readonly string[];
+  readonly watch: CallWatch;
+}
+
+/** How a call is passed on. */
+export interface PassOnOptions {
+  readonly to: NodeId;
+  readonly call: CallRequest;
+  readonly res: ServerResponse;
+  /** Times that the receiver may pass it on. */
+  readonly hopsLeft: number;
+  readonly overdueMs: number;
+  readonly onOverdue: () => void;
+}
+
+export interface HomeLinks {
+  passOn(opts: PassOnOptions): Attempt;
+  /** Closes the connections to a node that gets no calls any more. */
+  drop(to: NodeId): void;
+  close(): Promise<void>;
+}
+
+/** Creates the connections to other nodes, opened at the first call. */
+export function createHomeLinks(opts: CreateHomeLinksOptions): HomeLinks {
+  const { keys, watch } = opts;
+  const pools = new Map<NodeId, Pool>();
+  const auth: SentHeaders = keys[0] === undefined
+    ? {}
+    : { "proxy-authorization": `Bearer ${keys[0]}` };
+
+  function poolOf(to: NodeId): Pool {
+    const known = pools.get(to);
+    if (known !== undefined) return known;
+    const pool = new Pool(`http://${to}`, {
+      connections: maxInFlight,
+      keepAliveTimeout: keepAliveMs,
+      connectTimeout: connectMs,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    pools.set(to, pool);
+    return pool;
+  }
+
+  return {
+    passOn({ to, call, res, hopsLeft, overdueMs, onOverdue }) {
+      const leftMs = call.deadlineAt - performance.now();
+      const common = {
+        watch,
+        res,
+        method: call.method,
+        path: forwardPrefix + call.path,
+        headers: {
+          ...call.headers,
+          ...auth,
+          [serviceHeader]: call.service,
+          [versionHeader]: call.version,
+          [planHeader]: call.plan,
+          [routeHeader]: `${call.isRepeatable ? "r" : "n"} ${call.route}`,
+          [hopsHeader]: String(hopsLeft),
+          [deadlineHeader]: String(Math.max(1, Math.floor(leftMs))),
+        },
+        deadlineAt: call.deadlineAt + graceMs,
+        isPeer: true,
+        extra: () => ({ [versionHeader]: call.version }),
+        overdueMs,
+        onOverdue,
+      };
+      const { body } = call;
+      return body.type === "streamed"
+        ? dispatchUpload({ ...common, to, body })
+        : dispatchCall({ ...common, pool: poolOf(to), body });
+    },
+    drop(to) {
+      pools.get(to)?.close();
+      pools.delete(to);
+    },
+    async close() {
+      await Promise.all([...pools.values()].map((pool) => pool.close()));
+    },
+  };
+}
--- /dev/null
+++ b/src/adapters/read_call.ts
@@ -0,0 +1,183 @@
+/**
+ * Reads a call from a caller's request, or from one that a node passes on.
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { chooseVersion } from "../routing/choose_version.ts";
+import {
+  customerHeader,
+  deadlineHeader,
+  hopsHeader,
+  idempotencyHeader,
+  planHeader,
+  routeHeader,
+  serviceHeader,
+  versionHeader,
+} from "../routing/headers.ts";
+import { matchRoute, type RouteMatch } from "../routing/match_route.ts";
+import { parseCallUrl } from "../routing/parse_call_url.ts";
+import { parseDeadline } from "../routing/parse_deadline.ts";
+import { type CallBody, maxHeldBytes, openBody } from "./call_body.ts";
+import type { CallWatch, Watched } from "./call_watch.ts";
+import { type CallRequest, refuseNotRun, sendableHeaders } from "./calls.ts";
+import type { Control } from "./create_control.ts";
+import type { HeldBodies } from "./held_bodies.ts";
+import { forwardPrefix } from "./home_links.ts";
+
+const maxKeyLength = 256;
+
+/** Own failure domain, a gateway of another, a home there. */
+const maxHops = 2;
+
+export type ReadResult =
+  | { readonly type: "read"; readonly call: CallRequest }
+  | Extract<RouteMatch, { type: "refused" }>;
+
+/** Options of `readForward`. */
+export interface ReadForwardOptions {
+  readonly held: HeldBodies;
+  readonly watch: CallWatch;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+}
+
+/** Options of `readCall`. */
+export interface ReadCallOptions extends ReadForwardOptions {
+  readonly control: Control;
+}
+
+/** Checks a caller's request and reads its body if it is small. */
+export async function readCall(opts: ReadCallOptions): Promise<ReadResult> {
+  const { control, req } = opts;
+  const config = control.serving();
+  if (config === undefined) {
+    const reason = "this node has no configuration yet";
+    return refuse(503, "LAGOON_CALL_NO_CONFIG", reason);
+  }
+  const url = parseCallUrl(req.url ?? "");
+  if (url.type === "refused") {
+    return refuse(400, "LAGOON_CALL_URL", url.reason);
+  }
+  const asked = parseDeadline(req.headers[deadlineHeader]);
+  if (asked === undefined) {
+    const reason = `${deadlineHeader} is no number of milliseconds`;
+    return refuse(400, "LAGOON_CALL_DEADLINE_MALFORMED", reason);
+  }
+  if (hasLongKey(req)) {
+    const reason = `a key is longer than ${maxKeyLength} characters`;
+    return refuse(400, "LAGOON_CALL_KEY_TOO_LONG", reason);
+  }
+  const method = req.method ?? "GET";
+  const customer = req.headers[customerHeader];
+  const match = matchRoute({
+    config,
+    customer: typeof customer === "string" ? customer : undefined,
+    method,
+    service: url.service,
+    path: url.path,
+  });
+  if (match.type === "refused") return match;
+  const { served, route } = match;
+  const deadlineAt = performance.now() + Math.min(route.timeoutMs, asked);
+  const body = await readBodyInTime(opts, deadlineAt);
+  if (body === undefined) return tooManyHeld;
+  return {
+    type: "read",
+    call: {
+      method,
+      service: url.service,
+      version: chooseVersion({
+        served,
+        held: control.held,
+        random: Math.random(),
+      }),
+      route: route.name,
+      plan: served.plan,
+      isRepeatable: route.repeatable,
+      path: url.target,
+      headers: sendableHeaders(req.headers),
+      body,
+      deadlineAt,
+      hopsLeft: maxHops,
+    },
+  };
+}
+
+/** Reads a call that another node passed on. */
+export async function readForward(
+  opts: ReadForwardOptions,
+): Promise<ReadResult> {
+  const { req } = opts;
+  const { headers } = req;
+  const text = (name: string) => String(headers[name] ?? "");
+  const deadlineAt = performance.now() + (Number(text(deadlineHeader)) || 0);
+  const body = await readBodyInTime(opts, deadlineAt);
+  if (body === undefined) return tooManyHeld;
+  return {
+    type: "read",
+    call: {
+      method: req.method ?? "GET",
+      service: text(serviceHeader),
+      version: text(versionHeader),
+      route: text(routeHeader).slice(2),
+      plan: text(planHeader),
+      isRepeatable: text(routeHeader).startsWith("r "),
+      path: (req.url ?? "").slice(forwardPrefix.length),
+      headers: sendableHeaders(headers),
+      body,
+      deadlineAt,
+      // No node may lend a call more hops than a caller's call has.
+      hopsLeft: Math.min(Number(text(hopsHeader)) || 0, maxHops - 1),
+    },
+  };
+}
+
+function hasLongKey(req: IncomingMessage): boolean {
+  return [customerHeader, idempotencyHeader].some((name) =>
+    String(req.headers[name] ?? "").length > maxKeyLength
+  );
+}
+
+/** Undefined when bodies that are held fill the memory given to them. */
+async function readBodyInTime(
+  opts: ReadForwardOptions,
+  deadlineAt: number,
+): Promise<CallBody | undefined> {
+  const { req, res, watch, held } = opts;
+  const length = Number(req.headers["content-length"] ?? 0);
+  if (length === 0 || length > maxHeldBytes) return openBody(req, res);
+  if (!held.take(length)) return undefined;
+  res.once("close", () => held.give(length));
+  const watched: Watched = {
+    deadlineAt,
+    progressAt: Infinity,
+    overdueAt: Infinity,
+    onLate: () => {
+      watch.delete(watched);
+      const reason = "the body did not come in time";
+      refuseNotRun(res, "LAGOON_CALL_BODY_LATE", reason, 408);
+    },
+    onStalled: () => {},
+    onOverdue: () => {},
+  };
+  watch.add(watched);
+  try {
+    return await openBody(req, res);
+  } finally {
+    watch.delete(watched);
+  }
+}
+
+const tooManyHeld = refuse(
+  503,
+  "LAGOON_CALL_MEMORY",
+  "this node holds too many bodies",
+);
+
+function refuse(
+  status: number,
+  code: `LAGOON_${string}`,
+  reason: string,
+): Extract<RouteMatch, { type: "refused" }> {
+  return { type: "refused", status, code, reason };
+}
--- a/src/adapters/run_node.ts
+++ b/src/adapters/run_node.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import createDebug from "debug";
 import type { NodeSettings } from "../settings/node_settings.ts";
 import { setUpAdmin } from "./admin_server.ts";
@@ -16,6 +17,14 @@
 
 const logTimeoutMs = 5_000;
 
+/** Time in which peers hear of the leave before connections close. */
+const leaveGraceMs = 300;
+
+/** Added to the longest timeout of a route when the node stops. */
+const stopSlackMs = 1_000;
+
+const longestStopMs = 120_000;
+
 export interface RunningNode {
   readonly control: Control;
   /** Graceful shutdown: finishes calls in flight, then closes all. */
@@ -43,9 +52,10 @@
     log: logClient,
     send: (to, message) => links?.send(to, message),
   });
-  const callPath = createCallPath({ control, keys });
+  const callPath = createCallPath({ control, self, keys });
   const peers = await openHttpServer({
     address: settings.peerAddr,
+    asksForBody: true,
     setUp: (app, server) => {
       callPath.setUpForwards(app);
       links = createPeerLinks({
@@ -62,6 +72,7 @@
   });
   const calls = await openHttpServer({
     address: settings.callAddr,
+    asksForBody: true,
     setUp: callPath.setUpCalls,
   });
   log("Node %s of %s is up.", self.id, domain);
@@ -70,8 +81,11 @@
     control,
     async close() {
       log("Node %s leaves.", self.id);
+      const boundMs = longestCallMs(control) + stopSlackMs;
       await control.leave();
-      await calls.close();
+      callPath.stop();
+      await sleep(leaveGraceMs);
+      await Promise.all([calls.close(boundMs), callPath.idle(boundMs)]);
       await callPath.close();
       control.close();
       links?.close();
@@ -82,3 +96,14 @@
     },
   };
 }
+
+/** Longest time that a call in flight may still take, in milliseconds. */
+function longestCallMs(control: Control): number {
+  let longest = 0;
+  for (const served of control.serving()?.services.values() ?? []) {
+    for (const route of served.routes) {
+      longest = Math.max(longest, route.timeoutMs);
+    }
+  }
+  return Math.min(longest, longestStopMs);
+}
--- /dev/null
+++ b/src/adapters/try_homes.ts
@@ -0,0 +1,222 @@
+/**
+ * Tries homes for a call until one answers or no retry is allowed.
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import createDebug from "debug";
+import { keyOfVersion } from "../core/key_of_version.ts";
+import type { Directory, NodeId, NodeInfo } from "../core/types.ts";
+import { decideRetry } from "../retry/decide_retry.ts";
+import type { CallEnd } from "../retry/messages.ts";
+import type { RetryCall, RetryState } from "../retry/state.ts";
+import { CallOutcome, type RolloutEvent } from "../rollout/state.ts";
+import { chooseHome, type HomeChoice } from "../routing/choose_home.ts";
+import { decideRouting } from "../routing/decide_routing.ts";
+import { overdueAfter } from "../routing/recent_times.ts";
+import type { RoutingEvent, RoutingState } from "../routing/state.ts";
+import { canSendBody } from "./call_body.ts";
+import type { CallTotals } from "./call_totals.ts";
+import type { CallRequest } from "./calls.ts";
+import type { Home } from "./create_home.ts";
+import type { Attempt } from "./create_relay.ts";
+import type { HomeLinks } from "./home_links.ts";
+
+const log = createDebug("lagoon:calls");
+
+const lowestServerError = 500;
+
+/** What the trial of homes needs of its node. */
+export interface TryHomesContext {
+  readonly self: NodeInfo;
+  readonly directory: Directory;
+  readonly routing: RoutingState;
+  readonly retry: RetryState;
+  readonly home: Home;
+  readonly links: HomeLinks;
+  readonly totals: CallTotals;
+  /** Takes the outcome of each attempt. Calls from callers only. */
+  readonly noteAnswer?: (
+    answer: Extract<RolloutEvent, { type: "answered" }>,
+  ) => void;
+}
+
+type Target = Exclude<HomeChoice, { type: "none" }>;
+
+/** Resolves with the end of the last attempt. Never rejects. */
+export async function tryHomes(
+  context: TryHomesContext,
+  call: CallRequest,
+  res: ServerResponse,
+): Promise<CallEnd> {
+  const tried: NodeId[] = [];
+  let last: CallEnd | undefined;
+  while (true) {
+    const target = choose(context, call, tried);
+    if (target.type === "none") return last ?? noHome(call);
+    tried.push(target.to);
+    const end = await tryOne(context, call, res, target, tried.length);
+    if (res.destroyed && end.type !== "cut") return { type: "cancelled" };
+    if (end.type !== "given-up") {
+      const retryCall = describe(call, tried.length);
+      const effect = decideRetry(context.retry, {
+        type: "ended",
+        end,
+        call: retryCall,
+      });
+      if (effect.type === "keep") return end;
+    }
+    context.totals.retries++;
+    last = end.type === "given-up" ? hung : end;
+  }
+}
+
+/** End of a call whose hung attempt was given up without another home. */
+const hung: CallEnd = {
+  type: "unknown",
+  reason: "The home did not answer in the usual time",
+  isLate: false,
+};
+
+function choose(
+  context: TryHomesContext,
+  call: CallRequest,
+  tried: readonly NodeId[],
+): HomeChoice {
+  return chooseHome({
+    directory: context.directory,
+    state: context.routing,
+    service: call.service,
+    version: call.version,
+    tried,
+    mayLeave: call.hopsLeft > 1,
+    region: context.self.region,
+    now: performance.now(),
+    random: [Math.random(), Math.random()],
+  });
+}
+
+function describe(call: CallRequest, attempts: number): RetryCall {
+  return {
+    attempts,
+    isRepeatable: call.isRepeatable,
+    canResend: canSendBody(call.body),
+    leftMs: call.deadlineAt - performance.now(),
+  };
+}
+
+async function tryOne(
+  context: TryHomesContext,
+  call: CallRequest,
+  res: ServerResponse,
+  target: Target,
+  attempts: number,
+): Promise<CallEnd> {
+  const { routing, totals } = context;
+  const key = keyOfVersion(call.service, call.version);
+  const route = `${key} ${call.route}`;
+  const startedAt = performance.now();
+  const at = { key, home: target.to };
+  let wasOverdue = false;
+  let isNoted = false;
+  let lateNote: NodeJS.Timeout | undefined;
+
+  function run(event: RoutingEvent) {
+    for (const effect of decideRouting(routing, event)) {
+      if (effect.type !== "ejected") continue;
+      totals.ejections++;
+      log("Home %s is ejected from %s.", effect.home, key);
+    }
+  }
+
+  function note(outcome: CallOutcome) {
+    if (isNoted) return;
+    isNoted = true;
+    context.noteAnswer?.({
+      type: "answered",
+      service: call.service,
+      version: call.version,
+      route: call.route,
+      outcome,
+      latencyMs: performance.now() - startedAt,
+    });
+  }
+
+  const overdueMs = overdueAfter(routing, route);
+  function onOverdue() {
+    wasOverdue = true;
+    totals.overdue++;
+    run({ type: "overdue", ...at, now: performance.now() });
+    const retryCall = describe(call, attempts);
+    const hasOther = choose(context, call, [target.to]).type !== "none";
+    const effect = hasOther
+      ? decideRetry(context.retry, { type: "overdue", call: retryCall })
+      : undefined;
+    if (effect?.type === "retry") {
+      note(CallOutcome.Failed);
+      attempt.giveUp();
+      return;
+    }
+    // Rollouts hear of a hang long before its timeout.
+    lateNote = setTimeout(() => note(CallOutcome.Failed), 2 * overdueMs);
+  }
+
+  run({ type: "dispatched", ...at, now: startedAt });
+  const attempt = begin(context, call, res, target, overdueMs, onOverdue);
+  const end = await attempt.end;
+  clearTimeout(lateNote);
+  const now = performance.now();
+  const tookMs = now - startedAt;
+  run({ type: "ended", ...at, route, end, tookMs, wasOverdue, now });
+  const outcome = outcomeOf(end);
+  if (outcome !== undefined) note(outcome);
+  return end;
+}
+
+function begin(
+  context: TryHomesContext,
+  call: CallRequest,
+  res: ServerResponse,
+  target: Target,
+  overdueMs: number,
+  onOverdue: () => void,
+): Attempt {
+  const { self, home, links } = context;
+  if (target.to === self.id) {
+    return home.run(call, res, { afterMs: overdueMs, onOverdue });
+  }
+  const hopsLeft = target.type === "gateway" ? call.hopsLeft - 1 : 0;
+  return links.passOn({
+    to: target.to,
+    call,
+    res,
+    hopsLeft,
+    overdueMs,
+    onOverdue,
+  });
+}
+
+/** Undefined when the end says nothing of the version. */
+function outcomeOf(end: CallEnd): CallOutcome | undefined {
+  switch (end.type) {
+    case "answered":
+      return end.status >= lowestServerError
+        ? CallOutcome.Failed
+        : CallOutcome.Served;
+    case "unknown":
+    case "cut":
+      return CallOutcome.Failed;
+    case "not-run":
+    case "cancelled":
+    case "given-up":
+      return undefined;
+  }
+}
+
+function noHome(call: CallRequest): CallEnd {
+  return {
+    type: "not-run",
+    code: "LAGOON_CALL_NO_HOME",
+    reason: `no home of ${call.service}@${call.version} can be reached`,
+    status: 503,
+  };
+}
--- /dev/null
+++ b/src/testing/start_call_node.ts
@@ -0,0 +1,158 @@
+/**
+ * Starts the path of calls of one node on real sockets, without control.
+ * @module
+ */
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { TestContext } from "node:test";
+import { type CallPath, createCallPath } from "../adapters/create_call_path.ts";
+import type { Control } from "../adapters/create_control.ts";
+import { type HttpServer, openHttpServer } from "../adapters/http_server.ts";
+import {
+  type Announcement,
+  EndpointState,
+  type HomeCapacity,
+  type RemoteCapacity,
+} from "../core/types.ts";
+import type { OwnEndpoint } from "../membership/state.ts";
+import type { RolloutEvent } from "../rollout/state.ts";
+import type { ServingConfig } from "../serving/state.ts";
+
+/** What a test changes while the node runs. */
+export interface CallNode {
+  readonly id: string;
+  readonly url: string;
+  readonly path: CallPath;
+  readonly calls: HttpServer;
+  readonly own: Map<string, OwnEndpoint>;
+  homes: HomeCapacity[];
+  remotes: RemoteCapacity[];
+  readonly answers: Extract<RolloutEvent, { type: "answered" }>[];
+}
+
+/** Long past the ramp of a cold endpoint. */
+const readySince = -1e9;
+
+/** Starts a node for one test. Customer `baker` holds plan `basic`. */
+export async function startCallNode(
+  t: TestContext,
+  opts: { readonly timeoutMs?: number } = {},
+): Promise<CallNode> {
+  const id = `127.0.0.1:${await freePort()}`;
+  const route = {
+    methods: ["GET", "PUT"],
+    timeoutMs: opts.timeoutMs ?? 20_000,
+  };
+  const config: ServingConfig = {
+    version: 1,
+    digest: "",
+    planOf: new Map([["baker", "basic"]]),
+    services: new Map([["basic/portaal", {
+      plan: "basic",
+      service: "portaal",
+      routes: [
+        { name: "once", path: "/once", repeatable: false, ...route },
+        { name: "again", path: "/again", repeatable: true, ...route },
+      ],
+      split: { stable: "v1" },
+    }]]),
+    inactive: new Set(),
+  };
+  const node: Partial<CallNode> = { homes: [], remotes: [] };
+  const own = new Map<string, OwnEndpoint>();
+  const answers: CallNode["answers"] = [];
+  const control = {
+    directory: {
+      homes: () => node.homes,
+      remotes: () => node.remotes,
+      isPresent: () => true,
+    },
+    membership: { own },
+    held: new Set(),
+    serving: () => config,
+    noteAnswer: (answer: CallNode["answers"][number]) => answers.push(answer),
+  } as unknown as Control;
+  const self = { id, domain: "a", region: "r", boot: id };
+  const path = createCallPath({ control, self, keys: ["k"] });
+  const asksForBody = true;
+  const peers = await openHttpServer({
+    address: id,
+    setUp: path.setUpForwards,
+    asksForBody,
+  });
+  const calls = await openHttpServer({
+    address: `127.0.0.1:${await freePort()}`,
+    setUp: path.setUpCalls,
+    asksForBody,
+  });
+  t.after(async () => {
+    calls.server.closeAllConnections();
+    peers.server.closeAllConnections();
+    await calls.close(0);
+    await peers.close(0);
+    await path.close();
+  });
+  const { port } = calls.server.address() as AddressInfo;
+  const url = `http://127.0.0.1:${port}`;
+  return Object.assign(node, {
+    id,
+    url,
+    path,
+    calls,
+    own,
+    answers,
+  }) as CallNode;
+}
+
+/** Makes an endpoint's home of `home`, and tells `nodes` of it. */
+export function addEndpoint(
+  home: CallNode,
+  endpoint: string,
+  nodes: readonly CallNode[] = [home],
+  slots = 4,
+): void {
+  const announcement: Announcement = {
+    endpoint,
+    service: "portaal",
+    version: "v1",
+    slots,
+    connections: 100,
+    state: EndpointState.Ready,
+    load: 0,
+    healthy: true,
+  };
+  home.own.set(endpoint, { announcement, heardAt: 0, readySince });
+  for (const node of nodes) {
+    node.homes = [...node.homes, { home: home.id, slots, readySince }];
+  }
+}
+
+/** Starts an upstream with the given behaviour. Returns its `host:port`. */
+export async function startUpstream(
+  t: TestContext,
+  answer: RequestListener,
+): Promise<string> {
+  const server = createServer(answer);
+  return await listen(t, server);
+}
+
+async function listen(t: TestContext, server: Server): Promise<string> {
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  t.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
