feat(tools): measure what calls feel

Cause: nothing measured what lagoonlock adds to a call. The load tool counts felt calls. Fleets pass on nodes' log lines.

--- a/tools/experiment.ts
+++ b/tools/experiment.ts
@@ -11,6 +11,7 @@
 
 /** Experiments by name, each loaded only when it runs. */
 const experiments: Readonly<Record<string, () => Promise<RunExperiment>>> = {
+  calls: async () => (await import("./experiments/calls.ts")).runCalls,
   memory: async () => (await import("./experiments/memory.ts")).runMemory,
 };
 
--- a/tools/fleet/start_fleet.ts
+++ b/tools/fleet/start_fleet.ts
@@ -50,6 +50,8 @@
   /** Directory that each node records its trace to, if any. */
   readonly record?: string;
   readonly retention?: number;
+  /** Takes each line that a node logs. */
+  readonly onLine?: (line: string) => void;
 }
 
 const portsPerNode = 3;
@@ -83,7 +85,7 @@
     return startProcess({
       script: "dist/src/bin/lagoon_node.js",
       preload: ["./dist/tools/fleet/cut_network.js"],
-      env: { DEBUG: "lagoon:config", DEBUG_COLORS: "0" },
+      env: { DEBUG: "lagoon:config,lagoon:totals", DEBUG_COLORS: "0" },
       args: [
         `--domain=${node.domain}`,
         `--region=${deployment.region}`,
@@ -95,7 +97,10 @@
         `--key=${fleetKey}`,
         ...record,
       ],
-      onLine: (line) => noteApplied(applied, node.peer, line),
+      onLine: (line) => {
+        noteApplied(applied, node.peer, line);
+        opts.onLine?.(line);
+      },
     });
   }
 
--- a/tools/load.ts
+++ b/tools/load.ts
@@ -23,6 +23,9 @@
   readonly signal: AbortSignal;
   /** Length of the load, in milliseconds. */
   readonly durationMs: number;
+  /** Calls sent after `settleMs` that fail or take longer are felt. */
+  readonly slowMs?: number;
+  readonly settleMs?: number;
 }
 
 /** What the calls came to. Latencies are in microseconds. */
@@ -32,9 +35,14 @@
   /** Refused as not run. */
   notRun: number;
   failed: number;
+  /** Calls sent after `settleMs`, and those of them that were felt. */
+  settled: number;
+  felt: number;
   /** Answers by version of the upstream. */
   readonly versions: Map<string, number>;
   readonly latencyUs: Histogram;
+  /** Latencies of served calls alone. */
+  readonly servedUs: Histogram;
 }
 
 const maxTrackedUs = 60_000_000;
@@ -47,8 +55,11 @@
     served: 0,
     notRun: 0,
     failed: 0,
+    settled: 0,
+    felt: 0,
     versions: new Map(),
     latencyUs: build({ highestTrackableValue: maxTrackedUs }),
+    servedUs: build({ highestTrackableValue: maxTrackedUs }),
   };
   const running = new Set<Promise<void>>();
   const startedAt = performance.now();
@@ -57,7 +68,8 @@
     const elapsedMs = performance.now() - startedAt;
     if (elapsedMs >= opts.durationMs) break;
     while (report.sent < dueBy(performance.now())) {
-      const call = sendCall(opts, agent, report);
+      const isSettled = elapsedMs >= (opts.settleMs ?? 0);
+      const call = sendCall(opts, agent, report, isSettled);
       running.add(call);
       call.finally(() => running.delete(call));
     }
@@ -72,10 +84,12 @@
   opts: RunLoadOptions,
   agent: Agent,
   report: LoadReport,
+  isSettled: boolean,
 ) {
   const node = opts.nodes[report.sent % opts.nodes.length];
   report.sent++;
   const sentAt = performance.now();
+  let isServed = false;
   try {
     const res = await agent.request({
       origin: `http://${node}`,
@@ -88,12 +102,20 @@
     report.versions.set(version, (report.versions.get(version) ?? 0) + 1);
     if (res.headers["lagoon-not-run"] === "true") report.notRun++;
     else if (res.statusCode >= 400) report.failed++;
-    else report.served++;
+    else {
+      report.served++;
+      isServed = true;
+    }
   } catch {
     report.failed++;
   }
   const tookUs = Math.round((performance.now() - sentAt) * 1_000);
   report.latencyUs.recordValue(Math.min(tookUs, maxTrackedUs));
+  if (isServed) report.servedUs.recordValue(Math.min(tookUs, maxTrackedUs));
+  if (!isSettled) return;
+  report.settled++;
+  const slowUs = (opts.slowMs ?? Infinity) * 1_000;
+  if (!isServed || tookUs > slowUs) report.felt++;
 }
 
 if (process.argv[1]?.endsWith("load.js")) {
@@ -131,6 +153,18 @@
         describe: "length of the load",
         fallback: "5",
       },
+      {
+        flag: "slow-ms",
+        kind: SettingKind.Integer,
+        describe: "calls that fail or take longer are felt",
+        fallback: "1000",
+      },
+      {
+        flag: "settle-ms",
+        kind: SettingKind.Integer,
+        describe: "time after which felt calls are counted",
+        fallback: "0",
+      },
     ],
     main: async (values) => {
       const stopped = new AbortController();
@@ -143,14 +177,17 @@
         rate: Number(values.get("rate")),
         signal: stopped.signal,
         durationMs: Number(values.get("seconds")) * 1_000,
+        slowMs: Number(values.get("slow-ms")),
+        settleMs: Number(values.get("settle-ms")),
       });
-      const { latencyUs, versions, ...counts } = report;
+      const { latencyUs, servedUs, versions, ...counts } = report;
       const at = (share: number) => latencyUs.getValueAtPercentile(share);
       const told = {
         ...counts,
         versions: Object.fromEntries(versions),
         p50Ms: at(50) / 1_000,
         p99Ms: at(99) / 1_000,
+        servedP99Ms: servedUs.getValueAtPercentile(99) / 1_000,
       };
       process.stdout.write(`${JSON.stringify(told)}\n`);
     },
