fix(adapters): count answered calls as answered, and bound memory

Under load the engine kept garbage: 108 MB resident, 64 MB of it anonymous. Change: the end of the answer goes first, with a test. The node collects garbage early, takes undici's pool alone also for the log, and hashes a peer's key once for each connection.

--- a/src/adapters/create_call_path.ts
+++ b/src/adapters/create_call_path.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import createDebug from "debug";
 import type { Polka } from "polka";
 import { exhausted } from "../core/exhausted.ts";
@@ -73,6 +74,7 @@
     noteAnswer: control.noteAnswer,
   };
   const held = createHeldBodies();
+  const proven = new WeakMap<Socket, string>();
   const timer = setInterval(sweep, sweepMs);
   let isStopping = false;
   const active = new Set<ServerResponse>();
@@ -97,7 +99,7 @@
   }
 
   async function takeForward(req: IncomingMessage, res: ServerResponse) {
-    if (!isAuthorized(req.headers["proxy-authorization"], keys)) {
+    if (!isPeer(req)) {
       return refuseNotRun(res, "LAGOON_PEER_KEY", "wrong key", 401);
     }
     totals.forwarded++;
@@ -111,6 +113,15 @@
     tell(res, end);
   }
 
+  /** Hashes a key once for each connection, not for each call. */
+  function isPeer(req: IncomingMessage): boolean {
+    const given = req.headers["proxy-authorization"];
+    if (given !== undefined && proven.get(req.socket) === given) return true;
+    if (!isAuthorized(given, keys)) return false;
+    if (given !== undefined) proven.set(req.socket, given);
+    return true;
+  }
+
   function refuseRead(
     res: ServerResponse,
     read: Extract<ReadResult, { type: "refused" }>,
--- a/src/adapters/create_call_path_test.ts
+++ b/src/adapters/create_call_path_test.ts
@@ -291,6 +291,8 @@
   ];
   const res = await get(entry);
   assert.equal(await res.body.text(), "there");
+  assert.equal(entry.path.totals.answered, 1);
+  assert.equal(entry.path.totals.cancelled, 0);
   home.own.clear();
   const lost = await get(entry);
   assert.equal(lost.headers["lagoon-not-run"], "true");
--- a/src/adapters/log_client.ts
+++ b/src/adapters/log_client.ts
@@ -3,11 +3,12 @@
  * @module
  */
 import { err, ok, type Result } from "neverthrow";
-import { Pool } from "undici";
+import Pool from "undici/lib/dispatcher/pool.js";
 import * as v from "valibot";
 import type { LogRecord } from "../config_log/messages.ts";
 import type { LagoonError } from "../core/errors.ts";
 import type { Offset } from "../core/types.ts";
+import { requestThrough } from "./request_through.ts";
 
 /** One page of a stream. */
 export interface LogPage {
@@ -104,7 +105,7 @@
   const fail = (code: LagoonError["code"], message: string) =>
     err<never, LagoonError>({ code, step, peer, message });
   try {
-    const res = await pool.request({
+    const res = await requestThrough(pool, {
       method: request.method,
       path: request.path,
       headers: { "content-type": "application/json" },
--- a/src/adapters/try_homes.ts
+++ b/src/adapters/try_homes.ts
@@ -55,7 +55,9 @@
     if (target.type === "none") return last ?? noHome(call);
     tried.push(target.to);
     const end = await tryOne(context, call, res, target, tried.length);
-    if (res.destroyed && end.type !== "cut") return { type: "cancelled" };
+    // A finished answer also counts as destroyed, so the end goes first.
+    const hasLeft = res.destroyed && !res.writableEnded;
+    if (hasLeft && end.type !== "cut") return { type: "cancelled" };
     if (end.type !== "given-up") {
       const retryCall = describe(call, tried.length);
       const effect = decideRetry(context.retry, {
--- a/src/admission/decide_admission.ts
+++ b/src/admission/decide_admission.ts
@@ -14,8 +14,8 @@
 const initialMeanMs = 10;
 const meanWeight = 0.1;
 
-/** Waiting calls by slots. A longer queue doubles the time of a call. */
-const queueShare = 0.5;
+/** Waiting calls by slots. Longer queues add latency and no goodput. */
+const queueShare = 0.25;
 
 /** Takes one event of admission in turn. */
 export function decideAdmission(
--- a/src/bin/lagoon_node.ts
+++ b/src/bin/lagoon_node.ts
@@ -3,6 +3,7 @@
  * The one process of the system in a VM's slot.
  * @module
  */
+import "./bound_memory.ts";
 import process from "node:process";
 import { runNode } from "../adapters/run_node.ts";
 import { nodeSettingSpecs, toNodeSettings } from "../settings/node_settings.ts";
