fix(retry): keep a call that may have run from being told as not run

Cause: a repeatable call whose first attempt ended unknown and whose retry was refused was told as not run, though it may have run. Change: the refusal of a later attempt concludes the call as unknown when an earlier one may have run. A node's own 502 and 504 to its peer count as unknown, so repeatable calls go on elsewhere. Conclusion: found by reading, caught by two end-to-end tests and a unit test.

--- a/src/adapters/create_call_path_test.ts
+++ b/src/adapters/create_call_path_test.ts
@@ -299,6 +299,38 @@
   await lost.body.dump();
 });
 
+test("call that may have run is never told as not run", async (t) => {
+  let runs = 0;
+  const { entry } = await startPair(t, (_req, res) => {
+    runs++;
+    res.destroy();
+  });
+  const full = await startCallNode(t);
+  full.path.stop();
+  entry.homes = [{ home: full.id, slots: 4, readySince: 0 }, ...entry.homes];
+  for (let n = 0; n < 20; n++) {
+    const before = runs;
+    const res = await get(entry, "/portaal/again");
+    await res.body.dump();
+    const isNotRun = res.headers["lagoon-not-run"] === "true";
+    assert.equal(isNotRun, runs === before);
+  }
+  assert.ok(runs > 0 && entry.path.totals.retries > 0);
+});
+
+test("repeatable call goes on after its upstream died", async (t) => {
+  const { entry } = await startPair(t, (_req, res) => {
+    res.destroy();
+  });
+  const other = await startCallNode(t);
+  const fine = await startUpstream(t, (_req, res) => res.end("fine"));
+  addEndpoint(other, fine, [entry]);
+  for (let n = 0; n < 8; n++) {
+    const res = await get(entry, "/portaal/again");
+    assert.equal(await res.body.text(), "fine");
+  }
+});
+
 test("forged internal headers are stripped both ways", async (t) => {
   let seen: Record<string, unknown> = {};
   const { entry, home } = await startPair(t, (req, res) => {
--- a/src/adapters/create_relay.ts
+++ b/src/adapters/create_relay.ts
@@ -142,6 +142,11 @@
         refusal = { status, code: String(headers[reasonHeader]), text: "" };
         return;
       }
+      // Only the node itself sets it: it strips what its upstream sends.
+      if (opts.isPeer && headers[reasonHeader] !== undefined) {
+        const isLate = headers[reasonHeader] === "LAGOON_CALL_LATE";
+        return stop("The home lost the call after dispatch", isLate);
+      }
       if (!isFramed(opts.method, code, headers)) {
         return stop("The answer has no length", false);
       }
--- a/src/adapters/try_homes.ts
+++ b/src/adapters/try_homes.ts
@@ -6,6 +6,7 @@
 import createDebug from "debug";
 import { keyOfVersion } from "../core/key_of_version.ts";
 import type { Directory, NodeId, NodeInfo } from "../core/types.ts";
+import { concludeCall, mayHaveRun } from "../retry/conclude_call.ts";
 import { decideRetry } from "../retry/decide_retry.ts";
 import type { CallEnd } from "../retry/messages.ts";
 import type { RetryCall, RetryState } from "../retry/state.ts";
@@ -50,9 +51,12 @@
 ): Promise<CallEnd> {
   const tried: NodeId[] = [];
   let last: CallEnd | undefined;
+  let hasRun = false;
   while (true) {
     const target = choose(context, call, tried);
-    if (target.type === "none") return last ?? noHome(call);
+    if (target.type === "none") {
+      return concludeCall(last ?? noHome(call), hasRun);
+    }
     tried.push(target.to);
     const end = await tryOne(context, call, res, target, tried.length);
     // A finished answer also counts as destroyed, so the end goes first.
@@ -65,8 +69,9 @@
         end,
         call: retryCall,
       });
-      if (effect.type === "keep") return end;
+      if (effect.type === "keep") return concludeCall(end, hasRun);
     }
+    hasRun ||= mayHaveRun(end);
     context.totals.retries++;
     last = end.type === "given-up" ? hung : end;
   }
--- /dev/null
+++ b/src/retry/conclude_call_test.ts
@@ -0,0 +1,18 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { concludeCall, mayHaveRun } from "./conclude_call.ts";
+import type { CallEnd } from "./messages.ts";
+
+const refused: CallEnd = {
+  type: "not-run",
+  code: "LAGOON_CALL_OVERLOADED",
+  reason: "full",
+  status: 503,
+};
+
+test("a refusal after an unknown end is unknown", () => {
+  assert.ok(mayHaveRun({ type: "given-up" }));
+  assert.ok(!mayHaveRun(refused));
+  assert.equal(concludeCall(refused, true).type, "unknown");
+  assert.equal(concludeCall(refused, false), refused);
+});
