--- a/tools/experiments/calls.ts
+++ b/tools/experiments/calls.ts
@@ -5,10 +5,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { guild, veldhuis } from "../fleet/deployments.ts";
 import { startCallFleet } from "../measure/call_fleet.ts";
+import { readProcessorTicks } from "../measure/processor_use.ts";
 import { measureHang } from "./calls/measure_hang.ts";
 import { measureLatency } from "./calls/measure_latency.ts";
 import { measureOverload } from "./calls/measure_overload.ts";
-import type { ExperimentOptions, Figure } from "./figure.ts";
+import { type ExperimentOptions, type Figure, figure } from "./figure.ts";
 
 const rampMs = 6_000;
 const serviceMs = 2;
@@ -18,6 +19,7 @@
   opts: ExperimentOptions,
 ): Promise<readonly Figure[]> {
   const figures: Figure[] = [];
+  const before = await readProcessorTicks();
   for (const deployment of [guild, veldhuis]) {
     opts.onProgress(`Starting ${deployment.name}.`);
     const calls = await startCallFleet({ deployment, serviceMs });
@@ -31,5 +33,12 @@
   }
   opts.onProgress("Starting guild for overload.");
   figures.push(...await measureOverload());
-  return figures;
+  const after = await readProcessorTicks();
+  const share = (one: "idle" | "stolen") =>
+    (after[one] - before[one]) / (after.all - before.all);
+  return [
+    ...figures,
+    figure("machine: processor idle", share("idle"), "of time"),
+    figure("machine: processor stolen", share("stolen"), "of time"),
+  ];
 }
