fix(admission): let a burst wait, and keep a standing queue short

Cause: a queue of a quarter of the slots refused whatever a stall of the VM had piled up, with seconds left on each deadline. Change: only a queue that was not empty for 100 ms is held to a quarter of the slots; a burst may take four times the slots. Ruled out: a long queue at all times, which adds latency in overload and no goodput.

--- a/src/adapters/create_home.ts
+++ b/src/adapters/create_home.ts
@@ -123,6 +123,7 @@
       plan,
       slots: concurrency,
       leftMs,
+      now: now(),
     });
     if (effect?.type !== "admit") {
       return refused("LAGOON_CALL_OVERLOADED", effect?.reason ?? "overload");
--- a/src/admission/decide_admission.ts
+++ b/src/admission/decide_admission.ts
@@ -14,9 +14,19 @@
 const initialMeanMs = 10;
 const meanWeight = 0.1;
 
-/** Waiting calls by slots. Longer queues add latency and no goodput. */
+/** Waiting calls by slots. A longer standing queue adds latency alone. */
 const queueShare = 0.25;
 
+/** Waiting calls by slots while the queue is no standing one. */
+const burstShare = 4;
+
+/**
+ * A queue that was not empty for this long is a standing one, in
+ * milliseconds. A shorter one is a burst, such as follows a stall of the VM,
+ * and drains by itself (Nichols and Jacobson, "Controlling Queue Delay", 2012).
+ */
+const burstMs = 100;
+
 /** Takes one event of admission in turn. */
 export function decideAdmission(
   state: AdmissionState,
@@ -49,6 +59,7 @@
     finishOf: new Map(),
     virtualNow: 0,
     meanMs: initialMeanMs,
+    emptyAt: -Infinity,
   };
   state.endpoints.set(endpoint, load);
   return load;
@@ -58,9 +69,10 @@
   load: EndpointLoad,
   event: Extract<AdmissionEvent, { type: "asked" }>,
 ): AdmissionEffect {
-  const { plan, slots, leftMs } = event;
+  const { plan, slots, now } = event;
+  if (load.running + load.waiting <= slots) load.emptyAt = now;
   if (load.running + load.waiting >= slots) {
-    const reason = whyRefuse(load, plan, slots, leftMs);
+    const reason = whyRefuse(load, event);
     if (reason !== undefined) return { type: "refuse", reason };
   }
   const tag = Math.max(load.virtualNow, load.finishOf.get(plan) ?? 0);
@@ -72,18 +84,19 @@
 
 function whyRefuse(
   load: EndpointLoad,
-  plan: string,
-  slots: number,
-  leftMs: number,
+  event: Extract<AdmissionEvent, { type: "asked" }>,
 ): string | undefined {
+  const { plan, slots, leftMs, now } = event;
   const own = load.waitingOf.get(plan) ?? 0;
   const plans = load.waitingOf.size + (own === 0 ? 1 : 0);
-  const room = Math.max(1, Math.ceil(slots * queueShare));
+  const isStanding = now - load.emptyAt > burstMs;
+  const share = isStanding ? queueShare : burstShare;
+  const room = Math.max(1, Math.ceil(slots * share));
   // A plan with less than its share may wait beside a full queue.
-  const share = Math.max(1, Math.floor(room / plans));
+  const ownRoom = Math.max(1, Math.floor(room / plans));
   // Admitted calls count as waiting until the queue starts them.
   const queued = load.running + load.waiting - slots;
-  if (queued >= room && (own >= share || queued >= 2 * room)) {
+  if (queued >= room && (own >= ownRoom || queued >= 2 * room)) {
     return `all ${slots} slots are taken and ${queued} calls wait`;
   }
   const ahead = Math.min(queued, own * plans + plans - 1);
--- a/src/admission/state.ts
+++ b/src/admission/state.ts
@@ -2,7 +2,7 @@
  * Calls that run and wait at the endpoints of one home.
  * @module
  */
-import type { EndpointId } from "../core/types.ts";
+import type { EndpointId, MonotonicMs } from "../core/types.ts";
 
 /** Calls at one endpoint. */
 export interface EndpointLoad {
@@ -16,6 +16,8 @@
   virtualNow: number;
   /** Recent mean time of a call, in milliseconds. */
   meanMs: number;
+  /** Last time at which a call found no other waiting. */
+  emptyAt: MonotonicMs;
 }
 
 export interface AdmissionState {
@@ -31,6 +33,7 @@
     readonly slots: number;
     /** Time left for the call, in milliseconds. */
     readonly leftMs: number;
+    readonly now: MonotonicMs;
   }
   /** A waiting call got its slot, or left the queue when `isRun` is false. */
   | {
