--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -46,6 +46,8 @@
   /** Configuration in force, none before the first. */
   serving(): ServingConfig | undefined;
   receive(from: NodeId, message: PeerMessage): void;
+  /** Why a peer is refused, when it contradicts what is known. */
+  checkPeer(info: NodeInfo): string | undefined;
   announce(announcement: Announcement): void;
   noteAnswer(answer: Extract<RolloutEvent, { type: "answered" }>): void;
   /** Appends a record. Resolves with its verdict once the fold shows it. */
@@ -74,6 +76,7 @@
     context,
     log,
     directory: () => mesh.directory,
+    floor: mesh.floor,
     onFolded: mesh.noteFolded,
     onApplied: mesh.noteApplied,
   });
@@ -81,12 +84,24 @@
 
   function receive(from: NodeId, message: PeerMessage) {
     switch (message.type) {
+      case "membership/join":
+      case "membership/welcome":
       case "membership/rows":
+      case "membership/ping":
+      case "membership/ack":
+      case "membership/sync":
+      case "membership/applied":
       case "membership/summary":
+      case "membership/marks":
+      case "membership/want-summary":
+      case "membership/want-floor":
+      case "membership/floor":
         return mesh.receiveMembership(from, message);
       case "distribution/records":
       case "distribution/head":
       case "distribution/fetch":
+      case "distribution/page":
+      case "distribution/repair":
       case "distribution/snapshot":
         return mesh.receiveDistribution(from, message);
       case "rollout/evidence":
@@ -119,6 +134,7 @@
     receive: (from, message) => {
       loop.post(Priority.Gossip, () => receive(from, message));
     },
+    checkPeer: mesh.checkPeer,
     announce: (announcement) => {
       loop.post(Priority.Drain, () => mesh.announce(announcement));
     },
--- a/src/adapters/drive_config.ts
+++ b/src/adapters/drive_config.ts
@@ -35,6 +35,8 @@
   readonly context: ControlContext;
   readonly log: LogClient;
   readonly directory: () => Directory;
+  /** Lowest version that may be served, none until it is known. */
+  readonly floor: () => Offset | undefined;
   /** Called after records or, with none, a snapshot were folded. */
   readonly onFolded: (records: readonly LogRecord[]) => void;
   /** Called when another version came into force. */
@@ -99,7 +101,9 @@
   function recompile() {
     const candidate = compileConfig({ state, directory: opts.directory() });
     if (candidate.version === 0) return;
-    const decision = decideSwap({ current: serving, candidate, floor: 0 });
+    const floor = opts.floor();
+    if (floor === undefined) return;
+    const decision = decideSwap({ current: serving, candidate, floor });
     switch (decision.type) {
       case "swap":
         swap(candidate);
--- a/src/adapters/drive_mesh.ts
+++ b/src/adapters/drive_mesh.ts
@@ -3,34 +3,54 @@
  * @module
  */
 import createDebug from "debug";
-import { configStream, type LogRecord } from "../config_log/messages.ts";
+import {
+  configStream,
+  type LogRecord,
+  RecordKind,
+} from "../config_log/messages.ts";
 import { Priority } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
 import { exhausted } from "../core/exhausted.ts";
-import type { Announcement, Directory, NodeId, Offset } from "../core/types.ts";
+import type {
+  Announcement,
+  Directory,
+  NodeId,
+  NodeInfo,
+  Offset,
+} from "../core/types.ts";
 import { encodeSnapshot } from "../config_log/encode_snapshot.ts";
 import { decideDistribution } from "../distribution/decide_distribution.ts";
 import type { DistributionMessage } from "../distribution/messages.ts";
 import {
   createDistributionState,
   type DistributionEvent,
+  type OverlayView,
 } from "../distribution/state.ts";
 import { createDirectory } from "../membership/create_directory.ts";
-import { aliveIds, decideMembership } from "../membership/decide_membership.ts";
-import type { MembershipMessage } from "../membership/messages.ts";
+import { decideMembership } from "../membership/decide_membership.ts";
+import {
+  type MembershipMessage,
+  MemberStatus,
+} from "../membership/messages.ts";
+import { overlayOf } from "../membership/overlay_of.ts";
+import { gatewaysAbroad } from "../membership/speak_domain.ts";
 import {
   createMembershipState,
   type MembershipEvent,
   type MembershipState,
 } from "../membership/state.ts";
+import { findContradiction } from "../membership/take_row.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { ConfigDriver } from "./drive_config.ts";
 import { followLog, type LogFollower } from "./follow_log.ts";
-import type { LogClient } from "./log_client.ts";
+import type { LogClient, LogPage } from "./log_client.ts";
 
 const logConfig = createDebug("lagoon:config");
 const logMembers = createDebug("lagoon:members");
 
+/** Seeds taken from the presence record of one domain. */
+const seedsPerDomain = 3;
+
 /** Options of `driveMesh`. */
 export interface DriveMeshOptions {
   readonly context: ControlContext;
@@ -43,6 +63,10 @@
   readonly directory: Directory;
   readonly membership: Readonly<MembershipState>;
   isReader(): boolean;
+  /** Lowest version that may be served, none until it is known. */
+  floor(): Offset | undefined;
+  /** Why a peer is refused, when it contradicts what is known. */
+  checkPeer(info: NodeInfo): string | undefined;
   /** Live nodes of the own domain, and gateways of the others. */
   aliveNodes(): NodeId[];
   receiveMembership(from: NodeId, message: MembershipMessage): void;
@@ -67,10 +91,14 @@
     startedAt: Date.now(),
     now: now(),
   });
-  const gateways = () =>
-    [...membership.summaries.values()].flatMap((known) =>
-      known.summary.gateways
-    );
+  /** Head of the log at the first page read. */
+  let firstHead: Offset | undefined;
+  let presence: ReadonlyMap<string, readonly NodeId[]> = new Map();
+  const gateways = () => gatewaysAbroad(membership);
+  const view = (): OverlayView => ({
+    ...overlayOf(membership),
+    gateways: gateways(),
+  });
 
   function runMembership(event: MembershipEvent) {
     for (const effect of decideMembership(membership, event)) {
@@ -81,6 +109,20 @@
         case "upstreams-changed":
           config().recompile();
           break;
+        case "floor-known":
+          logMembers("Nothing below version %d is served.", effect.floor);
+          config().recompile();
+          break;
+        case "record-presence":
+          config().submit({
+            kind: RecordKind.Presence,
+            domain: self.domain,
+            nodes: effect.nodes,
+          });
+          break;
+        case "member-changed":
+          logMembers("Member %s is %s.", effect.node, effect.status);
+          break;
         case "refuse-peer":
           logMembers("Peer %s refused: %s.", effect.peer, effect.reason);
           break;
@@ -110,12 +152,40 @@
           send(effect.to, { type: "distribution/snapshot", snapshot });
           break;
         }
+        case "diverged":
+          logConfig(
+            "Digest at offset %d differs: %s here, %s at %s.",
+            effect.next,
+            effect.own,
+            effect.theirs,
+            effect.peer,
+          );
+          break;
         default:
           exhausted(effect);
       }
     }
   }
 
+  function takeLogPage(page: LogPage) {
+    const { records } = page;
+    firstHead ??= page.head;
+    runDistribution({ type: "read", records, now: now(), view: view() });
+    if (membership.floor === undefined && config().state().next >= firstHead) {
+      runMembership({ type: "caught-up", now: now() });
+    }
+  }
+
+  /** Nodes that presence records name are seeds too. */
+  function notePresence() {
+    const recorded = config().state().presence;
+    const seeds = [...recorded].flatMap(([domain, nodes]) =>
+      presence.get(domain) === nodes ? [] : nodes.slice(0, seedsPerDomain)
+    );
+    presence = new Map(recorded);
+    if (seeds.length > 0) runMembership({ type: "seeded", seeds });
+  }
+
   function follow(isReader: boolean) {
     follower?.close();
     follower = undefined;
@@ -125,11 +195,11 @@
       log,
       stream: configStream,
       next: () => config().state().next,
-      onPage: ({ records }) =>
+      onPage: (page) =>
         new Promise((resolve) => {
           loop.post(Priority.Config, () => {
             resolve();
-            runDistribution({ type: "read", records });
+            takeLogPage(page);
           });
         }),
       onGone: () => Promise.resolve(),
@@ -143,17 +213,28 @@
     directory: createDirectory(membership),
     membership,
     isReader: () => distribution.isReader,
-    aliveNodes: () => [...aliveIds(membership), ...gateways()],
+    floor: () => membership.floor,
+    checkPeer: (info) => findContradiction(membership, info),
+    aliveNodes: () => [
+      ...[...membership.members.values()]
+        .filter(({ row }) => row.status === MemberStatus.Alive)
+        .map(({ row }) => row.info.id),
+      ...gateways(),
+    ],
     receiveMembership: (from, message) =>
       runMembership({ type: "received", from, message, now: now() }),
-    receiveDistribution: (from, message) => {
-      const members = aliveIds(membership);
-      runDistribution({ type: "received", from, message, members });
-    },
+    receiveDistribution: (from, message) =>
+      runDistribution({
+        type: "received",
+        from,
+        message,
+        now: now(),
+        view: view(),
+      }),
     noteFolded: (records) => {
       const { next, digest } = config().state();
-      const members = aliveIds(membership);
-      runDistribution({ type: "folded", next, digest, records, members });
+      runDistribution({ type: "folded", next, digest, records });
+      notePresence();
     },
     noteApplied: (version) =>
       runMembership({ type: "applied", version, now: now() }),
@@ -161,12 +242,16 @@
       runMembership({ type: "announced", announcement, now: now() }),
     leave: () => runMembership({ type: "leaving", now: now() }),
     tick: () => {
-      runMembership({ type: "ticked", now: now() });
+      runMembership({
+        type: "ticked",
+        now: now(),
+        random: Math.random(),
+        presence: presence.get(self.domain) ?? [],
+      });
       runDistribution({
         type: "ticked",
-        members: aliveIds(membership),
-        domain: self.domain,
-        gateways: gateways(),
+        now: now(),
+        view: view(),
         random: Math.random(),
       });
     },
--- a/src/adapters/peer_message.ts
+++ b/src/adapters/peer_message.ts
@@ -1,12 +1,57 @@
 /**
- * Every message that nodes send each other.
+ * Every message that nodes send each other, and how it is checked.
  * @module
  */
-import type { DistributionMessage } from "../distribution/messages.ts";
-import type { MembershipMessage } from "../membership/messages.ts";
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import type { LagoonError } from "../core/errors.ts";
+import type { NodeId } from "../core/types.ts";
+import {
+  type DistributionMessage,
+  distributionSchema,
+} from "../distribution/messages.ts";
+import {
+  type MembershipMessage,
+  membershipSchema,
+} from "../membership/messages.ts";
 import type { RolloutMessage } from "../rollout/messages.ts";
 
 export type PeerMessage =
   | DistributionMessage
   | MembershipMessage
   | RolloutMessage;
+
+/** Version of all messages. Peers of another version are refused. */
+export const protocolVersion = 1;
+
+/** Schemas by the part of a message's type before the slash. */
+const schemas: Readonly<Record<string, v.GenericSchema>> = {
+  distribution: distributionSchema,
+  membership: membershipSchema,
+  rollout: v.looseObject({
+    type: v.pipe(v.string(), v.startsWith("rollout/")),
+  }),
+};
+
+/** Checks a decoded message. The error names the peer and the field. */
+export function parsePeerMessage(
+  from: NodeId,
+  value: unknown,
+): Result<PeerMessage, LagoonError> {
+  const type = value !== null && typeof value === "object" && "type" in value
+    ? String(value.type).slice(0, 64)
+    : "a message without a type";
+  const schema = schemas[type.split("/")[0] ?? ""];
+  const fail = (message: string) =>
+    err<never, LagoonError>({
+      code: "LAGOON_PEER_MESSAGE_MALFORMED",
+      step: `take ${type}`,
+      peer: from,
+      message,
+    });
+  if (schema === undefined) return fail("no such message is known");
+  const parsed = v.safeParse(schema, value);
+  if (parsed.success) return ok(parsed.output as PeerMessage);
+  const [issue] = parsed.issues;
+  return fail(`${v.getDotPath(issue) ?? "message"}: ${issue.message}`);
+}
--- a/src/adapters/run_node.ts
+++ b/src/adapters/run_node.ts
@@ -63,6 +63,7 @@
         server,
         keys,
         onMessage: control.receive,
+        checkPeer: control.checkPeer,
       });
     },
   });
--- a/src/distribution/decide_distribution.ts
+++ b/src/distribution/decide_distribution.ts
@@ -1,34 +1,52 @@
 /**
  * Spreads records through the failure domain and repairs what was missed.
+ *
+ * The first reader broadcasts what it reads; the others do so only for what
+ * they have not heard a little later. Heads exchanged with overlay neighbours
+ * repair the rest.
  * @module
  */
 import type { LogRecord } from "../config_log/messages.ts";
 import { exhausted } from "../core/exhausted.ts";
-import type { NodeId } from "../core/types.ts";
-import { pickReaders } from "./pick_readers.ts";
-import type {
-  DistributionEffect,
-  DistributionEvent,
-  DistributionState,
+import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
+import {
+  delegateBroadcast,
+  listFingers,
+} from "../overlay/delegate_broadcast.ts";
+import { answerFetch, answerSnapshot, takePage } from "./answer_fetch.ts";
+import { keepTail } from "./keep_tail.ts";
+import {
+  type DistributionEffect,
+  type DistributionEvent,
+  type DistributionState,
+  type OverlayView,
+  snapshotsPerTick,
 } from "./state.ts";
 
-/** Characters of records kept for peers that are a little behind. */
-const maxTailLength = 1024 * 1024;
+type Effects = readonly DistributionEffect[];
+type Received = Extract<DistributionEvent, { type: "received" }>;
+
+/** Time after which another reader spreads what the first has not. */
+export const backupMs = 500;
+
+/** Time for the answer to a fetch before another peer is asked. */
+export const fetchPatienceMs = 1_500;
 
 /** Takes one event of distribution in turn. */
 export function decideDistribution(
   state: DistributionState,
   event: DistributionEvent,
-): readonly DistributionEffect[] {
+): Effects {
   switch (event.type) {
     case "ticked":
       return tick(state, event);
     case "read":
-      return foldNew(state, event.records);
+      return takeRead(state, event);
     case "received":
       return receive(state, event);
     case "folded":
-      return noteFolded(state, event);
+      keepTail(state, event);
+      return [];
     default:
       return exhausted(event);
   }
@@ -37,126 +55,193 @@
 function tick(
   state: DistributionState,
   event: Extract<DistributionEvent, { type: "ticked" }>,
-): readonly DistributionEffect[] {
-  const { members, domain, gateways, random } = event;
+): Effects {
+  const { view, random, now } = event;
   const effects: DistributionEffect[] = [];
-  const isReader = pickReaders(members, domain).includes(state.self);
+  state.snapshotsLeft = snapshotsPerTick;
+  const isReader = view.readers.includes(state.self);
   if (isReader !== state.isReader) {
     state.isReader = isReader;
     effects.push({ type: "follow", isReader });
   }
-  const peers = members.filter((id) => id !== state.self);
+  effects.push(...spreadUnheard(state, view, now));
   // Readers look abroad too, in case their domain has lost the log.
-  const candidates = isReader ? [...peers, ...gateways] : peers;
+  const peers = listFingers(view.ring, state.self);
+  const candidates = isReader ? [...peers, ...view.gateways] : peers;
   const peer = candidates[Math.floor(random * candidates.length)];
   if (peer !== undefined) effects.push(sendHead(state, peer));
   return effects;
 }
 
-function sendHead(state: DistributionState, to: NodeId): DistributionEffect {
-  const { next, digest } = state;
-  return {
+function takeRead(
+  state: DistributionState,
+  event: Extract<DistributionEvent, { type: "read" }>,
+): Effects {
+  const fresh = freshOf(state, event.records);
+  if (fresh === undefined) return [];
+  const fold = { type: "fold", records: fresh } as const;
+  if (event.view.readers[0] === state.self) {
+    const sends = broadcast(state, event.view, fresh, state.self);
+    return [...sends, fold];
+  }
+  state.unspread ??= { from: state.next, at: event.now };
+  return [fold];
+}
+
+/** Takes the place of a first reader that died or lost the log. */
+function spreadUnheard(
+  state: DistributionState,
+  view: OverlayView,
+  now: MonotonicMs,
+): Effects {
+  const { unspread, tail } = state;
+  if (unspread === undefined || now - unspread.at < backupMs) return [];
+  const first = tail[0]?.offset ?? Infinity;
+  const page = takePage(tail, Math.max(0, unspread.from - first));
+  const end = (page.at(-1)?.offset ?? Infinity) + 1;
+  state.unspread = end < state.next ? { from: end, at: now } : undefined;
+  return broadcast(state, view, page, state.self);
+}
+
+function broadcast(
+  state: DistributionState,
+  view: OverlayView,
+  records: readonly LogRecord[],
+  until: NodeId,
+): Effects {
+  if (records.length === 0) return [];
+  return delegateBroadcast(view.ring, state.self, until).map((one) => ({
     type: "send",
-    to,
-    message: { type: "distribution/head", next, digest },
-  };
+    to: one.to,
+    message: { type: "distribution/records", records, until: one.until },
+  }));
 }
 
-function foldNew(
+/** Records not yet folded, when they follow the state without a gap. */
+function freshOf(
   state: DistributionState,
   records: readonly LogRecord[],
-): readonly DistributionEffect[] {
+): readonly LogRecord[] | undefined {
   const fresh = records.filter((record) => record.offset >= state.next);
-  if (fresh[0]?.offset !== state.next) return [];
-  return [{ type: "fold", records: fresh }];
+  return fresh[0]?.offset === state.next ? fresh : undefined;
 }
 
-function receive(
-  state: DistributionState,
-  event: Extract<DistributionEvent, { type: "received" }>,
-): readonly DistributionEffect[] {
+function receive(state: DistributionState, event: Received): Effects {
   const { message, from } = event;
   switch (message.type) {
     case "distribution/records":
-      return takeRecords(state, from, message.records);
+      return takeBroadcast(state, event, message);
+    case "distribution/page":
+      return takePageOf(state, event, message);
     case "distribution/head":
-      if (message.next > state.next) return [fetchFrom(state, from)];
-      return message.next < state.next ? [sendHead(state, from)] : [];
+      return compareHead(state, event, message);
     case "distribution/fetch":
-      return answerFetch(state, from, message.from);
-    case "distribution/snapshot":
-      return message.snapshot.through >= state.next
-        ? [{ type: "load-snapshot", from, snapshot: message.snapshot }]
+      return answerFetch(state, { ...message, to: from });
+    case "distribution/repair":
+      return answerSnapshot(state, from);
+    case "distribution/snapshot": {
+      const { snapshot } = message;
+      state.fetch = undefined;
+      const least = state.isDiverged ? state.next - 1 : state.next;
+      return snapshot.through >= least
+        ? [{ type: "load-snapshot", from, snapshot }]
         : [];
+    }
     default:
       return exhausted(message);
   }
 }
 
-function takeRecords(
+function takeBroadcast(
   state: DistributionState,
-  from: NodeId,
-  records: readonly LogRecord[],
-): readonly DistributionEffect[] {
-  const first = records[0];
-  if (first === undefined) return [];
-  return first.offset > state.next
-    ? [fetchFrom(state, from)]
-    : foldNew(state, records);
+  event: Received,
+  message: Extract<Received["message"], { type: "distribution/records" }>,
+): Effects {
+  const { records, until } = message;
+  const last = records.at(-1)?.offset ?? 0;
+  noteHeard(state, last);
+  // The range depends on this node, whether or not the records are new to it.
+  const passed = until === state.self
+    ? []
+    : broadcast(state, event.view, records, until);
+  const effects = [...passed];
+  const fresh = freshOf(state, records);
+  if (fresh !== undefined) effects.push({ type: "fold", records: fresh });
+  else if (last >= state.next) {
+    effects.push(...fetchFrom(state, event.from, state.next, event.now));
+  }
+  return effects;
 }
 
-function fetchFrom(state: DistributionState, to: NodeId): DistributionEffect {
-  return {
-    type: "send",
-    to,
-    message: { type: "distribution/fetch", from: state.next },
-  };
+function noteHeard(state: DistributionState, last: Offset) {
+  if (state.unspread === undefined || last < state.unspread.from) return;
+  state.unspread = last + 1 < state.next
+    ? { from: last + 1, at: state.unspread.at }
+    : undefined;
 }
 
-function answerFetch(
+function takePageOf(
   state: DistributionState,
-  to: NodeId,
-  offset: number,
-): readonly DistributionEffect[] {
-  if (offset >= state.next) return [];
-  const first = state.tail[0]?.offset ?? Infinity;
-  if (offset < first) return [{ type: "send-snapshot", to }];
-  const records = state.tail.filter((record) => record.offset >= offset);
-  return [{
-    type: "send",
-    to,
-    message: { type: "distribution/records", records },
-  }];
+  event: Received,
+  message: Extract<Received["message"], { type: "distribution/page" }>,
+): Effects {
+  const { from, view, now } = event;
+  const { records, head } = message;
+  if (state.fetch?.to === from) state.fetch = undefined;
+  const fresh = freshOf(state, records);
+  if (fresh === undefined) return [];
+  const effects: DistributionEffect[] = [];
+  // What comes from another domain is news to the whole of this one.
+  if (state.isReader && !view.ring.ids.includes(from)) {
+    effects.push(...broadcast(state, view, fresh, state.self));
+  }
+  effects.push({ type: "fold", records: fresh });
+  const next = (fresh.at(-1)?.offset ?? 0) + 1;
+  if (next < head) effects.push(...fetchFrom(state, from, next, now, ""));
+  return effects;
 }
 
-function noteFolded(
+function compareHead(
   state: DistributionState,
-  event: Extract<DistributionEvent, { type: "folded" }>,
-): readonly DistributionEffect[] {
-  const { records, members } = event;
-  state.next = event.next;
-  state.digest = event.digest;
-  keepTail(state, records);
-  if (records.length === 0) return [];
-  return members.filter((id) => id !== state.self).map((to) => ({
+  event: Received,
+  message: Extract<Received["message"], { type: "distribution/head" }>,
+): Effects {
+  const { from, view, now } = event;
+  if (message.next > state.next) {
+    return fetchFrom(state, from, state.next, now);
+  }
+  if (message.next < state.next) return [sendHead(state, from)];
+  if (message.digest === state.digest) return [];
+  state.isDiverged = true;
+  const { next, digest: own } = state;
+  const theirs = message.digest;
+  const told = { type: "diverged", peer: from, next, own, theirs } as const;
+  const reader = view.readers[0];
+  if (reader === undefined || reader === state.self) return [told];
+  const repair = { type: "distribution/repair" } as const;
+  return [told, { type: "send", to: reader, message: repair }];
+}
+
+function sendHead(state: DistributionState, to: NodeId): DistributionEffect {
+  const { next, digest } = state;
+  return {
     type: "send",
     to,
-    message: { type: "distribution/records", records },
-  }));
+    message: { type: "distribution/head", next, digest },
+  };
 }
 
-function keepTail(state: DistributionState, records: readonly LogRecord[]) {
-  const last = state.tail.at(-1)?.offset;
-  const isContinued = last === undefined || records[0]?.offset === last + 1;
-  if (!isContinued) {
-    state.tail = [];
-    state.tailLength = 0;
-  }
-  for (const record of records) {
-    state.tail.push(record);
-    state.tailLength += record.body.length;
-  }
-  while (state.tailLength > maxTailLength && state.tail.length > 1) {
-    state.tailLength -= state.tail.shift()?.body.length ?? 0;
-  }
+/** Asks one peer at a time, so that nothing is paid for twice. */
+function fetchFrom(
+  state: DistributionState,
+  to: NodeId,
+  from: Offset,
+  now: MonotonicMs,
+  digest = state.digest,
+): Effects {
+  const { fetch } = state;
+  if (fetch !== undefined && now - fetch.at < fetchPatienceMs) return [];
+  state.fetch = { to, at: now };
+  const message = { type: "distribution/fetch", from, digest } as const;
+  return [{ type: "send", to, message }];
 }
--- a/src/distribution/state.ts
+++ b/src/distribution/state.ts
@@ -4,9 +4,20 @@
  */
 import type { EncodedSnapshot } from "../config_log/encode_snapshot.ts";
 import type { LogRecord } from "../config_log/messages.ts";
-import type { NodeId, Offset } from "../core/types.ts";
+import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
+import type { Ring } from "../overlay/build_ring.ts";
 import type { DistributionMessage } from "./messages.ts";
 
+/** What distribution reads of the membership at the time of an event. */
+export interface OverlayView {
+  /** Live members of the own domain, this node included. */
+  readonly ring: Ring;
+  /** Members that follow the log, the first to speak first. */
+  readonly readers: readonly NodeId[];
+  /** Nodes of other domains that may know more. */
+  readonly gateways: readonly NodeId[];
+}
+
 export interface DistributionState {
   readonly self: NodeId;
   /** Next offset to fold, as the fold reports it. */
@@ -17,34 +28,46 @@
   tail: LogRecord[];
   /** Characters held in `tail`. */
   tailLength: number;
+  /** Digests at recent offsets, oldest first, to compare with a returner's. */
+  marks: Map<Offset, string>;
+  /** Fetch in progress. */
+  fetch: { readonly to: NodeId; readonly at: MonotonicMs } | undefined;
+  /** Records that this reader has read and nobody has broadcast yet. */
+  unspread: { readonly from: Offset; readonly at: MonotonicMs } | undefined;
+  /** True from a difference of digests until a snapshot replaced the state. */
+  isDiverged: boolean;
+  /** Snapshots that may still be sent in this tick. */
+  snapshotsLeft: number;
 }
 
 export type DistributionEvent =
   | {
     readonly type: "ticked";
-    /** Live members of the own domain, this node included. */
-    readonly members: readonly NodeId[];
-    readonly domain: string;
-    /** Nodes of other domains that may know more. */
-    readonly gateways: readonly NodeId[];
+    readonly now: MonotonicMs;
+    readonly view: OverlayView;
     /** Random number from 0 to 1. */
     readonly random: number;
   }
   /** Records read from the log by this node. */
-  | { readonly type: "read"; readonly records: readonly LogRecord[] }
+  | {
+    readonly type: "read";
+    readonly now: MonotonicMs;
+    readonly view: OverlayView;
+    readonly records: readonly LogRecord[];
+  }
   | {
     readonly type: "received";
+    readonly now: MonotonicMs;
+    readonly view: OverlayView;
     readonly from: NodeId;
     readonly message: DistributionMessage;
-    readonly members: readonly NodeId[];
   }
-  /** The fold took records, or a whole snapshot. */
+  /** The fold took records, or a whole snapshot and no records. */
   | {
     readonly type: "folded";
     readonly next: Offset;
     readonly digest: string;
     readonly records: readonly LogRecord[];
-    readonly members: readonly NodeId[];
   };
 
 export type DistributionEffect =
@@ -61,7 +84,18 @@
     readonly from: NodeId;
     readonly snapshot: EncodedSnapshot;
   }
-  | { readonly type: "send-snapshot"; readonly to: NodeId };
+  | { readonly type: "send-snapshot"; readonly to: NodeId }
+  /** A peer at the same offset holds another state. */
+  | {
+    readonly type: "diverged";
+    readonly peer: NodeId;
+    readonly next: Offset;
+    readonly own: string;
+    readonly theirs: string;
+  };
+
+/** Snapshots that a node sends in one tick at most. */
+export const snapshotsPerTick = 2;
 
 /** Creates the state of a node that has folded nothing. */
 export function createDistributionState(
@@ -75,5 +109,10 @@
     isReader: false,
     tail: [],
     tailLength: 0,
+    marks: new Map(),
+    fetch: undefined,
+    unspread: undefined,
+    isDiverged: false,
+    snapshotsLeft: snapshotsPerTick,
   };
 }
--- /dev/null
+++ b/src/membership/index_upstreams.ts
@@ -0,0 +1,125 @@
+/**
+ * Indexes homes and other domains by service version, for the call path.
+ * @module
+ */
+import { keyOfVersion } from "../core/key_of_version.ts";
+import {
+  type Announcement,
+  EndpointState,
+  type MonotonicMs,
+  type NodeId,
+} from "../core/types.ts";
+import type { DomainSummary, MemberRow } from "./messages.ts";
+import type { MembershipState } from "./state.ts";
+
+/** Indexes a home's row in place of the row known before. */
+export function indexHome(
+  state: MembershipState,
+  before: MemberRow | undefined,
+  row: MemberRow,
+  now: MonotonicMs,
+) {
+  if (before !== undefined && before.endpoints === row.endpoints) return;
+  const home = row.info.id;
+  const isHeldBefore = new Set(before?.endpoints.map((one) => one.endpoint));
+  const touched = new Set([...keysOf(before), ...keysOf(row)]);
+  for (const one of row.endpoints) {
+    // Of two homes of one endpoint the one that announced it last is right.
+    if (isHeldBefore.has(one.endpoint)) continue;
+    const previous = state.holders.get(one.endpoint);
+    state.holders.set(one.endpoint, home);
+    if (previous === undefined || previous === home) continue;
+    const loser = state.members.get(previous)?.row;
+    if (loser !== undefined) refresh(state, loser, keysOf(loser), now);
+  }
+  for (const one of before?.endpoints ?? []) {
+    const isHeld = row.endpoints.some((other) =>
+      other.endpoint === one.endpoint
+    );
+    if (!isHeld) release(state, one, home);
+  }
+  refresh(state, row, touched, now);
+}
+
+/** Takes a home out of the index. */
+export function unindexHome(state: MembershipState, row: MemberRow) {
+  const home = row.info.id;
+  for (const one of row.endpoints) release(state, one, home);
+  for (const key of keysOf(row)) removeHome(state, key, home);
+}
+
+function release(state: MembershipState, one: Announcement, home: NodeId) {
+  if (state.holders.get(one.endpoint) === home) {
+    state.holders.delete(one.endpoint);
+  }
+}
+
+function keysOf(row: MemberRow | undefined): Set<string> {
+  return new Set(
+    row?.endpoints.map((one) => keyOfVersion(one.service, one.version)),
+  );
+}
+
+function refresh(
+  state: MembershipState,
+  row: MemberRow,
+  keys: ReadonlySet<string>,
+  now: MonotonicMs,
+) {
+  const home = row.info.id;
+  for (const key of keys) {
+    const known = state.homes.get(key)?.find((one) => one.home === home);
+    const slots = row.endpoints.reduce(
+      (sum, one) => sum + (isReady(state, one, key, home) ? one.slots : 0),
+      0,
+    );
+    removeHome(state, key, home);
+    if (slots === 0) continue;
+    const readySince = known?.readySince ?? now;
+    const others = state.homes.get(key) ?? [];
+    state.homes.set(key, [...others, { home, slots, readySince }]);
+  }
+}
+
+function isReady(
+  state: MembershipState,
+  one: Announcement,
+  key: string,
+  home: NodeId,
+): boolean {
+  return keyOfVersion(one.service, one.version) === key &&
+    one.state === EndpointState.Ready &&
+    state.holders.get(one.endpoint) === home;
+}
+
+function removeHome(state: MembershipState, key: string, home: NodeId) {
+  const left = state.homes.get(key)?.filter((one) => one.home !== home) ?? [];
+  if (left.length === 0) state.homes.delete(key);
+  else state.homes.set(key, left);
+}
+
+/** Indexes another domain's summary in place of the one known before. */
+export function indexDomain(
+  state: MembershipState,
+  before: DomainSummary | undefined,
+  summary: DomainSummary | undefined,
+) {
+  const domain = before?.domain ?? summary?.domain;
+  for (const one of before?.services ?? []) {
+    const key = keyOfVersion(one.service, one.version);
+    const left = state.remotes.get(key)?.filter((other) =>
+      other.domain !== domain
+    ) ?? [];
+    if (left.length === 0) state.remotes.delete(key);
+    else state.remotes.set(key, left);
+  }
+  if (summary === undefined) return;
+  const { region, gateways } = summary;
+  for (const one of summary.services) {
+    const key = keyOfVersion(one.service, one.version);
+    const others = state.remotes.get(key) ?? [];
+    const { slots } = one;
+    const remote = { domain: summary.domain, region, gateways, slots };
+    state.remotes.set(key, [...others, remote]);
+  }
+}
--- /dev/null
+++ b/src/membership/speak_domain.ts
@@ -0,0 +1,124 @@
+/**
+ * Tells the own domain and the others how this domain stands.
+ *
+ * The first reader speaks. Summaries of one domain are in a total order,
+ * (revision, speaker), and whoever speaks goes past the greatest revision
+ * that it has heard, so two who speak at once cannot disagree for long.
+ * @module
+ */
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { DomainSummary, SummaryMark } from "./messages.ts";
+import { broadcast, overlayOf, send } from "./overlay_of.ts";
+import type { MembershipEffect, MembershipState } from "./state.ts";
+import { summarizeDomain } from "./summarize_domain.ts";
+
+/** Ticks between two confirmations of unchanged summaries. */
+const markTicks = 5;
+
+/** Ticks between two changes of the services that are told abroad. */
+const servicesTicks = 2;
+
+/** Speaks of changes, and from time to time confirms what still holds. */
+export function speakDomain(state: MembershipState): MembershipEffect[] {
+  const { id } = state.self;
+  if (overlayOf(state).readers[0] !== id) return [];
+  const effects: MembershipEffect[] = [];
+  const summary = summarizeDomain(state);
+  const { applied, highest, nodes, laggards, gateways } = summary;
+  const status = JSON.stringify([applied, highest, nodes, laggards, gateways]);
+  const services = JSON.stringify(summary.services);
+  const isDue = state.ticks % servicesTicks === 0;
+  const isOtherStatus = status !== state.spoken.status;
+  const isOtherServices = isDue && services !== state.spoken.services;
+  if (isOtherStatus || isOtherServices) {
+    state.summaryRevision++;
+    state.spoken = { status, services };
+    const newest = { ...summary, revision: state.summaryRevision };
+    effects.push(...tellOwnDomain(state, newest));
+    effects.push(...tellAbroad(state, newest));
+  } else if (state.ticks % markTicks === 0) {
+    const same = { ...summary, revision: state.summaryRevision };
+    effects.push(...tellOwnDomain(state, same));
+  }
+  if (state.ticks % markTicks === 0) effects.push(...confirm(state));
+  return effects;
+}
+
+function tellOwnDomain(
+  state: MembershipState,
+  summary: DomainSummary,
+): MembershipEffect[] {
+  // Members know the services of their domain row by row.
+  const short = { ...summary, services: [] };
+  const until = state.self.id;
+  const message = { type: "membership/summary", until } as const;
+  return broadcast(state, { ...message, summary: short });
+}
+
+function tellAbroad(
+  state: MembershipState,
+  summary: DomainSummary,
+): MembershipEffect[] {
+  return gatewaysAbroad(state).map((to) =>
+    send(to, { type: "membership/summary", summary, until: null })
+  );
+}
+
+/** Gateways of every other domain. */
+export function gatewaysAbroad(state: MembershipState): NodeId[] {
+  const all = [...state.summaries.values()].flatMap((known) =>
+    known.summary.gateways
+  );
+  return [...new Set(all)].filter((id) => !state.members.has(id));
+}
+
+function confirm(state: MembershipState): MembershipEffect[] {
+  const { domain, id: speaker } = state.self;
+  const own = { domain, revision: state.summaryRevision, speaker };
+  const marks = [...state.summaries.values()].map(({ summary }) =>
+    markOf(summary)
+  );
+  const toAbroad = gatewaysAbroad(state).map((to) =>
+    send(to, { type: "membership/marks", marks: [own], until: null })
+  );
+  if (marks.length === 0) return toAbroad;
+  const until = speaker;
+  return [
+    ...toAbroad,
+    ...broadcast(state, { type: "membership/marks", marks, until }),
+  ];
+}
+
+/** The mark of a summary. */
+export function markOf(summary: DomainSummary): SummaryMark {
+  const { domain, revision, speaker } = summary;
+  return { domain, revision, speaker };
+}
+
+/** Negative when `a` is older than `b`, 0 when they are the same. */
+export function compareMarks(a: SummaryMark, b: SummaryMark): number {
+  if (a.revision !== b.revision) return a.revision - b.revision;
+  return a.speaker === b.speaker ? 0 : a.speaker < b.speaker ? -1 : 1;
+}
+
+/** Time after which any member relays what the first reader has not. */
+export const relayBackupMs = 1_500;
+
+/** Broadcasts summaries from abroad that nobody has broadcast here. */
+export function relaySummaries(
+  state: MembershipState,
+  now: MonotonicMs,
+): MembershipEffect[] {
+  const isFirst = overlayOf(state).readers[0] === state.self.id;
+  const effects: MembershipEffect[] = [];
+  for (const [domain, since] of state.unrelayed) {
+    if (!isFirst && now - since < relayBackupMs) continue;
+    state.unrelayed.delete(domain);
+    const summary = state.summaries.get(domain)?.summary;
+    if (summary === undefined) continue;
+    const until = state.self.id;
+    const message = { type: "membership/summary", summary, until } as const;
+    effects.push(...broadcast(state, message));
+  }
+  return effects;
+}
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -5,11 +5,14 @@
 import type {
   Announcement,
   EndpointId,
+  HomeCapacity,
   MonotonicMs,
   NodeId,
   NodeInfo,
   Offset,
+  RemoteCapacity,
 } from "../core/types.ts";
+import type { Ring } from "../overlay/build_ring.ts";
 import {
   type DomainSummary,
   type KnownMember,
@@ -17,6 +20,7 @@
   type MembershipMessage,
   MemberStatus,
 } from "./messages.ts";
+import { createSums } from "./sum_rows.ts";
 
 /** An endpoint whose home this node is. */
 export interface OwnEndpoint {
@@ -25,25 +29,72 @@
   readonly readySince: MonotonicMs;
 }
 
+/** Another domain's summary, with the time it was last confirmed. */
+export interface KnownSummary {
+  readonly summary: DomainSummary;
+  readonly heardAt: MonotonicMs;
+}
+
+/** The ring of live members and the readers, rebuilt after a change. */
+export interface Overlay {
+  readonly ring: Ring;
+  readonly readers: readonly NodeId[];
+}
+
 export interface MembershipState {
   readonly self: NodeInfo;
-  /** Addresses from the settings and from presence records. */
-  seeds: readonly NodeId[];
+  /** Addresses from the settings. */
+  readonly seeds: readonly NodeId[];
+  /** Peers met and addresses from presence records, the newest last. */
+  met: Set<NodeId>;
   incarnation: number;
   revision: number;
   applied: Offset;
+  /** Lowest version that this node may serve, once it is known. */
+  floor: Offset | undefined;
+  /** Version that peers know of an earlier process at this address. */
+  heardFloor: Offset;
   isLeaving: boolean;
-  /** Own row included. */
+  ticks: number;
+  /** Live members, own row included. */
   members: Map<NodeId, KnownMember>;
+  /** Members that died or left, oldest first, for their versions. */
+  departed: Map<NodeId, KnownMember>;
+  /** Time at which each suspicion began. */
+  suspects: Map<NodeId, MonotonicMs>;
+  /** Pings without an answer, for each successor that is pinged. */
+  missed: Map<NodeId, number>;
+  sums: number[];
+  overlay: Overlay | undefined;
   own: Map<EndpointId, OwnEndpoint>;
-  summaries: Map<string, { summary: DomainSummary; heardAt: MonotonicMs }>;
+  /** Homes by `service@version`. */
+  homes: Map<string, HomeCapacity[]>;
+  /** Other domains by `service@version`. */
+  remotes: Map<string, RemoteCapacity[]>;
+  /** The home that announced each endpoint last. */
+  holders: Map<EndpointId, NodeId>;
+  summaries: Map<string, KnownSummary>;
+  /** Summaries from abroad that nobody has broadcast here yet. */
+  unrelayed: Map<string, MonotonicMs>;
+  /** Greatest revision heard of a summary of the own domain. */
   summaryRevision: number;
-  /** First sight of each `home service version`. */
-  readySince: Map<string, MonotonicMs>;
+  /** Content of the last summary spoken, to speak only of changes. */
+  spoken: { readonly status: string; readonly services: string };
+  /** Versions in force to pass on to the readers. */
+  reports: Map<NodeId, Offset>;
+  /** Time of the last presence record that this node wrote. */
+  presenceAt: MonotonicMs;
 }
 
 export type MembershipEvent =
-  | { readonly type: "ticked"; readonly now: MonotonicMs }
+  | {
+    readonly type: "ticked";
+    readonly now: MonotonicMs;
+    /** Random number from 0 to 1. */
+    readonly random: number;
+    /** Nodes of this domain that the log's presence record names. */
+    readonly presence: readonly NodeId[];
+  }
   | {
     readonly type: "received";
     readonly from: NodeId;
@@ -60,6 +111,8 @@
     readonly version: Offset;
     readonly now: MonotonicMs;
   }
+  /** The state holds every record that the log had at the start. */
+  | { readonly type: "caught-up"; readonly now: MonotonicMs }
   | { readonly type: "seeded"; readonly seeds: readonly NodeId[] }
   | { readonly type: "leaving"; readonly now: MonotonicMs };
 
@@ -71,6 +124,15 @@
   }
   /** Upstreams came or went: routes may have to change. */
   | { readonly type: "upstreams-changed" }
+  /** The node knows what it must not serve below. */
+  | { readonly type: "floor-known"; readonly floor: Offset }
+  /** Record a sample of the domain's live nodes in the log. */
+  | { readonly type: "record-presence"; readonly nodes: readonly NodeId[] }
+  | {
+    readonly type: "member-changed";
+    readonly node: NodeId;
+    readonly status: MemberStatus;
+  }
   | {
     readonly type: "refuse-peer";
     readonly peer: NodeId;
@@ -102,14 +164,29 @@
   return {
     self,
     seeds,
+    met: new Set(),
     incarnation: startedAt,
     revision: 0,
     applied: 0,
+    floor: undefined,
+    heardFloor: 0,
     isLeaving: false,
+    ticks: 0,
     members: new Map([[self.id, { row, heardAt: now }]]),
+    departed: new Map(),
+    suspects: new Map(),
+    missed: new Map(),
+    sums: createSums([row]),
+    overlay: undefined,
     own: new Map(),
+    homes: new Map(),
+    remotes: new Map(),
+    holders: new Map(),
     summaries: new Map(),
+    unrelayed: new Map(),
     summaryRevision: 0,
-    readySince: new Map(),
+    spoken: { status: "", services: "" },
+    reports: new Map(),
+    presenceAt: now,
   };
 }
--- /dev/null
+++ b/src/membership/sum_rows.ts
@@ -0,0 +1,41 @@
+/**
+ * Sums over rows, so that two nodes find where their views differ.
+ * @module
+ */
+import type { NodeId } from "../core/types.ts";
+import type { MemberRow } from "./messages.ts";
+
+/** Buckets that members are divided into. */
+export const bucketCount = 16;
+
+const fnvOffset = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+
+/** Bucket of a member, the same on every node. */
+export function bucketOf(id: NodeId): number {
+  return hashText(id) % bucketCount;
+}
+
+/** Sums of the rows given, one for each bucket. */
+export function createSums(rows: readonly MemberRow[]): number[] {
+  const sums = new Array<number>(bucketCount).fill(0);
+  for (const row of rows) toggleRow(sums, row);
+  return sums;
+}
+
+/** Adds a row to the sums, or takes it out again. */
+export function toggleRow(sums: number[], row: MemberRow) {
+  const { info, incarnation, revision, status } = row;
+  const bucket = bucketOf(info.id);
+  const hash = hashText(`${info.id} ${incarnation} ${revision} ${status}`);
+  sums[bucket] = ((sums[bucket] ?? 0) ^ hash) >>> 0;
+}
+
+/** FNV-1a, 32 bits. */
+function hashText(text: string): number {
+  let hash = fnvOffset;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
+  }
+  return hash >>> 0;
+}
--- a/src/membership/summarize_domain.ts
+++ b/src/membership/summarize_domain.ts
@@ -2,43 +2,46 @@
  * Sums up the own failure domain for the others.
  * @module
  */
-import { EndpointState } from "../core/types.ts";
-import { pickReaders } from "../distribution/pick_readers.ts";
-import {
-  type DomainSummary,
-  type MemberRow,
-  MemberStatus,
-  type ServiceSummary,
-} from "./messages.ts";
+import { keyOfVersion } from "../core/key_of_version.ts";
+import type { DomainSummary, Laggard, ServiceSummary } from "./messages.ts";
+import { overlayOf } from "./overlay_of.ts";
 import type { MembershipState } from "./state.ts";
 
+/** Laggards that a summary names. */
+export const maxLaggards = 16;
+
 /** Returns the summary of the live members. */
 export function summarizeDomain(state: MembershipState): DomainSummary {
-  const rows = [...state.members.values()].map((known) => known.row)
-    .filter((row) => row.status === MemberStatus.Alive);
-  const { domain, region } = state.self;
+  const rows = [...state.members.values()].map((known) => known.row);
+  const applied = rows.map((row) => row.applied);
+  const highest = Math.max(...applied);
+  const laggards = rows.filter((row) => row.applied < highest)
+    .map((row): Laggard => ({ node: row.info.id, applied: row.applied }))
+    .sort((a, b) => a.applied - b.applied || (a.node < b.node ? -1 : 1));
   return {
-    domain,
-    region,
-    // Summaries of two gateways are ordered by the newest that they know.
-    revision: state.incarnation + state.summaryRevision,
+    domain: state.self.domain,
+    region: state.self.region,
+    revision: state.summaryRevision,
+    speaker: state.self.id,
     nodes: rows.length,
-    applied: Math.min(...rows.map((row) => row.applied)),
-    gateways: pickReaders(rows.map((row) => row.info.id), domain),
-    services: sumServices(rows),
+    applied: Math.min(...applied),
+    highest,
+    laggards: laggards.slice(0, maxLaggards),
+    gateways: overlayOf(state).readers,
+    services: sumServices(state),
   };
 }
 
-function sumServices(rows: readonly MemberRow[]): ServiceSummary[] {
-  const sums = new Map<string, ServiceSummary>();
-  for (const row of rows) {
-    for (const endpoint of row.endpoints) {
-      if (endpoint.state !== EndpointState.Ready) continue;
-      const { service, version, slots } = endpoint;
-      const key = `${service}@${version}`;
-      const sum = (sums.get(key)?.slots ?? 0) + slots;
-      sums.set(key, { service, version, slots: sum });
+function sumServices(state: MembershipState): ServiceSummary[] {
+  const names = new Map<string, ServiceSummary>();
+  for (const { row } of state.members.values()) {
+    for (const { service, version } of row.endpoints) {
+      const key = keyOfVersion(service, version);
+      if (names.has(key)) continue;
+      const slots = (state.homes.get(key) ?? [])
+        .reduce((sum, one) => sum + one.slots, 0);
+      if (slots > 0) names.set(key, { service, version, slots });
     }
   }
-  return [...sums.values()];
+  return [...names.values()];
 }
--- /dev/null
+++ b/src/membership/take_row.ts
@@ -0,0 +1,141 @@
+/**
+ * Merges a row that a peer knows into this node's view.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs, NodeId, NodeInfo } from "../core/types.ts";
+import { yieldUpstreams } from "./announce_upstream.ts";
+import { type MemberRow, MemberStatus } from "./messages.ts";
+import { tellOwnRow } from "./own_row.ts";
+import { dropMember, setMember } from "./set_member.ts";
+import type { MembershipEffect, MembershipState } from "./state.ts";
+
+/** Options of `takeRow`. */
+export interface TakeRowOptions {
+  readonly from: NodeId;
+  readonly row: MemberRow;
+  readonly now: MonotonicMs;
+}
+
+/** Takes a row when it is newer than the one known. */
+export function takeRow(
+  state: MembershipState,
+  opts: TakeRowOptions,
+): MembershipEffect[] {
+  const { from, row, now } = opts;
+  const contradiction = findContradiction(state, row.info);
+  if (contradiction !== undefined) {
+    return [{ type: "refuse-peer", peer: from, reason: contradiction }];
+  }
+  if (row.info.id === state.self.id) return refute(state, row, now);
+  if (row.info.domain !== state.self.domain) {
+    notePeer(state, row.info.id);
+    return [];
+  }
+  const { id } = row.info;
+  const known = state.members.get(id)?.row ?? state.departed.get(id)?.row;
+  if (known !== undefined && !isNewer(row, known)) return [];
+  const applied = Math.max(row.applied, known?.applied ?? 0);
+  const newer = row.applied === applied ? row : { ...row, applied };
+  return place(state, state.members.get(id)?.row, newer, now);
+}
+
+function place(
+  state: MembershipState,
+  known: MemberRow | undefined,
+  row: MemberRow,
+  now: MonotonicMs,
+): MembershipEffect[] {
+  switch (row.status) {
+    case MemberStatus.Alive:
+    case MemberStatus.Suspect:
+      setMember(state, row, now);
+      break;
+    case MemberStatus.Left:
+    case MemberStatus.Dead:
+      dropMember(state, row, now);
+      break;
+    default:
+      return exhausted(row.status);
+  }
+  const effects = yieldUpstreams(state, known, row, now);
+  if (known?.status !== row.status) {
+    const { info, status } = row;
+    effects.push({ type: "member-changed", node: info.id, status });
+  }
+  if (upstreamsOf(known) !== upstreamsOf(row)) {
+    effects.push({ type: "upstreams-changed" });
+  }
+  return effects;
+}
+
+/** Overrules what others say of this node: a suspicion, or an earlier start. */
+function refute(
+  state: MembershipState,
+  row: MemberRow,
+  now: MonotonicMs,
+): MembershipEffect[] {
+  // The version applied before this start is this node's floor.
+  if (row.info.boot !== state.self.boot) {
+    state.heardFloor = Math.max(state.heardFloor, row.applied);
+  }
+  const isOwn = row.info.boot === state.self.boot &&
+    row.status === MemberStatus.Alive;
+  if (isOwn || state.isLeaving || row.incarnation < state.incarnation) {
+    return [];
+  }
+  state.incarnation = row.incarnation + 1;
+  return tellOwnRow(state, now);
+}
+
+/** Keeps a bounded number of peers met, to find the fleet again. */
+export function notePeer(state: MembershipState, peer: NodeId) {
+  state.met.delete(peer);
+  state.met.add(peer);
+  const [oldest] = state.met;
+  if (state.met.size > maxMet && oldest !== undefined) {
+    state.met.delete(oldest);
+  }
+}
+
+const maxMet = 64;
+
+/** Names both sides when a node's address or domain contradicts the view. */
+export function findContradiction(
+  state: MembershipState,
+  info: NodeInfo,
+): string | undefined {
+  const { id, domain } = info;
+  if (id === state.self.id) {
+    return domain === state.self.domain ? undefined : `${id} says that it is ` +
+      `in ${domain}, but this node has that address in ${state.self.domain}`;
+  }
+  if (domain === state.self.domain) return undefined;
+  return state.members.has(id)
+    ? `${id} says that it is in ${domain}, but ${state.self.domain} has a ` +
+      `live node at that address`
+    : undefined;
+}
+
+const ranks: Readonly<Record<MemberStatus, number>> = {
+  [MemberStatus.Alive]: 0,
+  [MemberStatus.Suspect]: 1,
+  [MemberStatus.Dead]: 2,
+  [MemberStatus.Left]: 3,
+};
+
+/** A suspicion overrules every row of the incarnation that it is about. */
+export function isNewer(row: MemberRow, known: MemberRow): boolean {
+  if (row.incarnation !== known.incarnation) {
+    return row.incarnation > known.incarnation;
+  }
+  const byRank = ranks[row.status] - ranks[known.status];
+  return byRank === 0 ? row.revision > known.revision : byRank > 0;
+}
+
+function upstreamsOf(row: MemberRow | undefined): string {
+  const endpoints = row?.endpoints.map((one) =>
+    `${one.endpoint} ${one.service}@${one.version} ${one.state} ${one.slots}`
+  );
+  return endpoints?.join() ?? "";
+}
--- /dev/null
+++ b/src/membership/welcome_member.ts
@@ -0,0 +1,145 @@
+/**
+ * How a node finds its domain, and what it learns before it serves.
+ * @module
+ */
+import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
+import type { MemberRow, Welcome } from "./messages.ts";
+import { ownRow, tellOwnRow } from "./own_row.ts";
+import { broadcast, overlayOf, send } from "./overlay_of.ts";
+import { gatewaysAbroad } from "./speak_domain.ts";
+import type { MembershipEffect, MembershipState } from "./state.ts";
+import { findContradiction, notePeer, takeRow } from "./take_row.ts";
+import { takeSummary } from "./take_summary.ts";
+
+/** Ticks between two attempts to find lost parts of the fleet. */
+const seekTicks = 5;
+
+/**
+ * Presents this node to one peer that is no member: at each tick while it is
+ * alone, else now and then, which also joins the halves of a healed domain.
+ */
+export function seekPeers(
+  state: MembershipState,
+  random: number,
+): MembershipEffect[] {
+  const isAlone = state.members.size === 1;
+  if (!isAlone && state.ticks % seekTicks !== 0) return [];
+  const known = [...state.seeds, ...state.met, ...state.departed.keys()];
+  const strangers = [...new Set(known)].filter((id) => !state.members.has(id));
+  const to = strangers[Math.floor(random * strangers.length)];
+  if (to === undefined) return [];
+  return [send(to, { type: "membership/join", row: ownRow(state) })];
+}
+
+/** Answers a node that presents itself, and tells the domain of a new one. */
+export function welcomeMember(
+  state: MembershipState,
+  from: NodeId,
+  row: MemberRow,
+  now: MonotonicMs,
+): MembershipEffect[] {
+  const reason = findContradiction(state, row.info);
+  if (reason !== undefined) {
+    return [{ type: "refuse-peer", peer: from, reason }];
+  }
+  const isOwnDomain = row.info.domain === state.self.domain;
+  const departed = state.departed.get(row.info.id)?.row;
+  const isMember = state.members.has(row.info.id);
+  const effects = takeRow(state, { from, row, now });
+  notePeer(state, from);
+  if (isOwnDomain && !isMember && state.members.has(row.info.id)) {
+    const rows = [row];
+    const until = state.self.id;
+    effects.push(...broadcast(state, { type: "membership/rows", rows, until }));
+  }
+  const rows = isOwnDomain
+    ? [...state.members.values()].map((known) => known.row)
+    : [];
+  // A member declared dead here hears of it and refutes.
+  const isBuried = state.departed.has(row.info.id) && departed !== undefined;
+  if (isBuried) rows.push(departed);
+  const welcome = {
+    domain: state.self.domain,
+    rows,
+    summaries: [...state.summaries.values()].map((known) => known.summary),
+  };
+  return [...effects, send(from, { type: "membership/welcome", welcome })];
+}
+
+/** Takes what a peer knows of the domain and of the others. */
+export function takeWelcome(
+  state: MembershipState,
+  from: NodeId,
+  welcome: Welcome,
+  now: MonotonicMs,
+): MembershipEffect[] {
+  const effects: MembershipEffect[] = [];
+  const wasAlone = state.members.size === 1;
+  for (const row of welcome.rows) {
+    effects.push(...takeRow(state, { from, row, now }));
+  }
+  for (const summary of welcome.summaries) {
+    const until = state.self.id;
+    const message = { type: "membership/summary", summary, until } as const;
+    const taken = takeSummary(state, message, { from, now });
+    // The domain has them already; this is for a newcomer alone.
+    effects.push(...taken.filter((one) => one.type !== "send"));
+  }
+  const { domain } = welcome;
+  if (domain !== state.self.domain) {
+    notePeer(state, from);
+    if (!state.summaries.has(domain)) {
+      effects.push(send(from, { type: "membership/want-summary", domain }));
+    }
+  }
+  if (wasAlone && state.members.size > 1) {
+    effects.push(...tellOwnRow(state, now));
+  }
+  return effects;
+}
+
+/** Asks for the floor until it is known: members, or others when alone. */
+export function seekFloor(
+  state: MembershipState,
+  random: number,
+): MembershipEffect[] {
+  if (state.floor !== undefined) return [];
+  const { id, domain } = state.self;
+  const members = [...state.members.keys()].filter((one) => one !== id);
+  const strangers = [...state.seeds, ...gatewaysAbroad(state)]
+    .filter((one) => one !== id);
+  const candidates = members.length > 0 ? members : strangers;
+  const [reader] = overlayOf(state).readers;
+  const any = candidates[Math.floor(random * candidates.length)];
+  const targets = new Set([reader, any]);
+  return [...targets].filter((to) => to !== undefined && to !== id)
+    .map((to) => send(to ?? "", { type: "membership/want-floor", domain }));
+}
+
+/** Tells a node that has just started what it must not serve below. */
+export function answerFloor(
+  state: MembershipState,
+  from: NodeId,
+  domain: string,
+): MembershipEffect[] {
+  // A node that does not know its own floor has nothing to go by.
+  if (state.floor === undefined) return [];
+  const atAddress = state.members.get(from) ?? state.departed.get(from);
+  const floor = Math.max(
+    state.floor,
+    state.applied,
+    atAddress?.row.applied ?? 0,
+    state.summaries.get(domain)?.summary.highest ?? 0,
+  );
+  return [send(from, { type: "membership/floor", floor })];
+}
+
+/** Takes the first floor that is told. */
+export function takeFloor(
+  state: MembershipState,
+  floor: Offset,
+): MembershipEffect[] {
+  if (state.floor !== undefined) return [];
+  state.floor = Math.max(floor, state.heardFloor);
+  return [{ type: "floor-known", floor: state.floor }];
+}
