test(membership): faults, floors, presence and other domains

Cause: the rewritten slices had no tests of their own.

Change: decisions joined by an in-memory queue, with loss, repeats, reordering, deaths, restarts and cuts as events. Found on the way and mended: sums repaired four buckets at a time, too slow for a young domain; a newcomer whose seeds are all abroad did not learn of its own domain.

--- /dev/null
+++ b/src/membership/membership_test.ts
@@ -0,0 +1,391 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import fc from "fast-check";
+import { type Announcement, EndpointState } from "../core/types.ts";
+import { checkProperty } from "../testing/check_property.ts";
+import { createDirectory } from "./create_directory.ts";
+import { decideMembership } from "./decide_membership.ts";
+import type { MembershipMessage } from "./messages.ts";
+import { overlayOf } from "./overlay_of.ts";
+import {
+  createMembershipState,
+  type MembershipEffect,
+  type MembershipEvent,
+  type MembershipState,
+} from "./state.ts";
+
+interface Sent {
+  readonly from: string;
+  readonly to: string;
+  readonly message: MembershipMessage;
+}
+
+interface Fleet {
+  readonly states: Map<string, MembershipState>;
+  readonly cut: Set<string>;
+  readonly effects: MembershipEffect[];
+  queue: Sent[];
+  now: number;
+  starts: number;
+}
+
+const createFleet = (): Fleet => ({
+  states: new Map(),
+  cut: new Set(),
+  effects: [],
+  queue: [],
+  now: 0,
+  starts: 0,
+});
+
+function start(
+  fleet: Fleet,
+  id: string,
+  domain = "zone-a",
+  seeds = ["n:1", "n:2"],
+) {
+  const boot = `boot-${fleet.starts++}`;
+  const self = { id, domain, region: "nl-west", boot };
+  const startedAt = 1_000 + fleet.starts;
+  const state = createMembershipState({ self, seeds, startedAt, now: 0 });
+  fleet.states.set(id, state);
+  return state;
+}
+
+function run(fleet: Fleet, id: string, event: MembershipEvent) {
+  const state = fleet.states.get(id);
+  if (state === undefined) return;
+  for (const effect of decideMembership(state, event)) {
+    if (effect.type !== "send") fleet.effects.push(effect);
+    else fleet.queue.push({ from: id, to: effect.to, message: effect.message });
+  }
+}
+
+function deliver(fleet: Fleet) {
+  const { now } = fleet;
+  for (let sent = fleet.queue.shift(); sent; sent = fleet.queue.shift()) {
+    const { from, to, message } = sent;
+    if (fleet.cut.has(from) !== fleet.cut.has(to)) continue;
+    run(fleet, to, { type: "received", from, message, now });
+  }
+}
+
+function tick(fleet: Fleet, times = 1) {
+  for (let time = 0; time < times; time++) {
+    fleet.now += 1_000;
+    const { now } = fleet;
+    for (const [index, id] of [...fleet.states.keys()].entries()) {
+      const random = (index * 0.619 + now * 0.000_317) % 1;
+      run(fleet, id, { type: "ticked", now, random, presence: [] });
+    }
+    deliver(fleet);
+  }
+}
+
+function startDomain(count: number, domain = "zone-a", from = 1): Fleet {
+  const fleet = createFleet();
+  for (let index = from; index < from + count; index++) {
+    start(fleet, `n:${index}`, domain);
+  }
+  tick(fleet, 6);
+  return fleet;
+}
+
+function upstream(
+  endpoint: string,
+  version = "v1",
+  state: Announcement["state"] = EndpointState.Ready,
+): Announcement {
+  return {
+    endpoint,
+    service: "portaal",
+    version,
+    slots: 20,
+    connections: 130,
+    state,
+    load: 0,
+    healthy: true,
+  };
+}
+
+function announce(fleet: Fleet, id: string, announcement: Announcement) {
+  run(fleet, id, { type: "announced", announcement, now: fleet.now });
+  deliver(fleet);
+}
+
+const homesAt = (fleet: Fleet, id: string, version = "v1") => {
+  const state = fleet.states.get(id);
+  assert.ok(state);
+  return createDirectory(state).homes("portaal", version)
+    .map((one) => one.home);
+};
+
+const sizes = (fleet: Fleet) =>
+  [...fleet.states.values()].map((state) => state.members.size);
+
+test("all find each other through seeds", () => {
+  const fleet = startDomain(40);
+  assert.ok(sizes(fleet).every((size) => size === 40));
+});
+
+test("dead members are dropped by all", () => {
+  const fleet = startDomain(30);
+  fleet.states.delete("n:7");
+  tick(fleet, 8);
+  assert.ok(sizes(fleet).every((size) => size === 29));
+});
+
+test("half of the domain dies at once, twice", () => {
+  const fleet = startDomain(40);
+  for (let round = 0; round < 2; round++) {
+    for (let index = 3; index <= 40; index += 2) {
+      fleet.states.delete(`n:${index}`);
+    }
+    tick(fleet, 16);
+    assert.ok(sizes(fleet).every((size) => size === 21));
+    for (let index = 3; index <= 40; index += 2) start(fleet, `n:${index}`);
+    tick(fleet, 12);
+    assert.ok(sizes(fleet).every((size) => size === 40));
+  }
+});
+
+test("a suspect refutes", () => {
+  const fleet = startDomain(10);
+  const state = fleet.states.get("n:5");
+  assert.ok(state);
+  const [before, ring] = [state.incarnation, overlayOf(state).ring.ids];
+  const other = ring.find((id) => id !== "n:5") ?? "";
+  const row = fleet.states.get(other)?.members.get("n:5")?.row;
+  assert.ok(row);
+  run(fleet, other, {
+    type: "received",
+    from: "n:1",
+    now: fleet.now,
+    message: {
+      type: "membership/rows",
+      rows: [{ ...row, status: "suspect" }],
+      until: "n:5",
+    },
+  });
+  tick(fleet, 8);
+  assert.ok(state.incarnation > before);
+  assert.ok(sizes(fleet).every((size) => size === 10));
+});
+
+test("cut domain heals", () => {
+  const fleet = startDomain(16);
+  for (let index = 9; index <= 16; index++) fleet.cut.add(`n:${index}`);
+  tick(fleet, 12);
+  assert.ok(sizes(fleet).every((size) => size === 8));
+  fleet.cut.clear();
+  tick(fleet, 30);
+  assert.ok(sizes(fleet).every((size) => size === 16));
+});
+
+test("a leaver gets no work at once", () => {
+  const fleet = startDomain(20);
+  announce(fleet, "n:3", upstream("up:1"));
+  assert.deepEqual(homesAt(fleet, "n:9"), ["n:3"]);
+  run(fleet, "n:3", { type: "leaving", now: fleet.now });
+  deliver(fleet);
+  assert.deepEqual(homesAt(fleet, "n:9"), []);
+});
+
+test("draining is known to all at once", () => {
+  const fleet = startDomain(20);
+  announce(fleet, "n:3", upstream("up:1"));
+  announce(fleet, "n:3", upstream("up:1", "v1", EndpointState.Draining));
+  const ids = [...fleet.states.keys()];
+  assert.ok(ids.every((id) => homesAt(fleet, id).length === 0));
+});
+
+test("silent upstream is gone", () => {
+  const fleet = startDomain(5);
+  announce(fleet, "n:3", upstream("up:1"));
+  tick(fleet, 4);
+  assert.deepEqual(homesAt(fleet, "n:1"), []);
+});
+
+test("newest home of an endpoint wins", () => {
+  const fleet = startDomain(8);
+  announce(fleet, "n:3", upstream("up:1"));
+  announce(fleet, "n:4", upstream("up:1"));
+  const ids = [...fleet.states.keys()];
+  assert.ok(ids.every((id) => homesAt(fleet, id).join() === "n:4"));
+  assert.equal(fleet.states.get("n:3")?.own.size, 0);
+});
+
+test("ready since first sight", () => {
+  const fleet = startDomain(4);
+  announce(fleet, "n:3", upstream("up:1"));
+  const seen = fleet.now;
+  tick(fleet, 2);
+  announce(fleet, "n:3", upstream("up:2"));
+  const state = fleet.states.get("n:1");
+  assert.ok(state);
+  const [home] = createDirectory(state).homes("portaal", "v1");
+  assert.equal(home?.readySince, seen);
+  assert.equal(home?.slots, 40);
+});
+
+test("status shows versions of all", () => {
+  const fleet = startDomain(40);
+  for (const id of fleet.states.keys()) {
+    if (id === "n:9") continue;
+    run(fleet, id, { type: "applied", version: 7, now: fleet.now });
+  }
+  deliver(fleet);
+  tick(fleet, 3);
+  for (const [id, state] of fleet.states) {
+    const behind = [...state.members.values()].map((known) => known.row)
+      .filter((row) => row.applied !== 7).map((row) => row.info.id);
+    assert.deepEqual(behind, ["n:9"], id);
+  }
+});
+
+test("other domain is known and forgotten", () => {
+  const fleet = startDomain(12);
+  for (let index = 20; index < 26; index++) {
+    start(fleet, `n:${index}`, "zone-b");
+  }
+  announce(fleet, "n:22", upstream("up:9"));
+  for (let time = 0; time < 12; time++) {
+    announce(fleet, "n:22", upstream("up:9"));
+    tick(fleet);
+  }
+  const remotes = (id: string) => {
+    const state = fleet.states.get(id);
+    assert.ok(state);
+    return createDirectory(state).remotes("portaal", "v1");
+  };
+  for (let index = 1; index <= 12; index++) {
+    assert.equal(remotes(`n:${index}`)[0]?.domain, "zone-b");
+  }
+  for (let index = 20; index < 26; index++) fleet.cut.add(`n:${index}`);
+  tick(fleet, 40);
+  assert.equal(remotes("n:1").length, 0);
+  fleet.cut.clear();
+  for (let time = 0; time < 40; time++) {
+    announce(fleet, "n:22", upstream("up:9"));
+    tick(fleet);
+  }
+  for (let index = 1; index <= 12; index++) {
+    assert.equal(remotes(`n:${index}`)[0]?.domain, "zone-b");
+  }
+});
+
+test("a domain that lost its memory is heard again", () => {
+  const fleet = startDomain(6);
+  for (let index = 20; index < 23; index++) {
+    start(fleet, `n:${index}`, "zone-b");
+  }
+  tick(fleet, 20);
+  const known = fleet.states.get("n:1")?.summaries.get("zone-b")?.summary;
+  assert.ok(known);
+  for (let index = 20; index < 23; index++) {
+    const restarted = start(fleet, `n:${index}`, "zone-b");
+    assert.equal(restarted.summaryRevision, 0);
+  }
+  tick(fleet, 20);
+  const again = fleet.states.get("n:1")?.summaries.get("zone-b")?.summary;
+  assert.ok(again && again.revision > known.revision);
+});
+
+test("floor is what the address had applied", () => {
+  const fleet = startDomain(12);
+  for (const id of fleet.states.keys()) {
+    run(fleet, id, { type: "caught-up", now: fleet.now });
+  }
+  run(fleet, "n:9", { type: "applied", version: 41, now: fleet.now });
+  deliver(fleet);
+  tick(fleet, 3);
+  fleet.states.delete("n:9");
+  tick(fleet, 12);
+  const returned = start(fleet, "n:9");
+  assert.equal(returned.floor, undefined);
+  tick(fleet, 4);
+  assert.equal(returned.floor, 41);
+});
+
+test("two newcomers don't make up a floor", () => {
+  const fleet = startDomain(3);
+  assert.ok(
+    [...fleet.states.values()].every((one) => one.floor === undefined),
+  );
+});
+
+test("contradicting domain is refused", () => {
+  const fleet = startDomain(4);
+  const message: MembershipMessage = {
+    type: "membership/join",
+    row: {
+      info: { id: "n:3", domain: "zone-z", region: "r", boot: "b" },
+      incarnation: 9_999,
+      revision: 1,
+      status: "alive",
+      endpoints: [],
+      applied: 0,
+    },
+  };
+  const from = "n:3";
+  run(fleet, "n:1", { type: "received", from, message, now: fleet.now });
+  const refusal = fleet.effects.find((one) => one.type === "refuse-peer");
+  assert.ok(refusal?.type === "refuse-peer");
+  assert.match(refusal.reason, /zone-z.*zone-a/);
+  assert.equal(fleet.states.get("n:1")?.members.size, 4);
+});
+
+test("seeds all replaced", () => {
+  const fleet = startDomain(6);
+  const late = start(fleet, "n:50", "zone-a", ["gone:1"]);
+  run(fleet, "n:50", { type: "seeded", seeds: ["n:4", "gone:2"] });
+  tick(fleet, 6);
+  assert.equal(late.members.size, 7);
+});
+
+test("presence is recorded once", () => {
+  const fleet = startDomain(6);
+  const ids = [...fleet.states.keys()];
+  tick(fleet, 20);
+  const records = fleet.effects.filter((one) => one.type === "record-presence");
+  assert.equal(records.length, 1);
+  const [record] = records;
+  assert.ok(record?.type === "record-presence");
+  assert.ok(record.nodes.every((id) => ids.includes(id)));
+});
+
+test("views meet after any faults", () => {
+  const faults = fc.array(
+    fc.record({
+      kind: fc.constantFrom("lose", "double", "swap", "die", "return", "cut"),
+      pick: fc.nat(1_000),
+    }),
+    { maxLength: 25 },
+  );
+  checkProperty(
+    fc.property(faults, (all) => {
+      const fleet = startDomain(12);
+      for (const { kind, pick } of all) {
+        const id = `n:${3 + pick % 10}`;
+        if (kind === "die") fleet.states.delete(id);
+        if (kind === "return" && !fleet.states.has(id)) start(fleet, id);
+        if (kind === "cut") fleet.cut.add(id);
+        run(fleet, id, {
+          type: "announced",
+          announcement: upstream(`up:${pick % 5}`),
+          now: fleet.now,
+        });
+        if (kind === "lose") fleet.queue = fleet.queue.slice(2);
+        if (kind === "double") fleet.queue.push(...fleet.queue);
+        if (kind === "swap") fleet.queue.reverse();
+        tick(fleet);
+      }
+      fleet.cut.clear();
+      tick(fleet, 60);
+      assert.ok(sizes(fleet).every((size) => size === fleet.states.size));
+      const sums = [...fleet.states.values()].map((one) => one.sums.join());
+      assert.equal(new Set(sums).size, 1);
+    }),
+    { runs: 40 },
+  );
+});
--- a/src/membership/sync_rows.ts
+++ b/src/membership/sync_rows.ts
@@ -6,11 +6,11 @@
 import type { MemberRow } from "./messages.ts";
 import { send } from "./overlay_of.ts";
 import type { MembershipEffect, MembershipState } from "./state.ts";
-import { bucketOf } from "./sum_rows.ts";
+import { bucketCount, bucketOf } from "./sum_rows.ts";
 import { isNewer, takeRow } from "./take_row.ts";
 
-/** Buckets exchanged at once, so that a message stays small. */
-const maxBuckets = 4;
+/** Rows exchanged at once, so that a message stays small. */
+const maxRows = 80;
 
 /** Answers sums that differ with the rows of some of those buckets. */
 export function compareSums(
@@ -18,10 +18,12 @@
   from: NodeId,
   sums: readonly number[],
 ): MembershipEffect[] {
-  const buckets = state.sums.flatMap((sum, bucket) =>
+  const different = state.sums.flatMap((sum, bucket) =>
     sum === sums[bucket] ? [] : bucket
-  ).slice(0, maxBuckets);
-  if (buckets.length === 0) return [];
+  );
+  if (different.length === 0) return [];
+  const perBucket = (state.members.size + state.departed.size) / bucketCount;
+  const buckets = different.slice(0, Math.ceil(maxRows / perBucket));
   const rows = rowsOf(state, buckets);
   return [send(from, { type: "membership/sync", buckets, rows })];
 }
--- a/src/membership/welcome_member.ts
+++ b/src/membership/welcome_member.ts
@@ -79,6 +79,11 @@
     effects.push(...takeRow(state, { from, row, now }));
   }
   for (const summary of welcome.summaries) {
+    // Another domain may know this one better than its newcomers do.
+    if (summary.domain === state.self.domain) {
+      for (const peer of summary.gateways) notePeer(state, peer);
+      continue;
+    }
     const until = state.self.id;
     const message = { type: "membership/summary", summary, until } as const;
     const taken = takeSummary(state, message, { from, now });
