feat(adapters): refuse open ports without a key and malformed peers

Cause: a node without a key listened on any address; a peer's message was taken as it came.

Change: checkAccess refuses at the start with LAGOON_ACCESS_NO_KEY; links check every message by schema, count and log what is wrong and close that link alone; the hello carries the protocol version and the sender's place.

Tests: a type such as constructor/x crashed the schema look-up; it is one of the malformed messages now.

--- /dev/null
+++ b/src/adapters/peer_links_test.ts
@@ -0,0 +1,136 @@
+import { test, type TestContext } from "node:test";
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { Packr } from "msgpackr";
+import { WebSocket } from "ws";
+import type { NodeInfo } from "../core/types.ts";
+import { createPeerLinks, type PeerLinks } from "./peer_links.ts";
+import type { PeerMessage } from "./peer_message.ts";
+
+const packr = new Packr({ useRecords: false });
+const hello = {
+  "lagoon-node": "127.0.0.1:9",
+  "lagoon-domain": "zone-a",
+  "lagoon-region": "r",
+  "lagoon-boot": "b",
+  "lagoon-protocol": "1",
+  authorization: "Bearer key-b",
+};
+
+interface Opened {
+  readonly links: PeerLinks;
+  readonly url: string;
+  readonly got: PeerMessage[];
+}
+
+async function open(
+  t: TestContext,
+  checkPeer: (info: NodeInfo) => string | undefined = () => undefined,
+): Promise<Opened> {
+  const server = createServer();
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  const id = `127.0.0.1:${port}`;
+  const got: PeerMessage[] = [];
+  const links = createPeerLinks({
+    self: { id, domain: "zone-a", region: "r", boot: "a" },
+    server,
+    keys: ["key-a", "key-b"],
+    onMessage: (_from, message) => got.push(message),
+    checkPeer,
+  });
+  t.after(() => {
+    links.close();
+    server.close();
+    server.closeAllConnections();
+  });
+  return { links, url: `ws://${id}/peer`, got };
+}
+
+/** Resolves with the status of a refusal, or with the close code. */
+function outcomeOf(socket: WebSocket): Promise<number> {
+  return new Promise((resolve) => {
+    socket.on("error", () => {});
+    socket.on("unexpected-response", (_req, res) => {
+      resolve(res.statusCode ?? 0);
+      socket.terminate();
+    });
+    socket.on("close", (code) => resolve(code));
+  });
+}
+
+const connect = (url: string, headers: Record<string, string> = hello) =>
+  new WebSocket(url, { headers, perMessageDeflate: false });
+
+test("malformed message closes that link alone", async (t) => {
+  const { links, url, got } = await open(t);
+  const good = connect(url, { ...hello, "lagoon-node": "127.0.0.1:8" });
+  t.after(() => good.terminate());
+  await new Promise((resolve) => good.once("open", resolve));
+  const bad = [
+    Buffer.from([0xc1]),
+    packr.pack({ type: "membership/ping", applied: "x", sums: null }),
+    packr.pack({ type: "nonsense" }),
+    packr.pack(null),
+    packr.pack({ type: "constructor/x" }),
+  ];
+  for (const bytes of bad) {
+    const socket = connect(url);
+    socket.once("open", () => socket.send(bytes));
+    assert.equal(await outcomeOf(socket), 1008);
+  }
+  assert.equal(links.totals.malformed, bad.length);
+  assert.equal(got.length, 0);
+  const type = "membership/ping";
+  good.send(packr.pack({ type, applied: 1, sums: null }));
+  while (got.length === 0) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  assert.equal(got[0]?.type, type);
+});
+
+test("oversized message closes the link", async (t) => {
+  const { links, url, got } = await open(t);
+  const socket = connect(url);
+  socket.once("open", () => socket.send(Buffer.alloc(17 * 1024 * 1024)));
+  assert.equal(await outcomeOf(socket), 1009);
+  assert.equal(links.totals.malformed, 1);
+  assert.equal(got.length, 0);
+});
+
+test("wrong key, version or place is refused", async (t) => {
+  const { links, url } = await open(
+    t,
+    (info) => info.domain === "zone-z" ? "it is in zone-a" : undefined,
+  );
+  const refusal = (headers: Record<string, string>) =>
+    outcomeOf(connect(url, { ...hello, ...headers }));
+  assert.equal(await refusal({ authorization: "Bearer key-c" }), 401);
+  assert.equal(await refusal({ "lagoon-protocol": "2" }), 426);
+  assert.equal(await refusal({ "lagoon-domain": "zone-z" }), 409);
+  assert.equal(links.totals.refused, 3);
+  const old = connect(url, { ...hello, authorization: "Bearer key-a" });
+  await new Promise((resolve) => old.once("open", resolve));
+  old.terminate();
+});
+
+test("a crowd of peers has to wait", async (t) => {
+  const { url } = await open(t);
+  const sockets = Array.from(
+    { length: 60 },
+    (_, index) =>
+      connect(url, { ...hello, "lagoon-node": `127.0.0.1:${index + 1}` }),
+  );
+  const settled = await Promise.all(sockets.map((socket) =>
+    Promise.race([
+      outcomeOf(socket),
+      new Promise<number>((resolve) => socket.once("open", () => resolve(0))),
+    ])
+  ));
+  for (const socket of sockets) socket.terminate();
+  assert.ok(settled.filter((one) => one === 0).length >= 40);
+  assert.ok(settled.includes(503));
+});
--- a/src/adapters/peer_message.ts
+++ b/src/adapters/peer_message.ts
@@ -41,7 +41,8 @@
   const type = value !== null && typeof value === "object" && "type" in value
     ? String(value.type).slice(0, 64)
     : "a message without a type";
-  const schema = schemas[type.split("/")[0] ?? ""];
+  const [part = ""] = type.split("/");
+  const schema = Object.hasOwn(schemas, part) ? schemas[part] : undefined;
   const fail = (message: string) =>
     err<never, LagoonError>({
       code: "LAGOON_PEER_MESSAGE_MALFORMED",
--- a/src/bin/lagoon_node.ts
+++ b/src/bin/lagoon_node.ts
@@ -6,6 +6,8 @@
 import "./bound_memory.ts";
 import process from "node:process";
 import { runNode } from "../adapters/run_node.ts";
+import { formatError } from "../core/errors.ts";
+import { checkAccess } from "../settings/check_access.ts";
 import { nodeSettingSpecs, toNodeSettings } from "../settings/node_settings.ts";
 import { runBinary } from "../settings/run_binary.ts";
 
@@ -14,7 +16,14 @@
   summary: "Serves callers by the operators' lists, beside one upstream.",
   specs: nodeSettingSpecs,
   main: async (values) => {
-    const node = await runNode(toNodeSettings(values));
+    const settings = toNodeSettings(values);
+    const access = checkAccess(settings);
+    if (access.isErr()) {
+      process.stderr.write(`${formatError(access.error)}\n`);
+      process.exitCode = 2;
+      return;
+    }
+    const node = await runNode(settings);
     const stop = () => node.close().then(() => process.exit(0));
     process.once("SIGTERM", stop);
     process.once("SIGINT", stop);
--- a/src/membership/decide_membership.ts
+++ b/src/membership/decide_membership.ts
@@ -28,6 +28,7 @@
 import {
   answerWant,
   dropSummaries,
+  type Heard,
   takeMarks,
   takeSummary,
 } from "./take_summary.ts";
@@ -107,13 +108,13 @@
     case "membership/rows":
       return takeRows(state, message, from, now);
     case "membership/ping":
-      return answerPing(state, message, from);
+      return answerPing(state, message, { from, now });
     case "membership/ack":
       state.missed.set(from, 0);
       raiseApplied(state, from, message.applied);
       return [];
     case "membership/sync":
-      return takeSync(state, { ...message, from, now });
+      return takeSync(state, message, { from, now });
     case "membership/applied":
       takeReports(state, from, message.reports);
       return [];
@@ -148,8 +149,9 @@
 function answerPing(
   state: MembershipState,
   message: Extract<MembershipMessage, { type: "membership/ping" }>,
-  from: NodeId,
+  heard: Heard,
 ): Effects {
+  const { from } = heard;
   raiseApplied(state, from, message.applied);
   const { applied } = state;
   const effects: MembershipEffect[] = [];
@@ -163,7 +165,7 @@
     return [...effects, send(from, { type: "membership/ack", applied })];
   }
   return state.members.has(from)
-    ? compareSums(state, from, message.sums)
+    ? compareSums(state, message.sums, heard)
     : effects;
 }
 
--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -274,6 +274,18 @@
   }
 });
 
+test("a new gateway hears of the others at once", () => {
+  const fleet = startDomain(6);
+  start(fleet, "n:20", "zone-b");
+  tick(fleet, 2);
+  announce(fleet, "n:4", upstream("up:1"));
+  tick(fleet, 2);
+  const summary = fleet.states.get("n:20")?.summaries.get("zone-a")?.summary;
+  assert.equal(summary?.nodes, 6);
+  assert.equal(summary?.gateways.length, 2);
+  assert.equal(summary?.services.length, 1);
+});
+
 test("a domain that lost its memory is heard again", () => {
   const fleet = startDomain(6);
   for (let index = 20; index < 23; index++) {
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -91,11 +91,16 @@
     readonly sums: readonly number[] | null;
   }
   | { readonly type: "membership/ack"; readonly applied: Offset }
-  /** Rows of the buckets whose sums differ, then the rows that were newer. */
+  /** Repairs the buckets whose sums differ. */
   | {
     readonly type: "membership/sync";
     readonly buckets: readonly number[];
+    /** Hashes of the sender's rows, null when it wants no rows. */
+    readonly hashes: readonly number[] | null;
+    /** Rows that the receiver does not hold. */
     readonly rows: readonly MemberRow[];
+    /** True when the answer must not ask in its turn. */
+    readonly isLast: boolean;
   }
   | {
     readonly type: "membership/applied";
@@ -192,7 +197,9 @@
     v.strictObject({
       type: literal("sync"),
       buckets: v.array(count),
+      hashes: v.nullable(v.array(count)),
       rows,
+      isLast: v.boolean(),
     }),
     v.strictObject({
       type: literal("applied"),
--- a/src/membership/speak_domain.ts
+++ b/src/membership/speak_domain.ts
@@ -32,8 +32,8 @@
   const isOtherServices = isDue && services !== state.spoken.services;
   if (isOtherStatus || isOtherServices) {
     state.summaryRevision++;
-    state.spoken = { status, services };
     const newest = { ...summary, revision: state.summaryRevision };
+    state.spoken = { status, services, summary: newest };
     effects.push(...tellOwnDomain(state, newest));
     effects.push(...tellAbroad(state, newest));
   } else if (state.ticks % markTicks === 0) {
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -79,7 +79,11 @@
   /** Greatest revision heard of a summary of the own domain. */
   summaryRevision: number;
   /** Content of the last summary spoken, to speak only of changes. */
-  spoken: { readonly status: string; readonly services: string };
+  spoken: {
+    readonly status: string;
+    readonly services: string;
+    readonly summary: DomainSummary | undefined;
+  };
   /** Versions in force to pass on to the readers. */
   reports: Map<NodeId, Offset>;
   /** Time of the last presence record that this node wrote. */
@@ -185,7 +189,7 @@
     summaries: new Map(),
     unrelayed: new Map(),
     summaryRevision: 0,
-    spoken: { status: "", services: "" },
+    spoken: { status: "", services: "", summary: undefined },
     reports: new Map(),
     presenceAt: now,
   };
--- a/src/membership/sum_rows.ts
+++ b/src/membership/sum_rows.ts
@@ -25,10 +25,14 @@
 
 /** Adds a row to the sums, or takes it out again. */
 export function toggleRow(sums: number[], row: MemberRow) {
+  const bucket = bucketOf(row.info.id);
+  sums[bucket] = ((sums[bucket] ?? 0) ^ hashRow(row)) >>> 0;
+}
+
+/** Hash of what orders a row. */
+export function hashRow(row: MemberRow): number {
   const { info, incarnation, revision, status } = row;
-  const bucket = bucketOf(info.id);
-  const hash = hashText(`${info.id} ${incarnation} ${revision} ${status}`);
-  sums[bucket] = ((sums[bucket] ?? 0) ^ hash) >>> 0;
+  return hashText(`${info.id} ${incarnation} ${revision} ${status}`);
 }
 
 /** FNV-1a, 32 bits. */
--- a/src/membership/sync_rows.ts
+++ b/src/membership/sync_rows.ts
@@ -1,71 +1,75 @@
 /**
  * Finds and exchanges the rows in which two nodes' views differ.
+ *
+ * Sums of buckets differ first; then hashes of the rows in those buckets are
+ * exchanged; then the rows themselves, so that a repair costs what it mends.
  * @module
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
-import type { MemberRow } from "./messages.ts";
+import type { MemberRow, MembershipMessage } from "./messages.ts";
 import { send } from "./overlay_of.ts";
 import type { MembershipEffect, MembershipState } from "./state.ts";
-import { bucketCount, bucketOf } from "./sum_rows.ts";
-import { isNewer, takeRow } from "./take_row.ts";
+import { bucketOf, hashRow } from "./sum_rows.ts";
+import { takeRow } from "./take_row.ts";
+import type { Heard } from "./take_summary.ts";
 
-/** Rows exchanged at once, so that a message stays small. */
+/** Rows in one message at most. */
 const maxRows = 80;
 
-/** Answers sums that differ with the rows of some of those buckets. */
+/** Time for which the departed are told of. */
+const departedMs = 120_000;
+
+type SyncMessage = Extract<MembershipMessage, { type: "membership/sync" }>;
+
+/** Answers sums that differ with the hashes of the rows in those buckets. */
 export function compareSums(
   state: MembershipState,
-  from: NodeId,
   sums: readonly number[],
+  heard: Heard,
 ): MembershipEffect[] {
-  const different = state.sums.flatMap((sum, bucket) =>
+  const buckets = state.sums.flatMap((sum, bucket) =>
     sum === sums[bucket] ? [] : bucket
   );
-  if (different.length === 0) return [];
-  const perBucket = (state.members.size + state.departed.size) / bucketCount;
-  const buckets = different.slice(0, Math.ceil(maxRows / perBucket));
-  const rows = rowsOf(state, buckets);
-  return [send(from, { type: "membership/sync", buckets, rows })];
+  if (buckets.length === 0) return [];
+  const hashes = rowsOf(state, buckets, heard.now).map(hashRow);
+  const type = "membership/sync";
+  return [send(heard.from, { type, buckets, hashes, rows: [], isLast: false })];
 }
 
-/** Options of `takeSync`. */
-export interface TakeSyncOptions {
-  readonly from: NodeId;
-  readonly buckets: readonly number[];
-  readonly rows: readonly MemberRow[];
-  readonly now: MonotonicMs;
-}
-
-/** Takes the peer's rows and returns those that are newer here. */
+/** Takes the peer's rows and sends those that it does not hold. */
 export function takeSync(
   state: MembershipState,
-  opts: TakeSyncOptions,
+  message: SyncMessage,
+  heard: Heard,
 ): MembershipEffect[] {
-  const { from, buckets, now } = opts;
-  const theirs = new Map(opts.rows.map((row) => [row.info.id, row]));
-  const newer = rowsOf(state, buckets).filter((row) => {
-    const other = theirs.get(row.info.id);
-    return other === undefined || isNewer(row, other);
-  });
-  const effects = opts.rows.flatMap((row) =>
+  const { buckets, isLast } = message;
+  const { from, now } = heard;
+  const effects = message.rows.flatMap((row) =>
     takeRow(state, { from, row, now })
   );
-  if (newer.length === 0) return effects;
-  // No buckets: the peer has nothing to answer.
-  const message = {
-    type: "membership/sync",
-    buckets: [],
-    rows: newer,
-  } as const;
-  return [...effects, send(from, message)];
+  if (message.hashes === null) return effects;
+  const own = rowsOf(state, buckets, now);
+  const theirs = new Set(message.hashes);
+  const rows = own.filter((row) => !theirs.has(hashRow(row))).slice(0, maxRows);
+  const ownHashes = own.map(hashRow);
+  const isAllKnown = message.hashes.every((one) => ownHashes.includes(one));
+  const hashes = isLast || isAllKnown ? null : ownHashes;
+  if (rows.length === 0 && hashes === null) return effects;
+  const type = "membership/sync";
+  const reply = { type, buckets, hashes, rows, isLast: true } as const;
+  return [...effects, send(from, reply)];
 }
 
 function rowsOf(
   state: MembershipState,
   buckets: readonly number[],
+  now: MonotonicMs,
 ): MemberRow[] {
   const wanted = new Set(buckets);
   const isWanted = (id: NodeId) => wanted.has(bucketOf(id));
-  return [...state.members, ...state.departed]
-    .filter(([id]) => isWanted(id)).map(([, known]) => known.row);
+  const departed = [...state.departed].filter(([, known]) =>
+    now - known.heardAt < departedMs
+  );
+  return [...state.members, ...departed].filter(([id]) => isWanted(id))
+    .map(([, known]) => known.row);
 }
--- a/src/membership/take_summary.ts
+++ b/src/membership/take_summary.ts
@@ -46,11 +46,27 @@
   else state.unrelayed.delete(summary.domain);
   return [
     ...passed,
+    ...answerNewGateways(state, known, summary),
     ...relaySummaries(state, heard.now),
     { type: "upstreams-changed" },
   ];
 }
 
+/** Gateways that are new may not have heard how this domain stands. */
+function answerNewGateways(
+  state: MembershipState,
+  known: DomainSummary | undefined,
+  summary: DomainSummary,
+): MembershipEffect[] {
+  const own = state.spoken.summary;
+  const isSpeaker = overlayOf(state).readers[0] === state.self.id;
+  if (own === undefined || !isSpeaker) return [];
+  return summary.gateways.filter((to) => !known?.gateways.includes(to))
+    .map((to) =>
+      send(to, { type: "membership/summary", summary: own, until: null })
+    );
+}
+
 /** A speaker that lost its memory learns how far it has to go. */
 function answerOlder(
   known: DomainSummary,
@@ -98,7 +114,7 @@
   if (compareMarks(mark, { domain, revision, speaker }) <= 0) return;
   state.summaryRevision = mark.revision;
   if (overlayOf(state).readers[0] !== speaker) return;
-  state.spoken = { status: "", services: "" };
+  state.spoken = { ...state.spoken, status: "" };
 }
 
 function takeMark(
--- /dev/null
+++ b/src/overlay/storm_test.ts
@@ -0,0 +1,23 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { admitLink, createLinkTokens, linkBurst } from "./admit_link.ts";
+import { backOff } from "./back_off.ts";
+
+test("a burst and then a steady rate", () => {
+  const tokens = createLinkTokens(0);
+  const admitted = (now: number) => {
+    let count = 0;
+    while (admitLink(tokens, now)) count++;
+    return count;
+  };
+  assert.equal(admitted(0), linkBurst);
+  assert.equal(admitted(1_000), 20);
+  assert.equal(admitted(100_000), linkBurst);
+});
+
+test("back-off grows, jitters and is bounded", () => {
+  assert.equal(backOff(1, 0), 0);
+  assert.equal(backOff(1, 1), 500);
+  assert.equal(backOff(3, 0.5), 1_000);
+  assert.equal(backOff(1_000, 1), 15_000);
+});
--- /dev/null
+++ b/src/settings/check_access_test.ts
@@ -0,0 +1,30 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { checkAccess } from "./check_access.ts";
+import type { NodeSettings } from "./node_settings.ts";
+
+const settings: NodeSettings = {
+  domain: "zone-a",
+  region: "nl-west",
+  peerAddr: "127.0.0.1:7000",
+  callAddr: "[::1]:7001",
+  adminAddr: "localhost:7002",
+  seeds: [],
+  logUrl: "http://127.0.0.1:7900",
+  keys: [],
+};
+
+test("loopback needs no key", () => {
+  assert.ok(checkAccess(settings).isOk());
+});
+
+test("open port without a key is refused", () => {
+  const open = ["10.0.0.1:7000", "0.0.0.0:7000", "127.evil.example:7000"];
+  for (const adminAddr of open) {
+    const checked = checkAccess({ ...settings, adminAddr });
+    const error = checked._unsafeUnwrapErr();
+    assert.equal(error.code, "LAGOON_ACCESS_NO_KEY");
+    assert.ok(error.message.includes(adminAddr));
+    assert.ok(checkAccess({ ...settings, adminAddr, keys: ["k"] }).isOk());
+  }
+});
--- a/tools/experiment.ts
+++ b/tools/experiment.ts
@@ -12,6 +12,8 @@
 /** Experiments by name, each loaded only when it runs. */
 const experiments: Readonly<Record<string, () => Promise<RunExperiment>>> = {
   calls: async () => (await import("./experiments/calls.ts")).runCalls,
+  spreading: async () =>
+    (await import("./experiments/spreading.ts")).runSpreading,
   memory: async () => (await import("./experiments/memory.ts")).runMemory,
 };
 
