feat(membership): pace newcomers and batch news

Change: rows to broadcast are gathered until the tick; a node welcomes eight newcomers in a tick and notes nothing of the rest, who come again; suspicions travel without endpoints and leave the sums alone; a node begins a repair every other tick; a node that nobody welcomed does not speak for its domain in its first ticks.

--- a/src/membership/decide_membership.ts
+++ b/src/membership/decide_membership.ts
@@ -8,7 +8,7 @@
 import type { MembershipMessage } from "./messages.ts";
 import { tellOwnRow } from "./own_row.ts";
 import { passOn, send } from "./overlay_of.ts";
-import { buryMembers, pingMembers } from "./ping_members.ts";
+import { buryMembers, pingMembers, tellNews } from "./ping_members.ts";
 import { recordPresence } from "./record_presence.ts";
 import {
   passReports,
@@ -17,10 +17,11 @@
   takeReports,
 } from "./report_applied.ts";
 import { relaySummaries, speakDomain } from "./speak_domain.ts";
-import type {
-  MembershipEffect,
-  MembershipEvent,
-  MembershipState,
+import {
+  type MembershipEffect,
+  type MembershipEvent,
+  type MembershipState,
+  welcomesPerTick,
 } from "./state.ts";
 import { summarizeDomain } from "./summarize_domain.ts";
 import { compareSums, takeSync } from "./sync_rows.ts";
@@ -78,12 +79,14 @@
 ): Effects {
   const { now, random, presence } = event;
   state.ticks++;
+  state.welcomesLeft = welcomesPerTick;
   if (state.isLeaving) return [];
   return [
     ...dropSilentUpstreams(state, now),
     ...dropSummaries(state, now),
     ...buryMembers(state, now),
     ...pingMembers(state, { now, random }),
+    ...tellNews(state),
     ...seekPeers(state, random),
     ...seekFloor(state, random),
     ...passReports(state),
--- a/src/membership/ping_members.ts
+++ b/src/membership/ping_members.ts
@@ -18,6 +18,9 @@
 /** Successors pinged at once while the nearer ones do not answer. */
 const maxSuccessors = 16;
 
+/** Rows in one broadcast at most. */
+const maxNewsRows = 80;
+
 /** Options of `pingMembers`. */
 export interface PingMembersOptions {
   readonly now: MonotonicMs;
@@ -61,16 +64,27 @@
   if (row === undefined || row.status === MemberStatus.Suspect) return [];
   const suspected: MemberRow = { ...row, status: MemberStatus.Suspect };
   setMember(state, suspected, opts.now);
-  const rows = [suspected];
-  const until = state.self.id;
+  // Whoever knows the member knows its endpoints.
+  const rows = [{ ...suspected, endpoints: [] }];
+  state.news.push(...rows);
   return [
     { type: "member-changed", node: id, status: MemberStatus.Suspect },
-    ...broadcast(state, { type: "membership/rows", rows, until }),
     // The suspect hears it first-hand, so that it can refute at once.
     send(id, { type: "membership/rows", rows, until: id }),
   ];
 }
 
+/** Broadcasts the rows gathered since the last tick. */
+export function tellNews(state: MembershipState): MembershipEffect[] {
+  const effects: MembershipEffect[] = [];
+  const until = state.self.id;
+  while (state.news.length > 0) {
+    const rows = state.news.splice(0, maxNewsRows);
+    effects.push(...broadcast(state, { type: "membership/rows", rows, until }));
+  }
+  return effects;
+}
+
 /** Drops the suspects that have not refuted in time. */
 export function buryMembers(
   state: MembershipState,
--- a/src/membership/speak_domain.ts
+++ b/src/membership/speak_domain.ts
@@ -15,13 +15,18 @@
 /** Ticks between two confirmations of unchanged summaries. */
 const markTicks = 5;
 
+/** Ticks after which a node that nobody welcomed speaks for its domain. */
+const settleTicks = 3;
+
 /** Ticks between two changes of the services that are told abroad. */
 const servicesTicks = 2;
 
 /** Speaks of changes, and from time to time confirms what still holds. */
 export function speakDomain(state: MembershipState): MembershipEffect[] {
   const { id } = state.self;
-  if (overlayOf(state).readers[0] !== id) return [];
+  // Whoever has just started may not know yet who else there is.
+  const isNew = !state.isWelcomed && state.ticks < settleTicks;
+  if (isNew || overlayOf(state).readers[0] !== id) return [];
   const effects: MembershipEffect[] = [];
   const summary = summarizeDomain(state);
   const { applied, highest, nodes, laggards, gateways } = summary;
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -56,6 +56,14 @@
   heardFloor: Offset;
   isLeaving: boolean;
   ticks: number;
+  /** True once a member of the own domain told its view. */
+  isWelcomed: boolean;
+  /** Views that may still be told to newcomers in this tick. */
+  welcomesLeft: number;
+  /** Tick in which differing sums were last answered. */
+  syncedAt: number;
+  /** Rows to broadcast together at the next tick. */
+  news: MemberRow[];
   /** Live members, own row included. */
   members: Map<NodeId, KnownMember>;
   /** Members that died or left, oldest first, for their versions. */
@@ -143,6 +151,9 @@
     readonly reason: string;
   };
 
+/** Newcomers that a node tells its whole view in one tick at most. */
+export const welcomesPerTick = 8;
+
 /** Options of `createMembershipState`. */
 export interface CreateMembershipStateOptions {
   readonly self: NodeInfo;
@@ -176,6 +187,10 @@
     heardFloor: 0,
     isLeaving: false,
     ticks: 0,
+    isWelcomed: false,
+    welcomesLeft: welcomesPerTick,
+    syncedAt: 0,
+    news: [],
     members: new Map([[self.id, { row, heardAt: now }]]),
     departed: new Map(),
     suspects: new Map(),
--- a/src/membership/sum_rows.ts
+++ b/src/membership/sum_rows.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { NodeId } from "../core/types.ts";
-import type { MemberRow } from "./messages.ts";
+import { type MemberRow, MemberStatus } from "./messages.ts";
 
 /** Buckets that members are divided into. */
 export const bucketCount = 16;
@@ -29,10 +29,11 @@
   sums[bucket] = ((sums[bucket] ?? 0) ^ hashRow(row)) >>> 0;
 }
 
-/** Hash of what orders a row. */
+/** Hash of what orders a row. A suspicion passes, so it makes no difference. */
 export function hashRow(row: MemberRow): number {
   const { info, incarnation, revision, status } = row;
-  return hashText(`${info.id} ${incarnation} ${revision} ${status}`);
+  const isGone = status === MemberStatus.Left || status === MemberStatus.Dead;
+  return hashText(`${info.id} ${incarnation} ${revision} ${isGone}`);
 }
 
 /** FNV-1a, 32 bits. */
--- a/src/membership/sync_rows.ts
+++ b/src/membership/sync_rows.ts
@@ -16,6 +16,9 @@
 /** Rows in one message at most. */
 const maxRows = 80;
 
+/** Ticks between two repairs that a node begins. */
+const syncTicks = 2;
+
 /** Time for which the departed are told of. */
 const departedMs = 120_000;
 
@@ -30,7 +33,9 @@
   const buckets = state.sums.flatMap((sum, bucket) =>
     sum === sums[bucket] ? [] : bucket
   );
-  if (buckets.length === 0) return [];
+  const isPaused = state.ticks - state.syncedAt < syncTicks;
+  if (buckets.length === 0 || isPaused) return [];
+  state.syncedAt = state.ticks;
   const hashes = rowsOf(state, buckets, heard.now).map(hashRow);
   const type = "membership/sync";
   return [send(heard.from, { type, buckets, hashes, rows: [], isLast: false })];
--- a/src/membership/take_row.ts
+++ b/src/membership/take_row.ts
@@ -36,8 +36,13 @@
   const known = state.members.get(id)?.row ?? state.departed.get(id)?.row;
   if (known !== undefined && !isNewer(row, known)) return [];
   const applied = Math.max(row.applied, known?.applied ?? 0);
-  const newer = row.applied === applied ? row : { ...row, applied };
-  return place(state, state.members.get(id)?.row, newer, now);
+  const before = state.members.get(id)?.row;
+  const isSuspect = row.status === MemberStatus.Suspect;
+  // A suspicion comes without the endpoints.
+  const endpoints = isSuspect && before !== undefined
+    ? before.endpoints
+    : row.endpoints;
+  return place(state, before, { ...row, applied, endpoints }, now);
 }
 
 function place(
--- a/src/membership/welcome_member.ts
+++ b/src/membership/welcome_member.ts
@@ -4,8 +4,8 @@
  */
 import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
 import type { MemberRow, Welcome } from "./messages.ts";
-import { ownRow, tellOwnRow } from "./own_row.ts";
-import { broadcast, overlayOf, send } from "./overlay_of.ts";
+import { ownRow } from "./own_row.ts";
+import { overlayOf, send } from "./overlay_of.ts";
 import { gatewaysAbroad } from "./speak_domain.ts";
 import type { MembershipEffect, MembershipState } from "./state.ts";
 import { findContradiction, notePeer, takeRow } from "./take_row.ts";
@@ -15,15 +15,14 @@
 const seekTicks = 5;
 
 /**
- * Presents this node to one peer that is no member: at each tick while it is
- * alone, else now and then, which also joins the halves of a healed domain.
+ * Presents this node to one peer that is no member: at each tick until it is
+ * welcomed, else now and then, which also joins the halves of a healed domain.
  */
 export function seekPeers(
   state: MembershipState,
   random: number,
 ): MembershipEffect[] {
-  const isAlone = state.members.size === 1;
-  if (!isAlone && state.ticks % seekTicks !== 0) return [];
+  if (state.isWelcomed && state.ticks % seekTicks !== 0) return [];
   const known = [...state.seeds, ...state.met, ...state.departed.keys()];
   const strangers = [...new Set(known)].filter((id) => !state.members.has(id));
   const to = strangers[Math.floor(random * strangers.length)];
@@ -42,15 +41,16 @@
   if (reason !== undefined) {
     return [{ type: "refuse-peer", peer: from, reason }];
   }
+  // A newcomer that is not answered comes again; nothing is noted of it.
+  if (state.welcomesLeft === 0) return [];
+  state.welcomesLeft--;
   const isOwnDomain = row.info.domain === state.self.domain;
   const departed = state.departed.get(row.info.id)?.row;
   const isMember = state.members.has(row.info.id);
   const effects = takeRow(state, { from, row, now });
   notePeer(state, from);
   if (isOwnDomain && !isMember && state.members.has(row.info.id)) {
-    const rows = [row];
-    const until = state.self.id;
-    effects.push(...broadcast(state, { type: "membership/rows", rows, until }));
+    state.news.push(row);
   }
   const rows = isOwnDomain
     ? [...state.members.values()].map((known) => known.row)
@@ -74,7 +74,6 @@
   now: MonotonicMs,
 ): MembershipEffect[] {
   const effects: MembershipEffect[] = [];
-  const wasAlone = state.members.size === 1;
   for (const row of welcome.rows) {
     effects.push(...takeRow(state, { from, row, now }));
   }
@@ -91,15 +90,13 @@
     effects.push(...taken.filter((one) => one.type !== "send"));
   }
   const { domain } = welcome;
-  if (domain !== state.self.domain) {
+  if (domain === state.self.domain) state.isWelcomed = true;
+  else {
     notePeer(state, from);
     if (!state.summaries.has(domain)) {
       effects.push(send(from, { type: "membership/want-summary", domain }));
     }
   }
-  if (wasAlone && state.members.size > 1) {
-    effects.push(...tellOwnRow(state, now));
-  }
   return effects;
 }
 
