perf(membership): tell other domains of edits by marks

Change: marks carry the count of nodes and the versions in force; a whole summary goes out only when services or gateways change.

--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -32,22 +32,22 @@
   readonly applied: Offset;
 }
 
-/** Which of a domain's summaries is meant. Greater goes first. */
+/** Which of a domain's summaries is meant, and what changes with each edit. */
 export interface SummaryMark {
   readonly domain: string;
   readonly revision: number;
   /** Node that summed up. Orders summaries of one revision. */
   readonly speaker: NodeId;
-}
-
-/** What one failure domain tells the others, never endpoint by endpoint. */
-export interface DomainSummary extends SummaryMark {
-  readonly region: string;
   readonly nodes: number;
   /** Lowest version in force on a live node of the domain. */
   readonly applied: Offset;
   /** Highest version in force on a live node of the domain. */
   readonly highest: Offset;
+}
+
+/** What one failure domain tells the others, never endpoint by endpoint. */
+export interface DomainSummary extends SummaryMark {
+  readonly region: string;
   /** Some nodes below `highest`, those furthest behind first. */
   readonly laggards: readonly Laggard[];
   readonly gateways: readonly NodeId[];
@@ -162,13 +162,17 @@
   applied: count,
 });
 const rows = v.pipe(v.array(row), v.maxLength(maxRows));
-const mark = { domain: text, revision: count, speaker: address };
-const summary = v.strictObject({
-  ...mark,
-  region: text,
+const mark = {
+  domain: text,
+  revision: count,
+  speaker: address,
   nodes: count,
   applied: count,
   highest: count,
+};
+const summary = v.strictObject({
+  ...mark,
+  region: text,
   laggards: v.array(v.strictObject({ node: address, applied: count })),
   gateways: v.array(address),
   services: v.pipe(
--- a/src/membership/speak_domain.ts
+++ b/src/membership/speak_domain.ts
@@ -30,22 +30,29 @@
   const effects: MembershipEffect[] = [];
   const summary = summarizeDomain(state);
   const { applied, highest, nodes, laggards, gateways } = summary;
-  const status = JSON.stringify([applied, highest, nodes, laggards, gateways]);
+  const status = JSON.stringify([applied, highest, nodes, laggards]);
   const services = JSON.stringify(summary.services);
+  const reach = gateways.join();
+  const { spoken } = state;
   const isDue = state.ticks % servicesTicks === 0;
-  const isOtherStatus = status !== state.spoken.status;
-  const isOtherServices = isDue && services !== state.spoken.services;
-  if (isOtherStatus || isOtherServices) {
-    state.summaryRevision++;
-    const newest = { ...summary, revision: state.summaryRevision };
-    state.spoken = { status, services, summary: newest };
-    effects.push(...tellOwnDomain(state, newest));
+  const isOther = reach !== spoken.reach ||
+    (isDue && services !== spoken.services);
+  if (isOther) state.summaryRevision++;
+  const newest = { ...summary, revision: state.summaryRevision };
+  const isOtherStatus = status !== spoken.status;
+  if (isOther) {
+    state.spoken = { status, services, reach, summary: newest };
     effects.push(...tellAbroad(state, newest));
-  } else if (state.ticks % markTicks === 0) {
-    const same = { ...summary, revision: state.summaryRevision };
-    effects.push(...tellOwnDomain(state, same));
+  } else if (isOtherStatus) {
+    state.spoken = { ...spoken, status };
+    // The services are the larger part, and an edit does not change them.
+    effects.push(...markAbroad(state, newest));
+  }
+  const isConfirmed = state.ticks % markTicks === 0;
+  if (isOther || isOtherStatus || isConfirmed) {
+    effects.push(...tellOwnDomain(state, newest));
   }
-  if (state.ticks % markTicks === 0) effects.push(...confirm(state));
+  if (isConfirmed) effects.push(...confirm(state, newest));
   return effects;
 }
 
@@ -77,17 +84,26 @@
   return [...new Set(all)].filter((id) => !state.members.has(id));
 }
 
-function confirm(state: MembershipState): MembershipEffect[] {
-  const { domain, id: speaker } = state.self;
-  const own = { domain, revision: state.summaryRevision, speaker };
+function markAbroad(
+  state: MembershipState,
+  summary: DomainSummary,
+): MembershipEffect[] {
+  const marks = [markOf(summary)];
+  return gatewaysAbroad(state).map((to) =>
+    send(to, { type: "membership/marks", marks, until: null })
+  );
+}
+
+function confirm(
+  state: MembershipState,
+  own: DomainSummary,
+): MembershipEffect[] {
   const marks = [...state.summaries.values()].map(({ summary }) =>
     markOf(summary)
   );
-  const toAbroad = gatewaysAbroad(state).map((to) =>
-    send(to, { type: "membership/marks", marks: [own], until: null })
-  );
+  const toAbroad = markAbroad(state, own);
   if (marks.length === 0) return toAbroad;
-  const until = speaker;
+  const until = state.self.id;
   return [
     ...toAbroad,
     ...broadcast(state, { type: "membership/marks", marks, until }),
@@ -96,12 +112,15 @@
 
 /** The mark of a summary. */
 export function markOf(summary: DomainSummary): SummaryMark {
-  const { domain, revision, speaker } = summary;
-  return { domain, revision, speaker };
+  const { domain, revision, speaker, nodes, applied, highest } = summary;
+  return { domain, revision, speaker, nodes, applied, highest };
 }
 
+/** The part of a mark that orders it. */
+type MarkOrder = Pick<SummaryMark, "revision" | "speaker">;
+
 /** Negative when `a` is older than `b`, 0 when they are the same. */
-export function compareMarks(a: SummaryMark, b: SummaryMark): number {
+export function compareMarks(a: MarkOrder, b: MarkOrder): number {
   if (a.revision !== b.revision) return a.revision - b.revision;
   return a.speaker === b.speaker ? 0 : a.speaker < b.speaker ? -1 : 1;
 }
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -90,6 +90,7 @@
   spoken: {
     readonly status: string;
     readonly services: string;
+    readonly reach: string;
     readonly summary: DomainSummary | undefined;
   };
   /** Versions in force to pass on to the readers. */
@@ -204,7 +205,7 @@
     summaries: new Map(),
     unrelayed: new Map(),
     summaryRevision: 0,
-    spoken: { status: "", services: "", summary: undefined },
+    spoken: { status: "", services: "", reach: "", summary: undefined },
     reports: new Map(),
     presenceAt: now,
   };
--- a/src/membership/take_summary.ts
+++ b/src/membership/take_summary.ts
@@ -109,12 +109,12 @@
 
 /** Another summary of this domain is abroad: the next has to go past it. */
 function takeOwnMark(state: MembershipState, mark: SummaryMark) {
-  const { domain, id: speaker } = state.self;
+  const speaker = state.self.id;
   const revision = state.summaryRevision;
-  if (compareMarks(mark, { domain, revision, speaker }) <= 0) return;
+  if (compareMarks(mark, { revision, speaker }) <= 0) return;
   state.summaryRevision = mark.revision;
   if (overlayOf(state).readers[0] !== speaker) return;
-  state.spoken = { ...state.spoken, status: "" };
+  state.spoken = { ...state.spoken, reach: "" };
 }
 
 function takeMark(
@@ -132,7 +132,9 @@
   if (mark.revision < known.summary.revision) {
     return answerOlder(known.summary, mark, heard.from);
   }
-  state.summaries.set(domain, { ...known, heardAt: heard.now });
+  const { nodes, applied, highest } = mark;
+  const summary = { ...known.summary, nodes, applied, highest };
+  state.summaries.set(domain, { summary, heardAt: heard.now });
   return [];
 }
 
