--- a/tools/fake_log.ts
+++ b/tools/fake_log.ts
@@ -111,7 +111,12 @@
     url: `http://${opts.host}:${portOf(server)}`,
     faults,
     totals,
-    close: () => closeNow(server),
+    close() {
+      // Readers in a long poll would hold the process up.
+      const waiting = [...streams.values()].flatMap((one) => [...one.waiting]);
+      for (const wake of waiting) wake();
+      return closeNow(server);
+    },
   };
 }
 
