--- a/src/config_log/create_config_state.ts
+++ b/src/config_log/create_config_state.ts
@@ -12,6 +12,7 @@
   return {
     next: firstOffset,
     version: 0,
+    customersAt: 0,
     digest: "",
     customers: new Map(),
     uses: new Map(),
@@ -20,6 +21,8 @@
     leases: new Map(),
     presence: new Map(),
     writers: new Map(),
+    snapshotThrough: 0,
+    snapshotsBegun: new Map(),
     audit: [],
   };
 }
--- a/src/config_log/decide_append.ts
+++ b/src/config_log/decide_append.ts
@@ -1,35 +1,52 @@
 /**
- * Gets this process's records into the log exactly once.
+ * Gets this process's records into the log, each with an effect at most once.
  *
- * One batch is on its way at a time, in order of sequence. After a lost reply
- * the same records go out again unless the fold has shown them meanwhile; the
- * fold drops repeats of `(writer, seq)`.
+ * One batch is on its way at a time, in order of sequence. After a failed
+ * append the same records go out again; the fold drops repeats of
+ * `(writer, seq)`. Every record is settled within its time: by the fold's
+ * verdict, or as unsettled with whether it may have taken effect.
  * @module
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import type { ConfigRecord, Envelope } from "./messages.ts";
-import type { Verdict } from "./state.ts";
+import { type SubmitOutcome, UnsettledCode, type Verdict } from "./state.ts";
 
 /** Records that may wait. More are refused, so memory stays bounded. */
 export const maxWaitingRecords = 1_000;
 
+/** Characters of records that may wait. */
+export const maxWaitingLength = 8 * 1024 * 1024;
+
 /** Records sent in one request. */
 export const maxBatch = 100;
 
+/** Characters sent in one request, unless one record has more. */
+export const maxBatchLength = 1024 * 1024;
+
+/** Longest time until a record is settled, in milliseconds. */
+export const settleWithinMs = 15_000;
+
 const minBackoffMs = 100;
 const maxBackoffMs = 5_000;
 
 /** A record on its way to the log. */
 export interface PendingRecord {
   readonly envelope: Envelope;
+  /** Characters as encoded. */
+  readonly length: number;
+  readonly giveUpAt: MonotonicMs;
+  /** It was in a request, so it may take effect. */
+  isSent: boolean;
+  /** The log said that it has it. Only the fold's verdict is missing. */
+  isKept: boolean;
 }
 
 /** State of the records that this process writes. */
 export interface AppendState {
   readonly writer: string;
   nextSeq: number;
-  /** Not yet seen in the fold, oldest first. */
+  /** Not yet settled, oldest first. */
   pending: PendingRecord[];
   /** Highest sequence number of the batch on its way, 0 when none is. */
   sentThrough: number;
@@ -41,6 +58,8 @@
   | {
     readonly type: "submitted";
     readonly record: ConfigRecord;
+    /** Characters of the record as encoded. */
+    readonly length: number;
     /** Wall clock, ISO 8601. */
     readonly at: string;
     readonly now: MonotonicMs;
@@ -58,16 +77,22 @@
     readonly verdict: Verdict;
     readonly now: MonotonicMs;
   }
-  | { readonly type: "ticked"; readonly now: MonotonicMs };
+  /** A snapshot skipped records, this writer's up to `seq` among them. */
+  | {
+    readonly type: "skipped";
+    readonly seq: number;
+    readonly now: MonotonicMs;
+  }
+  | { readonly type: "ticked"; readonly now: MonotonicMs }
+  | { readonly type: "closed" };
 
 export type AppendEffect =
   | { readonly type: "append"; readonly envelopes: readonly Envelope[] }
   | {
     readonly type: "settle";
     readonly seq: number;
-    readonly verdict: Verdict;
-  }
-  | { readonly type: "overflow"; readonly record: ConfigRecord };
+    readonly outcome: SubmitOutcome;
+  };
 
 /** Creates the state of a writer whose name no other process has. */
 export function createAppendState(writer: string): AppendState {
@@ -90,9 +115,11 @@
     case "submitted":
       return submit(state, event);
     case "replied":
+      for (const one of state.pending) {
+        if (one.envelope.seq <= state.sentThrough) one.isKept = true;
+      }
       state.failures = 0;
-      // The fold still has to show the records: a later tick looks again.
-      state.retryAt = event.now + maxBackoffMs;
+      state.retryAt = event.now;
       state.sentThrough = 0;
       return sendNext(state, event.now);
     case "failed":
@@ -102,8 +129,23 @@
       return [];
     case "folded":
       return settle(state, event);
+    case "skipped":
+      return giveUp(
+        state,
+        (one) => one.envelope.seq <= event.seq,
+        UnsettledCode.Skipped,
+      );
     case "ticked":
-      return sendNext(state, event.now);
+      return [
+        ...giveUp(
+          state,
+          (one) => one.giveUpAt <= event.now,
+          UnsettledCode.Timeout,
+        ),
+        ...sendNext(state, event.now),
+      ];
+    case "closed":
+      return giveUp(state, () => true, UnsettledCode.Closed);
     default:
       return exhausted(event);
   }
@@ -113,15 +155,21 @@
   state: AppendState,
   event: Extract<AppendEvent, { type: "submitted" }>,
 ): readonly AppendEffect[] {
-  const { record, at, now } = event;
-  if (state.pending.length >= maxWaitingRecords) {
-    return [{ type: "overflow", record }];
-  }
+  const { record, length, at, now } = event;
   const seq = state.nextSeq++;
-  const envelope = { writer: state.writer, seq, at, record };
-  state.pending.push({ envelope });
-  // A fresh record need not wait for the look at older ones.
-  if (state.failures === 0) state.retryAt = Math.min(state.retryAt, now);
+  const waiting = state.pending.reduce((sum, one) => sum + one.length, 0);
+  const isFull = state.pending.length >= maxWaitingRecords ||
+    waiting + length > maxWaitingLength;
+  if (isFull) {
+    return [unsettled(seq, UnsettledCode.Overflow, false)];
+  }
+  state.pending.push({
+    envelope: { writer: state.writer, seq, at, record },
+    length,
+    giveUpAt: now + settleWithinMs,
+    isSent: false,
+    isKept: false,
+  });
   return sendNext(state, now);
 }
 
@@ -130,22 +178,59 @@
   event: Extract<AppendEvent, { type: "folded" }>,
 ): readonly AppendEffect[] {
   const { seq, verdict } = event;
-  const isPending = state.pending.some((one) => one.envelope.seq === seq);
-  if (!isPending) return [];
-  state.pending = state.pending.filter((one) => one.envelope.seq > seq);
-  return [{ type: "settle", seq, verdict }, ...sendNext(state, event.now)];
+  const index = state.pending.findIndex((one) => one.envelope.seq === seq);
+  if (index < 0) return [];
+  state.pending.splice(index, 1);
+  return [{ type: "settle", seq, outcome: verdict }];
+}
+
+/** Settles records without a verdict. They are not sent again. */
+function giveUp(
+  state: AppendState,
+  isOver: (one: PendingRecord) => boolean,
+  code: UnsettledCode,
+): readonly AppendEffect[] {
+  const over = state.pending.filter(isOver);
+  if (over.length === 0) return [];
+  state.pending = state.pending.filter((one) => !isOver(one));
+  return over.map((one) => unsettled(one.envelope.seq, code, one.isSent));
+}
+
+function unsettled(
+  seq: number,
+  code: UnsettledCode,
+  mayTakeEffect: boolean,
+): AppendEffect {
+  return {
+    type: "settle",
+    seq,
+    outcome: { type: "unsettled", code, mayTakeEffect },
+  };
 }
 
 function sendNext(
   state: AppendState,
   now: MonotonicMs,
 ): readonly AppendEffect[] {
-  const isWaiting = state.sentThrough > 0 || now < state.retryAt;
-  if (isWaiting || state.pending.length === 0) return [];
-  const batch = state.pending.slice(0, maxBatch);
-  const envelopes = batch.map((one) => one.envelope);
-  state.sentThrough = envelopes.at(-1)?.seq ?? 0;
-  return [{ type: "append", envelopes }];
+  if (state.sentThrough > 0 || now < state.retryAt) return [];
+  const batch = takeBatch(state.pending.filter((one) => !one.isKept));
+  const last = batch.at(-1);
+  if (last === undefined) return [];
+  for (const one of batch) one.isSent = true;
+  state.sentThrough = last.envelope.seq;
+  return [{ type: "append", envelopes: batch.map((one) => one.envelope) }];
+}
+
+function takeBatch(records: readonly PendingRecord[]): PendingRecord[] {
+  const batch: PendingRecord[] = [];
+  let length = 0;
+  for (const one of records) {
+    length += one.length;
+    const isFull = batch.length >= maxBatch || length > maxBatchLength;
+    if (isFull && batch.length > 0) break;
+    batch.push(one);
+  }
+  return batch;
 }
 
 /** Exponential back-off with full jitter, in milliseconds. */
--- /dev/null
+++ b/src/config_log/decide_append_test.ts
@@ -0,0 +1,168 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import fc from "fast-check";
+import { checkProperty } from "../testing/check_property.ts";
+import {
+  type AppendEffect,
+  createAppendState,
+  decideAppend,
+  maxWaitingRecords,
+  settleWithinMs,
+} from "./decide_append.ts";
+import type { ConfigRecord, Envelope } from "./messages.ts";
+
+const record: ConfigRecord = {
+  kind: "reinstate",
+  editor: "eva",
+  service: "portaal",
+  version: "v1",
+};
+
+function submitAt(now: number, length = 100) {
+  return { type: "submitted", record, length, at: "", now } as const;
+}
+
+function sent(effects: readonly AppendEffect[]): Envelope[] {
+  return effects.flatMap((one) => one.type === "append" ? one.envelopes : []);
+}
+
+function settled(effects: readonly AppendEffect[]) {
+  return effects.flatMap((one) => one.type === "settle" ? [one.outcome] : []);
+}
+
+test("failed batch is sent again", () => {
+  const state = createAppendState("w");
+  assert.equal(sent(decideAppend(state, submitAt(0))).length, 1);
+  decideAppend(state, { type: "failed", now: 10, random: 0 });
+  const again = decideAppend(state, { type: "ticked", now: 5_000 });
+  assert.deepEqual(sent(again).map((one) => one.seq), [1]);
+});
+
+test("kept record is not sent again", () => {
+  const state = createAppendState("w");
+  decideAppend(state, submitAt(0));
+  decideAppend(state, { type: "replied", now: 1 });
+  const later = decideAppend(state, { type: "ticked", now: 9_000 });
+  assert.deepEqual(sent(later), []);
+});
+
+test("record submitted meanwhile goes with the reply", () => {
+  const state = createAppendState("w");
+  decideAppend(state, submitAt(0));
+  assert.deepEqual(sent(decideAppend(state, submitAt(1))), []);
+  const next = decideAppend(state, { type: "replied", now: 2 });
+  assert.deepEqual(sent(next).map((one) => one.seq), [2]);
+});
+
+test("batch is bounded by length", () => {
+  const state = createAppendState("w");
+  decideAppend(state, submitAt(0));
+  for (let i = 0; i < 4; i++) decideAppend(state, submitAt(0, 400_000));
+  const next = decideAppend(state, { type: "replied", now: 1 });
+  assert.equal(sent(next).length, 2);
+});
+
+test("overflow settles at once", () => {
+  const state = createAppendState("w");
+  for (let i = 0; i < maxWaitingRecords; i++) decideAppend(state, submitAt(0));
+  assert.deepEqual(settled(decideAppend(state, submitAt(0))), [{
+    type: "unsettled",
+    code: "LAGOON_APPEND_OVERFLOW",
+    mayTakeEffect: false,
+  }]);
+});
+
+test("timeout tells whether it was sent", () => {
+  const state = createAppendState("w");
+  decideAppend(state, submitAt(0));
+  decideAppend(state, submitAt(0));
+  const late = decideAppend(state, { type: "ticked", now: settleWithinMs });
+  const effects = settled(late).map((one) =>
+    one.type === "unsettled" && one.mayTakeEffect
+  );
+  assert.deepEqual(effects, [true, false]);
+  assert.deepEqual(state.pending, []);
+});
+
+test("snapshot settles what it hides", () => {
+  const state = createAppendState("w");
+  decideAppend(state, submitAt(0));
+  const effects = decideAppend(state, { type: "skipped", seq: 1, now: 5 });
+  assert.equal(settled(effects)[0]?.type, "unsettled");
+  assert.deepEqual(decideAppend(state, { type: "ticked", now: 9_000 }), []);
+});
+
+test("close settles all", () => {
+  const state = createAppendState("w");
+  decideAppend(state, submitAt(0));
+  decideAppend(state, submitAt(0));
+  assert.equal(settled(decideAppend(state, { type: "closed" })).length, 2);
+});
+
+/** What becomes of a request: arrives, and whether the reply does. */
+const fate = fc.record({
+  arrives: fc.boolean(),
+  replies: fc.boolean(),
+  /** The fold shows what is in the log only now and then. */
+  folds: fc.boolean(),
+});
+
+test("every record settles, with one effect at most", () => {
+  checkProperty(
+    fc.property(fc.array(fate, { maxLength: 60 }), (fates) => {
+      const state = createAppendState("w");
+      const log: number[] = [];
+      const effects = new Map<number, number>();
+      const outcomes = new Map<number, string>();
+      const verdicts = new Set<number>();
+      let folded = 0;
+      let mark = 0;
+      let request: Envelope[] = [];
+      const take = (told: readonly AppendEffect[]) => {
+        for (const one of told) {
+          if (one.type === "append") {
+            request = [...one.envelopes];
+            continue;
+          }
+          assert.equal(outcomes.has(one.seq), false);
+          outcomes.set(one.seq, one.outcome.type);
+          if (one.outcome.type !== "unsettled") continue;
+          if (one.outcome.mayTakeEffect) verdicts.add(one.seq);
+          else assert.equal(log.includes(one.seq), false);
+        }
+      };
+      fates.forEach((one, index) => {
+        const now = index * 700;
+        take(decideAppend(state, submitAt(now)));
+        if (one.arrives) log.push(...request.map((env) => env.seq));
+        const isAnswered = one.arrives && one.replies;
+        if (request.length > 0) {
+          request = [];
+          take(decideAppend(
+            state,
+            isAnswered
+              ? { type: "replied", now }
+              : { type: "failed", now, random: 0.5 },
+          ));
+        }
+        for (; one.folds && folded < log.length; folded++) {
+          const seq = log[folded] ?? 0;
+          if (seq <= mark) continue;
+          mark = seq;
+          effects.set(seq, (effects.get(seq) ?? 0) + 1);
+          const verdict = { type: "accepted", offset: folded + 1 } as const;
+          take(decideAppend(state, { type: "folded", seq, verdict, now }));
+        }
+        take(decideAppend(state, { type: "ticked", now }));
+      });
+      take(decideAppend(state, { type: "closed" }));
+      assert.equal(outcomes.size, fates.length);
+      for (const count of effects.values()) assert.equal(count, 1);
+      for (const [seq, type] of outcomes) {
+        if (type === "accepted") assert.ok(effects.has(seq));
+        else if (effects.has(seq)) assert.ok(verdicts.has(seq));
+      }
+    }),
+    { runs: 500 },
+  );
+});
--- a/src/config_log/decode_snapshot.ts
+++ b/src/config_log/decode_snapshot.ts
@@ -23,6 +23,7 @@
   format: v.literal(snapshotFormat),
   next: v.number(),
   version: v.number(),
+  customersAt: v.number(),
   digest: v.string(),
   customers: entries,
   uses: entries,
@@ -31,6 +32,8 @@
   leases: entries,
   presence: v.array(v.tuple([v.string(), v.array(v.string())])),
   writers: entries,
+  snapshotThrough: v.number(),
+  snapshotsBegun: entries,
   audit: v.array(v.looseObject({})),
 });
 
@@ -72,6 +75,7 @@
     leases: new Map(rest.leases),
     presence: new Map(rest.presence),
     writers: new Map(rest.writers),
+    snapshotsBegun: new Map(rest.snapshotsBegun),
   } as unknown as ConfigState;
 }
 
--- a/src/config_log/encode_snapshot.ts
+++ b/src/config_log/encode_snapshot.ts
@@ -25,6 +25,7 @@
     format: snapshotFormat,
     next: state.next,
     version: state.version,
+    customersAt: state.customersAt,
     digest: state.digest,
     customers: sortEntries(state.customers),
     uses: sortEntries(state.uses),
@@ -34,6 +35,8 @@
     leases: sortEntries(state.leases),
     presence: sortEntries(state.presence),
     writers: [...state.writers],
+    snapshotThrough: state.snapshotThrough,
+    snapshotsBegun: [...state.snapshotsBegun],
     audit: state.audit,
   };
   const text = JSON.stringify(content, sortKeys);
--- a/src/config_log/fold_edit.ts
+++ b/src/config_log/fold_edit.ts
@@ -137,16 +137,18 @@
     if (change.list !== ListName.Customers) continue;
     moved.set(change.key, change.value?.plan);
   }
-  for (const [customer, row] of opts.state.customers) {
+  const holders = [...opts.state.customers].filter(([customer, row]) => {
     const plan = moved.has(customer) ? moved.get(customer) : row.entry.plan;
-    if (plan === undefined || !gone.includes(plan)) continue;
-    return refused(
-      RefusalCode.PlanInUse,
-      `plan ${plan} would have nothing to use, but customer ${customer} ` +
-        "holds it",
-    );
-  }
-  return undefined;
+    return plan !== undefined && gone.includes(plan);
+  }).map(([customer]) => customer);
+  // A map's order differs after a snapshot, and reasons are part of the state.
+  const holder = holders.sort()[0];
+  if (holder === undefined) return undefined;
+  return refused(
+    RefusalCode.PlanInUse,
+    `plan ${gone.sort().join(", ")} would have nothing to use, but customer ` +
+      `${holder} holds one`,
+  );
 }
 
 function addTo(counts: Map<string, number>, key: string, amount: number) {
@@ -158,6 +160,7 @@
     applyUse(opts, change.key, change.value);
     return;
   }
+  opts.state.customersAt = opts.offset;
   if (change.value === null) {
     opts.state.customers.delete(change.key);
     return;
--- /dev/null
+++ b/src/config_log/fold_properties_test.ts
@@ -0,0 +1,178 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import fc from "fast-check";
+import { arbitraryLog } from "../testing/arbitrary_records.ts";
+import { checkProperty } from "../testing/check_property.ts";
+import { createConfigState } from "./create_config_state.ts";
+import { decodeSnapshot } from "./decode_snapshot.ts";
+import { encodeSnapshot } from "./encode_snapshot.ts";
+import { foldRecord } from "./fold_record.ts";
+import type { LogRecord } from "./messages.ts";
+import type { ConfigState } from "./state.ts";
+
+const runs = 400;
+
+function foldAll(records: readonly LogRecord[], state = createConfigState()) {
+  for (const record of records) foldRecord({ state, record });
+  return state;
+}
+
+/** All that a refused record must leave as it is. */
+function withoutTrail(state: ConfigState) {
+  const { audit: _a, digest: _d, next: _n, writers: _w, ...rest } = state;
+  return structuredClone(rest);
+}
+
+test("same records give the same state", () => {
+  checkProperty(
+    fc.property(arbitraryLog, (log) => {
+      assert.deepEqual(
+        encodeSnapshot(foldAll(log)),
+        encodeSnapshot(foldAll(log)),
+      );
+    }),
+    { runs: 100 },
+  );
+});
+
+test("snapshot and tail equal the whole log", () => {
+  checkProperty(
+    fc.property(arbitraryLog, fc.array(fc.nat(39)), (log, cuts) => {
+      let state = createConfigState();
+      for (const record of log) {
+        foldRecord({ state, record });
+        if (!cuts.includes(record.offset)) continue;
+        state = decodeSnapshot(encodeSnapshot(state))._unsafeUnwrap();
+      }
+      assert.deepEqual(encodeSnapshot(state), encodeSnapshot(foldAll(log)));
+    }),
+    { runs },
+  );
+});
+
+test("refused record changes only the trail", () => {
+  checkProperty(
+    fc.property(arbitraryLog, (log) => {
+      const state = createConfigState();
+      for (const record of log) {
+        const before = withoutTrail(state);
+        const verdict = foldRecord({ state, record });
+        if (verdict.type === "accepted") continue;
+        assert.deepEqual(withoutTrail(state), before);
+      }
+    }),
+    { runs },
+  );
+});
+
+test("accepted edit is whole", () => {
+  checkProperty(
+    fc.property(arbitraryLog, (log) => {
+      const state = createConfigState();
+      for (const record of log) {
+        if (foldRecord({ state, record }).type !== "accepted") continue;
+        const { record: edit } = JSON.parse(record.body);
+        for (const change of edit.changes ?? []) {
+          const row = change.list === "uses"
+            ? state.uses.get(change.key)
+            : state.customers.get(change.key);
+          assert.equal(
+            row?.revision,
+            change.value === null ? undefined : record.offset,
+          );
+        }
+      }
+    }),
+    { runs },
+  );
+});
+
+test("version only grows", () => {
+  checkProperty(
+    fc.property(arbitraryLog, (log) => {
+      const state = createConfigState();
+      for (const record of log) {
+        const before = state.version;
+        const { type } = foldRecord({ state, record });
+        assert.ok([before, record.offset].includes(state.version));
+        if (type !== "accepted") assert.equal(state.version, before);
+      }
+    }),
+    { runs },
+  );
+});
+
+test("customers hold plans that exist", () => {
+  checkProperty(
+    fc.property(arbitraryLog, (log) => {
+      const state = foldAll(log);
+      const plans = new Set([...state.uses.values()].map((row) => row.plan));
+      for (const { entry } of state.customers.values()) {
+        assert.ok(plans.has(entry.plan));
+      }
+    }),
+    { runs },
+  );
+});
+
+test("reason is the same after a snapshot", () => {
+  const edit = (seq: number, changes: unknown[]) =>
+    JSON.stringify({
+      writer: "w",
+      seq,
+      at: "",
+      record: { kind: "edit", editor: "eva", changes },
+    });
+  const hold = (customer: string) => ({
+    list: "customers",
+    key: customer,
+    expected: 0,
+    value: { customer, plan: "basic" },
+  });
+  const route = { name: "all", path: "/", methods: ["GET"] };
+  const use = { plan: "basic", service: "s", version: "v1", routes: [route] };
+  const key = "basic/s";
+  const first = { list: "uses", key, expected: 0, value: use };
+  const whole = foldAll([
+    { offset: 1, body: edit(1, [first, hold("bob"), hold("ann")]) },
+  ]);
+  const tail = { list: "uses", key, expected: 1, value: null };
+  const copy = decodeSnapshot(encodeSnapshot(whole))._unsafeUnwrap();
+  for (const state of [whole, copy]) {
+    foldAll([{ offset: 2, body: edit(2, [tail]) }], state);
+  }
+  assert.match(copy.audit[1]?.reason ?? "", /customer ann/);
+  assert.deepEqual(encodeSnapshot(copy), encodeSnapshot(whole));
+});
+
+test("step needs the current term", () => {
+  checkProperty(
+    fc.property(arbitraryLog, (log) => {
+      const state = createConfigState();
+      for (const record of log) {
+        const terms = new Map([...state.leases].map(([k, l]) => [k, l.term]));
+        if (foldRecord({ state, record }).type !== "accepted") continue;
+        const { record: step } = JSON.parse(record.body);
+        if (step.kind !== "rollout-step") continue;
+        assert.equal(terms.get(`rollout/${step.rollout}`) ?? 0, step.term);
+      }
+    }),
+    { runs },
+  );
+});
+
+test("repeats of a writer change nothing", () => {
+  checkProperty(
+    fc.property(arbitraryLog, (log) => {
+      const once = foldAll(log);
+      const twice = foldAll(
+        [...log, ...log].map(({ body }, at) => ({ offset: at + 1, body })),
+      );
+      assert.deepEqual(
+        { ...withoutTrail(twice) },
+        { ...withoutTrail(once) },
+      );
+    }),
+    { runs },
+  );
+});
--- a/src/config_log/fold_record.ts
+++ b/src/config_log/fold_record.ts
@@ -9,6 +9,7 @@
 import { exhausted } from "../core/exhausted.ts";
 import type { Offset } from "../core/types.ts";
 import { foldEdit } from "./fold_edit.ts";
+import { foldSnapshot } from "./fold_snapshot.ts";
 import { foldLease, foldReinstate, foldStep } from "./fold_rollout.ts";
 import { type Envelope, type LogRecord, RecordKind } from "./messages.ts";
 import { accepted, type Outcome } from "./outcome.ts";
@@ -46,6 +47,7 @@
   const parsed = parseEnvelope(record.body);
   if (parsed.isErr()) {
     const reason = parsed.error.message;
+    noteMalformed(state, record.offset, reason);
     return refuse(record.offset, RefusalCode.Malformed, reason);
   }
   const envelope = parsed.value;
@@ -84,8 +86,10 @@
     case RecordKind.Presence:
       state.presence.set(record.domain, record.nodes);
       return accepted(false);
-    case RecordKind.Snapshot:
-      return accepted(false);
+    case RecordKind.Snapshot: {
+      const { writer } = envelope;
+      return foldSnapshot({ state, writer, record, offset });
+    }
     default:
       return exhausted(record);
   }
@@ -128,8 +132,27 @@
     who: told.who,
     what: told.what,
     verdict: outcome.type,
-    ...(outcome.type === "refused" ? { reason: outcome.reason } : {}),
+    ...(outcome.type === "refused"
+      ? { code: outcome.code, reason: outcome.reason }
+      : {}),
   };
+  pushAudit(state, entry);
+}
+
+/** A record that can't be read has no writer and no time. */
+function noteMalformed(state: ConfigState, offset: Offset, reason: string) {
+  pushAudit(state, {
+    offset,
+    at: "",
+    who: "unknown",
+    what: "appends what is no record",
+    verdict: "refused",
+    code: RefusalCode.Malformed,
+    reason,
+  });
+}
+
+function pushAudit(state: ConfigState, entry: AuditEntry) {
   state.audit.push(entry);
   if (state.audit.length > maxAuditEntries) state.audit.shift();
 }
--- /dev/null
+++ b/src/config_log/fold_snapshot.ts
@@ -0,0 +1,53 @@
+/**
+ * Notes in the folded state which snapshots the log holds whole.
+ * @module
+ */
+import type { Offset } from "../core/types.ts";
+import type { SnapshotRecord } from "./messages.ts";
+import { accepted, type Outcome, refused } from "./outcome.ts";
+import { type ConfigState, RefusalCode } from "./state.ts";
+
+/** Snapshots that may be under way at once. The oldest is forgotten. */
+export const maxSnapshotsBegun = 4;
+
+/** Options of `foldSnapshot`. */
+export interface FoldSnapshotOptions {
+  readonly state: ConfigState;
+  readonly writer: string;
+  readonly record: SnapshotRecord;
+  readonly offset: Offset;
+}
+
+/** Counts the chunk. Its content is not kept: the state is the content. */
+export function foldSnapshot(opts: FoldSnapshotOptions): Outcome {
+  const { state, record, offset } = opts;
+  const { through, chunk, chunks } = record;
+  // A made-up offset would hold back every later snapshot.
+  if (through >= offset || chunk >= chunks) {
+    return refused(
+      RefusalCode.Malformed,
+      `snapshot through ${through}, chunk ${chunk} of ${chunks}, at ${offset}`,
+    );
+  }
+  const key = `${opts.writer} ${record.hash}`;
+  const found = state.snapshotsBegun.get(key)?.found ?? 0;
+  if (found !== chunk) {
+    state.snapshotsBegun.delete(key);
+    return accepted(false);
+  }
+  if (found + 1 < chunks) {
+    state.snapshotsBegun.set(key, { through, found: found + 1 });
+    forgetOldest(state.snapshotsBegun);
+    return accepted(false);
+  }
+  state.snapshotsBegun.delete(key);
+  state.snapshotThrough = Math.max(state.snapshotThrough, through);
+  return accepted(false);
+}
+
+function forgetOldest(begun: ConfigState["snapshotsBegun"]) {
+  for (const key of begun.keys()) {
+    if (begun.size <= maxSnapshotsBegun) return;
+    begun.delete(key);
+  }
+}
--- /dev/null
+++ b/src/config_log/split_snapshot.ts
@@ -0,0 +1,23 @@
+/**
+ * Splits a snapshot into records of the log.
+ * @module
+ */
+import type { EncodedSnapshot } from "./encode_snapshot.ts";
+import { RecordKind, type SnapshotRecord } from "./messages.ts";
+
+/** Characters of content in one record. */
+export const maxChunkLength = 64 * 1024;
+
+/** Returns the records in the order in which they have to stand. */
+export function splitSnapshot(snapshot: EncodedSnapshot): SnapshotRecord[] {
+  const { through, hash, data } = snapshot;
+  const chunks = Math.max(1, Math.ceil(data.length / maxChunkLength));
+  return Array.from({ length: chunks }, (_, chunk) => ({
+    kind: RecordKind.Snapshot,
+    through,
+    chunk,
+    chunks,
+    hash,
+    data: data.slice(chunk * maxChunkLength, (chunk + 1) * maxChunkLength),
+  }));
+}
--- a/src/config_log/state.ts
+++ b/src/config_log/state.ts
@@ -80,7 +80,8 @@
   readonly who: string;
   readonly what: string;
   readonly verdict: "accepted" | "refused";
-  /** Reason of a refusal. */
+  /** Code and reason of a refusal. */
+  readonly code?: RefusalCode;
   readonly reason?: string;
 }
 
@@ -124,18 +125,50 @@
   }
   | { readonly type: "repeated"; readonly offset: Offset };
 
+/** Why a submitted record has no verdict. */
+export const UnsettledCode = {
+  /** Too many records wait. */
+  Overflow: "LAGOON_APPEND_OVERFLOW",
+  /** No verdict came in time. */
+  Timeout: "LAGOON_APPEND_TIMEOUT",
+  /** A snapshot skipped the record, and its verdict with it. */
+  Skipped: "LAGOON_APPEND_SKIPPED",
+  /** The node stops. */
+  Closed: "LAGOON_APPEND_CLOSED",
+} as const;
+export type UnsettledCode = typeof UnsettledCode[keyof typeof UnsettledCode];
+
+/** What a submitted record came to. */
+export type SubmitOutcome =
+  | Verdict
+  | {
+    readonly type: "unsettled";
+    readonly code: UnsettledCode;
+    /** False when it never was and never will be in the log. */
+    readonly mayTakeEffect: boolean;
+  };
+
 /** Last sequence number seen of a writer, for dropping repeats. */
 export interface WriterMark {
   seq: number;
   lastOffset: Offset;
 }
 
+/** A snapshot of which the log holds the first chunks. */
+export interface SnapshotBegun {
+  readonly through: Offset;
+  /** Chunks found in order. */
+  readonly found: number;
+}
+
 /** Folded state. Only `foldRecord` and `loadSnapshot` change it. */
 export interface ConfigState {
   /** Next offset to fold. */
   next: Offset;
   /** Version in force: offset of the last record that changed what is served. */
   version: Offset;
+  /** Offset of the last change to the list of customers. */
+  customersAt: Offset;
   /** Chain of SHA-256 over all records folded, in hexadecimal. */
   digest: string;
   customers: Map<string, CustomerRow>;
@@ -145,6 +178,10 @@
   leases: Map<string, Lease>;
   presence: Map<string, readonly NodeId[]>;
   writers: Map<string, WriterMark>;
+  /** Offset through which the newest whole snapshot in the log goes. */
+  snapshotThrough: Offset;
+  /** Snapshots of which some chunks are in the log, oldest first. */
+  snapshotsBegun: Map<string, SnapshotBegun>;
   /** Newest entries last, bounded by `maxAuditEntries`. */
   audit: AuditEntry[];
 }
