--- a/src/adapters/admin_client.ts
+++ b/src/adapters/admin_client.ts
@@ -24,7 +24,10 @@
 
 const timeoutMs = 30_000;
 
-/** Calls a node. Fails with `LAGOON_NODE_UNREACHABLE`. */
+/**
+ * Calls a node. Fails with `LAGOON_NODE_UNREACHABLE` when it got no request,
+ * and with `LAGOON_NODE_SILENT` when it may have acted on one.
+ */
 export async function callAdmin(
   opts: CallAdminOptions,
 ): Promise<Result<AdminReply, LagoonError>> {
@@ -43,10 +46,11 @@
       headersTimeout: timeoutMs,
       bodyTimeout: timeoutMs,
     });
-    return ok({ status: res.statusCode, body: await res.body.json() });
+    const text = await res.body.text();
+    return ok({ status: res.statusCode, body: parseJson(text) });
   } catch (cause) {
     return err({
-      code: "LAGOON_NODE_UNREACHABLE",
+      code: isUnsent(cause) ? "LAGOON_NODE_UNREACHABLE" : "LAGOON_NODE_SILENT",
       step,
       peer,
       message: String(cause),
@@ -54,3 +58,26 @@
     });
   }
 }
+
+/** Text that is not JSON is no node's answer, and fails the caller's check. */
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+const connectFailures: ReadonlySet<string> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "ENOTFOUND",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** True when the connection failed, so that the node got no request. */
+function isUnsent(cause: unknown): boolean {
+  const code = (cause as { code?: unknown } | undefined)?.code;
+  return typeof code === "string" && connectFailures.has(code);
+}
--- a/src/adapters/admin_server.ts
+++ b/src/adapters/admin_server.ts
@@ -3,18 +3,29 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import createDebug from "debug";
 import type { Polka } from "polka";
 import * as v from "valibot";
 import { RecordKind } from "../config_log/messages.ts";
 import { parseEnvelope } from "../config_log/parse_envelope.ts";
-import type { ConfigState, Verdict } from "../config_log/state.ts";
+import type { ConfigState, SubmitOutcome } from "../config_log/state.ts";
+import { exhausted } from "../core/exhausted.ts";
 import { EndpointState } from "../core/types.ts";
 import { entryOfRow } from "../lists/entry_of_row.ts";
 import { nameSchema } from "../lists/schemas.ts";
-import { readBody } from "./calls.ts";
+import {
+  maxEditBytes,
+  maxSmallBytes,
+  readJson,
+  send,
+  sendError,
+} from "./admin_json.ts";
+import { statusOf } from "./admin_status.ts";
 import type { Control } from "./create_control.ts";
 import { isAuthorized } from "./is_authorized.ts";
 
+const log = createDebug("lagoon:admin");
+
 const maxSlots = 10_000;
 
 const announcementSchema = v.strictObject({
@@ -37,12 +48,15 @@
   readonly nodeId: string;
 }
 
+type Handle = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
+
 /** Adds the operators' routes. */
 export function setUpAdmin(opts: SetUpAdminOptions) {
   const { app, control, keys } = opts;
   app.use((req, res, next) => {
     if (isAuthorized(req.headers.authorization, keys)) return next();
-    sendError(res as ServerResponse, 401, "LAGOON_ADMIN_KEY", "wrong key");
+    const error = { code: "LAGOON_ADMIN_KEY", message: "wrong key" } as const;
+    sendError(res as ServerResponse, 401, error);
   });
   app.get(
     "/v1/lists",
@@ -55,9 +69,30 @@
   app.get("/v1/audit", (_req, res) => {
     send(res, 200, { entries: control.config().audit });
   });
-  app.post("/v1/edits", (req, res) => takeEdit(opts, req, res));
-  app.post("/v1/reinstatements", (req, res) => takeReinstate(opts, req, res));
-  app.put("/v1/announcements", (req, res) => takeAnnouncement(opts, req, res));
+  app.post("/v1/edits", guard((req, res) => takeEdit(opts, req, res)));
+  app.post(
+    "/v1/reinstatements",
+    guard((req, res) => takeReinstate(opts, req, res)),
+  );
+  app.put(
+    "/v1/announcements",
+    guard((req, res) => takeAnnouncement(opts, req, res)),
+  );
+  // Polka's own answer is plain text.
+  app.all("*", (req, res) => {
+    const message = `there is no ${req.method} ${req.path}`;
+    sendError(res, 404, { code: "LAGOON_ADMIN_PATH", message });
+  });
+}
+
+/** A client that goes away in mid-request must not end the process. */
+function guard(handle: Handle) {
+  return (req: IncomingMessage, res: ServerResponse) => {
+    handle(req, res).catch((err) => {
+      log("%s %s failed: %s.", req.method, req.url, String(err));
+      res.destroy();
+    });
+  };
 }
 
 function listsOf(config: ConfigState) {
@@ -74,42 +109,14 @@
   };
 }
 
-/** Versions in force, by failure domain, as this node knows them. */
-function statusOf(opts: SetUpAdminOptions) {
-  const { control, domain } = opts;
-  const { membership } = control;
-  const rows = [...membership.members.values()].map((known) => known.row);
-  const others = [...membership.summaries.values()].map(({ summary }) => ({
-    domain: summary.domain,
-    nodes: summary.nodes,
-    applied: summary.applied,
-  }));
-  const own = {
-    domain,
-    nodes: rows.length,
-    applied: Math.min(...rows.map((row) => row.applied)),
-  };
-  const serving = control.serving();
-  return {
-    node: opts.nodeId,
-    version: control.config().version,
-    applied: serving?.version ?? 0,
-    next: control.config().next,
-    digest: control.config().digest,
-    inactive: [...serving?.inactive ?? []],
-    domains: [own, ...others],
-    members: rows.map((row) => ({ node: row.info.id, applied: row.applied })),
-  };
-}
-
 async function takeEdit(
   opts: SetUpAdminOptions,
   req: IncomingMessage,
   res: ServerResponse,
 ) {
-  const body = await readJson(req) as Record<string, unknown>;
-  const record = { ...body, kind: RecordKind.Edit };
-  await submitChecked(opts, record, res);
+  const body = await readJson(req, maxEditBytes);
+  if (body.isErr()) return sendError(res, body.error.status, body.error.error);
+  await submitChecked(opts, { ...body.value, kind: RecordKind.Edit }, res);
 }
 
 async function takeReinstate(
@@ -117,8 +124,9 @@
   req: IncomingMessage,
   res: ServerResponse,
 ) {
-  const body = await readJson(req) as Record<string, unknown>;
-  const record = { ...body, kind: RecordKind.Reinstate };
+  const body = await readJson(req, maxSmallBytes);
+  if (body.isErr()) return sendError(res, body.error.status, body.error.error);
+  const record = { ...body.value, kind: RecordKind.Reinstate };
   await submitChecked(opts, record, res);
 }
 
@@ -130,15 +138,23 @@
 ) {
   const envelope = { writer: "check", seq: 1, at: "", record };
   const checked = parseEnvelope(JSON.stringify(envelope));
-  if (checked.isErr()) {
-    return sendError(res, 400, checked.error.code, checked.error.message);
-  }
-  const verdict = await opts.control.submit(checked.value.record);
-  send(res, statusOfVerdict(verdict), verdict);
+  if (checked.isErr()) return sendError(res, 400, checked.error);
+  const outcome = await opts.control.submit(checked.value.record);
+  send(res, statusOfOutcome(outcome), outcome);
 }
 
-function statusOfVerdict(verdict: Verdict): number {
-  return verdict.type === "refused" ? 409 : 200;
+function statusOfOutcome(outcome: SubmitOutcome): number {
+  switch (outcome.type) {
+    case "accepted":
+    case "repeated":
+      return 200;
+    case "refused":
+      return 409;
+    case "unsettled":
+      return outcome.mayTakeEffect ? 504 : 503;
+    default:
+      return exhausted(outcome);
+  }
 }
 
 async function takeAnnouncement(
@@ -146,35 +162,15 @@
   req: IncomingMessage,
   res: ServerResponse,
 ) {
-  const parsed = v.safeParse(announcementSchema, await readJson(req));
+  const body = await readJson(req, maxSmallBytes);
+  if (body.isErr()) return sendError(res, body.error.status, body.error.error);
+  const parsed = v.safeParse(announcementSchema, body.value);
   if (!parsed.success) {
     const path = v.getDotPath(parsed.issues[0]) ?? "announcement";
     const message = `${path}: ${parsed.issues[0].message}`;
-    return sendError(res, 400, "LAGOON_ANNOUNCEMENT_MALFORMED", message);
+    const code = "LAGOON_ANNOUNCEMENT_MALFORMED";
+    return sendError(res, 400, { code, message });
   }
   opts.control.announce(parsed.output);
   send(res, 200, { domain: opts.domain, home: opts.nodeId });
 }
-
-async function readJson(req: IncomingMessage): Promise<unknown> {
-  const body = await readBody(req);
-  try {
-    return JSON.parse(body?.toString() ?? "");
-  } catch {
-    return {};
-  }
-}
-
-function sendError(
-  res: ServerResponse,
-  status: number,
-  code: string,
-  message: string,
-) {
-  send(res, status, { code, message });
-}
-
-function send(res: ServerResponse, status: number, body: unknown) {
-  res.writeHead(status, { "content-type": "application/json" });
-  res.end(`${JSON.stringify(body)}\n`);
-}
--- /dev/null
+++ b/src/adapters/admin_status.ts
@@ -0,0 +1,80 @@
+/**
+ * What a node tells operators of versions in force.
+ * @module
+ */
+import type { NodeId, Offset } from "../core/types.ts";
+import { MemberStatus } from "../membership/messages.ts";
+import type { Control } from "./create_control.ts";
+
+/** A failure domain as the node that was asked knows it. */
+export interface DomainStatus {
+  readonly domain: string;
+  readonly nodes: number;
+  /** Lowest version in force there. */
+  readonly applied: Offset;
+  /** Milliseconds since the domain was last heard of. */
+  readonly silentMs: number;
+}
+
+export interface NodeStatus {
+  readonly node: NodeId;
+  /** Newest version folded. */
+  readonly version: Offset;
+  /** Version in force on this node. */
+  readonly applied: Offset;
+  readonly next: Offset;
+  readonly digest: string;
+  /** Keys `plan/service` without an upstream now. */
+  readonly inactive: readonly string[];
+  readonly domains: readonly DomainStatus[];
+  /** Nodes of the own domain that are behind. */
+  readonly laggards: readonly {
+    readonly node: NodeId;
+    readonly applied: Offset;
+  }[];
+}
+
+/** Options of `statusOf`. */
+export interface StatusOfOptions {
+  readonly control: Control;
+  readonly domain: string;
+  readonly nodeId: string;
+}
+
+/** Longest list of laggards told. */
+const maxLaggards = 100;
+
+/** Sums up what the node knows. */
+export function statusOf(opts: StatusOfOptions): NodeStatus {
+  const { control, domain } = opts;
+  const { membership } = control;
+  const { version, next, digest } = control.config();
+  const serving = control.serving();
+  const rows = [...membership.members.values()].map((known) => known.row)
+    .filter((row) => row.status === MemberStatus.Alive);
+  const own: DomainStatus = {
+    domain,
+    nodes: rows.length,
+    applied: Math.min(...rows.map((row) => row.applied)),
+    silentMs: 0,
+  };
+  const now = performance.now();
+  const others = [...membership.summaries.values()].map((known) => ({
+    domain: known.summary.domain,
+    nodes: known.summary.nodes,
+    applied: known.summary.applied,
+    silentMs: Math.max(0, Math.round(now - known.heardAt)),
+  }));
+  return {
+    node: opts.nodeId,
+    version,
+    applied: serving?.version ?? 0,
+    next,
+    digest,
+    inactive: [...serving?.inactive ?? []],
+    domains: [own, ...others],
+    laggards: rows.filter((row) => row.applied < version)
+      .slice(0, maxLaggards)
+      .map((row) => ({ node: row.info.id, applied: row.applied })),
+  };
+}
--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -3,8 +3,9 @@
  * @module
  */
 import createDebug from "debug";
+import type { SnapshotPolicy } from "../config_log/decide_snapshot.ts";
 import type { ConfigRecord } from "../config_log/messages.ts";
-import type { ConfigState, Verdict } from "../config_log/state.ts";
+import type { ConfigState, SubmitOutcome } from "../config_log/state.ts";
 import { createControlLoop, Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type {
@@ -33,6 +34,7 @@
   readonly self: NodeInfo;
   readonly seeds: readonly NodeId[];
   readonly log: LogClient;
+  readonly snapshots?: SnapshotPolicy;
   readonly send: (to: NodeId, message: PeerMessage) => void;
 }
 
@@ -51,7 +53,7 @@
   announce(announcement: Announcement): void;
   noteAnswer(answer: Extract<RolloutEvent, { type: "answered" }>): void;
   /** Appends a record. Resolves with its verdict once the fold shows it. */
-  submit(record: ConfigRecord): Promise<Verdict>;
+  submit(record: ConfigRecord): Promise<SubmitOutcome>;
   /** Tells the members that this node leaves. */
   leave(): Promise<void>;
   close(): void;
@@ -75,6 +77,7 @@
   const config = driveConfig({
     context,
     log,
+    ...(opts.snapshots === undefined ? {} : { snapshots: opts.snapshots }),
     directory: () => mesh.directory,
     floor: mesh.floor,
     onFolded: mesh.noteFolded,
@@ -113,7 +116,7 @@
 
   function tick() {
     mesh.tick();
-    config.tick();
+    config.tick(mesh.isReader());
     rollout.tick();
   }
   loop.post(Priority.Config, tick);
@@ -139,11 +142,12 @@
       loop.post(Priority.Drain, () => mesh.announce(announcement));
     },
     noteAnswer: rollout.noteAnswer,
-    submit: (record) => inTurn(Priority.Config, () => config.submit(record)),
+    submit: config.submit,
     leave: () => inTurn(Priority.Drain, mesh.leave),
     close: () => {
       clearInterval(timer);
       mesh.close();
+      config.close();
       loop.close();
     },
   };
--- a/src/adapters/drive_config.ts
+++ b/src/adapters/drive_config.ts
@@ -4,20 +4,12 @@
  */
 import createDebug from "debug";
 import { createConfigState } from "../config_log/create_config_state.ts";
-import {
-  type AppendEvent,
-  createAppendState,
-  decideAppend,
-} from "../config_log/decide_append.ts";
 import { decodeSnapshot } from "../config_log/decode_snapshot.ts";
 import type { EncodedSnapshot } from "../config_log/encode_snapshot.ts";
 import { foldRecord } from "../config_log/fold_record.ts";
-import {
-  type ConfigRecord,
-  configStream,
-  type LogRecord,
-} from "../config_log/messages.ts";
-import type { ConfigState, Verdict } from "../config_log/state.ts";
+import type { SnapshotPolicy } from "../config_log/decide_snapshot.ts";
+import type { ConfigRecord, LogRecord } from "../config_log/messages.ts";
+import type { ConfigState, SubmitOutcome } from "../config_log/state.ts";
 import { Priority } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
 import { exhausted } from "../core/exhausted.ts";
@@ -26,6 +18,8 @@
 import { decideSwap } from "../serving/decide_swap.ts";
 import type { ServingConfig } from "../serving/state.ts";
 import type { ControlContext } from "./control_context.ts";
+import { driveAppend } from "./drive_append.ts";
+import { driveSnapshots } from "./drive_snapshots.ts";
 import type { LogClient } from "./log_client.ts";
 
 const logger = createDebug("lagoon:config");
@@ -37,6 +31,7 @@
   readonly directory: () => Directory;
   /** Lowest version that may be served, none until it is known. */
   readonly floor: () => Offset | undefined;
+  readonly snapshots?: SnapshotPolicy;
   /** Called after records or, with none, a snapshot were folded. */
   readonly onFolded: (records: readonly LogRecord[]) => void;
   /** Called when another version came into force. */
@@ -52,54 +47,78 @@
   /** Compiles again, after upstreams came or went. */
   recompile(): void;
   /** Appends a record. Resolves with its verdict once the fold shows it. */
-  submit(record: ConfigRecord): Promise<Verdict>;
-  tick(): void;
+  submit(record: ConfigRecord): Promise<SubmitOutcome>;
+  /** Starts over from the log's newest snapshot: the offset is gone. */
+  startOver(): Promise<void>;
+  tick(isReader: boolean): void;
+  /** Settles every record that waits. */
+  close(): void;
 }
 
+/** When a reader writes a snapshot, unless the settings say otherwise. */
+export const defaultSnapshotPolicy: SnapshotPolicy = {
+  everyRecords: 4_000,
+  everyMs: 120 * 60_000,
+};
+
 /** Creates the driver. All its methods run on the control loop. */
 export function driveConfig(opts: DriveConfigOptions): ConfigDriver {
   const { context, log } = opts;
-  const { now, loop } = context;
   let state = createConfigState();
   let serving: ServingConfig | undefined;
-  const { id, boot } = context.self;
-  const append = createAppendState(`${id}/${boot}`);
-  const waiting = new Map<number, (verdict: Verdict) => void>();
+  let isCompileDue = false;
+  const append = driveAppend({ context, log, config: () => state });
+  const snapshots = driveSnapshots({
+    context,
+    log,
+    policy: opts.snapshots ?? defaultSnapshotPolicy,
+    config: () => state,
+    submit: append.submit,
+    load: loadSnapshot,
+  });
 
   function fold(records: readonly LogRecord[]) {
     for (const record of records) {
       const verdict = foldRecord({ state, record });
-      settleOwn(record, verdict);
+      append.noteVerdict(record, verdict);
     }
     noteFolded(records);
   }
 
-  /** Tells the writer's queue that one of its records came through. */
-  function settleOwn(record: LogRecord, verdict: Verdict) {
-    if (append.pending.length === 0) return;
-    const mark = state.writers.get(append.writer);
-    if (mark?.lastOffset !== record.offset) return;
-    runAppend({ type: "folded", seq: mark.seq, verdict, now: now() });
-  }
-
   function noteFolded(records: readonly LogRecord[]) {
     opts.onFolded(records);
     recompile();
   }
 
   function loadSnapshot(snapshot: EncodedSnapshot) {
+    // Records may have been folded while the snapshot was on its way.
+    if (snapshot.through < state.next) return;
     const decoded = decodeSnapshot(snapshot);
     if (decoded.isErr()) {
       logger("%s", formatError(decoded.error));
       return;
     }
     state = decoded.value;
+    append.noteSkipped();
     logger("Snapshot through %d loaded.", snapshot.through);
     noteFolded([]);
   }
 
+  /** Compiles once for all events that wait in the loop. */
   function recompile() {
-    const candidate = compileConfig({ state, directory: opts.directory() });
+    if (isCompileDue) return;
+    isCompileDue = context.loop.post(Priority.Config, () => {
+      isCompileDue = false;
+      compile();
+    });
+  }
+
+  function compile() {
+    const candidate = compileConfig({
+      state,
+      directory: opts.directory(),
+      previous: serving,
+    });
     if (candidate.version === 0) return;
     const floor = opts.floor();
     if (floor === undefined) return;
@@ -125,53 +144,18 @@
     opts.onApplied(candidate.version);
   }
 
-  function runAppend(event: AppendEvent) {
-    for (const effect of decideAppend(append, event)) {
-      switch (effect.type) {
-        case "append":
-          sendBatch(effect.envelopes.map((one) => JSON.stringify(one)));
-          break;
-        case "settle":
-          waiting.get(effect.seq)?.(effect.verdict);
-          waiting.delete(effect.seq);
-          break;
-        case "overflow":
-          logger("Record %s dropped: too many wait.", effect.record.kind);
-          break;
-        default:
-          exhausted(effect);
-      }
-    }
-  }
-
-  async function sendBatch(bodies: readonly string[]) {
-    const reply = await log.append(configStream, bodies);
-    if (reply.isErr()) logger("%s", formatError(reply.error));
-    loop.post(Priority.Config, () =>
-      runAppend(
-        reply.isOk()
-          ? { type: "replied", now: now() }
-          : { type: "failed", now: now(), random: Math.random() },
-      ));
-  }
-
-  function submit(record: ConfigRecord): Promise<Verdict> {
-    const seq = append.nextSeq;
-    const at = new Date().toISOString();
-    const settled = new Promise<Verdict>((resolve) => {
-      waiting.set(seq, resolve);
-    });
-    runAppend({ type: "submitted", record, at, now: now() });
-    return settled;
-  }
-
   return {
     state: () => state,
     serving: () => serving,
     fold,
     loadSnapshot,
     recompile,
-    submit,
-    tick: () => runAppend({ type: "ticked", now: now() }),
+    submit: append.submit,
+    startOver: snapshots.startOver,
+    tick(isReader) {
+      append.tick();
+      snapshots.tick(isReader);
+    },
+    close: append.close,
   };
 }
--- a/src/adapters/drive_mesh.ts
+++ b/src/adapters/drive_mesh.ts
@@ -202,7 +202,7 @@
             takeLogPage(page);
           });
         }),
-      onGone: () => Promise.resolve(),
+      onGone: () => config().startOver(),
       onError: (err, failures) => {
         if (failures === 1) logConfig("%s", formatError(err));
       },
--- a/src/adapters/log_client.ts
+++ b/src/adapters/log_client.ts
@@ -10,15 +10,19 @@
 import type { Offset } from "../core/types.ts";
 import { requestThrough } from "./request_through.ts";
 
-/** One page of a stream. */
-export interface LogPage {
-  readonly records: readonly LogRecord[];
+/** Where a stream begins and ends. */
+export interface LogBounds {
   /** Oldest offset that the log still keeps. */
   readonly oldest: Offset;
   /** Offset that the next record will get. */
   readonly head: Offset;
 }
 
+/** One page of a stream. */
+export interface LogPage extends LogBounds {
+  readonly records: readonly LogRecord[];
+}
+
 /** The offsets asked for are past retention. */
 export const offsetGoneCode = "LAGOON_LOG_OFFSET_GONE";
 
@@ -30,6 +34,8 @@
   ): Promise<Result<Offset, LagoonError>>;
   /** Reads from an offset on, waiting up to `waitMs` when there is nothing. */
   read(opts: ReadPageOptions): Promise<Result<LogPage, LagoonError>>;
+  /** Oldest offset kept, and the head. */
+  bounds(stream: string): Promise<Result<LogBounds, LagoonError>>;
   close(): Promise<void>;
 }
 
@@ -52,10 +58,10 @@
 const statusGone = 410;
 const statusOk = 200;
 
+const boundsSchema = v.object({ oldest: v.number(), head: v.number() });
 const pageSchema = v.object({
+  ...boundsSchema.entries,
   records: v.array(v.object({ offset: v.number(), body: v.string() })),
-  oldest: v.number(),
-  head: v.number(),
 });
 const appendSchema = v.object({ first: v.number() });
 
@@ -84,6 +90,15 @@
         timeoutMs: waitMs + opts.timeoutMs,
         schema: pageSchema,
       }),
+    bounds: (stream) =>
+      call({
+        method: "GET",
+        // Offset 0 is never kept, so the log tells what it has.
+        path: `/streams/${stream}/records?from=0&max=1&wait_ms=0`,
+        timeoutMs: opts.timeoutMs,
+        schema: boundsSchema,
+        goodStatus: statusGone,
+      }),
     close: () => pool.destroy(),
   };
 }
@@ -94,6 +109,8 @@
   readonly body?: string;
   readonly timeoutMs: number;
   readonly schema: T;
+  /** Status of the wanted answer, 200 unless given. */
+  readonly goodStatus?: number;
 }
 
 async function callLog<T extends v.GenericSchema>(
@@ -114,8 +131,11 @@
       bodyTimeout: request.timeoutMs,
     });
     const text = await res.body.text();
-    if (res.statusCode === statusGone) return fail(offsetGoneCode, text);
-    if (res.statusCode !== statusOk) {
+    const goodStatus = request.goodStatus ?? statusOk;
+    if (res.statusCode === statusGone && goodStatus !== statusGone) {
+      return fail(offsetGoneCode, text);
+    }
+    if (res.statusCode !== goodStatus) {
       return fail("LAGOON_LOG_REFUSED", `status ${res.statusCode}: ${text}`);
     }
     const parsed = v.safeParse(request.schema, JSON.parse(text));
--- a/src/serving/compile_config.ts
+++ b/src/serving/compile_config.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { ConfigState, UseRow } from "../config_log/state.ts";
+import { keyOfVersion } from "../core/key_of_version.ts";
 import type { Directory } from "../core/types.ts";
 import type { ServedService, ServingConfig, VersionSplit } from "./state.ts";
 
@@ -10,60 +11,101 @@
 export interface CompileConfigOptions {
   readonly state: ConfigState;
   readonly directory: Directory;
+  /** Configuration in force. What did not change is taken over from it. */
+  readonly previous?: ServingConfig | undefined;
 }
 
+type IsPresent = (service: string, version: string) => boolean;
+
 /**
  * Compiles a whole configuration. A service without any endpoint that this
  * proxy can reach is left out, so no active route points at nothing.
  */
 export function compileConfig(opts: CompileConfigOptions): ServingConfig {
-  const { state } = opts;
+  const { state, previous } = opts;
+  const isPresent = rememberPresence(opts.directory);
   const services = new Map<string, ServedService>();
   const inactive = new Set<string>();
   for (const [key, row] of state.uses) {
-    const split = compileSplit(opts, row);
-    if (split === undefined) {
-      inactive.add(key);
-      continue;
-    }
-    const { plan, service, routes } = row;
-    services.set(key, { plan, service, routes: bySpecificity(routes), split });
+    const split = compileSplit(state, row, isPresent);
+    if (split === undefined) inactive.add(key);
+    else services.set(key, serve(row, split, previous?.services.get(key)));
   }
   return {
     version: state.version,
     digest: state.digest,
-    planOf: new Map(
-      [...state.customers].map(([key, row]) => [key, row.entry.plan]),
-    ),
+    customersAt: state.customersAt,
+    ...compileCustomers(state, previous),
     services,
     inactive,
   };
 }
 
+/** Many plans use one service, and the directory searches all members. */
+function rememberPresence(directory: Directory): IsPresent {
+  const known = new Map<string, boolean>();
+  return (service, version) => {
+    const key = keyOfVersion(service, version);
+    const found = known.get(key) ?? directory.isPresent(service, version);
+    known.set(key, found);
+    return found;
+  };
+}
+
+function compileCustomers(
+  state: ConfigState,
+  previous: ServingConfig | undefined,
+): Pick<ServingConfig, "planOf" | "plansHeld"> {
+  if (previous?.customersAt === state.customersAt) {
+    const { planOf, plansHeld } = previous;
+    return { planOf, plansHeld };
+  }
+  const planOf = new Map<string, string>();
+  for (const [key, row] of state.customers) planOf.set(key, row.entry.plan);
+  return { planOf, plansHeld: new Set(planOf.values()) };
+}
+
+function serve(
+  row: UseRow,
+  split: VersionSplit,
+  before: ServedService | undefined,
+): ServedService {
+  const { plan, service } = row;
+  const isSameRow = before?.rules === row.routes;
+  if (isSameRow && isSameSplit(before.split, split)) return before;
+  const routes = isSameRow ? before.routes : bySpecificity(row.routes);
+  return { plan, service, rules: row.routes, routes, split };
+}
+
+function isSameSplit(a: VersionSplit, b: VersionSplit): boolean {
+  return a.stable === b.stable &&
+    a.candidate?.rollout === b.candidate?.rollout &&
+    a.candidate?.perMille === b.candidate?.perMille;
+}
+
 /** Longest path first, so the most specific route matches. */
 function bySpecificity(routes: UseRow["routes"]): UseRow["routes"] {
   return [...routes].sort((a, b) => b.path.length - a.path.length);
 }
 
 function compileSplit(
-  opts: CompileConfigOptions,
+  state: ConfigState,
   row: UseRow,
+  isPresent: IsPresent,
 ): VersionSplit | undefined {
-  const isPresent = (version: string) =>
-    opts.directory.isPresent(row.service, version);
+  const { service, stable } = row;
   const rollout = row.rollout === undefined
     ? undefined
-    : opts.state.rollouts.get(row.rollout);
-  const { stable } = row;
-  if (!isPresent(stable)) {
+    : state.rollouts.get(row.rollout);
+  if (!isPresent(service, stable)) {
     // A version under trial never answers for an absent old one.
     const isFullShare = rollout?.perMille === 1000;
-    return isFullShare && isPresent(rollout.version)
+    return isFullShare && isPresent(service, rollout.version)
       ? { stable: rollout.version }
       : undefined;
   }
   if (rollout === undefined || rollout.perMille === 0) return { stable };
-  if (!isPresent(rollout.version)) return { stable };
+  if (!isPresent(service, rollout.version)) return { stable };
   const { id, version, perMille } = rollout;
   return { stable, candidate: { rollout: id, version, perMille } };
 }
--- a/src/serving/decide_swap.ts
+++ b/src/serving/decide_swap.ts
@@ -27,22 +27,19 @@
       reason: `version ${candidate.version} is below ${least}`,
     };
   }
-  const planless = findPlanlessCustomer(candidate);
-  if (planless !== undefined) {
+  const plan = findUndefinedPlan(candidate);
+  if (plan !== undefined) {
     return {
       type: "broken",
-      reason: `customer ${planless} holds a plan that nothing defines`,
+      reason: `customers hold plan ${plan}, which nothing defines`,
     };
   }
   return { type: "swap" };
 }
 
-function findPlanlessCustomer(candidate: ServingConfig): string | undefined {
-  const plans = new Set<string>();
-  for (const served of candidate.services.values()) plans.add(served.plan);
-  for (const key of candidate.inactive) plans.add(key.split("/")[0] ?? "");
-  for (const [customer, plan] of candidate.planOf) {
-    if (!plans.has(plan)) return customer;
-  }
-  return undefined;
+function findUndefinedPlan(candidate: ServingConfig): string | undefined {
+  const defined = new Set<string>();
+  for (const served of candidate.services.values()) defined.add(served.plan);
+  for (const key of candidate.inactive) defined.add(key.split("/")[0] ?? "");
+  return [...candidate.plansHeld].find((plan) => !defined.has(plan));
 }
--- a/src/serving/state.ts
+++ b/src/serving/state.ts
@@ -20,6 +20,9 @@
 export interface ServedService {
   readonly plan: string;
   readonly service: string;
+  /** Routes as the operator wrote them. */
+  readonly rules: readonly RouteRule[];
+  /** The same routes, most specific path first. */
   readonly routes: readonly RouteRule[];
   readonly split: VersionSplit;
 }
@@ -28,6 +31,10 @@
 export interface ServingConfig {
   readonly version: Offset;
   readonly digest: string;
+  /** Offset of the last change to the list of customers. */
+  readonly customersAt: Offset;
+  /** Plans that customers hold. */
+  readonly plansHeld: ReadonlySet<string>;
   /** Plan of each customer. */
   readonly planOf: ReadonlyMap<string, string>;
   /** Active services by `plan/service`. */
