feat(cli): one file for each command, with diffs, waits and explanations

Cause: run_command.ts held everything, `apply` printed JSON of the node, an unsettled edit looked like a failure, and bad files were told badly. Answers are checked. Ruled out: refusing a take-over time in the past: the log's content has no clock, and the operator's may be wrong. It is accepted with a warning.

--- a/src/adapters/run_node.ts
+++ b/src/adapters/run_node.ts
@@ -50,6 +50,9 @@
     self,
     seeds: settings.seeds,
     log: logClient,
+    ...(settings.snapshots === undefined
+      ? {}
+      : { snapshots: settings.snapshots }),
     send: (to, message) => links?.send(to, message),
   });
   const callPath = createCallPath({ control, self, keys });
--- /dev/null
+++ b/src/cli/apply_lists.ts
@@ -0,0 +1,67 @@
+/**
+ * The command `apply`.
+ * @module
+ */
+import { formatError } from "../core/errors.ts";
+import { planEdit } from "../lists/plan_edit.ts";
+import { askNode } from "./ask_node.ts";
+import { type CommandOptions, isOn } from "./command.ts";
+import { ExitCode } from "./exit_code.ts";
+import { listsAnswer, outcomeAnswer, outcomeStatus } from "./node_answers.ts";
+import { readListFiles } from "./read_list_files.ts";
+import { tellChanges } from "./tell_changes.ts";
+import { tellOutcome } from "./tell_outcome.ts";
+import { waitInForce } from "./wait_in_force.ts";
+import { warnOfTimes } from "./warn_of_times.ts";
+
+/** Publishes the lists that the files name, whole or not at all. */
+export async function applyLists(
+  opts: CommandOptions,
+  files: readonly string[],
+): Promise<ExitCode> {
+  const { print, printError, values } = opts;
+  if (files.length === 0) {
+    printError("Name at least one YAML file, a directory or '-'.");
+    return ExitCode.Usage;
+  }
+  const asked = await readListFiles(opts, files);
+  if (asked.isErr()) {
+    for (const line of asked.error) printError(line);
+    return ExitCode.Usage;
+  }
+  const current = await askNode({
+    command: opts,
+    method: "GET",
+    path: "/v1/lists",
+    schema: listsAnswer,
+    goodStatus: [200],
+  });
+  if (current.isErr()) {
+    printError(formatError(current.error));
+    return ExitCode.Failed;
+  }
+  const changes = planEdit({ current: current.value, asked: asked.value });
+  if (changes.length === 0) {
+    print("Nothing to change.");
+    return isOn(opts, "wait") ? await waitInForce(opts) : ExitCode.Done;
+  }
+  for (const line of warnOfTimes(changes, opts.wall())) printError(line);
+  if (isOn(opts, "dry-run")) {
+    const lines = tellChanges({ current: current.value, changes });
+    for (const line of lines) print(line);
+    print(`${changes.length} changes. Nothing was sent.`);
+    return ExitCode.Done;
+  }
+  const answer = await askNode({
+    command: opts,
+    method: "POST",
+    path: "/v1/edits",
+    body: { editor: values.get("editor") ?? "operator", changes },
+    schema: outcomeAnswer,
+    goodStatus: outcomeStatus,
+  });
+  const what = `${changes.length} changes`;
+  const { code, offset } = tellOutcome({ command: opts, answer, what });
+  if (code !== ExitCode.Done || !isOn(opts, "wait")) return code;
+  return await waitInForce(opts, offset);
+}
--- /dev/null
+++ b/src/cli/ask_node.ts
@@ -0,0 +1,73 @@
+/**
+ * Asks a node on behalf of a command.
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import { callAdmin } from "../adapters/admin_client.ts";
+import type { LagoonError } from "../core/errors.ts";
+import type { CommandOptions } from "./command.ts";
+
+/** Options of `askNode`. */
+export interface AskNodeOptions<T extends v.GenericSchema> {
+  readonly command: CommandOptions;
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly body?: unknown;
+  /** Shape of the answers with a status of `goodStatus`. */
+  readonly schema: T;
+  readonly goodStatus: readonly number[];
+}
+
+const errorSchema = v.object({ code: v.string(), message: v.string() });
+
+/** Returns the checked answer, or an error that names the node. */
+export async function askNode<T extends v.GenericSchema>(
+  opts: AskNodeOptions<T>,
+): Promise<Result<v.InferOutput<T>, LagoonError>> {
+  const { values } = opts.command;
+  const node = values.get("node") ?? "";
+  const key = values.get("key");
+  const reply = await callAdmin({
+    node,
+    method: opts.method,
+    path: opts.path,
+    ...(key === undefined ? {} : { key }),
+    ...(opts.body === undefined ? {} : { body: opts.body }),
+  });
+  if (reply.isErr()) return err(reply.error);
+  const { status, body } = reply.value;
+  const step = `${opts.method} ${opts.path}`;
+  if (!opts.goodStatus.includes(status)) {
+    return err(refusalOf(step, node, status, body));
+  }
+  const parsed = v.safeParse(opts.schema, body);
+  if (parsed.success) return ok(parsed.output);
+  const path = v.getDotPath(parsed.issues[0]) ?? "answer";
+  return err({
+    code: "LAGOON_NODE_ANSWER",
+    step,
+    peer: node,
+    message: `${path}: ${parsed.issues[0].message}`,
+    hint: "Is --node the operators' port of a node of this version?",
+  });
+}
+
+function refusalOf(
+  step: string,
+  peer: string,
+  status: number,
+  body: unknown,
+): LagoonError {
+  const told = v.safeParse(errorSchema, body);
+  return {
+    code: told.success && told.output.code.startsWith("LAGOON_")
+      ? told.output.code as LagoonError["code"]
+      : "LAGOON_NODE_ANSWER",
+    step,
+    peer,
+    message: told.success
+      ? `status ${status}: ${told.output.message}`
+      : `status ${status}`,
+  };
+}
--- /dev/null
+++ b/src/cli/command.ts
@@ -0,0 +1,20 @@
+/**
+ * What every command gets.
+ * @module
+ */
+
+/** Options of every command. */
+export interface CommandOptions {
+  readonly values: ReadonlyMap<string, string>;
+  readonly print: (line: string) => void;
+  readonly printError: (line: string) => void;
+  /** Reads standard input to its end. */
+  readonly readInput: () => Promise<Uint8Array>;
+  /** Wall clock of the operator, in milliseconds since 1970. */
+  readonly wall: () => number;
+}
+
+/** True when a switch is on. */
+export function isOn(opts: CommandOptions, flag: string): boolean {
+  return opts.values.get(flag) === "true";
+}
--- /dev/null
+++ b/src/cli/explain.ts
@@ -0,0 +1,99 @@
+/**
+ * The command `explain`.
+ * @module
+ */
+import { formatError } from "../core/errors.ts";
+import { askNode } from "./ask_node.ts";
+import { codeMeanings } from "./code_meanings.ts";
+import { type CommandOptions, isOn } from "./command.ts";
+import { ExitCode } from "./exit_code.ts";
+import {
+  auditAnswer,
+  type RolloutAnswer,
+  rolloutsAnswer,
+} from "./node_answers.ts";
+import { tellAuditEntry } from "./show_audit.ts";
+import { tellRollout } from "./show_rollouts.ts";
+
+/** Explains a refusal code, an edit by its offset, or a rollout by its id. */
+export async function explain(
+  opts: CommandOptions,
+  what: string,
+): Promise<ExitCode> {
+  if (what.startsWith("LAGOON_")) return explainCode(opts, what);
+  const rollouts = await askNode({
+    command: opts,
+    method: "GET",
+    path: "/v1/rollouts",
+    schema: rolloutsAnswer,
+    goodStatus: [200],
+  });
+  if (rollouts.isErr()) {
+    opts.printError(formatError(rollouts.error));
+    return ExitCode.Failed;
+  }
+  if (/^\d+$/.test(what)) {
+    return await explainOffset(opts, Number(what), rollouts.value.rollouts);
+  }
+  const rollout = rollouts.value.rollouts.find((one) => one.id === what);
+  if (rollout === undefined) {
+    opts.printError(`No rollout '${what}'. Run 'lagoonctl rollouts' for ids.`);
+    return ExitCode.Failed;
+  }
+  if (isOn(opts, "json")) opts.print(JSON.stringify(rollout, null, 2));
+  else for (const line of tellSteps(rollout)) opts.print(line);
+  return ExitCode.Done;
+}
+
+function explainCode(opts: CommandOptions, code: string): ExitCode {
+  const meaning = codeMeanings[code];
+  if (meaning === undefined) {
+    opts.printError(`No code '${code}'. Run 'lagoonctl codes' for all.`);
+    return ExitCode.Failed;
+  }
+  opts.print(`${code}: ${meaning}`);
+  return ExitCode.Done;
+}
+
+async function explainOffset(
+  opts: CommandOptions,
+  offset: number,
+  rollouts: readonly RolloutAnswer[],
+): Promise<ExitCode> {
+  const audit = await askNode({
+    command: opts,
+    method: "GET",
+    path: "/v1/audit",
+    schema: auditAnswer,
+    goodStatus: [200],
+  });
+  if (audit.isErr()) {
+    opts.printError(formatError(audit.error));
+    return ExitCode.Failed;
+  }
+  const entry = audit.value.entries.find((one) => one.offset === offset);
+  if (entry === undefined) {
+    opts.printError(`The audit trail has nothing at ${offset}.`);
+    return ExitCode.Failed;
+  }
+  if (isOn(opts, "json")) opts.print(JSON.stringify(entry));
+  else opts.print(tellAuditEntry(entry));
+  const meaning = codeMeanings[entry.code ?? ""];
+  if (meaning !== undefined) opts.print(meaning);
+  for (const rollout of rollouts) {
+    if (rollout.id.endsWith(`#${offset}`)) opts.print(tellRollout(rollout));
+  }
+  return ExitCode.Done;
+}
+
+function tellSteps(rollout: RolloutAnswer): string[] {
+  const lines = [
+    `${rollout.id} moves ${rollout.entries.join(", ")} from ` +
+    `${rollout.from.join(", ")} to ${rollout.version}.`,
+  ];
+  for (const { at, offset, phase, perMille, reason } of rollout.steps) {
+    const share = (perMille / 10).toFixed(1);
+    lines.push(`  ${at} at ${offset}: ${phase}, ${share}%: ${reason}`);
+  }
+  return lines;
+}
--- /dev/null
+++ b/src/cli/node_answers.ts
@@ -0,0 +1,83 @@
+/**
+ * Shapes of the node's answers, checked as far as the commands use them.
+ * @module
+ */
+import * as v from "valibot";
+import { customerSchema, useSchema } from "../lists/schemas.ts";
+
+const revision = v.number();
+
+export const listsAnswer = v.object({
+  customers: v.array(v.object({ revision, entry: customerSchema })),
+  uses: v.array(v.object({ revision, entry: useSchema })),
+});
+
+export const statusAnswer = v.object({
+  node: v.string(),
+  version: v.number(),
+  applied: v.number(),
+  inactive: v.array(v.string()),
+  domains: v.array(v.object({
+    domain: v.string(),
+    nodes: v.number(),
+    applied: v.number(),
+    silentMs: v.number(),
+  })),
+  laggards: v.array(v.object({ node: v.string(), applied: v.number() })),
+});
+export type StatusAnswer = v.InferOutput<typeof statusAnswer>;
+
+const step = v.looseObject({
+  offset: v.number(),
+  at: v.string(),
+  phase: v.string(),
+  perMille: v.number(),
+  reason: v.string(),
+});
+
+const rollout = v.looseObject({
+  id: v.string(),
+  version: v.string(),
+  entries: v.array(v.string()),
+  from: v.array(v.string()),
+  takeOverBy: v.exactOptional(v.string()),
+  phase: v.string(),
+  perMille: v.number(),
+  steps: v.array(step),
+});
+export type RolloutAnswer = v.InferOutput<typeof rollout>;
+
+export const rolloutsAnswer = v.object({ rollouts: v.array(rollout) });
+
+const auditEntry = v.object({
+  offset: v.number(),
+  at: v.string(),
+  who: v.string(),
+  what: v.string(),
+  verdict: v.picklist(["accepted", "refused"]),
+  code: v.exactOptional(v.string()),
+  reason: v.exactOptional(v.string()),
+});
+export type AuditAnswerEntry = v.InferOutput<typeof auditEntry>;
+
+export const auditAnswer = v.object({ entries: v.array(auditEntry) });
+
+export const outcomeAnswer = v.variant("type", [
+  v.object({ type: v.literal("accepted"), offset: v.number() }),
+  v.object({ type: v.literal("repeated"), offset: v.number() }),
+  v.object({
+    type: v.literal("refused"),
+    offset: v.number(),
+    code: v.string(),
+    reason: v.string(),
+  }),
+  v.object({
+    type: v.literal("unsettled"),
+    code: v.string(),
+    mayTakeEffect: v.boolean(),
+  }),
+]);
+export type OutcomeAnswer = v.InferOutput<typeof outcomeAnswer>;
+
+/** Statuses that carry an outcome. */
+export const outcomeStatus = [200, 409, 503, 504] as const;
--- /dev/null
+++ b/src/cli/read_list_files.ts
@@ -0,0 +1,121 @@
+/**
+ * Reads the lists that `apply` was given.
+ * @module
+ */
+import { readdir, readFile, stat } from "node:fs/promises";
+import { join } from "node:path";
+import { err, ok, type Result } from "neverthrow";
+import { formatProblem, type Lists, parseLists } from "../lists/parse_lists.ts";
+import { keyOfUse } from "../lists/types.ts";
+import type { CommandOptions } from "./command.ts";
+
+/** Name for standard input. */
+const inputName = "-";
+
+const maxFileBytes = 8 * 1024 * 1024;
+
+interface ListFile {
+  readonly file: string;
+  readonly text: string;
+}
+
+/**
+ * Reads files, the YAML files of directories, and `-` for standard input.
+ * A list may be split over files. Returns every problem as a line.
+ */
+export async function readListFiles(
+  opts: CommandOptions,
+  names: readonly string[],
+): Promise<Result<Lists, readonly string[]>> {
+  const problems: string[] = [];
+  const parsed: { file: string; lists: Lists }[] = [];
+  for (const name of await expand(names, problems)) {
+    const read = await readText(opts, name);
+    if (read.isErr()) {
+      problems.push(read.error);
+      continue;
+    }
+    const lists = parseLists(read.value);
+    if (lists.isErr()) problems.push(...lists.error.map(formatProblem));
+    else parsed.push({ file: read.value.file, lists: lists.value });
+  }
+  problems.push(...findRepeats(parsed));
+  return problems.length > 0
+    ? err(problems)
+    : ok(merge(parsed.map(({ lists }) => lists)));
+}
+
+/** Puts the YAML files of a directory in its place. */
+async function expand(
+  names: readonly string[],
+  problems: string[],
+): Promise<string[]> {
+  const files: string[] = [];
+  for (const name of names) {
+    const found = name === inputName
+      ? undefined
+      : await stat(name).catch(() => undefined);
+    if (found?.isDirectory() !== true) {
+      files.push(name);
+      continue;
+    }
+    const inside = (await readdir(name)).filter((one) => /\.ya?ml$/.test(one));
+    if (inside.length === 0) problems.push(`${name}: no YAML file in it.`);
+    files.push(...inside.sort().map((one) => join(name, one)));
+  }
+  return files;
+}
+
+async function readText(
+  opts: CommandOptions,
+  name: string,
+): Promise<Result<ListFile, string>> {
+  const file = name === inputName ? "standard input" : name;
+  try {
+    const bytes = name === inputName
+      ? await opts.readInput()
+      : await readFile(name);
+    if (bytes.length > maxFileBytes) {
+      return err(`${file}: expected at most ${maxFileBytes} bytes.`);
+    }
+    const text = new TextDecoder("utf-8", { fatal: true }).decode(bytes);
+    return ok({ file, text });
+  } catch (cause) {
+    const isText = cause instanceof TypeError;
+    return err(`${file}: ${isText ? "not UTF-8" : "can't be read"}.`);
+  }
+}
+
+/** Within one file `parseLists` finds them. */
+function findRepeats(
+  parsed: readonly { file: string; lists: Lists }[],
+): string[] {
+  const problems: string[] = [];
+  const seen = new Map<string, string>();
+  for (const { file, lists } of parsed) {
+    const keys = [
+      ...(lists.customers ?? []).map((one) => `customers/${one.customer}`),
+      ...(lists.uses ?? []).map((one) =>
+        `uses/${keyOfUse(one.plan, one.service)}`
+      ),
+    ];
+    for (const key of keys) {
+      const first = seen.get(key);
+      if (first !== undefined) {
+        problems.push(`${file}: entry ${key} stands in ${first} too.`);
+      }
+      seen.set(key, file);
+    }
+  }
+  return problems;
+}
+
+function merge(all: readonly Lists[]): Lists {
+  const customers = all.flatMap((one) => one.customers ?? []);
+  const uses = all.flatMap((one) => one.uses ?? []);
+  // A list that no file names stays as it is.
+  return {
+    ...(all.some((one) => one.customers) ? { customers } : {}),
+    ...(all.some((one) => one.uses) ? { uses } : {}),
+  };
+}
--- /dev/null
+++ b/src/cli/reinstate.ts
@@ -0,0 +1,32 @@
+/**
+ * The command `reinstate`.
+ * @module
+ */
+import { askNode } from "./ask_node.ts";
+import type { CommandOptions } from "./command.ts";
+import { ExitCode } from "./exit_code.ts";
+import { outcomeAnswer, outcomeStatus } from "./node_answers.ts";
+import { tellOutcome } from "./tell_outcome.ts";
+
+/** Lets a version that was taken back be rolled out again. */
+export async function reinstate(
+  opts: CommandOptions,
+  name: string,
+): Promise<ExitCode> {
+  const [service, version, ...rest] = name.split("@");
+  if (!service || !version || rest.length > 0) {
+    opts.printError("Name the version as SERVICE@VERSION.");
+    return ExitCode.Usage;
+  }
+  const editor = opts.values.get("editor") ?? "operator";
+  const answer = await askNode({
+    command: opts,
+    method: "POST",
+    path: "/v1/reinstatements",
+    body: { editor, service, version },
+    schema: outcomeAnswer,
+    goodStatus: outcomeStatus,
+  });
+  const what = `the return of ${name}`;
+  return tellOutcome({ command: opts, answer, what }).code;
+}
--- /dev/null
+++ b/src/cli/show_audit.ts
@@ -0,0 +1,42 @@
+/**
+ * The command `audit`.
+ * @module
+ */
+import type { CommandOptions } from "./command.ts";
+import { ExitCode } from "./exit_code.ts";
+import { auditAnswer, type AuditAnswerEntry } from "./node_answers.ts";
+import { printAnswer } from "./print_answer.ts";
+
+/** Prints the trail as lines of text, or of JSON. */
+export async function showAudit(command: CommandOptions): Promise<ExitCode> {
+  const { values } = command;
+  const who = values.get("who");
+  const verdict = values.get("verdict");
+  const since = Number(values.get("since") ?? 0);
+  if (verdict !== undefined && !/^(accepted|refused)$/.test(verdict)) {
+    command.printError("--verdict takes 'accepted' or 'refused'.");
+    return ExitCode.Usage;
+  }
+  const pick = (entries: readonly AuditAnswerEntry[]) =>
+    entries.filter((entry) =>
+      entry.offset >= since &&
+      (who === undefined || entry.who === who) &&
+      (verdict === undefined || entry.verdict === verdict)
+    );
+  return await printAnswer({
+    command,
+    path: "/v1/audit",
+    schema: auditAnswer,
+    tell: ({ entries }) => pick(entries).map(tellAuditEntry),
+    tellJson: ({ entries }) => pick(entries).map((one) => JSON.stringify(one)),
+  });
+}
+
+/** One line with who, when, what, verdict and offset. */
+export function tellAuditEntry(entry: AuditAnswerEntry): string {
+  const { offset, at, who, what, verdict } = entry;
+  const reason = entry.reason === undefined
+    ? ""
+    : ` (${entry.reason}) [${entry.code}]`;
+  return `${offset} ${at} ${who}: ${what}: ${verdict}${reason}`;
+}
--- /dev/null
+++ b/src/cli/tell_outcome.ts
@@ -0,0 +1,62 @@
+/**
+ * Tells what became of a record that was submitted.
+ * @module
+ */
+import { type Result } from "neverthrow";
+import { exhausted } from "../core/exhausted.ts";
+import { formatError, type LagoonError } from "../core/errors.ts";
+import { codeMeanings } from "./code_meanings.ts";
+import type { CommandOptions } from "./command.ts";
+import { ExitCode } from "./exit_code.ts";
+import type { OutcomeAnswer } from "./node_answers.ts";
+
+/** Options of `tellOutcome`. */
+export interface TellOutcomeOptions {
+  readonly command: CommandOptions;
+  readonly answer: Result<OutcomeAnswer, LagoonError>;
+  /** What was accepted, such as `5 changes`. */
+  readonly what: string;
+}
+
+const howToCheck =
+  "It may have taken effect. Look at 'lagoonctl audit', or run the command " +
+  "again: it does nothing twice.";
+
+/** Prints the outcome. `offset` is that of an accepted record. */
+export function tellOutcome(
+  opts: TellOutcomeOptions,
+): { code: ExitCode; offset: number } {
+  const { print, printError } = opts.command;
+  const none = { offset: 0 };
+  if (opts.answer.isErr()) {
+    const { error } = opts.answer;
+    printError(formatError(error));
+    // Without an answer the node may have gone on.
+    const isUnknown = error.code === "LAGOON_NODE_SILENT";
+    if (isUnknown) printError(howToCheck);
+    return { ...none, code: isUnknown ? ExitCode.Unknown : ExitCode.Failed };
+  }
+  const outcome = opts.answer.value;
+  switch (outcome.type) {
+    case "accepted":
+    case "repeated":
+      print(`Accepted ${opts.what} at ${outcome.offset}.`);
+      return { offset: outcome.offset, code: ExitCode.Done };
+    case "refused":
+      printError(
+        `Refused at ${outcome.offset}: ${outcome.reason} [${outcome.code}]`,
+      );
+      printError(codeMeanings[outcome.code] ?? "");
+      return { ...none, code: ExitCode.Failed };
+    case "unsettled":
+      printError(`No verdict: ${codeMeanings[outcome.code]} [${outcome.code}]`);
+      if (!outcome.mayTakeEffect) {
+        printError("It did not and will not take effect.");
+        return { ...none, code: ExitCode.Failed };
+      }
+      printError(howToCheck);
+      return { ...none, code: ExitCode.Unknown };
+    default:
+      return exhausted(outcome);
+  }
+}
--- /dev/null
+++ b/src/cli/tell_outcome_test.ts
@@ -0,0 +1,103 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { err, ok } from "neverthrow";
+import type { CommandOptions } from "./command.ts";
+import { readListFiles } from "./read_list_files.ts";
+import { tellOutcome } from "./tell_outcome.ts";
+import { warnOfTimes } from "./warn_of_times.ts";
+
+function recordOutput(input = "") {
+  const lines: string[] = [];
+  const command: CommandOptions = {
+    values: new Map(),
+    print: (line) => lines.push(line),
+    printError: (line) => lines.push(line),
+    readInput: () => Promise.resolve(Buffer.from(input, "latin1")),
+    wall: () => 0,
+  };
+  return { command, lines };
+}
+
+const what = "1 changes";
+
+test("unsettled edit says whether it may count", () => {
+  const { command, lines } = recordOutput();
+  const tell = (mayTakeEffect: boolean) =>
+    tellOutcome({
+      command,
+      what,
+      answer: ok({
+        type: "unsettled",
+        code: "LAGOON_APPEND_TIMEOUT",
+        mayTakeEffect,
+      }),
+    }).code;
+  assert.equal(tell(true), 3);
+  assert.match(lines.at(-1) ?? "", /may have taken effect.*audit/);
+  assert.equal(tell(false), 1);
+  assert.match(lines.at(-1) ?? "", /did not and will not/);
+});
+
+test("refusal names the reason", () => {
+  const { command, lines } = recordOutput();
+  const reason = "entry uses/a/b: expected revision 1, found 2; ann changed it";
+  const code = "LAGOON_EDIT_CONFLICT";
+  const answer = ok({ type: "refused" as const, offset: 7, code, reason });
+  assert.equal(tellOutcome({ command, what, answer }).code, 1);
+  assert.match(lines[0] ?? "", /at 7: .*found 2; ann .*LAGOON_EDIT_CONFLICT/);
+});
+
+test("lost answer is unknown, a failed connection is not", () => {
+  const { command } = recordOutput();
+  const tell = (code: `LAGOON_${string}`) =>
+    tellOutcome({ command, what, answer: err({ code, step: "", message: "" }) })
+      .code;
+  assert.equal(tell("LAGOON_NODE_SILENT"), 3);
+  assert.equal(tell("LAGOON_NODE_UNREACHABLE"), 1);
+});
+
+test("lists come from a directory and from input", async (t) => {
+  const dir = await mkdtemp(join(tmpdir(), "lagoon-"));
+  t.after(() => rm(dir, { recursive: true }));
+  await writeFile(join(dir, "a.yaml"), "customers: [{customer: a, plan: p}]\n");
+  await writeFile(join(dir, "b.yml"), "customers: [{customer: b, plan: p}]\n");
+  const { command } = recordOutput("customers: [{customer: c, plan: p}]\n");
+  const lists = (await readListFiles(command, [dir, "-"]))._unsafeUnwrap();
+  const names = lists.customers?.map((one) => one.customer);
+  assert.deepEqual(names, ["a", "b", "c"]);
+  assert.equal(lists.uses, undefined);
+  const twice = await readListFiles(command, [dir, join(dir, "a.yaml")]);
+  assert.match(twice._unsafeUnwrapErr()[0] ?? "", /customers\/a stands in/);
+});
+
+test("bad files are named", async () => {
+  const { command } = recordOutput("customers: \xff\n");
+  const read = await readListFiles(command, ["-", "no-such-file.yaml"]);
+  assert.deepEqual(read._unsafeUnwrapErr(), [
+    "standard input: not UTF-8.",
+    "no-such-file.yaml: can't be read.",
+  ]);
+});
+
+test("odd take-over times are warned of", () => {
+  const warn = (takeOverBy: string) =>
+    warnOfTimes([{
+      list: "uses",
+      key: "a/b",
+      expected: 0,
+      value: {
+        plan: "a",
+        service: "b",
+        version: "v1",
+        takeOverBy,
+        whenUnjudged: "proceed",
+        routes: [],
+      },
+    }], Date.parse("2026-06-01T00:00:00Z"));
+  assert.match(warn("2026-05-31T00:00:00Z")[0] ?? "", /has passed/);
+  assert.match(warn("2926-01-01T00:00:00Z")[0] ?? "", /more than a year/);
+  assert.deepEqual(warn("2026-06-02T00:00:00Z"), []);
+});
--- a/src/settings/node_settings.ts
+++ b/src/settings/node_settings.ts
@@ -2,9 +2,12 @@
  * Settings of `lagoon-node`.
  * @module
  */
+import type { SnapshotPolicy } from "../config_log/decide_snapshot.ts";
 import type { NodeId } from "../core/types.ts";
 import { SettingKind, type SettingSpec, splitList } from "./read_settings.ts";
 
+const minuteMs = 60_000;
+
 /** Settings of one node. Addresses are `host:port`. */
 export interface NodeSettings {
   readonly domain: string;
@@ -16,6 +19,8 @@
   readonly logUrl: string;
   /** Keys accepted from peers and operators. The first is used to send. */
   readonly keys: readonly string[];
+  /** When a reader writes a snapshot, by default if absent. */
+  readonly snapshots?: SnapshotPolicy;
   readonly statsdAddr?: string;
   /** File that the node's events are recorded to. */
   readonly record?: string;
@@ -70,6 +75,20 @@
     describe: "shared key of peers and operators; a second one after a comma " +
       "is accepted too while keys are replaced",
   },
+  {
+    flag: "snapshot-records",
+    kind: SettingKind.Integer,
+    describe: "records of the log after which a reader writes a snapshot; " +
+      "keep it well below what the log retains",
+    fallback: "4000",
+  },
+  {
+    flag: "snapshot-minutes",
+    kind: SettingKind.Integer,
+    describe: "longest time between two snapshots; keep it well below the " +
+      "log's retention",
+    fallback: "120",
+  },
   {
     flag: "statsd-addr",
     kind: SettingKind.Address,
@@ -98,6 +117,10 @@
     seeds: splitList(values.get("seeds")),
     logUrl: text("log-url"),
     keys: splitList(values.get("key")),
+    snapshots: {
+      everyRecords: Math.max(1, Number(text("snapshot-records"))),
+      everyMs: Math.max(1, Number(text("snapshot-minutes"))) * minuteMs,
+    },
     ...(statsdAddr === undefined ? {} : { statsdAddr }),
     ...(record === undefined ? {} : { record }),
   };
