--- a/tools/experiment.ts
+++ b/tools/experiment.ts
@@ -15,6 +15,7 @@
   spreading: async () =>
     (await import("./experiments/spreading.ts")).runSpreading,
   memory: async () => (await import("./experiments/memory.ts")).runMemory,
+  folding: async () => (await import("./experiments/folding.ts")).runFolding,
 };
 
 const defaultSeed = "20261204";
