feat(adapters): metrics over StatsD, loaded only when asked for

Cause: a node told nothing but log lines, and hot-shots costs memory. Verdicts, the applied version and waiting appends are reported; calls and control bytes have names for their slices.

--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -22,6 +22,7 @@
 import { driveMesh } from "./drive_mesh.ts";
 import { driveRollout } from "./drive_rollout.ts";
 import type { LogClient } from "./log_client.ts";
+import { type Metrics, noMetrics } from "./metrics.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
 const logger = createDebug("lagoon:control");
@@ -35,6 +36,7 @@
   readonly seeds: readonly NodeId[];
   readonly log: LogClient;
   readonly snapshots?: SnapshotPolicy;
+  readonly metrics?: Metrics;
   readonly send: (to: NodeId, message: PeerMessage) => void;
 }
 
@@ -67,7 +69,8 @@
     maxWaiting: maxWaitingEvents,
   });
   const now = () => performance.now();
-  const context: ControlContext = { self, loop, now, send: opts.send };
+  const { metrics = noMetrics, send } = opts;
+  const context: ControlContext = { self, loop, now, metrics, send };
   const mesh = driveMesh({
     context,
     seeds: opts.seeds,
--- /dev/null
+++ b/src/adapters/create_metrics.ts
@@ -0,0 +1,45 @@
+/**
+ * Sends metrics to a StatsD server, when the settings name one.
+ * @module
+ */
+import createDebug from "debug";
+import { type Metrics, noMetrics } from "./metrics.ts";
+
+const log = createDebug("lagoon:metrics");
+
+/** Characters gathered into one datagram, below the usual MTU. */
+const maxDatagramLength = 1_400;
+
+const flushMs = 1_000;
+
+/** Options of `createMetrics`. */
+export interface CreateMetricsOptions {
+  /** `host:port` of the StatsD server. Without it metrics go nowhere. */
+  readonly address?: string | undefined;
+  readonly domain: string;
+  readonly node: string;
+}
+
+/** Creates the metrics. The library is loaded only when it is used. */
+export async function createMetrics(
+  opts: CreateMetricsOptions,
+): Promise<Metrics> {
+  const { address, domain, node } = opts;
+  if (address === undefined) return noMetrics;
+  const { StatsD } = await import("hot-shots");
+  const split = address.lastIndexOf(":");
+  const client = new StatsD({
+    host: address.slice(0, split).replace(/^\[|\]$/g, ""),
+    port: Number(address.slice(split + 1)),
+    prefix: "lagoon.",
+    globalTags: { domain, node },
+    maxBufferSize: maxDatagramLength,
+    bufferFlushInterval: flushMs,
+    errorHandler: (err) => log("Metrics are lost: %s.", err.message),
+  });
+  return {
+    count: (name, amount, tags = {}) => client.increment(name, amount, tags),
+    gauge: (name, value) => client.gauge(name, value),
+    close: () => new Promise((resolve) => client.close(() => resolve())),
+  };
+}
--- a/src/adapters/drive_append.ts
+++ b/src/adapters/drive_append.ts
@@ -24,6 +24,7 @@
 import { exhausted } from "../core/exhausted.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { LogClient } from "./log_client.ts";
+import { MetricName } from "./metrics.ts";
 
 const logger = createDebug("lagoon:append");
 
@@ -51,7 +52,7 @@
 /** Creates the driver. */
 export function driveAppend(opts: DriveAppendOptions): AppendDriver {
   const { context, log, config } = opts;
-  const { now, loop, self } = context;
+  const { now, loop, self, metrics } = context;
   const state = createAppendState(`${self.id}/${self.boot}`);
   const waiting = new Map<number, Resolve>();
   /** Submitted, but not yet taken by the loop. */
@@ -59,6 +60,7 @@
   let isClosed = false;
 
   function run(event: AppendEvent) {
+    const waitingBefore = state.pending.length;
     for (const effect of decideAppend(state, event)) {
       switch (effect.type) {
         case "append":
@@ -77,6 +79,8 @@
           exhausted(effect);
       }
     }
+    const { length } = state.pending;
+    if (length !== waitingBefore) metrics.gauge(MetricName.Waiting, length);
   }
 
   async function sendBatch(bodies: readonly string[]) {
--- a/src/adapters/drive_config.ts
+++ b/src/adapters/drive_config.ts
@@ -5,7 +5,10 @@
 import createDebug from "debug";
 import { createConfigState } from "../config_log/create_config_state.ts";
 import { decodeSnapshot } from "../config_log/decode_snapshot.ts";
-import type { EncodedSnapshot } from "../config_log/encode_snapshot.ts";
+import {
+  type EncodedSnapshot,
+  encodeSnapshot,
+} from "../config_log/encode_snapshot.ts";
 import { foldRecord } from "../config_log/fold_record.ts";
 import type { SnapshotPolicy } from "../config_log/decide_snapshot.ts";
 import type { ConfigRecord, LogRecord } from "../config_log/messages.ts";
@@ -21,6 +24,7 @@
 import { driveAppend } from "./drive_append.ts";
 import { driveSnapshots } from "./drive_snapshots.ts";
 import type { LogClient } from "./log_client.ts";
+import { MetricName } from "./metrics.ts";
 
 const logger = createDebug("lagoon:config");
 
@@ -44,6 +48,8 @@
   serving(): ServingConfig | undefined;
   fold(records: readonly LogRecord[]): void;
   loadSnapshot(snapshot: EncodedSnapshot): void;
+  /** The state as a snapshot, encoded once for all who ask at one offset. */
+  snapshot(): EncodedSnapshot;
   /** Compiles again, after upstreams came or went. */
   recompile(): void;
   /** Appends a record. Resolves with its verdict once the fold shows it. */
@@ -64,9 +70,11 @@
 /** Creates the driver. All its methods run on the control loop. */
 export function driveConfig(opts: DriveConfigOptions): ConfigDriver {
   const { context, log } = opts;
+  const { metrics } = context;
   let state = createConfigState();
   let serving: ServingConfig | undefined;
   let isCompileDue = false;
+  let encoded: EncodedSnapshot | undefined;
   const append = driveAppend({ context, log, config: () => state });
   const snapshots = driveSnapshots({
     context,
@@ -81,6 +89,7 @@
     for (const record of records) {
       const verdict = foldRecord({ state, record });
       append.noteVerdict(record, verdict);
+      metrics.count(MetricName.Verdicts, 1, { kind: verdict.type });
     }
     noteFolded(records);
   }
@@ -141,6 +150,7 @@
     serving = candidate;
     if (!isNew) return;
     logger("Version %d is in force.", candidate.version);
+    metrics.gauge(MetricName.Applied, candidate.version);
     opts.onApplied(candidate.version);
   }
 
@@ -149,6 +159,11 @@
     serving: () => serving,
     fold,
     loadSnapshot,
+    snapshot() {
+      const through = state.next - 1;
+      if (encoded?.through !== through) encoded = encodeSnapshot(state);
+      return encoded;
+    },
     recompile,
     submit: append.submit,
     startOver: snapshots.startOver,
--- a/src/adapters/drive_mesh.ts
+++ b/src/adapters/drive_mesh.ts
@@ -148,7 +148,7 @@
           config().loadSnapshot(effect.snapshot);
           break;
         case "send-snapshot": {
-          const snapshot = encodeSnapshot(config().state());
+          const snapshot = config().snapshot();
           send(effect.to, { type: "distribution/snapshot", snapshot });
           break;
         }
--- /dev/null
+++ b/src/adapters/metrics.ts
@@ -0,0 +1,35 @@
+/**
+ * The interface of metrics, and their names.
+ * @module
+ */
+
+/** Metrics of a node. Each name has the prefix `lagoon.` on the wire. */
+export const MetricName = {
+  /** Counter: records folded, by `kind` of verdict. */
+  Verdicts: "verdicts",
+  /** Gauge: version in force on the node. */
+  Applied: "applied_version",
+  /** Gauge: records that wait for the log or for their verdict. */
+  Waiting: "appends_waiting",
+  /** Counter: bytes to and from other nodes, by `direction`. */
+  ControlBytes: "control_bytes",
+  /** Counter: calls, by `outcome`. */
+  Calls: "calls",
+} as const;
+export type MetricName = typeof MetricName[keyof typeof MetricName];
+
+export type MetricTags = Readonly<Record<string, string>>;
+
+/** Never fails and never blocks: metrics may be lost. */
+export interface Metrics {
+  count(name: MetricName, amount: number, tags?: MetricTags): void;
+  gauge(name: MetricName, value: number): void;
+  close(): Promise<void>;
+}
+
+/** Metrics that go nowhere. */
+export const noMetrics: Metrics = {
+  count: () => {},
+  gauge: () => {},
+  close: () => Promise.resolve(),
+};
--- a/src/adapters/run_node.ts
+++ b/src/adapters/run_node.ts
@@ -9,6 +9,7 @@
 import { setUpAdmin } from "./admin_server.ts";
 import { createCallPath } from "./create_call_path.ts";
 import { type Control, createControl } from "./create_control.ts";
+import { createMetrics } from "./create_metrics.ts";
 import { openHttpServer } from "./http_server.ts";
 import { createLogClient } from "./log_client.ts";
 import { createPeerLinks, type PeerLinks } from "./peer_links.ts";
@@ -44,12 +45,18 @@
     url: settings.logUrl,
     timeoutMs: logTimeoutMs,
   });
+  const metrics = await createMetrics({
+    address: settings.statsdAddr,
+    domain,
+    node: self.id,
+  });
   // Links need the peers' server, which needs the call path.
   let links: PeerLinks | undefined;
   const control = createControl({
     self,
     seeds: settings.seeds,
     log: logClient,
+    metrics,
     ...(settings.snapshots === undefined
       ? {}
       : { snapshots: settings.snapshots }),
@@ -96,6 +103,7 @@
       await peers.close();
       await admin.close();
       await logClient.close();
+      await metrics.close();
       log("Node %s is down.", self.id);
     },
   };
