docs(operations): first page for operators, run by a test

Change: docs/OPERATIONS.md with the lists by example, daily tasks, states, outages, metrics, settings and codes. A test runs each lagoonctl command on it against a node, compares the tables with the specs, and fails on a code in the sources that no sentence explains. The examples for moves have their own folder, so that `apply examples/lists` works.

--- a/tools/demo.ts
+++ b/tools/demo.ts
@@ -59,7 +59,7 @@
   start(service, "v1");
   start("facturatie", "v1");
   tell("An operator publishes the two lists:");
-  await applyLists(nodes, "examples/customers.yaml", "examples/uses.yaml");
+  await applyLists(nodes, "examples/lists");
   await waitUntil("portaal is active everywhere", () => areActive(nodes));
   await lagoonctl(nodes, "status");
 
@@ -73,12 +73,12 @@
   try {
     tell("v2 starts beside v1. The operator asks for it:");
     start(service, "v2");
-    await applyLists(nodes, "examples/uses_v2.yaml");
+    await applyLists(nodes, "examples/moves/uses_v2.yaml");
     const good = await outcomeOf(nodes, "v2");
     tell(`${badVersion} starts too, and six in ten of its calls fail. The`);
     tell("operator can't know that and asks for it:");
     start(service, badVersion, 60);
-    await applyLists(nodes, "examples/uses_v3.yaml");
+    await applyLists(nodes, "examples/moves/uses_v3.yaml");
     const bad = await outcomeOf(nodes, badVersion);
     await calls.close();
     return good === RolloutPhase.Done && bad === RolloutPhase.RolledBack &&
--- /dev/null
+++ b/tools/operations_test.ts
@@ -0,0 +1,166 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { readdir, readFile } from "node:fs/promises";
+import { runNode } from "../src/adapters/run_node.ts";
+import { codeMeanings } from "../src/cli/code_meanings.ts";
+import { ctlSettingSpecs } from "../src/cli/ctl_settings.ts";
+import { runCommand } from "../src/cli/run_command.ts";
+import { nodeSettingSpecs } from "../src/settings/node_settings.ts";
+import {
+  readSettings,
+  type SettingSpec,
+  variableOf,
+} from "../src/settings/read_settings.ts";
+import { startFakeLog } from "./fake_log.ts";
+import { healthy, startFakeUpstream } from "./fake_upstream.ts";
+import { freePorts } from "./free_ports.ts";
+import { waitFor } from "./wait_for.ts";
+
+const page = await readFile("docs/OPERATIONS.md", "utf8");
+
+/** Cells of the table under a heading, without its head. */
+function rowsUnder(heading: string): string[][] {
+  const section = page.split(`\n## ${heading}\n`)[1]?.split("\n## ")[0] ?? "";
+  const rows = section.split("\n").filter((line) => line.startsWith("|"));
+  return rows.slice(2).map((row) =>
+    row.split("|").slice(1, -1).map((cell) => cell.trim())
+  );
+}
+
+function rowOf(spec: SettingSpec): string[] {
+  const fallback = spec.fallback ? `\`${spec.fallback}\`` : "none";
+  return [
+    `\`--${spec.flag}\``,
+    `\`${variableOf(spec.flag)}\``,
+    spec.isRequired === true ? "required" : fallback,
+    spec.describe,
+  ];
+}
+
+test("settings on the page equal the specs", () => {
+  const node = rowsUnder("Settings of lagoon-node");
+  assert.deepEqual(node, nodeSettingSpecs.map(rowOf));
+  const ctl = rowsUnder("Settings of lagoonctl");
+  assert.deepEqual(ctl, ctlSettingSpecs.map(rowOf));
+});
+
+test("codes on the page equal the table", () => {
+  const rows = Object.entries(codeMeanings).map(([code, meaning]) => [
+    `\`${code}\``,
+    meaning,
+  ]);
+  assert.deepEqual(rowsUnder("Refusal codes"), rows);
+});
+
+test("every code in the sources is explained", async () => {
+  const names = await readdir("src", { recursive: true });
+  const files = names.filter((name) =>
+    name.endsWith(".ts") && !name.endsWith("_test.ts")
+  );
+  const texts = await Promise.all(
+    files.map((name) => readFile(`src/${name}`, "utf8")),
+  );
+  const codes = texts.flatMap((text) => text.match(/"LAGOON_[A-Z_]+"/g) ?? []);
+  const unknown = new Set(
+    codes.map((code) => code.slice(1, -1)).filter((code) =>
+      codeMeanings[code] === undefined
+    ),
+  );
+  assert.deepEqual([...unknown], []);
+});
+
+test("every command on the page runs", async (t) => {
+  const log = await startFakeLog({ host: "127.0.0.1", port: 0, retention: 99 });
+  t.after(() => log.close());
+  const ports = await freePorts(3);
+  const [peerAddr, callAddr, adminAddr] = ports.map((port) =>
+    `127.0.0.1:${port}`
+  ) as [string, string, string];
+  const node = await runNode({
+    domain: "zone-a",
+    region: "nl-west",
+    peerAddr,
+    callAddr,
+    adminAddr,
+    seeds: [],
+    logUrl: log.url,
+    keys: [],
+  });
+  t.after(() => node.close());
+  const upstream = await startFakeUpstream({
+    host: "127.0.0.1",
+    port: 0,
+    service: "portaal",
+    version: "v1",
+    slots: 6,
+    connections: 100,
+    homes: [adminAddr],
+    serviceMs: 1,
+    faults: healthy,
+  });
+  t.after(() => upstream.close());
+  await waitFor({
+    what: "the node reads the log",
+    limitMs: 20_000,
+    isTrue: () => log.totals.reads > 0,
+  });
+  const files = new Map<string, string>();
+
+  async function run(line: string) {
+    const [words = "", input] = line.split(" < ");
+    const [command = "", output] = words.split(" > ");
+    const lines: string[] = [];
+    const read = readSettings({
+      binary: "lagoonctl",
+      summary: "",
+      specs: ctlSettingSpecs,
+      argv: [...command.split(" ").slice(1), `--node=${adminAddr}`],
+      env: {},
+      positionals: "COMMAND",
+    })._unsafeUnwrap();
+    assert.equal(read.type, "values");
+    if (read.type !== "values") return { code: 2, lines };
+    const code = await runCommand({
+      values: read.values,
+      positionals: read.positionals,
+      print: (text) => lines.push(text),
+      printError: (text) => lines.push(text),
+      readInput: () =>
+        Promise.resolve(Buffer.from(files.get(input ?? "") ?? "")),
+      wall: () => Date.now(),
+    });
+    if (output !== undefined) files.set(output, lines.join("\n"));
+    return { code, lines };
+  }
+
+  const commands = page.split("\n").filter((line) =>
+    line.startsWith("lagoonctl ")
+  );
+  assert.ok(commands.length > 10);
+  for (const line of commands) {
+    const { code, lines } = await run(line);
+    // Nothing was taken back on this node.
+    const expected = line.includes(" reinstate ") ? 1 : 0;
+    assert.equal(code, expected, `${line}: ${lines.join("\n")}`);
+    assert.ok(lines.length > 0, line);
+  }
+  const again = await run("lagoonctl apply - --dry-run < lists.yaml");
+  assert.equal(again.code, 0);
+  const bad = await run("lagoonctl apply no-such-file.yaml");
+  assert.equal(bad.code, 2);
+
+  const post = (body: string) =>
+    fetch(`http://${adminAddr}/v1/edits`, { method: "POST", body });
+  const broken = await post("{");
+  assert.equal(broken.status, 400);
+  assert.match(await broken.text(), /LAGOON_BODY_MALFORMED/);
+  const large = await post(`{"editor":"${"x".repeat(5 * 1024 * 1024)}"}`);
+  assert.equal(large.status, 413);
+  await large.text();
+  const missing = await fetch(`http://${adminAddr}/v2/nothing`);
+  assert.equal(missing.status, 404);
+  assert.match(await missing.text(), /LAGOON_ADMIN_PATH/);
+  const odd = await fetch(`http://${adminAddr}/v1/lists`, { method: "DELETE" });
+  assert.equal(odd.status, 404);
+  await odd.text();
+});
