--- a/src/config_log/fold_properties_test.ts
+++ b/src/config_log/fold_properties_test.ts
@@ -65,25 +65,33 @@
   );
 });
 
-test("accepted edit is whole", () => {
+test("accepted edit is whole and stays", () => {
   checkProperty(
     fc.property(arbitraryLog, (log) => {
       const state = createConfigState();
+      const expected = new Map<string, number>();
       for (const record of log) {
-        if (foldRecord({ state, record }).type !== "accepted") continue;
-        const { record: edit } = JSON.parse(record.body);
-        for (const change of edit.changes ?? []) {
-          const row = change.list === "uses"
-            ? state.uses.get(change.key)
-            : state.customers.get(change.key);
-          assert.equal(
-            row?.revision,
-            change.value === null ? undefined : record.offset,
-          );
+        const { type } = foldRecord({ state, record });
+        const { changes = [] } = type === "accepted"
+          ? JSON.parse(record.body).record
+          : {};
+        for (const { list, key, value } of changes) {
+          if (value === null) expected.delete(`${list} ${key}`);
+          else expected.set(`${list} ${key}`, record.offset);
         }
+        const found = new Map([
+          ...[...state.uses].map(([k, r]) => [`uses ${k}`, r.revision]),
+          ...[...state.customers].map((
+            [k, r],
+          ) => [`customers ${k}`, r.revision]),
+        ] as [string, number][]);
+        assert.deepEqual(
+          new Map([...found].sort()),
+          new Map([...expected].sort()),
+        );
       }
     }),
-    { runs },
+    { runs: 200 },
   );
 });
 
