fix(adapters): keep recompiles coming when the loop is idle

Cause: an idle p-queue runs an event at once, so the mark of a due recompile was set after the event had cleared it, and no later one would have been posted. Change: the mark goes first. Tests for a record queued at a stop and for a body that is a JSON list, which two mutations had survived.

--- a/src/adapters/drive_append_test.ts
+++ b/src/adapters/drive_append_test.ts
@@ -5,7 +5,7 @@
 import { settleWithinMs } from "../config_log/decide_append.ts";
 import { foldRecord } from "../config_log/fold_record.ts";
 import type { ConfigRecord } from "../config_log/messages.ts";
-import { createControlLoop } from "../control/create_control_loop.ts";
+import { createControlLoop, Priority } from "../control/create_control_loop.ts";
 import { driveAppend } from "./drive_append.ts";
 import type { LogClient } from "./log_client.ts";
 import { noMetrics } from "./metrics.ts";
@@ -84,13 +84,17 @@
   const { driver, loop } = startDriver(true);
   const sent = driver.submit(record);
   await loop.idle();
-  const queued = driver.submit(record);
-  driver.close();
-  loop.close();
+  let queued: ReturnType<typeof driver.submit> | undefined;
+  // What an event of the loop submits has to wait for its own turn.
+  loop.post(Priority.Config, () => {
+    queued = driver.submit(record);
+    driver.close();
+    loop.close();
+  });
   const late = driver.submit(record);
   const outcomes = await Promise.all([sent, queued, late]);
   assert.deepEqual(
-    outcomes.map((one) => one.type === "unsettled" && one.mayTakeEffect),
+    outcomes.map((one) => one?.type === "unsettled" && one.mayTakeEffect),
     [true, false, false],
   );
 });
--- a/src/adapters/drive_config.ts
+++ b/src/adapters/drive_config.ts
@@ -116,7 +116,9 @@
   /** Compiles once for all events that wait in the loop. */
   function recompile() {
     if (isCompileDue) return;
-    isCompileDue = context.loop.post(Priority.Config, () => {
+    // An idle loop runs the event at once, so the mark goes first.
+    isCompileDue = true;
+    context.loop.post(Priority.Config, () => {
       isCompileDue = false;
       compile();
     });
--- a/tools/operations_test.ts
+++ b/tools/operations_test.ts
@@ -154,6 +154,8 @@
   const broken = await post("{");
   assert.equal(broken.status, 400);
   assert.match(await broken.text(), /LAGOON_BODY_MALFORMED/);
+  const list = await post("[]");
+  assert.match(await list.text(), /LAGOON_BODY_MALFORMED/);
   const large = await post(`{"editor":"${"x".repeat(5 * 1024 * 1024)}"}`);
   assert.equal(large.status, 413);
   await large.text();
