fix(lists): refuse aliases, control characters and lists at the top

Cause: a YAML alias ended lagoonctl with a stack trace, a line break in an editor's name forged lines of the audit trail, a document that is a list passed as one that names nothing, and a late edit of a removed entry was not told who had removed it. Change: each is told as a problem; the newest 1,000 removals are kept in the state for the reasons of refusals.

--- a/src/config_log/create_config_state.ts
+++ b/src/config_log/create_config_state.ts
@@ -18,6 +18,7 @@
     uses: new Map(),
     rollouts: new Map(),
     withdrawn: new Map(),
+    removals: new Map(),
     leases: new Map(),
     presence: new Map(),
     writers: new Map(),
--- a/src/config_log/encode_snapshot.ts
+++ b/src/config_log/encode_snapshot.ts
@@ -29,9 +29,10 @@
     digest: state.digest,
     customers: sortEntries(state.customers),
     uses: sortEntries(state.uses),
-    // Ended rollouts and writers are forgotten in order of age.
+    // Ended rollouts, removals and writers are forgotten in order of age.
     rollouts: [...state.rollouts],
     withdrawn: sortEntries(state.withdrawn),
+    removals: [...state.removals],
     leases: sortEntries(state.leases),
     presence: sortEntries(state.presence),
     writers: [...state.writers],
--- a/src/config_log/fold_edit.ts
+++ b/src/config_log/fold_edit.ts
@@ -10,6 +10,9 @@
 import { type ConfigState, RefusalCode, type UseRow } from "./state.ts";
 import { keyOfVersion } from "../core/key_of_version.ts";
 
+/** Removals kept for the reasons of refusals. */
+const maxRemovals = 1_000;
+
 /** Options of `foldEdit`. */
 export interface FoldEditOptions {
   readonly state: ConfigState;
@@ -30,7 +33,7 @@
 function checkChanges(opts: FoldEditOptions): Outcome | undefined {
   const seen = new Set<string>();
   for (const change of opts.record.changes) {
-    const name = `${change.list}/${change.key}`;
+    const name = nameOf(change);
     if (seen.has(name) || !hasMatchingKey(change)) {
       return refused(
         RefusalCode.Malformed,
@@ -63,7 +66,7 @@
   const found = row?.revision ?? 0;
   if (found === change.expected) return undefined;
   const winner = row === undefined
-    ? "it was removed"
+    ? tellRemoval(state, change)
     : `${row.editor} changed it at ${found}`;
   return refused(
     RefusalCode.RevisionConflict,
@@ -72,6 +75,18 @@
   );
 }
 
+function tellRemoval(state: ConfigState, change: EntryChange): string {
+  const removal = state.removals.get(nameOf(change));
+  return removal === undefined
+    ? "there is none"
+    : `${removal.editor} removed it at ${removal.offset}`;
+}
+
+/** Name of an entry over both lists. */
+function nameOf(change: EntryChange): string {
+  return `${change.list}/${change.key}`;
+}
+
 function checkWithdrawn(
   state: ConfigState,
   change: EntryChange,
@@ -156,6 +171,7 @@
 }
 
 function applyChange(opts: FoldEditOptions, change: EntryChange) {
+  noteRemoval(opts, change);
   if (change.list === ListName.Uses) {
     applyUse(opts, change.key, change.value);
     return;
@@ -172,6 +188,19 @@
   });
 }
 
+function noteRemoval(opts: FoldEditOptions, change: EntryChange) {
+  const { removals } = opts.state;
+  const name = nameOf(change);
+  // Re-inserting keeps the map ordered by age.
+  removals.delete(name);
+  if (change.value !== null) return;
+  removals.set(name, { editor: opts.record.editor, offset: opts.offset });
+  for (const oldest of removals.keys()) {
+    if (removals.size <= maxRemovals) return;
+    removals.delete(oldest);
+  }
+}
+
 function applyUse(opts: FoldEditOptions, key: string, value: UseEntry | null) {
   const { state, offset } = opts;
   const before = state.uses.get(key);
--- a/src/config_log/fold_record_test.ts
+++ b/src/config_log/fold_record_test.ts
@@ -78,6 +78,33 @@
   assert.notEqual(encodeSnapshot(state).hash, before.hash);
 });
 
+test("late edit names who removed the entry", () => {
+  const state = createConfigState();
+  fold(state, useChange("v1", 0));
+  const removal: ConfigRecord = {
+    kind: "edit",
+    editor: "bea",
+    changes: [{
+      list: "uses",
+      key: "basic/portaal",
+      expected: 1,
+      value: null,
+    }],
+  };
+  fold(state, removal);
+  fold(state, useChange("v2", 1));
+  assert.match(
+    state.audit.at(-1)?.reason ?? "",
+    /expected revision 1, found 0; bea removed it at 2$/,
+  );
+});
+
+test("editor with a line break is refused", () => {
+  const state = createConfigState();
+  fold(state, { ...useChange("v1", 0), editor: "a\n9 b: c" } as ConfigRecord);
+  assert.equal(state.uses.size, 0);
+});
+
 test("repeated record is dropped", () => {
   const state = createConfigState();
   fold(state, useChange("v1", 0), "w");
--- a/src/config_log/parse_envelope.ts
+++ b/src/config_log/parse_envelope.ts
@@ -14,7 +14,13 @@
 const maxPresenceNodes = 16;
 
 const offset = v.pipe(v.number(), v.integer(), v.minValue(0));
-const identity = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+// Control characters would break the lines of the audit trail.
+const identity = v.pipe(
+  v.string(),
+  v.minLength(1),
+  v.maxLength(200),
+  v.regex(/^\P{Cc}*$/u, "no control characters"),
+);
 const reason = v.pipe(v.string(), v.maxLength(maxReasonLength));
 
 const changeSchema = v.variant("list", [
--- a/src/config_log/state.ts
+++ b/src/config_log/state.ts
@@ -154,6 +154,12 @@
   lastOffset: Offset;
 }
 
+/** Who removed an entry, so that a late edit of it can be told. */
+export interface Removal {
+  readonly editor: string;
+  readonly offset: Offset;
+}
+
 /** A snapshot of which the log holds the first chunks. */
 export interface SnapshotBegun {
   readonly through: Offset;
@@ -175,6 +181,8 @@
   uses: Map<string, UseRow>;
   rollouts: Map<string, Rollout>;
   withdrawn: Map<string, WithdrawnVersion>;
+  /** Newest removals by `list/key`, oldest first. */
+  removals: Map<string, Removal>;
   leases: Map<string, Lease>;
   presence: Map<string, readonly NodeId[]>;
   writers: Map<string, WriterMark>;
--- a/src/lists/parse_lists.ts
+++ b/src/lists/parse_lists.ts
@@ -58,23 +58,36 @@
       return problemAt(file, line, "document", message);
     }));
   }
-  const raw: unknown = doc.toJS({ maxAliasCount: 0 });
+  const raw = readValue(doc);
+  if (raw.isErr()) return err([problemAt(file, 1, "document", raw.error)]);
   const lineOf = (path: Path) => findLine(doc, lines, path);
-  const parsed = v.safeParse(listsSchema, raw);
+  const parsed = v.safeParse(listsSchema, raw.value);
   if (!parsed.success) {
     return err(parsed.issues.map((issue) => {
       const path = (issue.path ?? []).map((item) => item.key as string);
       const field = path.slice(2).join(".");
       const message = (field === "" ? "" : `${field}: `) + tellIssue(issue);
-      return problemAt(file, lineOf(path), nameEntry(raw, path), message);
+      return problemAt(file, lineOf(path), nameEntry(raw.value, path), message);
     }));
   }
   const repeats = findRepeats(parsed.output).map(({ path, message }) =>
-    problemAt(file, lineOf(path), nameEntry(raw, path), message)
+    problemAt(file, lineOf(path), nameEntry(raw.value, path), message)
   );
   return repeats.length > 0 ? err(repeats) : ok(parsed.output);
 }
 
+/** Aliases are refused: a few lines of them can stand for gigabytes. */
+function readValue(doc: Document): Result<unknown, string> {
+  try {
+    const value: unknown = doc.toJS({ maxAliasCount: 0 });
+    return Array.isArray(value)
+      ? err("expected 'customers:' or 'uses:', found a list")
+      : ok(value);
+  } catch {
+    return err("aliases are not allowed, write the entry out");
+  }
+}
+
 function problemAt(
   file: string,
   line: number,
--- a/src/lists/parse_lists_test.ts
+++ b/src/lists/parse_lists_test.ts
@@ -56,6 +56,17 @@
   assert.match(problem ?? "", /^lists.yaml:3: .*entry baker stands twice/);
 });
 
+test("aliases are refused", () => {
+  const [problem] = problemsOf("customers: &all []\nuses: *all\n");
+  assert.match(problem ?? "", /^lists.yaml:1: document: aliases/);
+});
+
+test("empty and odd documents are told", () => {
+  for (const odd of ["", "7", "[]", "customers: 7"]) {
+    assert.match(problemsOf(odd)[0] ?? "", /^lists.yaml:1: /);
+  }
+});
+
 test("unchanged lists need no edit", () => {
   const asked = parseLists({ file: "lists.yaml", text })._unsafeUnwrap();
   const revise = <T>(entry: T) => ({ revision: 7, entry });
