--- a/src/config_log/encode_snapshot.ts
+++ b/src/config_log/encode_snapshot.ts
@@ -9,6 +9,9 @@
 /** Format of the snapshot's content. A reader refuses any other. */
 export const snapshotFormat = 1;
 
+/** The default level costs four times as much for 2% fewer bytes. */
+const level = 3;
+
 /** A state as text that survives the log and the wire. */
 export interface EncodedSnapshot {
   /** Offset of the last record that the state includes. */
@@ -40,8 +43,8 @@
     snapshotsBegun: [...state.snapshotsBegun],
     audit: state.audit,
   };
-  const text = JSON.stringify(content, sortKeys);
-  const data = deflateRawSync(text).toString("base64");
+  const text = JSON.stringify(sortKeys(content));
+  const data = deflateRawSync(text, { level }).toString("base64");
   return { through: state.next - 1, hash: hashOf(data), data };
 }
 
@@ -55,11 +58,11 @@
 }
 
 /** A row's keys stand in insertion order, which differs by history. */
-function sortKeys(_key: string, value: unknown): unknown {
-  if (value === null || typeof value !== "object" || Array.isArray(value)) {
-    return value;
-  }
-  return Object.fromEntries(
-    Object.entries(value).sort(([a], [b]) => a < b ? -1 : 1),
-  );
+function sortKeys(value: unknown): unknown {
+  if (value === null || typeof value !== "object") return value;
+  if (Array.isArray(value)) return value.map(sortKeys);
+  const row = value as Record<string, unknown>;
+  const sorted: Record<string, unknown> = {};
+  for (const key of Object.keys(row).sort()) sorted[key] = sortKeys(row[key]);
+  return sorted;
 }
--- /dev/null
+++ b/src/config_log/rollout_rows_test.ts
@@ -0,0 +1,35 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { createConfigState } from "./create_config_state.ts";
+import { decodeSnapshot } from "./decode_snapshot.ts";
+import { encodeSnapshot } from "./encode_snapshot.ts";
+import { endRollout, maxEndedRollouts } from "./rollout_rows.ts";
+import { type ConfigState, type Rollout, RolloutPhase } from "./state.ts";
+
+function end(state: ConfigState, number: number) {
+  const rollout: Rollout = {
+    id: `portaal@v${number}#1`,
+    service: "portaal",
+    version: `v${number}`,
+    entries: [],
+    from: ["v0"],
+    whenUnjudged: "proceed",
+    phase: RolloutPhase.Baking,
+    perMille: 1000,
+    begunAt: "",
+    steps: [],
+  };
+  const phase = RolloutPhase.Done;
+  const step = { offset: 1, at: "", phase, perMille: 1000, reason: "" };
+  endRollout(state, rollout, step);
+}
+
+test("oldest ended rollout goes first, also after a snapshot", () => {
+  const state = createConfigState();
+  for (let number = 0; number < maxEndedRollouts; number++) end(state, number);
+  const copy = decodeSnapshot(encodeSnapshot(state))._unsafeUnwrap();
+  for (const one of [state, copy]) end(one, maxEndedRollouts);
+  assert.equal(copy.rollouts.has("portaal@v0#1"), false);
+  assert.equal(copy.rollouts.size, maxEndedRollouts);
+  assert.deepEqual([...copy.rollouts.keys()], [...state.rollouts.keys()]);
+});
--- a/tools/experiment.ts
+++ b/tools/experiment.ts
@@ -15,6 +15,8 @@
   spreading: async () =>
     (await import("./experiments/spreading.ts")).runSpreading,
   memory: async () => (await import("./experiments/memory.ts")).runMemory,
+  appending: async () =>
+    (await import("./experiments/appending.ts")).runAppending,
   folding: async () => (await import("./experiments/folding.ts")).runFolding,
 };
 
