--- a/src/adapters/drive_mesh.ts
+++ b/src/adapters/drive_mesh.ts
@@ -18,7 +18,6 @@
   NodeInfo,
   Offset,
 } from "../core/types.ts";
-import { encodeSnapshot } from "../config_log/encode_snapshot.ts";
 import { decideDistribution } from "../distribution/decide_distribution.ts";
 import type { DistributionMessage } from "../distribution/messages.ts";
 import {
--- a/src/testing/start_call_node.ts
+++ b/src/testing/start_call_node.ts
@@ -43,6 +43,10 @@
     methods: ["GET", "PUT"],
     timeoutMs: opts.timeoutMs ?? 20_000,
   };
+  const routes = [
+    { name: "once", path: "/once", repeatable: false, ...route },
+    { name: "again", path: "/again", repeatable: true, ...route },
+  ];
   const config: ServingConfig = {
     version: 1,
     digest: "",
@@ -50,10 +54,8 @@
     services: new Map([["basic/portaal", {
       plan: "basic",
       service: "portaal",
-      routes: [
-        { name: "once", path: "/once", repeatable: false, ...route },
-        { name: "again", path: "/again", repeatable: true, ...route },
-      ],
+      rules: routes,
+      routes,
       split: { stable: "v1" },
     }]]),
     inactive: new Set(),
