--- a/src/testing/start_call_node.ts
+++ b/src/testing/start_call_node.ts
@@ -59,6 +59,8 @@
       split: { stable: "v1" },
     }]]),
     inactive: new Set(),
+    customersAt: 1,
+    plansHeld: new Set(["basic"]),
   };
   const node: Partial<CallNode> = { homes: [], remotes: [] };
   const own = new Map<string, OwnEndpoint>();
