feat(rollout): judge versions by sequential tests and hold bad ones at once

Cause: the thin rollout compared sums with a fixed threshold, sent blind deltas and held nothing before the log. Change: evidence is cumulative for each source and replaced by later reports; readers sum their domain. Nodes, readers and the holder run the same sequential test; a fault holds the version locally at once. The plan is worked backwards from the time asked.

--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -15,7 +15,11 @@
   NodeInfo,
 } from "../core/types.ts";
 import type { MembershipState } from "../membership/state.ts";
-import type { RolloutEvent } from "../rollout/state.ts";
+import type {
+  CallEvent,
+  EvidencePoint,
+  RolloutEvent,
+} from "../rollout/state.ts";
 import type { ServingConfig } from "../serving/state.ts";
 import type { ControlContext } from "./control_context.ts";
 import { type ConfigDriver, driveConfig } from "./drive_config.ts";
@@ -54,6 +58,10 @@
   checkPeer(info: NodeInfo): string | undefined;
   announce(announcement: Announcement): void;
   noteAnswer(answer: Extract<RolloutEvent, { type: "answered" }>): void;
+  /** Notes that a call to an upstream began, ended or was given up. */
+  noteCall(event: CallEvent): void;
+  /** Evidence over time of a rollout led here, oldest first. */
+  rolloutHistory(rollout: string): readonly EvidencePoint[];
   /** Appends a record. Resolves with its verdict once the fold shows it. */
   submit(record: ConfigRecord): Promise<SubmitOutcome>;
   /** Tells the members that this node leaves. */
@@ -111,6 +119,9 @@
       case "distribution/snapshot":
         return mesh.receiveDistribution(from, message);
       case "rollout/evidence":
+      case "rollout/hold":
+      case "rollout/release":
+      case "rollout/leading":
         return rollout.receive(from, message);
       default:
         exhausted(message);
@@ -144,7 +155,9 @@
     announce: (announcement) => {
       loop.post(Priority.Drain, () => mesh.announce(announcement));
     },
-    noteAnswer: rollout.noteAnswer,
+    noteAnswer: rollout.noteCall,
+    noteCall: rollout.noteCall,
+    rolloutHistory: rollout.history,
     submit: config.submit,
     leave: () => inTurn(Priority.Drain, mesh.leave),
     close: () => {
--- a/src/adapters/drive_rollout.ts
+++ b/src/adapters/drive_rollout.ts
@@ -1,16 +1,33 @@
 /**
- * Drives rollouts: evidence, leases and steps.
+ * Drives rollouts: evidence, holds, leases and steps.
  * @module
  */
+import createDebug from "debug";
+import { isLive } from "../config_log/rollout_rows.ts";
+import { Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
+import { keyOfVersion } from "../core/key_of_version.ts";
 import type { NodeId } from "../core/types.ts";
+import { pickReaders } from "../distribution/pick_readers.ts";
+import { aliveIds } from "../membership/decide_membership.ts";
 import { decideRollout } from "../rollout/decide_rollout.ts";
 import type { RolloutMessage } from "../rollout/messages.ts";
-import { createRolloutState, type RolloutEvent } from "../rollout/state.ts";
+import {
+  type CallEvent,
+  createRolloutState,
+  type EvidencePoint,
+  type Reader,
+  type RolloutEvent,
+} from "../rollout/state.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { ConfigDriver } from "./drive_config.ts";
 import type { MeshDriver } from "./drive_mesh.ts";
 
+const logger = createDebug("lagoon:rollout");
+
+/** Extra ticks between two of the control loop while a rollout is live. */
+const extraTicksMs = [250, 500, 750] as const;
+
 /** Options of `driveRollout`. */
 export interface DriveRolloutOptions {
   readonly context: ControlContext;
@@ -21,15 +38,24 @@
 export interface RolloutDriver {
   /** Versions that get no calls from this node, `service@version`. */
   readonly held: ReadonlySet<string>;
+  /** Evidence over time of a rollout led here, oldest first. */
+  history(rollout: string): readonly EvidencePoint[];
   receive(from: NodeId, message: RolloutMessage): void;
-  noteAnswer(answer: Extract<RolloutEvent, { type: "answered" }>): void;
+  /** Counts a call. Cheap enough for the way of the call itself. */
+  noteCall(event: CallEvent): void;
   tick(): void;
 }
 
 /** Creates the driver. */
 export function driveRollout(opts: DriveRolloutOptions): RolloutDriver {
   const { context, config, mesh } = opts;
-  const state = createRolloutState(context.self.id);
+  const { self, loop, now } = context;
+  const state = createRolloutState({
+    self: self.id,
+    domain: self.domain,
+    boot: self.boot,
+  });
+  let readers: readonly Reader[] = [];
 
   function run(event: RolloutEvent) {
     for (const effect of decideRollout(state, event)) {
@@ -37,10 +63,16 @@
         case "send":
           context.send(effect.to, effect.message);
           break;
+        case "tell-domain":
+          for (const id of aliveIds(mesh.membership)) {
+            if (id !== self.id) context.send(id, effect.message);
+          }
+          break;
         case "append":
-          config.submit(effect.record);
+          submit(effect.rollout, effect.record);
           break;
         case "hold-changed":
+          logger("%s", effect.sentence);
           break;
         default:
           exhausted(effect);
@@ -48,18 +80,59 @@
     }
   }
 
+  async function submit(
+    rollout: string,
+    record: Parameters<ConfigDriver["submit"]>[0],
+  ) {
+    const verdict = await config.submit(record);
+    if (verdict.type === "refused") logger("Refused: %s.", verdict.reason);
+    loop.post(Priority.Rollback, () => run({ type: "settled", rollout }));
+  }
+
+  function findReaders(): readonly Reader[] {
+    const { members } = mesh.membership;
+    return pickReaders(aliveIds(mesh.membership), self.domain).map((id) => ({
+      id,
+      boot: id === self.id ? self.boot : members.get(id)?.row.info.boot ?? "",
+    }));
+  }
+
+  function findPresent(): ReadonlySet<string> {
+    const live = [...config.state().rollouts.values()].filter(isLive);
+    const present = live.filter(({ service, version }) =>
+      mesh.directory.isPresent(service, version)
+    );
+    return new Set(
+      present.map(({ service, version }) => keyOfVersion(service, version)),
+    );
+  }
+
+  function tickOnce() {
+    run({
+      type: "ticked",
+      now: now(),
+      wall: Date.now(),
+      config: config.state(),
+      readers,
+      present: findPresent(),
+      random: Math.random(),
+    });
+  }
+
   return {
     held: state.held,
-    receive: (from, message) => run({ type: "received", from, message }),
-    noteAnswer: run,
-    tick: () =>
-      run({
-        type: "ticked",
-        now: context.now(),
-        wall: Date.now(),
-        config: config.state(),
-        isReader: mesh.isReader(),
-        alive: new Set(mesh.aliveNodes()),
-      }),
+    history: (rollout) => state.tracks.get(rollout)?.leadership?.history ?? [],
+    receive: (from, message) =>
+      run({ type: "received", from, message, now: now() }),
+    noteCall: run,
+    tick() {
+      readers = findReaders();
+      tickOnce();
+      if (state.tracks.size === 0) return;
+      for (const delayMs of extraTicksMs) {
+        setTimeout(() => loop.post(Priority.Rollback, tickOnce), delayMs)
+          .unref();
+      }
+    },
   };
 }
--- a/src/rollout/decide_rollout.ts
+++ b/src/rollout/decide_rollout.ts
@@ -1,32 +1,30 @@
 /**
- * Gathers evidence on versions and leads rollouts under a fenced lease.
+ * Gathers evidence on versions, holds bad ones, and leads rollouts under a
+ * fenced lease.
  * @module
  */
-import { RecordKind, type RolloutStep } from "../config_log/messages.ts";
-import { fullShare } from "../config_log/fold_rollout.ts";
 import { isLive, leaseOf } from "../config_log/rollout_rows.ts";
-import { type Rollout, RolloutPhase } from "../config_log/state.ts";
+import type { Lease } from "../config_log/state.ts";
 import { exhausted } from "../core/exhausted.ts";
-import type { RouteCounts } from "./messages.ts";
-import {
-  CallOutcome,
-  type RolloutEffect,
-  type RolloutEvent,
-  type RolloutState,
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import { claimLease, noteLogSigns, stepMark } from "./claim_lease.ts";
+import { countCall } from "./count_call.ts";
+import { countOverdue } from "./count_overdue.ts";
+import { createLeadership, createTrack } from "./create_track.ts";
+import { beginHold, endHold, releaseHold } from "./keep_hold.ts";
+import { leadRollout } from "./lead_rollout.ts";
+import { mergeReport } from "./merge_report.ts";
+import { type EvidenceReport, ReportLevel } from "./messages.ts";
+import { noteToldHold } from "./release_holds.ts";
+import type {
+  RolloutEffect,
+  RolloutEvent,
+  RolloutState,
+  TickedEvent,
+  Track,
 } from "./state.ts";
-
-/** Shares in thousandths that a new version passes through. */
-const shares = [20, 100, 300, fullShare] as const;
-
-const stepMs = 2_000;
-const bakeMs = 4_000;
-const claimRetryMs = 3_000;
-
-/** Calls of the new version needed before its failures count. */
-const minCalls = 10;
-const maxFailureShare = 0.05;
-
-type Ticked = Extract<RolloutEvent, { type: "ticked" }>;
+import { holderName, readerName, tellEvidence } from "./tell_evidence.ts";
+import { watchVersion } from "./watch_version.ts";
 
 /** Takes one event of rollouts in turn. */
 export function decideRollout(
@@ -34,21 +32,20 @@
   event: RolloutEvent,
 ): readonly RolloutEffect[] {
   switch (event.type) {
+    case "begun":
     case "answered":
-      addCounts(state.local, {
-        service: event.service,
-        version: event.version,
-        route: event.route,
-        calls: 1,
-        failures: event.outcome === CallOutcome.Failed ? 1 : 0,
-        latencyMs: event.latencyMs,
-      });
+    case "abandoned":
+      countCall(state, event);
       return [];
     case "received":
-      for (const counts of event.message.counts) {
-        addCounts(state.gathered, counts);
-      }
+      return receive(state, event);
+    case "settled": {
+      const track = state.tracks.get(event.rollout);
+      if (track === undefined) return [];
+      track.isClaimSent = false;
+      delete track.leadership?.sentSteps;
       return [];
+    }
     case "ticked":
       return tick(state, event);
     default:
@@ -56,123 +53,135 @@
   }
 }
 
-function addCounts(sums: Map<string, RouteCounts>, counts: RouteCounts) {
-  const { service, version, route } = counts;
-  const key = `${service} ${version} ${route}`;
-  const sum = sums.get(key);
-  sums.set(key, {
-    ...counts,
-    calls: counts.calls + (sum?.calls ?? 0),
-    failures: counts.failures + (sum?.failures ?? 0),
-    latencyMs: counts.latencyMs + (sum?.latencyMs ?? 0),
-  });
-}
-
-function tick(state: RolloutState, event: Ticked): readonly RolloutEffect[] {
-  const live = [...event.config.rollouts.values()].filter(isLive);
-  const effects = live.flatMap((rollout) => [
-    ...tellEvidence(state, event, rollout),
-    ...lead(state, event, rollout),
-  ]);
-  state.local.clear();
-  if (live.length === 0) state.gathered.clear();
-  return effects;
-}
-
-function tellEvidence(
+function receive(
   state: RolloutState,
-  event: Ticked,
-  rollout: Rollout,
+  event: Extract<RolloutEvent, { type: "received" }>,
 ): readonly RolloutEffect[] {
-  const holder = event.config.leases.get(leaseOf(rollout.id))?.holder;
-  const counts = [...state.local.values()].filter((one) =>
-    one.service === rollout.service
-  );
-  if (holder === undefined || counts.length === 0) return [];
-  if (holder === state.self) {
-    for (const one of counts) addCounts(state.gathered, one);
-    return [];
+  const { message, from, now } = event;
+  const id = message.type === "rollout/evidence"
+    ? message.report.rollout
+    : message.rollout;
+  const track = state.tracks.get(id);
+  if (track === undefined) return [];
+  switch (message.type) {
+    case "rollout/evidence":
+      takeReport(state, track, message.report);
+      return [];
+    case "rollout/hold": {
+      const { origin, reason } = message;
+      if (track.leadership) noteToldHold(track.leadership, from, origin, now);
+      return beginHold({ state, track, origin, reason, now });
+    }
+    case "rollout/release":
+      return [
+        ...passOn(state, from, message),
+        ...releaseHold(state, track, now),
+      ];
+    case "rollout/leading":
+      if (message.term < track.signTerm) return [];
+      track.signAt = now;
+      return [];
+    default:
+      return exhausted(message);
   }
-  const message = { type: "rollout/evidence", counts } as const;
-  return [{ type: "send", to: holder, message }];
 }
 
-function lead(
+/** A reader passes what comes from outside on to its domain. */
+function passOn(
   state: RolloutState,
-  event: Ticked,
-  rollout: Rollout,
+  from: NodeId,
+  message: Extract<RolloutEffect, { type: "tell-domain" }>["message"],
 ): readonly RolloutEffect[] {
-  const lease = event.config.leases.get(leaseOf(rollout.id));
-  if (lease?.holder !== state.self) {
-    const isHeld = lease !== undefined && event.alive.has(lease.holder);
-    return isHeld ? [] : claim(state, event, rollout, lease?.term ?? 0);
+  const isReader = state.readers.some((one) => one.id === state.self);
+  const isFromReader = state.readers.some((one) => one.id === from);
+  return isReader && !isFromReader ? [{ type: "tell-domain", message }] : [];
+}
+
+/** Merges a report that is meant for this start or term of this node. */
+function takeReport(
+  state: RolloutState,
+  track: Track,
+  report: EvidenceReport,
+) {
+  const { leadership } = track;
+  switch (report.level) {
+    case ReportLevel.Node:
+      if (report.receiver !== readerName(state.self, state.boot)) return;
+      mergeReport(track.domain, report);
+      return;
+    case ReportLevel.Domain:
+      if (leadership === undefined) return;
+      if (report.receiver !== holderName(state.self, leadership.term)) return;
+      mergeReport(leadership.inbox, report);
+      return;
+    default:
+      exhausted(report.level);
   }
-  const step = nextStep(state, event, rollout);
-  if (step === undefined) return [];
-  state.steppedAt.set(rollout.id, event.now);
-  return [{
-    type: "append",
-    record: {
-      kind: RecordKind.RolloutStep,
-      rollout: rollout.id,
-      term: lease.term,
-      step,
-    },
-  }];
 }
 
-function claim(
+function tick(
   state: RolloutState,
-  event: Ticked,
-  rollout: Rollout,
-  term: number,
+  event: TickedEvent,
 ): readonly RolloutEffect[] {
-  const claimedAt = state.claimedAt.get(rollout.id) ?? -Infinity;
-  if (!event.isReader || event.now - claimedAt < claimRetryMs) return [];
-  state.claimedAt.set(rollout.id, event.now);
-  return [{
-    type: "append",
-    record: {
-      kind: RecordKind.Lease,
-      name: leaseOf(rollout.id),
-      holder: state.self,
-      term: term + 1,
-    },
-  }];
+  state.readers = event.readers;
+  const effects = [...followRollouts(state, event)];
+  if (state.tracks.size === 0) {
+    state.inFlight.clear();
+    return effects;
+  }
+  countOverdue(state, event.now);
+  for (const track of state.tracks.values()) {
+    const lease = event.config.leases.get(leaseOf(track.rollout.id));
+    noteLogSigns(track, event, lease);
+    followLease(state, track, lease, event.now);
+    effects.push(
+      ...tellEvidence(state, track, event, lease),
+      ...watchVersion(state, track, event, lease?.holder),
+      ...(track.leadership === undefined
+        ? claimLease(state, track, event, lease)
+        : leadRollout(state, track, event, track.leadership)),
+    );
+  }
+  return effects;
 }
 
-function nextStep(
+/** Keeps a track of each live rollout, and drops those that ended. */
+function followRollouts(
   state: RolloutState,
-  event: Ticked,
-  rollout: Rollout,
-): RolloutStep | undefined {
-  const steppedAt = state.steppedAt.get(rollout.id) ?? -Infinity;
-  const waited = event.now - steppedAt;
-  const fault = findFault(state, rollout);
-  if (fault !== undefined) {
-    return waited < 1_000 ? undefined : { type: "rollback", reason: fault };
-  }
-  if (rollout.phase === RolloutPhase.Baking) {
-    if (waited < bakeMs) return undefined;
-    return { type: "done", reason: "No fault showed while baking." };
+  event: TickedEvent,
+): readonly RolloutEffect[] {
+  const effects: RolloutEffect[] = [];
+  const { rollouts } = event.config;
+  for (const [id, track] of state.tracks) {
+    const rollout = rollouts.get(id);
+    if (rollout !== undefined && isLive(rollout)) {
+      track.rollout = rollout;
+      continue;
+    }
+    effects.push(...endHold(state, track));
+    state.tracks.delete(id);
   }
-  if (waited < stepMs) return undefined;
-  const perMille = shares.find((share) => share > rollout.perMille);
-  if (perMille === undefined) {
-    return { type: "bake", reason: "The version serves alone." };
+  for (const [id, rollout] of rollouts) {
+    if (!isLive(rollout) || state.tracks.has(id)) continue;
+    state.tracks.set(id, createTrack(rollout, event.now));
   }
-  return { type: "share", perMille, reason: "No fault showed so far." };
+  return effects;
 }
 
-function findFault(
+/** Leads only under a term that this start of the process claimed. */
+function followLease(
   state: RolloutState,
-  rollout: Rollout,
-): string | undefined {
-  for (const counts of state.gathered.values()) {
-    const { service, version, route, calls, failures } = counts;
-    if (service !== rollout.service || version !== rollout.version) continue;
-    if (calls < minCalls || failures / calls <= maxFailureShare) continue;
-    return `Route ${route}: ${failures} of ${calls} calls failed.`;
+  track: Track,
+  lease: Lease | undefined,
+  now: MonotonicMs,
+) {
+  const isOwn = lease !== undefined && lease.holder === state.self &&
+    lease.term === track.claimedTerm;
+  if (!isOwn) {
+    delete track.leadership;
+    return;
   }
-  return undefined;
+  if (track.leadership?.term === lease.term) return;
+  const mark = stepMark(track.rollout.steps);
+  track.leadership = createLeadership(lease.term, mark, now);
 }
--- /dev/null
+++ b/src/rollout/explain_rollout.ts
@@ -0,0 +1,103 @@
+/**
+ * Explains a rollout to operators, as text lines and as JSON.
+ * @module
+ */
+import { isLive } from "../config_log/rollout_rows.ts";
+import { type Rollout, RolloutPhase } from "../config_log/state.ts";
+import type { WallMs } from "../core/types.ts";
+import {
+  planTimes,
+  rungs,
+  tellLeft,
+  toPerCent,
+  toSeconds,
+} from "./plan_step.ts";
+
+/** Where a rollout stands, for machines. */
+export interface RolloutStatus {
+  readonly id: string;
+  readonly service: string;
+  readonly version: string;
+  readonly from: readonly string[];
+  readonly phase: RolloutPhase;
+  readonly perMille: number;
+  /** ISO 8601. */
+  readonly takeOverBy?: string;
+  /** Time to `takeOverBy`, below 0 when it has passed. */
+  readonly leftMs?: number;
+  /** ISO 8601, while a finish can be foretold. */
+  readonly expectedFinish?: string;
+  /** Reason of the newest step. */
+  readonly reason: string;
+  readonly steps: Rollout["steps"];
+}
+
+/** Works out the status of a rollout at a wall-clock time. */
+export function statusOfRollout(rollout: Rollout, wall: WallMs): RolloutStatus {
+  const { id, service, version, from, phase, perMille, steps } = rollout;
+  const { takeOverBy } = rollout;
+  const finishAt = foretellFinish(rollout, wall);
+  return {
+    id,
+    service,
+    version,
+    from,
+    phase,
+    perMille,
+    ...(takeOverBy === undefined ? {} : {
+      takeOverBy,
+      leftMs: Date.parse(takeOverBy) - wall,
+    }),
+    ...(finishAt === undefined ? {} : {
+      expectedFinish: new Date(finishAt).toISOString(),
+    }),
+    reason: steps.at(-1)?.reason ?? "No step was taken yet.",
+    steps,
+  };
+}
+
+/** Extends the pace of the steps so far, within the plan's bounds. */
+function foretellFinish(rollout: Rollout, wall: WallMs): WallMs | undefined {
+  if (!isLive(rollout) || rollout.phase === RolloutPhase.Blocked) {
+    return undefined;
+  }
+  const { stageMs, slotMs, bakeMs } = planTimes(rollout, wall);
+  const [first] = rollout.steps;
+  const stages = rollout.steps.length;
+  const lastAt = Date.parse(rollout.steps.at(-1)?.at ?? rollout.begunAt);
+  if (rollout.phase === RolloutPhase.Baking) {
+    return Math.max(wall, lastAt + bakeMs);
+  }
+  const spentMs = first === undefined ? 0 : lastAt - Date.parse(first.at);
+  const paceMs = stages > 1 ? spentMs / (stages - 1) : slotMs;
+  const stage = Math.min(slotMs, Math.max(stageMs, paceMs));
+  const ahead = rungs.filter((one) => one.perMille > rollout.perMille).length;
+  return Math.max(wall, lastAt + stage) + Math.max(0, ahead - 1) * stage +
+    bakeMs;
+}
+
+/** Explains in lines of text what happened, why and what comes next. */
+export function explainRollout(rollout: Rollout, wall: WallMs): string[] {
+  const status = statusOfRollout(rollout, wall);
+  const { id, phase, perMille, from } = status;
+  const lines = [
+    `${id}: ${phase}, ${toPerCent(perMille)} of calls, from ` +
+    `${from.join(", ") || "no other version"}.`,
+  ];
+  if (isLive(rollout)) {
+    lines.push(`  Time: ${tellLeft(rollout, wall)}.`);
+    if (status.expectedFinish !== undefined) {
+      const inMs = Date.parse(status.expectedFinish) - wall;
+      lines.push(
+        `  Expected finish: ${status.expectedFinish}, in ${toSeconds(inMs)}.`,
+      );
+    }
+  }
+  for (const step of rollout.steps) {
+    lines.push(
+      `  ${step.at} offset ${step.offset}: ${step.phase}, ` +
+        `${toPerCent(step.perMille)}. ${step.reason}`,
+    );
+  }
+  return lines;
+}
--- /dev/null
+++ b/src/rollout/judge_evidence.ts
@@ -0,0 +1,267 @@
+/**
+ * Judges a new version by the evidence of one scope.
+ * @module
+ */
+import type { MonotonicMs } from "../core/types.ts";
+import { countsOf } from "./count_call.ts";
+import { copyEvidence } from "./make_report.ts";
+import { latencyEdgesMs, Side } from "./messages.ts";
+import {
+  type Counts,
+  type Evidence,
+  type Finding,
+  type Judge,
+  Measure,
+  type TestState,
+} from "./state.ts";
+import { createTest, type Sample, updateTest } from "./update_test.ts";
+
+/** Stands for all routes together. */
+export const allRoutes = "*";
+
+/** Rates that are tolerated whatever the old version does. */
+const floors: Readonly<Record<Measure, number>> = {
+  [Measure.Errors]: 0.005,
+  [Measure.Slowness]: 0.05,
+  [Measure.Overdue]: 0.02,
+};
+
+/** Share of the old version's answers that counts as slow, at most. */
+const slowShare = 0.1;
+
+/** Log-likelihood ratio below which a fault is ruled out. */
+const clearBelow = Math.log(0.01);
+
+/** A route with a smaller share of calls need not be clear on its own. */
+const minRouteShare = 0.05;
+
+/** A judgement of one scope. */
+export type Judgement =
+  | { readonly type: "faulty"; readonly finding: Finding }
+  | {
+    readonly type: "unclear";
+    /** True while a fault is more likely than not. */
+    readonly isSuspect: boolean;
+    readonly calls: number;
+  }
+  | { readonly type: "clear"; readonly calls: number };
+
+/** Options of `judgeEvidence`. */
+export interface JudgeEvidenceOptions {
+  readonly judge: Judge;
+  /** Sums that only grow. */
+  readonly evidence: Evidence;
+  /** Log-likelihood ratio above which a version is faulty. */
+  readonly faultyAbove: number;
+  /** Rise of a rate that has to be ruled out. */
+  readonly ruleOut: number;
+  readonly now: MonotonicMs;
+}
+
+/** Adds what is new in the evidence to the tests, and judges. */
+export function judgeEvidence(opts: JudgeEvidenceOptions): Judgement {
+  const { judge, evidence } = opts;
+  const elapsedMs = opts.now - judge.judgedAt;
+  judge.judgedAt = opts.now;
+  const fresh = new Map<string, Record<Side, Counts>>();
+  for (const counts of evidence.values()) {
+    const rise = riseOf(judge, counts);
+    if (rise === undefined) continue;
+    for (const route of [counts.route, allRoutes]) addRise(fresh, route, rise);
+  }
+  for (const [route, sides] of fresh) {
+    for (const measure of Object.values(Measure)) {
+      const test = testOf(judge, route, measure);
+      const sample = sampleOf({ measure, route, sides, evidence, elapsedMs });
+      const floor = floors[measure];
+      updateTest({ test, sample, floor, ruleOut: opts.ruleOut });
+    }
+  }
+  return conclude(opts);
+}
+
+/** Counts since the last judgement, none when they did not grow. */
+function riseOf(judge: Judge, counts: Counts): Counts | undefined {
+  const before = judge.judged.get(`${counts.side} ${counts.route}`);
+  const hasGrown = counts.calls !== (before?.calls ?? 0) ||
+    counts.failures !== (before?.failures ?? 0);
+  if (!hasGrown) return undefined;
+  const key = `${counts.side} ${counts.route}`;
+  judge.judged.set(key, { ...counts, buckets: [...counts.buckets] });
+  return {
+    ...counts,
+    calls: counts.calls - (before?.calls ?? 0),
+    failures: counts.failures - (before?.failures ?? 0),
+    overdue: counts.overdue - (before?.overdue ?? 0),
+    buckets: counts.buckets.map((count, bucket) =>
+      count - (before?.buckets[bucket] ?? 0)
+    ),
+  };
+}
+
+function addRise(
+  fresh: Map<string, Record<Side, Counts>>,
+  route: string,
+  rise: Counts,
+) {
+  let sides = fresh.get(route);
+  if (sides === undefined) {
+    const none: Evidence = new Map();
+    sides = {
+      [Side.New]: countsOf(none, Side.New, route),
+      [Side.Old]: countsOf(none, Side.Old, route),
+    };
+    fresh.set(route, sides);
+  }
+  const sum = sides[rise.side];
+  sum.calls += rise.calls;
+  sum.failures += rise.failures;
+  sum.overdue += rise.overdue;
+  sum.buckets = sum.buckets.map((count, bucket) =>
+    count + (rise.buckets[bucket] ?? 0)
+  );
+}
+
+function testOf(judge: Judge, route: string, measure: Measure): TestState {
+  const key = `${measure} ${route}`;
+  const found = judge.tests.get(key);
+  if (found !== undefined) return found;
+  const test = createTest();
+  judge.tests.set(key, test);
+  return test;
+}
+
+interface SampleOptions {
+  readonly measure: Measure;
+  readonly route: string;
+  readonly sides: Record<Side, Counts>;
+  readonly evidence: Evidence;
+  readonly elapsedMs: number;
+}
+
+function sampleOf(opts: SampleOptions): Sample {
+  const fresh = opts.sides[Side.New];
+  const old = opts.sides[Side.Old];
+  const sample = (
+    calls: number,
+    bad: number,
+    oldCalls: number,
+    oldBad: number,
+  ) => ({
+    // A late failure of an overdue call may come in a tick without calls.
+    calls: Math.max(calls, bad, 0),
+    bad: Math.max(bad, 0),
+    oldCalls: Math.max(oldCalls, oldBad, 0),
+    oldBad: Math.max(oldBad, 0),
+    elapsedMs: opts.elapsedMs,
+  });
+  switch (opts.measure) {
+    case Measure.Errors:
+      return sample(fresh.calls, fresh.failures, old.calls, old.failures);
+    case Measure.Overdue:
+      return sample(fresh.calls, fresh.overdue, old.calls, old.overdue);
+    case Measure.Slowness: {
+      const first = slowFrom(oldBuckets(opts.evidence, opts.route));
+      if (first === undefined) return sample(0, 0, 0, 0);
+      const sum = (buckets: readonly number[]) =>
+        buckets.reduce((total, count) => total + count, 0);
+      return sample(
+        sum(fresh.buckets),
+        sum(fresh.buckets.slice(first)),
+        sum(old.buckets),
+        sum(old.buckets.slice(first)),
+      );
+    }
+  }
+}
+
+/** First bucket that holds at most `slowShare` of the old answers above. */
+export function slowFrom(buckets: readonly number[]): number | undefined {
+  const total = buckets.reduce((sum, count) => sum + count, 0);
+  if (total === 0) return undefined;
+  let above = total;
+  for (let bucket = 0; bucket <= latencyEdgesMs.length; bucket++) {
+    if (above <= slowShare * total) return bucket;
+    above -= buckets[bucket] ?? 0;
+  }
+  return undefined;
+}
+
+/** Latency buckets of the old version on a route. */
+export function oldBuckets(
+  evidence: Evidence,
+  route: string,
+): readonly number[] {
+  const sums = new Array<number>(latencyEdgesMs.length + 1).fill(0);
+  for (const counts of evidence.values()) {
+    const isCounted = counts.side === Side.Old &&
+      (route === allRoutes || counts.route === route);
+    if (!isCounted) continue;
+    counts.buckets.forEach((count, bucket) => {
+      sums[bucket] = (sums[bucket] ?? 0) + count;
+    });
+  }
+  return sums;
+}
+
+function conclude(opts: JudgeEvidenceOptions): Judgement {
+  const { judge } = opts;
+  let worst: Finding | undefined;
+  for (const [key, test] of judge.tests) {
+    const score = Math.max(...test.scores);
+    if (score <= (worst?.score ?? 0)) continue;
+    const [measure = "", route = ""] = key.split(" ");
+    const { calls, bad, oldCalls, oldBad } = test;
+    worst = {
+      route,
+      measure: measure as Measure,
+      calls,
+      bad,
+      oldCalls,
+      oldBad,
+      score,
+    };
+  }
+  if (worst !== undefined && worst.score > opts.faultyAbove) {
+    return { type: "faulty", finding: worst };
+  }
+  const calls = judge.tests.get(`${Measure.Errors} ${allRoutes}`)?.calls ?? 0;
+  const isSuspect = (worst?.score ?? 0) > opts.faultyAbove / 2;
+  const isClear = !isSuspect && calls > 0 && areRoutesClear(judge);
+  return isClear
+    ? { type: "clear", calls }
+    : { type: "unclear", isSuspect, calls };
+}
+
+function areRoutesClear(judge: Judge): boolean {
+  const all = judge.tests.get(`${Measure.Errors} ${allRoutes}`);
+  const total = (all?.calls ?? 0) + (all?.oldCalls ?? 0);
+  return [...judge.tests].every(([key, test]) => {
+    const isOverdue = key.startsWith(Measure.Overdue);
+    const isSmall = test.calls + test.oldCalls < minRouteShare * total;
+    return isOverdue || isSmall || test.clearance < clearBelow;
+  });
+}
+
+/** Starts counting anew for the next step. Fault scores go on. */
+export function resetClearance(judge: Judge) {
+  for (const test of judge.tests.values()) {
+    test.clearance = 0;
+    test.calls = 0;
+    test.bad = 0;
+  }
+}
+
+/** Forgets scores that were found to blame the wrong version. */
+export function acquit(judge: Judge) {
+  for (const test of judge.tests.values()) test.scores.fill(0);
+  resetClearance(judge);
+}
+
+/** Starts judging from the evidence as it stands. */
+export function skipEvidence(judge: Judge, evidence: Evidence) {
+  judge.judged.clear();
+  for (const [key, counts] of copyEvidence(evidence)) {
+    judge.judged.set(key, counts);
+  }
+}
--- a/src/rollout/messages.ts
+++ b/src/rollout/messages.ts
@@ -1,20 +1,76 @@
 /**
- * Evidence of how versions answer, told to the holder of a rollout's lease.
+ * Evidence on versions, holds and signs of life, sent between nodes.
  * @module
  */
 
-/** Counts of answers of one version on one route since the last report. */
+/** Upper bounds of the latency buckets in milliseconds; one more is open. */
+export const latencyEdgesMs = [
+  2,
+  4,
+  8,
+  16,
+  32,
+  64,
+  128,
+  256,
+  512,
+  1024,
+  2048,
+  4096,
+] as const;
+
+/** The version that is rolled out, and those that it replaces. */
+export const Side = { New: "new", Old: "old" } as const;
+export type Side = typeof Side[keyof typeof Side];
+
+/** Counts of one side on one route. They only grow within one source. */
 export interface RouteCounts {
-  readonly service: string;
-  readonly version: string;
+  readonly side: Side;
   readonly route: string;
   readonly calls: number;
   readonly failures: number;
-  /** Sum of latencies in milliseconds. */
-  readonly latencyMs: number;
+  /** Calls that hung past the old version's usual latency. */
+  readonly overdue: number;
+  /** Answers by latency, one more bucket than `latencyEdgesMs`. */
+  readonly buckets: readonly number[];
 }
 
-export type RolloutMessage = {
-  readonly type: "rollout/evidence";
+/** Who sums up a report. */
+export const ReportLevel = { Node: "node", Domain: "domain" } as const;
+export type ReportLevel = typeof ReportLevel[keyof typeof ReportLevel];
+
+/**
+ * Sums since the source began. A later report of a source replaces its earlier
+ * ones, so lost, repeated and reordered reports leave the sums right.
+ */
+export interface EvidenceReport {
+  readonly rollout: string;
+  readonly level: ReportLevel;
+  /** Unique for each start of a process and each receiver that it chose. */
+  readonly source: string;
+  /** Grows by one for each report of a source. */
+  readonly seq: number;
+  readonly domain: string;
+  /** Start of a reader, or term of a holder, that the report is meant for. */
+  readonly receiver: string;
   readonly counts: readonly RouteCounts[];
-};
+}
+
+export type RolloutMessage =
+  | { readonly type: "rollout/evidence"; readonly report: EvidenceReport }
+  /** Stop sending calls to the version. */
+  | {
+    readonly type: "rollout/hold";
+    readonly rollout: string;
+    /** Node that saw the fault. */
+    readonly origin: string;
+    readonly reason: string;
+  }
+  /** The holder did not confirm a hold: try the version again with probes. */
+  | { readonly type: "rollout/release"; readonly rollout: string }
+  /** The holder's sign of life to readers. */
+  | {
+    readonly type: "rollout/leading";
+    readonly rollout: string;
+    readonly term: number;
+  };
