feat(rollout): confirm faults against the old version, and test the promises

Cause: in trial runs of the experiment a fault outside took good versions back, a lucky small sample of the old version set the limit for slow calls too low, and one stall of the machine held a good version. Change: the holder holds at once and asks the old version's next calls who is to blame; the old rate carries a standard error; one sample adds a bounded gain. A new holder is told all sums again. Ruled out: rollback on a node's word alone, which would blame the version for one sick node.

--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -120,6 +120,7 @@
         return mesh.receiveDistribution(from, message);
       case "rollout/evidence":
       case "rollout/hold":
+      case "rollout/held":
       case "rollout/release":
       case "rollout/leading":
         return rollout.receive(from, message);
--- a/src/rollout/confirm_fault.ts
+++ b/src/rollout/confirm_fault.ts
@@ -2,62 +2,92 @@
  * Decides whether the new version is to blame for a fault.
  * @module
  */
-import { fullShare } from "../config_log/fold_rollout.ts";
+import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
-import { allRoutes } from "./judge_evidence.ts";
+import { allRoutes, oldBuckets, slowFrom } from "./judge_evidence.ts";
 import { Side } from "./messages.ts";
-import { type Finding, type Leadership, Measure, type Track } from "./state.ts";
+import { type Counts, type Fault, type Leadership, Measure } from "./state.ts";
 
 /** Calls of the old version that settle who is to blame. */
-const minOldCalls = 20;
+const minOldCalls = 40;
 /** Time to wait for them before the version is taken back all the same. */
 const maxWaitMs = 4_000;
-/** The old version is as bad when it fails this part as often. */
-const asBad = 0.5;
+/** The old version is to blame when it is bad at least this often. */
+const minSharedRate = 0.05;
+/** And at least this part as often as the new version. */
+const sharedPart = 0.25;
 
 /** Outcome of comparing a fault with the old version. */
-export type Blame = "confirmed" | "waiting" | "acquitted";
+export const Blame = {
+  NewVersion: "new-version",
+  Undecided: "undecided",
+  Shared: "shared",
+} as const;
+export type Blame = typeof Blame[keyof typeof Blame];
+
+/** Options of `confirmFault`. */
+export interface ConfirmFaultOptions {
+  readonly lead: Leadership;
+  readonly fault: Fault;
+  readonly now: MonotonicMs;
+}
 
 /**
- * A version that serves alone has nothing beside it to be compared with. The
- * hold has sent its calls back to the old version, and these tell within a
- * moment whether a fault outside hits both.
+ * A fault outside hits both versions, but a moment of few calls may show it on
+ * the new one alone. The hold has sent the calls to the old version meanwhile,
+ * and how these end tells who is to blame.
  */
-export function confirmFault(
-  track: Track,
-  lead: Leadership,
-  finding: Finding,
-  now: MonotonicMs,
-): Blame {
-  if (track.rollout.perMille < fullShare) return "confirmed";
-  const old = sumOld(lead, finding);
-  lead.alarm ??= { at: now, oldCalls: old.calls, oldBad: old.bad };
-  const calls = old.calls - lead.alarm.oldCalls;
-  const bad = old.bad - lead.alarm.oldBad;
-  if (calls < minOldCalls && now - lead.alarm.at < maxWaitMs) return "waiting";
-  const newRate = finding.bad / Math.max(1, finding.calls);
-  const oldRate = bad / Math.max(1, calls);
-  // The counts since the last step dilute a late fault of the new version.
-  const isShared = oldRate > 0.05 && oldRate >= asBad * newRate;
-  if (!isShared) return "confirmed";
-  delete lead.alarm;
-  return "acquitted";
+export function confirmFault(opts: ConfirmFaultOptions): Blame {
+  const { lead, now } = opts;
+  if (lead.alarm === undefined) {
+    const { calls, bad } = sumOld(opts.fault);
+    lead.alarm = { at: now, fault: opts.fault, oldCalls: calls, oldBad: bad };
+  }
+  // The worst finding may change meanwhile: the first one is settled.
+  const { at, fault, oldCalls, oldBad } = lead.alarm;
+  const { finding } = fault;
+  const old = sumOld(fault);
+  const calls = old.calls - oldCalls;
+  const bad = old.bad - oldBad;
+  if (calls < minOldCalls && now - at < maxWaitMs) {
+    return Blame.Undecided;
+  }
+  const rate = finding.bad / Math.max(1, finding.calls);
+  // A fault outside may have ended by the time that the old version is asked.
+  const oldRate = Math.max(
+    bad / Math.max(1, calls),
+    finding.oldBad / Math.max(1, finding.oldCalls),
+  );
+  const isShared = oldRate >= minSharedRate && oldRate >= sharedPart * rate;
+  return isShared ? Blame.Shared : Blame.NewVersion;
 }
 
-function sumOld(
-  lead: Leadership,
-  finding: Finding,
-): { calls: number; bad: number } {
+function sumOld(fault: Fault): { calls: number; bad: number } {
+  const { finding, evidence } = fault;
+  const slow = slowFrom(oldBuckets(evidence, finding.route)) ?? Infinity;
   const sum = { calls: 0, bad: 0 };
-  for (const counts of lead.inbox.total.values()) {
+  for (const counts of evidence.values()) {
     const isCounted = counts.side === Side.Old &&
       (finding.route === allRoutes || finding.route === counts.route);
     if (!isCounted) continue;
     sum.calls += counts.calls;
-    // A slow old version shows in its overdue calls.
-    sum.bad += finding.measure === Measure.Errors
-      ? counts.failures
-      : counts.overdue;
+    sum.bad += badOf(counts, finding.measure, slow);
   }
   return sum;
 }
+
+function badOf(counts: Counts, measure: Measure, slow: number): number {
+  switch (measure) {
+    case Measure.Errors:
+      return counts.failures;
+    case Measure.Overdue:
+      return counts.overdue;
+    case Measure.Slowness:
+      return counts.overdue + counts.buckets.slice(slow).reduce(
+        (sum, count) => sum + count,
+        0,
+      );
+    default:
+      return exhausted(measure);
+  }
+}
--- a/src/rollout/create_track.ts
+++ b/src/rollout/create_track.ts
@@ -61,5 +61,6 @@
     history: [],
     historyStepMs: 1_000,
     signedAt: -Infinity,
+    heldAt: -Infinity,
   };
 }
--- a/src/rollout/decide_rollout.ts
+++ b/src/rollout/decide_rollout.ts
@@ -14,7 +14,11 @@
 import { beginHold, endHold, releaseHold } from "./keep_hold.ts";
 import { leadRollout } from "./lead_rollout.ts";
 import { mergeReport } from "./merge_report.ts";
-import { type EvidenceReport, ReportLevel } from "./messages.ts";
+import {
+  type EvidenceReport,
+  ReportLevel,
+  type RolloutMessage,
+} from "./messages.ts";
 import { noteToldHold } from "./release_holds.ts";
 import type {
   RolloutEffect,
@@ -69,18 +73,25 @@
       return [];
     case "rollout/hold": {
       const { origin, reason } = message;
-      if (track.leadership) noteToldHold(track.leadership, from, origin, now);
       return beginHold({ state, track, origin, reason, now });
     }
+    case "rollout/held": {
+      const { origin } = message;
+      const isOwn = origin === state.self;
+      if (track.leadership && !isOwn) {
+        noteToldHold(track.leadership, from, origin, now);
+      }
+      return [];
+    }
     case "rollout/release":
       return [
         ...passOn(state, from, message),
-        ...releaseHold(state, track, now),
+        ...releaseHold(state, track, now, message.isProbed),
       ];
     case "rollout/leading":
       if (message.term < track.signTerm) return [];
       track.signAt = now;
-      return [];
+      return passSign(state, from, message);
     default:
       return exhausted(message);
   }
@@ -90,13 +101,25 @@
 function passOn(
   state: RolloutState,
   from: NodeId,
-  message: Extract<RolloutEffect, { type: "tell-domain" }>["message"],
+  message: RolloutMessage,
 ): readonly RolloutEffect[] {
   const isReader = state.readers.some((one) => one.id === state.self);
   const isFromReader = state.readers.some((one) => one.id === from);
   return isReader && !isFromReader ? [{ type: "tell-domain", message }] : [];
 }
 
+/** The reader that the holder knows tells the other readers of its domain. */
+function passSign(
+  state: RolloutState,
+  from: NodeId,
+  message: RolloutMessage,
+): readonly RolloutEffect[] {
+  const [preferred, ...others] = state.readers;
+  const isFromReader = state.readers.some((one) => one.id === from);
+  if (preferred?.id !== state.self || isFromReader) return [];
+  return others.map(({ id }) => ({ type: "send", to: id, message }));
+}
+
 /** Merges a report that is meant for this start or term of this node. */
 function takeReport(
   state: RolloutState,
--- a/src/rollout/judge_evidence.ts
+++ b/src/rollout/judge_evidence.ts
@@ -4,17 +4,17 @@
  */
 import type { MonotonicMs } from "../core/types.ts";
 import { countsOf } from "./count_call.ts";
-import { copyEvidence } from "./make_report.ts";
 import { latencyEdgesMs, Side } from "./messages.ts";
 import {
   type Counts,
   type Evidence,
   type Finding,
   type Judge,
+  type Judgement,
   Measure,
   type TestState,
 } from "./state.ts";
-import { createTest, type Sample, updateTest } from "./update_test.ts";
+import { createTest, type Sample, updateScore } from "./update_score.ts";
 
 /** Stands for all routes together. */
 export const allRoutes = "*";
@@ -28,23 +28,13 @@
 
 /** Share of the old version's answers that counts as slow, at most. */
 const slowShare = 0.1;
+const minOldAnswers = 30;
 
 /** Log-likelihood ratio below which a fault is ruled out. */
 const clearBelow = Math.log(0.01);
 
-/** A route with a smaller share of calls need not be clear on its own. */
-const minRouteShare = 0.05;
-
-/** A judgement of one scope. */
-export type Judgement =
-  | { readonly type: "faulty"; readonly finding: Finding }
-  | {
-    readonly type: "unclear";
-    /** True while a fault is more likely than not. */
-    readonly isSuspect: boolean;
-    readonly calls: number;
-  }
-  | { readonly type: "clear"; readonly calls: number };
+/** Largest rise to rule out on a route with few of the calls. */
+const maxRuleOut = 0.9;
 
 /** Options of `judgeEvidence`. */
 export interface JudgeEvidenceOptions {
@@ -64,29 +54,49 @@
   const elapsedMs = opts.now - judge.judgedAt;
   judge.judgedAt = opts.now;
   const fresh = new Map<string, Record<Side, Counts>>();
-  for (const counts of evidence.values()) {
-    const rise = riseOf(judge, counts);
+  for (const [key, counts] of evidence) {
+    const rise = riseOf(judge, key, counts);
     if (rise === undefined) continue;
     for (const route of [counts.route, allRoutes]) addRise(fresh, route, rise);
   }
+  if (fresh.size === 0 && judge.last !== undefined) return judge.last;
+  const all = judge.tests.get(`${Measure.Errors} ${allRoutes}`);
   for (const [route, sides] of fresh) {
+    const ruleOut = ruleOutOn(judge, route, all, opts.ruleOut);
     for (const measure of Object.values(Measure)) {
       const test = testOf(judge, route, measure);
       const sample = sampleOf({ measure, route, sides, evidence, elapsedMs });
       const floor = floors[measure];
-      updateTest({ test, sample, floor, ruleOut: opts.ruleOut });
+      updateScore({ test, sample, floor, ruleOut });
     }
   }
-  return conclude(opts);
+  judge.last = conclude(opts);
+  return judge.last;
+}
+
+/** A smaller route may rise more before as many calls are at risk. */
+function ruleOutOn(
+  judge: Judge,
+  route: string,
+  all: TestState | undefined,
+  ruleOut: number,
+): number {
+  const test = judge.tests.get(`${Measure.Errors} ${route}`);
+  const total = (all?.calls ?? 0) + (all?.oldCalls ?? 0);
+  const part = ((test?.calls ?? 0) + (test?.oldCalls ?? 0)) / total;
+  return part > 0 ? Math.min(maxRuleOut, ruleOut / part) : ruleOut;
 }
 
 /** Counts since the last judgement, none when they did not grow. */
-function riseOf(judge: Judge, counts: Counts): Counts | undefined {
-  const before = judge.judged.get(`${counts.side} ${counts.route}`);
+function riseOf(
+  judge: Judge,
+  key: string,
+  counts: Counts,
+): Counts | undefined {
+  const before = judge.judged.get(key);
   const hasGrown = counts.calls !== (before?.calls ?? 0) ||
     counts.failures !== (before?.failures ?? 0);
   if (!hasGrown) return undefined;
-  const key = `${counts.side} ${counts.route}`;
   judge.judged.set(key, { ...counts, buckets: [...counts.buckets] });
   return {
     ...counts,
@@ -117,9 +127,10 @@
   sum.calls += rise.calls;
   sum.failures += rise.failures;
   sum.overdue += rise.overdue;
-  sum.buckets = sum.buckets.map((count, bucket) =>
-    count + (rise.buckets[bucket] ?? 0)
-  );
+  for (let bucket = 0; bucket < sum.buckets.length; bucket++) {
+    sum.buckets[bucket] = (sum.buckets[bucket] ?? 0) +
+      (rise.buckets[bucket] ?? 0);
+  }
 }
 
 function testOf(judge: Judge, route: string, measure: Measure): TestState {
@@ -178,10 +189,12 @@
 /** First bucket that holds at most `slowShare` of the old answers above. */
 export function slowFrom(buckets: readonly number[]): number | undefined {
   const total = buckets.reduce((sum, count) => sum + count, 0);
-  if (total === 0) return undefined;
+  if (total < minOldAnswers) return undefined;
   let above = total;
   for (let bucket = 0; bucket <= latencyEdgesMs.length; bucket++) {
-    if (above <= slowShare * total) return bucket;
+    // Two standard errors more: a lucky sample must not set the limit low.
+    const bound = above + 2 * Math.sqrt(above) + 1;
+    if (bound <= slowShare * total) return bucket;
     above -= buckets[bucket] ?? 0;
   }
   return undefined;
@@ -233,18 +246,17 @@
     : { type: "unclear", isSuspect, calls };
 }
 
+/** Every route that the new version has answered has to be clear. */
 function areRoutesClear(judge: Judge): boolean {
-  const all = judge.tests.get(`${Measure.Errors} ${allRoutes}`);
-  const total = (all?.calls ?? 0) + (all?.oldCalls ?? 0);
-  return [...judge.tests].every(([key, test]) => {
-    const isOverdue = key.startsWith(Measure.Overdue);
-    const isSmall = test.calls + test.oldCalls < minRouteShare * total;
-    return isOverdue || isSmall || test.clearance < clearBelow;
-  });
+  return [...judge.tests].every(([key, test]) =>
+    key.startsWith(Measure.Overdue) || test.calls === 0 ||
+    test.clearance < clearBelow
+  );
 }
 
 /** Starts counting anew for the next step. Fault scores go on. */
 export function resetClearance(judge: Judge) {
+  delete judge.last;
   for (const test of judge.tests.values()) {
     test.clearance = 0;
     test.calls = 0;
@@ -257,11 +269,3 @@
   for (const test of judge.tests.values()) test.scores.fill(0);
   resetClearance(judge);
 }
-
-/** Starts judging from the evidence as it stands. */
-export function skipEvidence(judge: Judge, evidence: Evidence) {
-  judge.judged.clear();
-  for (const [key, counts] of copyEvidence(evidence)) {
-    judge.judged.set(key, counts);
-  }
-}
--- /dev/null
+++ b/src/rollout/judge_evidence_test.ts
@@ -0,0 +1,90 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { createJudge } from "./create_track.ts";
+import { countsOf } from "./count_call.ts";
+import { judgeEvidence } from "./judge_evidence.ts";
+import type { Evidence, Judge, Judgement } from "./state.ts";
+
+interface Sides {
+  readonly calls: number;
+  readonly failures?: number;
+  readonly slow?: number;
+  readonly oldCalls?: number;
+  readonly oldFailures?: number;
+}
+
+function add(evidence: Evidence, route: string, sides: Sides) {
+  const { calls, failures = 0, slow = 0 } = sides;
+  const fresh = countsOf(evidence, "new", route);
+  fresh.calls += calls;
+  fresh.failures += failures;
+  fresh.buckets[2] = (fresh.buckets[2] ?? 0) + calls - slow;
+  fresh.buckets[7] = (fresh.buckets[7] ?? 0) + slow;
+  const old = countsOf(evidence, "old", route);
+  old.calls += sides.oldCalls ?? 100;
+  old.failures += sides.oldFailures ?? 0;
+  old.buckets[2] = (old.buckets[2] ?? 0) + (sides.oldCalls ?? 100);
+}
+
+function run(ticks: readonly Sides[], route = "accounts"): Judgement {
+  const judge: Judge = createJudge(0);
+  const evidence: Evidence = new Map();
+  let judgement: Judgement = { type: "unclear", isSuspect: false, calls: 0 };
+  ticks.forEach((sides, index) => {
+    add(evidence, route, sides);
+    judgement = judgeEvidence({
+      judge,
+      evidence,
+      faultyAbove: Math.log(1e4),
+      ruleOut: 0.2,
+      now: index * 1_000,
+    });
+  });
+  return judgement;
+}
+
+const many = <T>(count: number, one: T) => new Array<T>(count).fill(one);
+
+test("failures of the new version alone are a fault", () => {
+  const judgement = run(many(5, { calls: 2, failures: 2 }));
+  assert.equal(judgement.type, "faulty");
+});
+
+test("old version failing as well is no fault", () => {
+  const judgement = run(
+    many(30, { calls: 10, failures: 3, oldFailures: 30 }),
+  );
+  assert.notEqual(judgement.type, "faulty");
+});
+
+test("slow answers are a fault", () => {
+  const judgement = run([{ calls: 0 }, ...many(5, { calls: 4, slow: 4 })]);
+  assert.ok(judgement.type === "faulty");
+  assert.equal(judgement.finding.measure, "slowness");
+});
+
+test("late fault is not diluted by earlier calls", () => {
+  const good = many(200, { calls: 100 });
+  const judgement = run([...good, ...many(2, { calls: 100, failures: 30 })]);
+  assert.equal(judgement.type, "faulty");
+});
+
+test("good calls clear the version", () => {
+  assert.equal(run(many(2, { calls: 2 })).type, "unclear");
+  assert.equal(run(many(20, { calls: 2 })).type, "clear");
+});
+
+test("fault on one small route shows", () => {
+  const judge = createJudge(0);
+  const evidence: Evidence = new Map();
+  let judgement: Judgement | undefined;
+  for (let now = 0; now < 10_000; now += 1_000) {
+    add(evidence, "accounts", { calls: 40 });
+    add(evidence, "renewals", { calls: 1, failures: 1, oldCalls: 5 });
+    const faultyAbove = Math.log(1e4);
+    const opts = { judge, evidence, faultyAbove, ruleOut: 0.2, now };
+    judgement = judgeEvidence(opts);
+  }
+  assert.ok(judgement?.type === "faulty");
+  assert.equal(judgement.finding.route, "renewals");
+});
--- a/src/rollout/keep_hold.ts
+++ b/src/rollout/keep_hold.ts
@@ -41,17 +41,19 @@
   return [changed(track, `Calls to ${keyOf(track)} stop: ${reason}`)];
 }
 
-/** Starts to probe a version whose hold the holder did not confirm. */
+/** Ends a hold at the holder's word, by way of probes or at once. */
 export function releaseHold(
   state: RolloutState,
   track: Track,
   now: MonotonicMs,
+  isProbed: boolean,
 ): readonly RolloutEffect[] {
   if (track.hold?.phase !== HoldPhase.Full) return [];
-  track.hold.phase = HoldPhase.Probing;
-  track.hold.since = now;
   acquit(track.localJudge);
   acquit(track.domainJudge);
+  if (!isProbed) return endHold(state, track);
+  track.hold.phase = HoldPhase.Probing;
+  track.hold.since = now;
   passProbes(state, track, now);
   return [changed(track, `Calls to ${keyOf(track)} are probed again.`)];
 }
--- a/src/rollout/lead_rollout.ts
+++ b/src/rollout/lead_rollout.ts
@@ -5,27 +5,24 @@
 import { RecordKind, type RolloutStep } from "../config_log/messages.ts";
 import { RolloutPhase } from "../config_log/state.ts";
 import { keyOfVersion } from "../core/key_of_version.ts";
+import { exhausted } from "../core/exhausted.ts";
 import { stepMark } from "./claim_lease.ts";
 import { describeFinding } from "./describe_finding.ts";
-import {
-  acquit,
-  judgeEvidence,
-  type Judgement,
-  resetClearance,
-} from "./judge_evidence.ts";
+import { acquit, judgeEvidence, resetClearance } from "./judge_evidence.ts";
 import { beginHold, releaseHold } from "./keep_hold.ts";
-import { confirmFault } from "./confirm_fault.ts";
+import { Blame, confirmFault } from "./confirm_fault.ts";
 import { createJudge } from "./create_track.ts";
 import { noteHistory } from "./note_history.ts";
 import { planStep, ruleOutAt } from "./plan_step.ts";
 import { releaseHolds } from "./release_holds.ts";
-import {
-  type Finding,
-  type Leadership,
-  type RolloutEffect,
-  type RolloutState,
-  type TickedEvent,
-  type Track,
+import type {
+  Fault,
+  Judgement,
+  Leadership,
+  RolloutEffect,
+  RolloutState,
+  TickedEvent,
+  Track,
 } from "./state.ts";
 
 const fleetFaultyAbove = Math.log(1e4);
@@ -35,8 +32,12 @@
 
 /** Own gap between two ticks that shows that this process was paused. */
 const pauseMs = 3_000;
+/** Time in which readers tell a new holder what they know. */
+const rebuildMs = 2_000;
 /** Gap between two signs of life. */
 const signMs = 1_000;
+/** Gap between two orders to hold. */
+const holdGapMs = 1_000;
 /** Time without upstreams after which a rollout is reported as blocked. */
 const absentMs = 5_000;
 
@@ -51,10 +52,15 @@
   noteStage(track, lead, event);
   const { fleet, fault } = judgeScopes(track, event, lead);
   noteHistory(track, lead, event);
+  const isRebuilding = event.now - lead.since < rebuildMs;
+  if (isRebuilding) restart(lead);
   const effects: RolloutEffect[] = [...giveSign(state, track, lead, event)];
   if (fault !== undefined) {
     return [...effects, ...answerFault(state, track, event, lead, fault)];
   }
+  if (lead.alarm !== undefined) {
+    effects.push(...releaseEverywhere(state, track, lead, event.now));
+  }
   effects.push(...releaseHolds(state, track, lead, event.now));
   const step = nextStep(track, event, lead, fleet);
   return step === undefined
@@ -69,6 +75,11 @@
   if (!isPaused) return;
   lead.since = event.now;
   lead.stageAt = event.now;
+  restart(lead);
+}
+
+/** What was seen before does not clear the present share. */
+function restart(lead: Leadership) {
   for (const judge of lead.judges.values()) resetClearance(judge);
 }
 
@@ -78,12 +89,7 @@
   lead.steps = steps;
   lead.stageAt = event.now;
   delete lead.sentSteps;
-  for (const judge of lead.judges.values()) resetClearance(judge);
-}
-
-interface Fault {
-  readonly finding: Finding;
-  readonly scope: string;
+  restart(lead);
 }
 
 function judgeScopes(
@@ -107,13 +113,13 @@
   };
   const fleet = judge(fleetScope, lead.inbox.total, fleetFaultyAbove);
   let fault: Fault | undefined = fleet.type === "faulty"
-    ? { finding: fleet.finding, scope: fleetScope }
+    ? { finding: fleet.finding, scope: fleetScope, evidence: lead.inbox.total }
     : undefined;
   for (const [domain, evidence] of lead.inbox.byDomain) {
     const scope = `failure domain ${domain}`;
     const judgement = judge(scope, evidence, domainFaultyAbove);
     if (judgement.type !== "faulty") continue;
-    fault ??= { finding: judgement.finding, scope };
+    fault ??= { finding: judgement.finding, scope, evidence };
   }
   return { fleet, fault };
 }
@@ -126,54 +132,76 @@
   lead: Leadership,
   fault: Fault,
 ): readonly RolloutEffect[] {
-  if (lead.isRollbackSent) return [];
   const { now } = event;
-  const origin = state.self;
   const reason = describeFinding(fault.finding, fault.scope);
-  const effects = [...beginHold({ state, track, origin, reason, now })];
-  if (effects.length > 0) {
-    const rollout = track.rollout.id;
-    const message = { type: "rollout/hold", rollout, origin, reason } as const;
-    effects.push({ type: "tell-domain", message });
-    for (const to of readersOf(state, lead)) {
-      effects.push({ type: "send", to, message });
-    }
-  }
-  const verdict = confirmFault(track, lead, fault.finding, now);
-  switch (verdict) {
-    case "confirmed":
+  const effects = [
+    ...beginHold({ state, track, origin: state.self, reason, now }),
+    ...holdEverywhere(state, track, lead, reason, now),
+  ];
+  if (lead.isRollbackSent) return effects;
+  const blame = confirmFault({ lead, fault, now });
+  switch (blame) {
+    case Blame.NewVersion:
       lead.isRollbackSent = true;
       return [
         ...effects,
         ...appendStep(track, lead, { type: "rollback", reason }),
       ];
-    case "waiting":
+    case Blame.Undecided:
       return effects;
-    case "acquitted":
+    case Blame.Shared:
       for (const judge of lead.judges.values()) acquit(judge);
-      lead.holds.clear();
-      return [
-        ...effects,
-        ...releaseHold(state, track, now),
-        ...releaseAll(state, track, lead),
-      ];
+      return [...effects, ...releaseEverywhere(state, track, lead, now)];
+    default:
+      return exhausted(blame);
   }
 }
 
-/** Ends the hold everywhere after the old version was seen to fail as well. */
-function releaseAll(
+/** Tells all readers to hold, again and again while the fault is on. */
+function holdEverywhere(
   state: RolloutState,
   track: Track,
   lead: Leadership,
+  reason: string,
+  now: number,
 ): readonly RolloutEffect[] {
+  if (now - lead.heldAt < holdGapMs) return [];
+  lead.heldAt = now;
+  const rollout = track.rollout.id;
+  const origin = state.self;
+  const message = { type: "rollout/hold", rollout, origin, reason } as const;
+  const sends = readersOf(state, lead).map((to) => ({
+    type: "send",
+    to,
+    message,
+  } as const));
+  return [{ type: "tell-domain", message }, ...sends];
+}
+
+/** Ends the holds once the evidence no longer blames the new version. */
+function releaseEverywhere(
+  state: RolloutState,
+  track: Track,
+  lead: Leadership,
+  now: number,
+): readonly RolloutEffect[] {
+  delete lead.alarm;
+  lead.holds.clear();
+  const rollout = track.rollout.id;
   const message = {
     type: "rollout/release",
-    rollout: track.rollout.id,
+    rollout,
+    isProbed: false,
   } as const;
-  const readers = readersOf(state, lead);
+  const sends = readersOf(state, lead).map((to) => ({
+    type: "send",
+    to,
+    message,
+  } as const));
   return [
+    ...releaseHold(state, track, now, false),
     { type: "tell-domain", message },
-    ...readers.map((to) => ({ type: "send", to, message } as const)),
+    ...sends,
   ];
 }
 
--- a/src/rollout/make_report.ts
+++ b/src/rollout/make_report.ts
@@ -4,11 +4,11 @@
  */
 import type { MonotonicMs } from "../core/types.ts";
 import { addCounts } from "./merge_report.ts";
-import { type EvidenceReport, ReportLevel, Side } from "./messages.ts";
+import { type EvidenceReport, ReportLevel } from "./messages.ts";
 import type { Evidence, Outbox, RolloutState } from "./state.ts";
 
 const reportGapMs = 1_000;
-/** Gap while the new version fails or hangs. */
+/** Gap while calls fail or hang. */
 const urgentGapMs = 250;
 /** Gap at which an unchanged report is repeated, in case it was lost. */
 const repeatMs = 2_000;
@@ -26,8 +26,8 @@
 }
 
 /**
- * Returns a report when one is due. A new receiver is a new source that starts
- * from what no earlier receiver was told, so that nothing counts twice.
+ * Returns a report when one is due. For a new reader it starts from what no
+ * earlier reader was told, so that nothing counts twice.
  */
 export function makeReport(
   opts: MakeReportOptions,
@@ -37,7 +37,11 @@
     outbox.receiver = receiver;
     outbox.epoch++;
     outbox.seq = 0;
-    outbox.base = copyEvidence(outbox.sent);
+    // A holder sums only what its own term was told, so it is told all. A
+    // reader's sum goes to the same holder as the sum of the reader before.
+    if (opts.level === ReportLevel.Node) {
+      outbox.base = copyEvidence(outbox.sent);
+    }
   }
   if (opts.now - outbox.sentAt < gapOf(opts)) return undefined;
   outbox.sentAt = opts.now;
@@ -65,10 +69,10 @@
 }
 
 function isUrgent(outbox: Outbox, evidence: Evidence): boolean {
-  return [...evidence].some(([key, { side, failures, overdue }]) => {
+  // Failures of either side, as reports of one alone would be biased.
+  return [...evidence].some(([key, { failures, overdue }]) => {
     const sent = outbox.sent.get(key);
-    const told = (sent?.failures ?? 0) + (sent?.overdue ?? 0);
-    return side === Side.New && failures + overdue > told;
+    return failures + overdue > (sent?.failures ?? 0) + (sent?.overdue ?? 0);
   });
 }
 
--- a/src/rollout/messages.ts
+++ b/src/rollout/messages.ts
@@ -66,8 +66,19 @@
     readonly origin: string;
     readonly reason: string;
   }
-  /** The holder did not confirm a hold: try the version again with probes. */
-  | { readonly type: "rollout/release"; readonly rollout: string }
+  /** Tells the holder that a failure domain holds the version. */
+  | {
+    readonly type: "rollout/held";
+    readonly rollout: string;
+    readonly origin: string;
+  }
+  /** The holder ends a hold. */
+  | {
+    readonly type: "rollout/release";
+    readonly rollout: string;
+    /** True when the fault was neither confirmed nor blamed elsewhere. */
+    readonly isProbed: boolean;
+  }
   /** The holder's sign of life to readers. */
   | {
     readonly type: "rollout/leading";
--- a/src/rollout/plan_step.ts
+++ b/src/rollout/plan_step.ts
@@ -7,7 +7,7 @@
 import { type Rollout, RolloutPhase } from "../config_log/state.ts";
 import type { WallMs } from "../core/types.ts";
 import { WhenUnjudged } from "../lists/types.ts";
-import type { Judgement } from "./judge_evidence.ts";
+import type { Judgement } from "./state.ts";
 
 /** A share of calls, and the rise of a rate to rule out before leaving it. */
 interface Rung {
--- a/src/rollout/release_holds.ts
+++ b/src/rollout/release_holds.ts
@@ -48,6 +48,7 @@
   const message = {
     type: "rollout/release",
     rollout: track.rollout.id,
+    isProbed: true,
   } as const;
   const effects: RolloutEffect[] = [];
   for (const hold of lead.holds.values()) {
@@ -57,7 +58,7 @@
     hold.releases++;
     if (hold.from === state.self) {
       effects.push({ type: "tell-domain", message });
-      effects.push(...releaseHold(state, track, now));
+      effects.push(...releaseHold(state, track, now, true));
     } else {
       effects.push({ type: "send", to: hold.from, message });
     }
--- a/src/rollout/state.ts
+++ b/src/rollout/state.ts
@@ -70,14 +70,30 @@
   /** Decayed counts of the old version. */
   oldCalls: number;
   oldBad: number;
+  /** Counts of the old version since the scope was first judged. */
+  allOldCalls: number;
+  allOldBad: number;
 }
 
+/** A judgement of one scope. */
+export type Judgement =
+  | { readonly type: "faulty"; readonly finding: Finding }
+  | {
+    readonly type: "unclear";
+    /** True while a fault is more likely than not. */
+    readonly isSuspect: boolean;
+    readonly calls: number;
+  }
+  | { readonly type: "clear"; readonly calls: number };
+
 /** The tests of one scope: a node, a failure domain or the fleet. */
 export interface Judge {
   readonly tests: Map<string, TestState>;
   /** Sums that were judged already. */
   readonly judged: Evidence;
   judgedAt: MonotonicMs;
+  /** Judgement that holds until the evidence grows. */
+  last?: Judgement;
 }
 
 /** A fault with the counts that show it. */
@@ -93,6 +109,13 @@
   readonly score: number;
 }
 
+/** A finding with the scope whose evidence shows it. */
+export interface Fault {
+  readonly finding: Finding;
+  readonly scope: string;
+  readonly evidence: Evidence;
+}
+
 export const HoldPhase = {
   /** No calls go to the version. */
   Full: "full",
@@ -150,6 +173,7 @@
   /** A fault that waits for calls of the old version to compare with. */
   alarm?: {
     readonly at: MonotonicMs;
+    readonly fault: Fault;
     readonly oldCalls: number;
     readonly oldBad: number;
   };
@@ -160,6 +184,7 @@
   readonly history: EvidencePoint[];
   historyStepMs: number;
   signedAt: MonotonicMs;
+  heldAt: MonotonicMs;
 }
 
 /** What this node knows of one live rollout. */
--- a/src/rollout/update_test.ts
+++ b/src/rollout/update_score.ts
@@ -17,6 +17,14 @@
 const maxTolerable = 0.9;
 
 const halfLifeMs = 20_000;
+/**
+ * Most that one sample adds to a score. Calls of one moment are not
+ * independent: a single stall must not decide.
+ */
+const maxGain = 5;
+
+/** Calls that the rate of all time weighs against the recent one. */
+const lastingCalls = 50;
 /** Calls that the decayed rate weighs against one tick's rate. */
 const priorCalls = 5;
 
@@ -30,8 +38,8 @@
   readonly elapsedMs: number;
 }
 
-/** Options of `updateTest`. */
-export interface UpdateTestOptions {
+/** Options of `updateScore`. */
+export interface UpdateScoreOptions {
   readonly test: TestState;
   readonly sample: Sample;
   /** Rate that is always tolerated. */
@@ -48,24 +56,27 @@
     bad: 0,
     oldCalls: 0,
     oldBad: 0,
+    allOldCalls: 0,
+    allOldBad: 0,
   };
 }
 
 /** Adds a sample to a test. */
-export function updateTest(opts: UpdateTestOptions) {
+export function updateScore(opts: UpdateScoreOptions) {
   const { test, sample } = opts;
   const decay = 0.5 ** (sample.elapsedMs / halfLifeMs);
-  if (sample.oldCalls > 0) {
-    test.oldCalls = test.oldCalls * decay + sample.oldCalls;
-    test.oldBad = test.oldBad * decay + sample.oldBad;
-  }
+  test.oldCalls = test.oldCalls * decay + sample.oldCalls;
+  test.oldBad = test.oldBad * decay + sample.oldBad;
+  test.allOldCalls += sample.oldCalls;
+  test.allOldBad += sample.oldBad;
   if (sample.calls === 0) return;
   test.calls += sample.calls;
   test.bad += sample.bad;
   const tolerable = tolerableRate(opts);
   faultSizes.forEach((size, index) => {
     const faulty = tolerable + size * (1 - tolerable);
-    const score = (test.scores[index] ?? 0) + ratio(sample, tolerable, faulty);
+    const gain = Math.min(maxGain, ratio(sample, tolerable, faulty));
+    const score = (test.scores[index] ?? 0) + gain;
     test.scores[index] = Math.max(0, score);
   });
   const excluded = tolerable + opts.ruleOut * (1 - tolerable);
@@ -73,9 +84,15 @@
 }
 
 /** The higher of the old version's usual rate and its rate in this sample. */
-function tolerableRate(opts: UpdateTestOptions): number {
+function tolerableRate(opts: UpdateScoreOptions): number {
   const { test, sample } = opts;
-  const usual = test.oldCalls > 0 ? test.oldBad / test.oldCalls : 0;
+  // A bad and a good call more, and a standard error, keep a small sample
+  // from looking perfect. Without recent calls the rate of all time returns.
+  const lasting = (test.allOldBad + 1) / (test.allOldCalls + 2);
+  const weight = Math.min(lastingCalls, test.allOldCalls + 2);
+  const rated = test.oldCalls + weight;
+  const mean = (test.oldBad + weight * lasting) / rated;
+  const usual = mean + Math.sqrt(mean * (1 - mean) / rated);
   const present = (sample.oldBad + priorCalls * usual) /
     (sample.oldCalls + priorCalls);
   const rate = toleratedRatio * Math.max(usual, present) + opts.floor;
--- a/src/rollout/watch_version.ts
+++ b/src/rollout/watch_version.ts
@@ -76,13 +76,18 @@
     origin: hold.origin,
     reason: hold.reason,
   } as const;
+  const held = {
+    type: "rollout/held",
+    rollout: track.rollout.id,
+    origin: hold.origin,
+  } as const;
   const isReader = event.readers.some((reader) => reader.id === state.self);
   if (isReader) {
     return [
       { type: "tell-domain", message },
       ...(holder === undefined || holder === state.self
         ? []
-        : [{ type: "send", to: holder, message } as const]),
+        : [{ type: "send", to: holder, message: held } as const]),
     ];
   }
   // Only who saw the fault repeats it, so that a hold does not echo.
--- a/tools/experiment.ts
+++ b/tools/experiment.ts
@@ -18,6 +18,7 @@
   appending: async () =>
     (await import("./experiments/appending.ts")).runAppending,
   folding: async () => (await import("./experiments/folding.ts")).runFolding,
+  rollouts: async () => (await import("./experiments/rollouts.ts")).runRollouts,
 };
 
 const defaultSeed = "20261204";
--- /dev/null
+++ b/tools/experiments/rollouts.ts
@@ -0,0 +1,119 @@
+/**
+ * Seeded rollouts of good and bad versions on the real decisions.
+ * @module
+ */
+import { RolloutPhase } from "../../src/config_log/state.ts";
+import { type ExperimentOptions, type Figure, figure } from "./figure.ts";
+import { createRandom } from "./rollouts_random.ts";
+import { drawScenarios, type Scenario } from "./rollouts_scenarios.ts";
+import { type RolloutOutcome, runRollout, Strategy } from "./rollouts_world.ts";
+
+const rolloutCount = 240;
+
+interface Run {
+  readonly scenario: Scenario;
+  readonly outcome: RolloutOutcome;
+}
+
+/** Runs the mix with both strategies. */
+export function runRollouts(
+  opts: ExperimentOptions,
+): Promise<readonly Figure[]> {
+  const scenarios = drawScenarios(createRandom(opts.seed), rolloutCount);
+  const run = (strategy: Strategy) =>
+    scenarios.map((scenario) => ({
+      scenario,
+      outcome: runRollout(scenario, strategy),
+    }));
+  opts.onProgress(`Running ${rolloutCount} rollouts on the real decisions.`);
+  const real = run(Strategy.Real);
+  for (const { scenario, outcome } of real) {
+    const isBad = scenario.fault !== undefined;
+    const isRight = outcome.phase ===
+      (isBad ? RolloutPhase.RolledBack : RolloutPhase.Done);
+    if (!isRight || (outcome.stopMs ?? 0) > 2_000) {
+      opts.onProgress(`Wrong: ${JSON.stringify({ ...scenario, ...outcome })}`);
+    }
+  }
+  opts.onProgress(`Running the same rollouts on the plain baseline.`);
+  const baseline = run(Strategy.Baseline);
+  return Promise.resolve([
+    ...summarize("", real, true),
+    ...summarize("baseline: ", baseline, false),
+  ]);
+}
+
+function summarize(
+  prefix: string,
+  runs: readonly Run[],
+  hasTargets: boolean,
+): readonly Figure[] {
+  const good = runs.filter(({ scenario }) => scenario.fault === undefined);
+  const bad = runs.filter(({ scenario }) => scenario.fault !== undefined);
+  const phases = (some: readonly Run[], phase: RolloutPhase) =>
+    some.filter(({ outcome }) => outcome.phase === phase).length /
+    Math.max(1, some.length);
+  const inTime = good.filter(({ scenario, outcome }) =>
+    outcome.phase === RolloutPhase.Done && outcome.endMs <= scenario.totalMs
+  );
+  const calls = sum(runs, (one) => one.calls);
+  const badCalls = sum(runs, (one) => one.badCalls);
+  const stops = bad.flatMap(({ outcome }) => outcome.stopMs ?? []);
+  const shares = runs.map(({ outcome }) => outcome.firstPerMille / 1_000);
+  const make = (
+    name: string,
+    value: number,
+    unit: string,
+    target?: Parameters<typeof figure>[3],
+  ) =>
+    hasTargets
+      ? figure(prefix + name, value, unit, target)
+      : figure(prefix + name, value, unit);
+  return [
+    make("rollouts", runs.length, "rollouts", ">= 200"),
+    make(
+      "bad versions taken back",
+      phases(bad, RolloutPhase.RolledBack),
+      "of bad",
+      "= 1",
+    ),
+    make("first share, largest", Math.max(...shares), "of calls", "<= 0.02"),
+    make("calls served badly", badCalls / calls, "of calls", "< 0.005"),
+    make(
+      "good versions done in time",
+      inTime.length / good.length,
+      "of good",
+      ">= 0.99",
+    ),
+    make(
+      "false rollbacks",
+      phases(good, RolloutPhase.RolledBack),
+      "of good",
+      "< 0.01",
+    ),
+    make(
+      "fault shown to last call, longest",
+      Math.max(0, ...stops) / 1_000,
+      "s",
+      "<= 2",
+    ),
+    make("fault shown to last call, median", median(stops) / 1_000, "s"),
+    make(
+      "good version done, median",
+      median(good.map(({ outcome }) => outcome.endMs)) / 1_000,
+      "s",
+    ),
+  ];
+}
+
+function sum(
+  runs: readonly Run[],
+  valueOf: (outcome: RolloutOutcome) => number,
+): number {
+  return runs.reduce((total, { outcome }) => total + valueOf(outcome), 0);
+}
+
+function median(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
+}
