feat(rollout): measure seeded rollouts beside a baseline

Change: npm run experiment -- rollouts runs 240 seeded rollouts, a curve by fault size and three sequential tests. The gain by overdue evidence is not measured.

--- a/tools/experiments/rollouts.ts
+++ b/tools/experiments/rollouts.ts
@@ -5,10 +5,17 @@
 import { RolloutPhase } from "../../src/config_log/state.ts";
 import { type ExperimentOptions, type Figure, figure } from "./figure.ts";
 import { createRandom } from "./rollouts_random.ts";
-import { drawScenarios, type Scenario } from "./rollouts_scenarios.ts";
+import {
+  deployments,
+  drawScenarios,
+  type Fault,
+  type Scenario,
+} from "./rollouts_scenarios.ts";
+import { compareTests } from "./rollouts_tests.ts";
 import { type RolloutOutcome, runRollout, Strategy } from "./rollouts_world.ts";
 
 const rolloutCount = 240;
+const curveRuns = 8;
 
 interface Run {
   readonly scenario: Scenario;
@@ -40,9 +47,36 @@
   return Promise.resolve([
     ...summarize("", real, true),
     ...summarize("baseline: ", baseline, false),
+    ...curve(opts.seed),
+    ...compareTests(opts.seed),
   ]);
 }
 
+/** Share of versions taken back by the size of their errors and hangs. */
+function curve(seed: number): readonly Figure[] {
+  const [, deployment] = deployments;
+  if (deployment === undefined) return [];
+  const none = { errorShare: 0, hangShare: 0, slowdown: 1, when: "always" };
+  const cases = [
+    ...[0.02, 0.05, 0.1].map((errorShare) => ({ errorShare })),
+    ...[1.5, 2, 4].map((slowdown) => ({ slowdown })),
+    ...[0.02, 0.1].map((hangShare) => ({ hangShare })),
+  ];
+  return cases.map((fault, index) => {
+    const runs = Array.from({ length: curveRuns }, (_, run) =>
+      runRollout({
+        seed: seed + 100 * index + run,
+        deployment,
+        fault: { ...none, ...fault } as Fault,
+        trouble: "none",
+        totalMs: 120_000,
+      }, Strategy.Real));
+    const back = runs.filter((one) => one.phase === RolloutPhase.RolledBack);
+    const name = `curve ${JSON.stringify(fault)}: taken back`;
+    return figure(name, back.length / curveRuns, "of versions");
+  });
+}
+
 function summarize(
   prefix: string,
   runs: readonly Run[],
