--- a/src/adapters/drive_mesh.ts
+++ b/src/adapters/drive_mesh.ts
@@ -27,10 +27,7 @@
 } from "../distribution/state.ts";
 import { createDirectory } from "../membership/create_directory.ts";
 import { decideMembership } from "../membership/decide_membership.ts";
-import {
-  type MembershipMessage,
-  MemberStatus,
-} from "../membership/messages.ts";
+import { type MembershipMessage } from "../membership/messages.ts";
 import { overlayOf } from "../membership/overlay_of.ts";
 import { gatewaysAbroad } from "../membership/speak_domain.ts";
 import {
@@ -66,8 +63,6 @@
   floor(): Offset | undefined;
   /** Why a peer is refused, when it contradicts what is known. */
   checkPeer(info: NodeInfo): string | undefined;
-  /** Live nodes of the own domain, and gateways of the others. */
-  aliveNodes(): NodeId[];
   receiveMembership(from: NodeId, message: MembershipMessage): void;
   receiveDistribution(from: NodeId, message: DistributionMessage): void;
   noteFolded(records: readonly LogRecord[]): void;
@@ -214,12 +209,6 @@
     isReader: () => distribution.isReader,
     floor: () => membership.floor,
     checkPeer: (info) => findContradiction(membership, info),
-    aliveNodes: () => [
-      ...[...membership.members.values()]
-        .filter(({ row }) => row.status === MemberStatus.Alive)
-        .map(({ row }) => row.info.id),
-      ...gateways(),
-    ],
     receiveMembership: (from, message) =>
       runMembership({ type: "received", from, message, now: now() }),
     receiveDistribution: (from, message) =>
--- a/src/adapters/drive_rollout.ts
+++ b/src/adapters/drive_rollout.ts
@@ -9,7 +9,7 @@
 import { keyOfVersion } from "../core/key_of_version.ts";
 import type { NodeId } from "../core/types.ts";
 import { pickReaders } from "../distribution/pick_readers.ts";
-import { aliveIds } from "../membership/decide_membership.ts";
+import { aliveIds } from "../membership/alive_ids.ts";
 import { decideRollout } from "../rollout/decide_rollout.ts";
 import type { RolloutMessage } from "../rollout/messages.ts";
 import {
--- a/src/rollout/decide_rollout_test.ts
+++ b/src/rollout/decide_rollout_test.ts
@@ -309,6 +309,7 @@
       const served = {
         plan: "basic",
         service: "portaal",
+        rules: [],
         routes: [],
         split: {
           stable: "v1",
