feat(once): decide claims on non-repeatable calls

Cause: a booking, payment or renewal must run at most once, whatever dies.

Change: a claim in the stream 'claims' before the run. foldClaim gives the key to the first claim; a node runs only on a folded win of its own attempt. The outcome is recorded for resends; a release, fenced by the attempt, frees a key whose call did not run. Readers batch items into one record, so a batch costs one append however the platform counts. A reader gives verdicts only after a batch of its own, with the oldest offset it started from as floor, has come back: from there on no other reader remembers more than it has read. Losing claims keep a key held, so that readers with different starts free it at the same record.

Ruled out: replicas in the domain's memory, which a herd death erases; forgetting by clock or by each reader's own view of retention, since two readers could then give one key to two attempts.

--- /dev/null
+++ b/src/once/conclude_ask.ts
@@ -0,0 +1,71 @@
+/**
+ * Turns the last verdict on an attempt that did not run into its answer.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { ClaimVerdict } from "./messages.ts";
+import type { ClaimOutcome } from "./state.ts";
+
+const statusConflict = 409;
+const statusMismatch = 422;
+const statusAway = 503;
+
+/** `reason` tells why there is no verdict. */
+export function concludeAsk(
+  verdict: ClaimVerdict | undefined,
+  reason: string,
+): ClaimOutcome {
+  if (verdict === undefined) return refuseNotRun(reason);
+  switch (verdict.type) {
+    case "done":
+      if (verdict.outcome.type === "unknown") return refuseUnknown();
+      return { type: "repeat", outcome: verdict.outcome };
+    case "held":
+      return verdict.isLive ? refuseInProgress() : refuseUnknown();
+    case "mismatch":
+      return {
+        type: "refused",
+        status: statusMismatch,
+        code: "LAGOON_ONCE_MISMATCH",
+        reason: "the idempotency key was used for another request",
+        isNotRun: true,
+      };
+    case "away":
+      return refuseNotRun(verdict.reason);
+    case "won":
+      return refuseNotRun("the deadline passed before the claim was seen");
+    default:
+      return exhausted(verdict);
+  }
+}
+
+function refuseNotRun(reason: string): ClaimOutcome {
+  return {
+    type: "refused",
+    status: statusAway,
+    code: "LAGOON_ONCE_AWAY",
+    reason,
+    isNotRun: true,
+  };
+}
+
+function refuseInProgress(): ClaimOutcome {
+  return {
+    type: "refused",
+    status: statusConflict,
+    code: "LAGOON_ONCE_IN_PROGRESS",
+    reason: "an earlier request with this key is still running",
+    isNotRun: false,
+  };
+}
+
+function refuseUnknown(): ClaimOutcome {
+  return {
+    type: "refused",
+    status: statusConflict,
+    code: "LAGOON_ONCE_UNKNOWN",
+    reason: "an earlier request with this key ran or may have run; its " +
+      "outcome is unknown and it will not run again",
+    isNotRun: false,
+  };
+}
--- /dev/null
+++ b/src/once/fold_claim_test.ts
@@ -0,0 +1,51 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { foldClaim } from "./fold_claim.ts";
+import type { OnceItem, RunOutcome } from "./messages.ts";
+import type { ClaimsState } from "./state.ts";
+
+const key = "k";
+const answered: RunOutcome = { type: "answered", status: 200, headers: {} };
+const claim = (attempt: string): OnceItem => ({
+  type: "claim",
+  key,
+  attempt,
+  digest: "d",
+  leftMs: 1,
+});
+const release = (attempt: string): OnceItem => ({
+  type: "release",
+  key,
+  attempt,
+});
+const outcome = (attempt: string): OnceItem => ({
+  type: "outcome",
+  key,
+  attempt,
+  outcome: answered,
+});
+
+function fold(...items: readonly OnceItem[]) {
+  const state: ClaimsState = { next: 1, floor: 0, held: new Map() };
+  items.forEach((item, index) =>
+    foldClaim({ state, item, offset: index + 1, now: 0 })
+  );
+  return state.held.get(key);
+}
+
+test("late claim does not revive a released one", () => {
+  assert.equal(fold(claim("a"), release("a"), claim("a"))?.attempt, "");
+  assert.equal(fold(release("a"), claim("a"))?.attempt, "");
+});
+
+test("release after an outcome changes nothing", () => {
+  assert.equal(fold(claim("a"), outcome("a"), release("a"))?.attempt, "a");
+});
+
+test("first outcome stays", () => {
+  assert.equal(fold(claim("a"), outcome("a"), outcome("a"))?.outcomeAt, 2);
+});
+
+test("outcome of a loser is ignored", () => {
+  assert.equal(fold(claim("a"), claim("b"), outcome("b"))?.outcomeAt, 0);
+});
--- /dev/null
+++ b/src/once/key_of_call.ts
@@ -0,0 +1,38 @@
+/**
+ * Digests that identify a call with an idempotency key.
+ * @module
+ */
+import { createHash } from "node:crypto";
+
+const digestChars = 22;
+
+/** Options of `keyOfCall`. */
+export interface KeyOfCallOptions {
+  readonly customer: string;
+  readonly service: string;
+  /** Value of the `idempotency-key` header. */
+  readonly idempotencyKey: string;
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  /** Digest of the body, or the body itself when it is small. */
+  readonly body: Uint8Array;
+}
+
+/** Key of the call in the stream, and the digest of what is asked. */
+export function keyOfCall(
+  opts: KeyOfCallOptions,
+): { key: string; digest: string } {
+  const { customer, service, idempotencyKey, method, path } = opts;
+  return {
+    key: digestOf([customer, service, idempotencyKey]),
+    digest: digestOf([method, path, opts.body]),
+  };
+}
+
+/** 128 bits of SHA-256 over parts with their lengths, in base64url. */
+export function digestOf(parts: readonly (string | Uint8Array)[]): string {
+  const hash = createHash("sha256");
+  for (const part of parts) hash.update(`${part.length}:`).update(part);
+  return hash.digest("base64url").slice(0, digestChars);
+}
--- /dev/null
+++ b/src/once/messages.ts
@@ -0,0 +1,92 @@
+/**
+ * Records of the `claims` stream and what nodes ask its readers.
+ * @module
+ */
+import type { Offset } from "../core/types.ts";
+
+/** Stream of the platform's log that carries claims. */
+export const claimsStream = "claims";
+
+/** Largest answer body that an outcome keeps, in bytes. */
+export const maxOutcomeBodyBytes = 16 * 1024;
+
+/** Most bytes of headers that an outcome keeps. */
+export const maxOutcomeHeaderBytes = 1024;
+
+/** How a run ended. */
+export type RunOutcome =
+  | {
+    readonly type: "answered";
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    /** Base64. Absent when the body was too large to keep. */
+    readonly body?: string;
+  }
+  /** It may have run: nobody saw its answer. */
+  | { readonly type: "unknown" };
+
+/** Reserves one run of the call with this key. */
+export interface ClaimItem {
+  readonly type: "claim";
+  /** Digest of customer, service and idempotency key. */
+  readonly key: string;
+  /** Unique for each request that a node takes. */
+  readonly attempt: string;
+  /** Digest of method, path and body. */
+  readonly digest: string;
+  /** Milliseconds that the call had left when it claimed. */
+  readonly leftMs: number;
+}
+
+/** How the attempt that holds the claim ended. */
+export interface OutcomeItem {
+  readonly type: "outcome";
+  readonly key: string;
+  readonly attempt: string;
+  readonly outcome: RunOutcome;
+}
+
+/** Gives a claim up. Sent only by the node whose attempt did not run. */
+export interface ReleaseItem {
+  readonly type: "release";
+  readonly key: string;
+  readonly attempt: string;
+}
+
+export type OnceItem = ClaimItem | OutcomeItem | ReleaseItem;
+
+/** One record of the stream: a batch, so that it costs one append. */
+export interface ClaimBatch {
+  /** Unique for each start of a reader. */
+  readonly writer: string;
+  /** Oldest offset that the writer knew the log to keep. */
+  readonly floor: Offset;
+  readonly items: readonly OnceItem[];
+}
+
+/** What the folded stream says of an attempt. */
+export type ClaimVerdict =
+  | { readonly type: "won" }
+  /** Another attempt holds the key and has no outcome yet. */
+  | { readonly type: "held"; readonly isLive: boolean }
+  | { readonly type: "done"; readonly outcome: RunOutcome }
+  /** The key was used for another request. */
+  | { readonly type: "mismatch" }
+  /** This reader can't decide now. */
+  | { readonly type: "away"; readonly reason: string };
+
+export type OnceMessage =
+  /** Asks a reader for a claim. */
+  | { readonly type: "once/claim"; readonly claim: ClaimItem }
+  | {
+    readonly type: "once/verdict";
+    readonly attempt: string;
+    readonly verdict: ClaimVerdict;
+  }
+  /** Asks a reader to record how an attempt ended. */
+  | {
+    readonly type: "once/finish";
+    readonly item: OutcomeItem | ReleaseItem;
+  }
+  /** The record of the attempt's end is in the log. */
+  | { readonly type: "once/finished"; readonly attempt: string };
--- /dev/null
+++ b/src/once/outcome_of_answer.ts
@@ -0,0 +1,43 @@
+/**
+ * The part of an answer that is recorded for resends.
+ * @module
+ */
+import {
+  maxOutcomeBodyBytes,
+  maxOutcomeHeaderBytes,
+  type RunOutcome,
+} from "./messages.ts";
+
+/** Options of `outcomeOfAnswer`. */
+export interface OutcomeOfAnswerOptions {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  /** Whole body, or undefined when it was too large to hold. */
+  readonly body: Uint8Array | undefined;
+}
+
+/** Keeps status, headers up to their bound and a small body. */
+export function outcomeOfAnswer(opts: OutcomeOfAnswerOptions): RunOutcome {
+  const headers = boundHeaders(opts.headers);
+  const { status, body } = opts;
+  if (body === undefined || body.length > maxOutcomeBodyBytes) {
+    return { type: "answered", status, headers };
+  }
+  const text = Buffer.from(body).toString("base64");
+  return { type: "answered", status, headers, body: text };
+}
+
+function boundHeaders(
+  headers: OutcomeOfAnswerOptions["headers"],
+): Record<string, string> {
+  const kept: Record<string, string> = {};
+  let bytes = 0;
+  for (const [name, value] of Object.entries(headers)) {
+    if (value === undefined) continue;
+    const text = Array.isArray(value) ? value.join(", ") : value;
+    bytes += name.length + text.length;
+    if (bytes > maxOutcomeHeaderBytes) break;
+    kept[name] = text;
+  }
+  return kept;
+}
--- /dev/null
+++ b/src/testing/create_claims_world.ts
@@ -0,0 +1,249 @@
+/**
+ * Readers, asking nodes and a log of claims in memory, for properties.
+ *
+ * The caller decides the order of deliveries, appends, reads and failures.
+ * @module
+ */
+import assert from "node:assert/strict";
+import { createAskState, decideAsk } from "../once/decide_ask.ts";
+import { createReaderState, decideReader } from "../once/decide_reader.ts";
+import { parseBatch } from "../once/fold_batch.ts";
+import type { OnceMessage, RunOutcome } from "../once/messages.ts";
+import type {
+  AskEffect,
+  AskState,
+  ClaimOutcome,
+  ReaderEffect,
+  ReaderEvent,
+  ReaderState,
+} from "../once/state.ts";
+
+/** A run that a folded win allowed. */
+export interface ClaimedRun {
+  readonly node: number;
+  readonly key: string;
+  readonly attempt: string;
+  readonly offset: number;
+  outcome: RunOutcome | "not-run" | undefined;
+}
+
+type Letter = { to: string; from: string; message: OnceMessage };
+
+/** Creates two readers, three nodes, a log and the messages between them. */
+export function createClaimsWorld() {
+  let boots = 0;
+  let now = 0;
+  const bodies: string[] = [];
+  let oldest = 1;
+  let isOut = false;
+  const letters: Letter[] = [];
+  const runs: ClaimedRun[] = [];
+  const repeats: { key: string; outcome: RunOutcome }[] = [];
+  const notRun = new Set<string>();
+  const appends: { reader: number; writer: string; body: string }[] = [];
+  const readers: ReaderState[] = [];
+  const nodes: AskState[] = [];
+  const names = ["r0", "r1"];
+  const digest = "same";
+
+  function startReader(index: number) {
+    readers[index] = createReaderState(`r${index}#${boots++}`);
+    onReader(index, { type: "gone", oldest });
+  }
+  function startNode(index: number) {
+    nodes[index] = createAskState(`n${index}#${boots++}`);
+  }
+  function onReader(index: number, event: ReaderEvent) {
+    const reader = readers[index]!;
+    for (const effect of decideReader(reader, event)) {
+      takeReaderEffect(index, reader, effect);
+    }
+  }
+  function takeReaderEffect(
+    index: number,
+    reader: ReaderState,
+    effect: ReaderEffect,
+  ) {
+    const from = `r${index}`;
+    if (effect.type === "append") {
+      appends.push({
+        reader: index,
+        writer: reader.writer,
+        body: effect.body,
+      });
+    } else if (effect.type === "send") {
+      letters.push({ to: effect.to, from, message: effect.message });
+    } else {
+      const { to, attempt, key, offset } = effect;
+      const item = parseBatch(bodies[offset - 1] ?? "").unwrapOr(undefined)
+        ?.items.find((one) => one.type === "outcome" && one.key === key);
+      assert.ok(item?.type === "outcome");
+      const verdict = { type: "done", outcome: item.outcome } as const;
+      const message = { type: "once/verdict", attempt, verdict } as const;
+      letters.push({ to, from, message });
+    }
+  }
+  function takeAskEffects(index: number, effects: readonly AskEffect[]) {
+    for (const effect of effects) {
+      if (effect.type === "send") {
+        const { to, message } = effect;
+        letters.push({ to, from: `n${index}`, message });
+      } else noteOutcome(index, effect.attempt, effect.outcome);
+    }
+  }
+  function noteOutcome(index: number, attempt: string, out: ClaimOutcome) {
+    const key = keyOf.get(attempt) ?? asking;
+    if (out.type === "repeat") {
+      repeats.push({ key, outcome: out.outcome });
+    } else if (out.type === "run") {
+      runs.push({
+        node: index,
+        key,
+        attempt,
+        offset: offsetOf(attempt),
+        outcome: undefined,
+      });
+      checkRuns(key);
+    } else if (out.isNotRun) notRun.add(attempt);
+  }
+  const keyOf = new Map<string, string>();
+  let asking = "";
+  const offsetOf = (attempt: string) =>
+    1 +
+    bodies.findIndex((body) =>
+      JSON.parse(body).items.some((one: { type: string; attempt: string }) =>
+        one.type === "claim" && one.attempt === attempt
+      )
+    );
+  function checkRuns(key: string) {
+    const ran = runs.filter((one) =>
+      one.key === key && one.outcome !== "not-run" && one.offset >= oldest
+    );
+    assert.ok(ran.length <= 1, `${key} ran ${ran.length} times`);
+  }
+  function ask(index: number, key: string) {
+    const node = nodes[index]!;
+    asking = key;
+    keyOf.set(`${node.writer}/${node.nextSeq}`, key);
+    const deadlineAt = now + 2_000;
+    takeAskEffects(
+      index,
+      decideAsk(node, {
+        type: "asked",
+        key,
+        digest,
+        deadlineAt,
+        readers: names,
+        now,
+      }),
+    );
+  }
+  function deliver(pick: number, isDoubled: boolean) {
+    if (letters.length === 0) return;
+    const at = pick % letters.length;
+    const letter = letters[at]!;
+    if (!isDoubled) letters.splice(at, 1);
+    else if (letters.length > 200) return;
+    const index = Number(letter.to[1]);
+    const { message, from } = letter;
+    if (message.type === "once/claim" || message.type === "once/finish") {
+      onReader(index, { type: "received", from, message, now });
+    } else {
+      const event = { type: "received", message, now } as const;
+      takeAskEffects(index, decideAsk(nodes[index]!, event));
+    }
+  }
+  /** Lands an append. Its reply may be lost after the effect. */
+  function land(pick: number, isReplyLost: boolean) {
+    if (appends.length === 0) return;
+    const [one] = appends.splice(pick % appends.length, 1);
+    const isKept = !isOut;
+    if (isKept) bodies.push(one!.body);
+    if (readers[one!.reader]!.writer !== one!.writer) return;
+    const isOk = isKept && !isReplyLost;
+    onReader(
+      one!.reader,
+      isOk
+        ? { type: "appended", now }
+        : { type: "append-failed", now, random: 0.5 },
+    );
+  }
+  function read(index: number) {
+    const { next } = readers[index]!.claims;
+    if (isOut) return;
+    if (next < oldest) return onReader(index, { type: "gone", oldest });
+    const records = bodies.slice(next - 1).map((body, i) => ({
+      offset: next + i,
+      body,
+    }));
+    onReader(index, { type: "read", records, oldest, now });
+  }
+  function endRun(pick: number, kind: number) {
+    const open = runs.filter((one) => one.outcome === undefined);
+    const run = open[pick % Math.max(1, open.length)];
+    if (run === undefined) return;
+    const outcome: RunOutcome | undefined = kind % 3 === 0
+      ? undefined
+      : kind % 3 === 1
+      ? { type: "unknown" }
+      : { type: "answered", status: 200, headers: {}, body: run.attempt };
+    run.outcome = outcome ?? "not-run";
+    const { attempt } = run;
+    takeAskEffects(
+      run.node,
+      decideAsk(nodes[run.node]!, {
+        type: "settled",
+        attempt,
+        outcome,
+        readers: names,
+        now,
+      }),
+    );
+  }
+  function pass(ms: number) {
+    now += ms;
+    for (const index of readers.keys()) {
+      onReader(index, { type: "ticked", now });
+    }
+    for (const [index, node] of nodes.entries()) {
+      const event = { type: "ticked", readers: names, now } as const;
+      takeAskEffects(index, decideAsk(node, event));
+    }
+  }
+  /** Runs without faults until everything under way is done. */
+  function calm() {
+    isOut = false;
+    for (let round = 0; round < 60; round++) {
+      pass(200);
+      while (appends.length > 0) land(0, false);
+      for (const index of readers.keys()) read(index);
+      for (let left = letters.length; left > 0; left--) deliver(0, false);
+    }
+  }
+  function retain(count: number) {
+    oldest = Math.max(oldest, bodies.length + 1 - count);
+  }
+  for (const index of [0, 1]) startReader(index);
+  for (const index of [0, 1, 2]) startNode(index);
+  return {
+    runs,
+    repeats,
+    notRun,
+    readers,
+    nodes,
+    ask,
+    deliver,
+    drop: (pick: number) =>
+      letters.splice(pick % Math.max(1, letters.length), 1),
+    land,
+    read,
+    endRun,
+    pass,
+    calm,
+    retain,
+    startReader,
+    /** Its runs go on at their homes; nobody records how they end. */
+    startNode,
+    turnOutage: () => isOut = !isOut,
+  };
+}
