feat(quarantine): stop requests that crash their upstreams

Cause: one request may crash each upstream that runs it, and is sent again.

Change: each request in flight at a crash becomes a suspect by fingerprint. A suspect runs alone on an endpoint, one trial at a time in the domain, granted by the member first by rendezvous hash of the fingerprint, so that innocents are tried side by side. A whole answer excuses the crashes known then; a second crash convicts. Rows merge as unions, so late, doubled and crossed messages converge. The failed callers are answered after the members have confirmed the crash, or after 300 ms, so a resend meets nodes that know.

Guards removed one at a time, each caught by a test: excusing, conviction at two, bound, convicted dropped last, suspect needs a trial, nothing beside a trial, trial waits for an empty endpoint, one trial at a time, grants to suspects only, doubled and unwanted grants, fenced end of a trial, expiry, whole answers only, news told at once, told after all heard.

--- /dev/null
+++ b/src/quarantine/decide_quarantine.ts
@@ -0,0 +1,195 @@
+/**
+ * Decides which requests are kept from upstreams after a crash.
+ *
+ * One crash makes every request in flight a suspect. A suspect runs alone, one
+ * at a time in the failure domain. A whole answer clears it; a second crash
+ * convicts it.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import {
+  answerTrial,
+  askTrial,
+  endTrial,
+  pursueTrial,
+  takeAnswer,
+} from "./decide_trial.ts";
+import { levelOf, mergeRow, rowOf } from "./merge_row.ts";
+import type { QuarantineMessage, SuspectRow } from "./messages.ts";
+import {
+  type QuarantineEffect,
+  type QuarantineEvent,
+  type QuarantineState,
+  SuspicionLevel,
+} from "./state.ts";
+
+/** Longest wait for members to confirm a crash, in milliseconds. */
+export const newsWaitMs = 300;
+
+/** Takes one event in turn. */
+export function decideQuarantine(
+  state: QuarantineState,
+  event: QuarantineEvent,
+): readonly QuarantineEffect[] {
+  const { members } = event;
+  switch (event.type) {
+    case "received":
+      return receive(state, event);
+    case "trial-asked":
+      return askTrial(state, event);
+    case "trial-dropped":
+      for (const calls of state.endpoints.values()) {
+        if (calls.reservedFor === event.trial) calls.reservedFor = "";
+      }
+      return endTrial(state, event, members);
+    case "ended":
+      return end(state, event);
+    case "crashed":
+      return crash(state, event);
+    case "ticked":
+      return tick(state, members, event.now);
+    default:
+      return exhausted(event);
+  }
+}
+
+function receive(
+  state: QuarantineState,
+  event: Extract<QuarantineEvent, { type: "received" }>,
+): readonly QuarantineEffect[] {
+  const { from, message, now } = event;
+  switch (message.type) {
+    case "quarantine/rows": {
+      const { crash, rows } = message;
+      for (const row of rows) mergeRow(state, row, now);
+      if (crash === undefined) return [];
+      return [send(from, { type: "quarantine/heard", crash })];
+    }
+    case "quarantine/heard":
+      return noteHeard(state, message.crash, from);
+    case "quarantine/ask":
+      return [send(from, answerTrial(state, message, now))];
+    case "quarantine/answer":
+      mergeRow(state, message.row, now);
+      return takeAnswer(state, message, from);
+    case "quarantine/over": {
+      mergeRow(state, message.row, now);
+      const { fingerprint, trial } = message;
+      const current = state.granted.get(fingerprint);
+      if (current?.trial === trial) state.granted.delete(fingerprint);
+      return [];
+    }
+    default:
+      return exhausted(message);
+  }
+}
+
+function noteHeard(
+  state: QuarantineState,
+  crash: string,
+  from: NodeId,
+): readonly QuarantineEffect[] {
+  const news = state.news.get(crash);
+  if (news === undefined) return [];
+  news.unheard.delete(from);
+  if (news.unheard.size > 0) return [];
+  state.news.delete(crash);
+  return [{ type: "told", endpoint: news.endpoint }];
+}
+
+function end(
+  state: QuarantineState,
+  event: Extract<QuarantineEvent, { type: "ended" }>,
+): readonly QuarantineEffect[] {
+  const { endpoint, call, isWhole, members, now } = event;
+  const calls = state.endpoints.get(endpoint);
+  const running = calls?.running.get(call);
+  if (calls === undefined || running === undefined) return [];
+  calls.running.delete(call);
+  if (calls.reservedFor === running.trial) calls.reservedFor = "";
+  const isIdle = calls.running.size === 0 && calls.reservedFor === "";
+  if (isIdle) state.endpoints.delete(endpoint);
+  const { fingerprint } = running;
+  const effects: QuarantineEffect[] = [];
+  if (isWhole && levelOf(state, fingerprint) !== SuspicionLevel.Clear) {
+    const row = rowOf(state, fingerprint);
+    mergeRow(state, { ...row, excused: row.crashes }, now);
+    const rows = [rowOf(state, fingerprint)];
+    effects.push(...tellOthers(state, rows, members));
+  }
+  return [...effects, ...endTrial(state, running, members)];
+}
+
+function crash(
+  state: QuarantineState,
+  event: Extract<QuarantineEvent, { type: "crashed" }>,
+): readonly QuarantineEffect[] {
+  const { endpoint, members, now } = event;
+  const calls = state.endpoints.get(endpoint);
+  state.endpoints.delete(endpoint);
+  const all = [...calls?.running.values() ?? []];
+  const unheard = new Set(members.filter((id) => id !== state.self));
+  const id = `${state.boot}/${state.nextId++}`;
+  const fingerprints = [...new Set(all.map((one) => one.fingerprint))];
+  for (const fingerprint of fingerprints) {
+    mergeRow(state, { fingerprint, crashes: [id], excused: [] }, now);
+  }
+  if (all.length === 0 || unheard.size === 0) {
+    const ends = all.flatMap((one) => endTrial(state, one, members));
+    return [...ends, { type: "told", endpoint }];
+  }
+  const rows = fingerprints.map((one) => rowOf(state, one));
+  const endsAt = now + newsWaitMs;
+  state.news.set(id, { endpoint, rows, unheard, endsAt });
+  return [
+    ...tellOthers(state, rows, members, id),
+    ...all.flatMap((one) => endTrial(state, one, members)),
+  ];
+}
+
+function tick(
+  state: QuarantineState,
+  members: readonly NodeId[],
+  now: MonotonicMs,
+): readonly QuarantineEffect[] {
+  expire(state, now);
+  const trials = [...state.asked.keys()].flatMap((trial) =>
+    pursueTrial(state, trial, members, now)
+  );
+  const news = [...state.news].flatMap(([id, one]): QuarantineEffect[] => {
+    const { rows, endpoint } = one;
+    if (now < one.endsAt) return tellOthers(state, rows, [...one.unheard], id);
+    state.news.delete(id);
+    return [{ type: "told", endpoint }];
+  });
+  return [...trials, ...news];
+}
+
+function tellOthers(
+  state: QuarantineState,
+  rows: readonly SuspectRow[],
+  members: readonly NodeId[],
+  crash?: string,
+): QuarantineEffect[] {
+  const message: QuarantineMessage = crash === undefined
+    ? { type: "quarantine/rows", rows }
+    : { type: "quarantine/rows", rows, crash };
+  return members.filter((id) => id !== state.self).map((id) =>
+    send(id, message)
+  );
+}
+
+function expire(state: QuarantineState, now: MonotonicMs) {
+  for (const [fingerprint, known] of state.suspects) {
+    if (known.expiresAt > now) break;
+    state.suspects.delete(fingerprint);
+  }
+  for (const [fingerprint, one] of state.granted) {
+    if (one.endsAt <= now) state.granted.delete(fingerprint);
+  }
+}
+
+function send(to: NodeId, message: QuarantineMessage): QuarantineEffect {
+  return { type: "send", to, message };
+}
--- /dev/null
+++ b/src/quarantine/fingerprint_of.ts
@@ -0,0 +1,29 @@
+/**
+ * Identifies a request that may crash its upstreams, with its resends.
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { Fingerprint } from "./messages.ts";
+
+const fingerprintChars = 16;
+
+/** Options of `fingerprintOf`. */
+export interface FingerprintOfOptions {
+  readonly customer: string;
+  readonly service: string;
+  readonly method: string;
+  /** Path with its query. */
+  readonly path: string;
+  /** Digest of the small body, else the idempotency key, else empty. */
+  readonly content: string;
+}
+
+/** Fingerprint of a request: 96 bits of SHA-256 in base64url. */
+export function fingerprintOf(opts: FingerprintOfOptions): Fingerprint {
+  const { customer, service, method, path, content } = opts;
+  const hash = createHash("sha256");
+  for (const part of [customer, service, method, path, content]) {
+    hash.update(`${part.length}:${part}`);
+  }
+  return hash.digest("base64url").slice(0, fingerprintChars);
+}
--- /dev/null
+++ b/src/quarantine/merge_row.ts
@@ -0,0 +1,88 @@
+/**
+ * Merges what peers say of a fingerprint into what this node knows.
+ * @module
+ */
+import type { MonotonicMs } from "../core/types.ts";
+import type { Fingerprint, SuspectRow } from "./messages.ts";
+import {
+  type KnownSuspect,
+  type QuarantineState,
+  SuspicionLevel,
+} from "./state.ts";
+
+/** Fingerprints that a node remembers. */
+export const maxSuspects = 4_096;
+
+/** How long a fingerprint is remembered after its last change, in ms. */
+export const suspectTtlMs = 30 * 60 * 1_000;
+
+/** Crashes after which a request is refused. */
+export const crashesToConvict = 2;
+
+const maxIds = 8;
+
+/** Takes a row. True when it changed what this node knows. */
+export function mergeRow(
+  state: QuarantineState,
+  row: SuspectRow,
+  now: MonotonicMs,
+): boolean {
+  const known = state.suspects.get(row.fingerprint);
+  const merged: SuspectRow = {
+    fingerprint: row.fingerprint,
+    crashes: union(known?.row.crashes ?? [], row.crashes),
+    excused: union(known?.row.excused ?? [], row.excused),
+  };
+  const isSame = known !== undefined &&
+    known.row.crashes.length === merged.crashes.length &&
+    known.row.excused.length === merged.excused.length;
+  if (isSame) return false;
+  state.suspects.delete(row.fingerprint);
+  if (state.suspects.size >= maxSuspects) makeRoom(state);
+  const next: KnownSuspect = { row: merged, expiresAt: now + suspectTtlMs };
+  state.suspects.set(row.fingerprint, next);
+  return true;
+}
+
+/** What is known of a fingerprint, an empty row when nothing is. */
+export function rowOf(
+  state: QuarantineState,
+  fingerprint: Fingerprint,
+): SuspectRow {
+  return state.suspects.get(fingerprint)?.row ??
+    { fingerprint, crashes: [], excused: [] };
+}
+
+/** Suspicion of a fingerprint now. */
+export function levelOf(
+  state: QuarantineState,
+  fingerprint: Fingerprint,
+): SuspicionLevel {
+  const known = state.suspects.get(fingerprint);
+  if (known === undefined) return SuspicionLevel.Clear;
+  const { crashes, excused } = known.row;
+  const counted = crashes.filter((one) => !excused.includes(one)).length;
+  if (counted === 0) return SuspicionLevel.Clear;
+  return counted < crashesToConvict
+    ? SuspicionLevel.Suspect
+    : SuspicionLevel.Convicted;
+}
+
+function union(
+  known: readonly string[],
+  more: readonly string[],
+): readonly string[] {
+  return [...new Set([...known, ...more])].slice(-maxIds);
+}
+
+/** Forgets the oldest cleared or suspected row, a convicted one last. */
+function makeRoom(state: QuarantineState) {
+  let oldest: Fingerprint | undefined;
+  for (const fingerprint of state.suspects.keys()) {
+    oldest ??= fingerprint;
+    if (levelOf(state, fingerprint) === SuspicionLevel.Convicted) continue;
+    oldest = fingerprint;
+    break;
+  }
+  if (oldest !== undefined) state.suspects.delete(oldest);
+}
