feat(adapters): drive claims and quarantine

Cause: the decisions of once and quarantine need the log, peers and timers.

A reader reads outcomes from the log when a resend asks, so that its memory holds no bodies, and one read serves all who wait for the record. Readers are chosen once a tick: hashing every member for each event, and one read for each resend, starved the loop. The log client takes a bound on records; the stand-in limits and delays appends.

--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -14,6 +14,7 @@
   NodeId,
   NodeInfo,
 } from "../core/types.ts";
+import { aliveIds } from "../membership/decide_membership.ts";
 import type { MembershipState } from "../membership/state.ts";
 import type {
   CallEvent,
@@ -24,6 +25,8 @@
 import type { ControlContext } from "./control_context.ts";
 import { type ConfigDriver, driveConfig } from "./drive_config.ts";
 import { driveMesh } from "./drive_mesh.ts";
+import { driveOnce, type OnceDriver } from "./drive_once.ts";
+import { driveQuarantine, type QuarantineDriver } from "./drive_quarantine.ts";
 import { driveRollout } from "./drive_rollout.ts";
 import type { LogClient } from "./log_client.ts";
 import { type Metrics, noMetrics } from "./metrics.ts";
@@ -50,6 +53,8 @@
   readonly membership: Readonly<MembershipState>;
   /** Versions that get no calls from this node, `service@version`. */
   readonly held: ReadonlySet<string>;
+  readonly once: OnceDriver;
+  readonly quarantine: QuarantineDriver;
   config(): ConfigState;
   /** Configuration in force, none before the first. */
   serving(): ServingConfig | undefined;
@@ -95,6 +100,9 @@
     onApplied: mesh.noteApplied,
   });
   const rollout = driveRollout({ context, config, mesh });
+  const members = () => aliveIds(mesh.membership);
+  const once = driveOnce({ context, log, members });
+  const quarantine = driveQuarantine({ context, members });
 
   function receive(from: NodeId, message: PeerMessage) {
     switch (message.type) {
@@ -124,6 +132,17 @@
       case "rollout/release":
       case "rollout/leading":
         return rollout.receive(from, message);
+      case "once/claim":
+      case "once/verdict":
+      case "once/finish":
+      case "once/finished":
+        return once.receive(from, message);
+      case "quarantine/rows":
+      case "quarantine/heard":
+      case "quarantine/ask":
+      case "quarantine/answer":
+      case "quarantine/over":
+        return quarantine.receive(from, message);
       default:
         exhausted(message);
     }
@@ -133,6 +152,8 @@
     mesh.tick();
     config.tick(mesh.isReader());
     rollout.tick();
+    once.tick();
+    quarantine.tick();
   }
   loop.post(Priority.Config, tick);
   const timer = setInterval(() => loop.post(Priority.Config, tick), tickMs);
@@ -147,6 +168,8 @@
     directory: mesh.directory,
     membership: mesh.membership,
     held: rollout.held,
+    once,
+    quarantine,
     config: config.state,
     serving: config.serving,
     receive: (from, message) => {
@@ -163,6 +186,8 @@
     leave: () => inTurn(Priority.Drain, mesh.leave),
     close: () => {
       clearInterval(timer);
+      once.close();
+      quarantine.close();
       mesh.close();
       config.close();
       loop.close();
--- /dev/null
+++ b/src/adapters/drive_once.ts
@@ -0,0 +1,167 @@
+/**
+ * Drives calls with an idempotency key: claims before, outcomes after.
+ * @module
+ */
+import createDebug from "debug";
+import { Priority } from "../control/create_control_loop.ts";
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import { pickReaders } from "../distribution/pick_readers.ts";
+import { createAskState, decideAsk } from "../once/decide_ask.ts";
+import { keyOfCall, type KeyOfCallOptions } from "../once/key_of_call.ts";
+import type { OnceMessage, RunOutcome } from "../once/messages.ts";
+import type { AskEvent, ClaimOutcome } from "../once/state.ts";
+import type { ControlContext } from "./control_context.ts";
+import type { LogClient } from "./log_client.ts";
+import { type ClaimReader, readClaims } from "./read_claims.ts";
+
+const logger = createDebug("lagoon:once");
+
+const askTickMs = 25;
+
+/** Options of `driveOnce`. */
+export interface DriveOnceOptions {
+  readonly context: ControlContext;
+  readonly log: LogClient;
+  /** Live nodes of the own failure domain. */
+  readonly members: () => readonly NodeId[];
+}
+
+/** A call on a non-repeatable route with an idempotency key. */
+export interface OnceCall extends KeyOfCallOptions {
+  readonly deadlineAt: MonotonicMs;
+}
+
+export interface OnceDriver {
+  /** Resolves with what the call may do, at its deadline at the latest. */
+  claim(call: OnceCall): Promise<ClaimOutcome>;
+  /**
+   * Records how the run of an attempt ended. No outcome means that it truly
+   * did not run, so that a resend may.
+   */
+  settle(attempt: string, outcome: RunOutcome | undefined): void;
+  receive(from: NodeId, message: OnceMessage): void;
+  tick(): void;
+  close(): void;
+}
+
+/** Creates the driver. `claim` and `settle` may be called from anywhere. */
+export function driveOnce(opts: DriveOnceOptions): OnceDriver {
+  const { context, members } = opts;
+  const { self, loop, now } = context;
+  const asking = createAskState(`${self.id}/${self.boot}`);
+  const waiting = new Map<string, (outcome: ClaimOutcome) => void>();
+  let reader: ClaimReader | undefined;
+  let timer: NodeJS.Timeout | undefined;
+  // Hashing every member is too slow for each call.
+  let chosen: readonly NodeId[] = [];
+  const readers = () => chosen;
+
+  function send(to: NodeId, message: OnceMessage) {
+    if (to !== self.id) return context.send(to, message);
+    loop.post(Priority.Config, () => receive(self.id, message));
+  }
+
+  function runAsk(event: AskEvent) {
+    for (const effect of decideAsk(asking, event)) {
+      switch (effect.type) {
+        case "send":
+          send(effect.to, effect.message);
+          break;
+        case "resolve":
+          waiting.get(effect.attempt)?.(effect.outcome);
+          waiting.delete(effect.attempt);
+          break;
+        default:
+          exhausted(effect);
+      }
+    }
+    schedule();
+  }
+
+  /** Looks again soon while an attempt waits for a reader. */
+  function schedule() {
+    if (timer !== undefined) return;
+    if (asking.attempts.size === 0) return;
+    timer = setTimeout(() => {
+      timer = undefined;
+      loop.post(
+        Priority.Config,
+        () => runAsk({ type: "ticked", readers: readers(), now: now() }),
+      );
+    }, askTickMs);
+  }
+
+  function receive(from: NodeId, message: OnceMessage) {
+    switch (message.type) {
+      case "once/claim":
+      case "once/finish":
+        if (reader !== undefined) return reader.receive(from, message);
+        return refuse(from, message);
+      case "once/verdict":
+      case "once/finished":
+        return runAsk({ type: "received", message, now: now() });
+      default:
+        exhausted(message);
+    }
+  }
+
+  function refuse(from: NodeId, message: OnceMessage) {
+    if (message.type !== "once/claim") return;
+    const { attempt } = message.claim;
+    const verdict = { type: "away", reason: "not a reader of claims" } as const;
+    send(from, { type: "once/verdict", attempt, verdict });
+  }
+
+  function chooseRole() {
+    chosen = pickReaders(members(), self.domain);
+    const isReader = chosen.includes(self.id);
+    if (isReader === (reader !== undefined)) return;
+    logger(isReader ? "This node reads claims." : "Others read claims now.");
+    reader?.close();
+    reader = isReader
+      ? readClaims({ context, log: opts.log, send })
+      : undefined;
+  }
+
+  function ask(call: OnceCall, resolve: (outcome: ClaimOutcome) => void) {
+    const attempt = `${asking.writer}/${asking.nextSeq}`;
+    waiting.set(attempt, resolve);
+    const { deadlineAt } = call;
+    const { key, digest } = keyOfCall(call);
+    runAsk({
+      type: "asked",
+      key,
+      digest,
+      deadlineAt,
+      readers: readers(),
+      now: now(),
+    });
+  }
+
+  return {
+    claim: (call) =>
+      new Promise((resolve) => {
+        loop.post(Priority.Config, () => ask(call, resolve));
+      }),
+    settle: (attempt, outcome) => {
+      loop.post(Priority.Config, () =>
+        runAsk({
+          type: "settled",
+          attempt,
+          outcome,
+          readers: readers(),
+          now: now(),
+        }));
+    },
+    receive,
+    tick: () => {
+      chooseRole();
+      reader?.tick();
+    },
+    close: () => {
+      clearTimeout(timer);
+      reader?.close();
+    },
+  };
+}
--- a/src/adapters/log_client.ts
+++ b/src/adapters/log_client.ts
@@ -45,6 +45,8 @@
   readonly from: Offset;
   /** Longest wait for a new record, in milliseconds. */
   readonly waitMs: number;
+  /** Most records wanted, 500 when absent. */
+  readonly max?: number;
 }
 
 /** Options of `createLogClient`. */
@@ -82,10 +84,10 @@
       });
       return reply.map((one) => one.first);
     },
-    read: ({ stream, from, waitMs }) =>
+    read: ({ stream, from, waitMs, max = maxRecords }) =>
       call({
         method: "GET",
-        path: `/streams/${stream}/records?from=${from}&max=${maxRecords}` +
+        path: `/streams/${stream}/records?from=${from}&max=${max}` +
           `&wait_ms=${waitMs}`,
         timeoutMs: waitMs + opts.timeoutMs,
         schema: pageSchema,
--- a/src/adapters/peer_message.ts
+++ b/src/adapters/peer_message.ts
@@ -14,11 +14,15 @@
   type MembershipMessage,
   membershipSchema,
 } from "../membership/messages.ts";
+import type { OnceMessage } from "../once/messages.ts";
+import type { QuarantineMessage } from "../quarantine/messages.ts";
 import type { RolloutMessage } from "../rollout/messages.ts";
 
 export type PeerMessage =
   | DistributionMessage
   | MembershipMessage
+  | OnceMessage
+  | QuarantineMessage
   | RolloutMessage;
 
 /** Version of all messages. Peers of another version are refused. */
@@ -28,11 +32,16 @@
 const schemas: Readonly<Record<string, v.GenericSchema>> = {
   distribution: distributionSchema,
   membership: membershipSchema,
-  rollout: v.looseObject({
-    type: v.pipe(v.string(), v.startsWith("rollout/")),
-  }),
+  once: looseOf("once/"),
+  quarantine: looseOf("quarantine/"),
+  rollout: looseOf("rollout/"),
 };
 
+/** Fields of these messages are not checked yet. */
+function looseOf(prefix: string): v.GenericSchema {
+  return v.looseObject({ type: v.pipe(v.string(), v.startsWith(prefix)) });
+}
+
 /** Checks a decoded message. The error names the peer and the field. */
 export function parsePeerMessage(
   from: NodeId,
--- /dev/null
+++ b/src/adapters/read_claims.ts
@@ -0,0 +1,184 @@
+/**
+ * Follows the stream of claims and appends to it, while this node is a reader.
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import createDebug from "debug";
+import { Priority } from "../control/create_control_loop.ts";
+import { formatError } from "../core/errors.ts";
+import { exhausted } from "../core/exhausted.ts";
+import type { NodeId, Offset } from "../core/types.ts";
+import { createReaderState, decideReader } from "../once/decide_reader.ts";
+import { parseBatch } from "../once/fold_batch.ts";
+import {
+  claimsStream,
+  type ClaimVerdict,
+  type OnceItem,
+  type OnceMessage,
+} from "../once/messages.ts";
+import type { ReaderEffect, ReaderEvent } from "../once/state.ts";
+import type { ControlContext } from "./control_context.ts";
+import { followLog, type LogFollower } from "./follow_log.ts";
+import type { LogClient } from "./log_client.ts";
+
+const logger = createDebug("lagoon:once");
+
+const appendTickMs = 5;
+const retryMs = 500;
+
+/** Options of `readClaims`. */
+export interface ReadClaimsOptions {
+  readonly context: ControlContext;
+  readonly log: LogClient;
+  readonly send: (to: NodeId, message: OnceMessage) => void;
+}
+
+export interface ClaimReader {
+  receive(
+    from: NodeId,
+    message: Extract<OnceMessage, { type: "once/claim" | "once/finish" }>,
+  ): void;
+  tick(): void;
+  close(): void;
+}
+
+let starts = 0;
+
+/** Starts reading from the oldest record that the log keeps. */
+export function readClaims(opts: ReadClaimsOptions): ClaimReader {
+  const { context, log, send } = opts;
+  const { loop, now, self } = context;
+  const state = createReaderState(`${self.id}/${self.boot}/${starts++}`);
+  const stopped = new AbortController();
+  const reading = new Map<Offset, Promise<readonly OnceItem[]>>();
+  let follower: LogFollower | undefined;
+  let timer: NodeJS.Timeout | undefined;
+
+  function run(event: ReaderEvent) {
+    if (stopped.signal.aborted) return;
+    for (const effect of decideReader(state, event)) apply(effect);
+    schedule();
+  }
+
+  const post = (event: ReaderEvent) =>
+    new Promise<void>((resolve) => {
+      loop.post(Priority.Config, () => {
+        resolve();
+        run(event);
+      });
+    });
+
+  function apply(effect: ReaderEffect) {
+    switch (effect.type) {
+      case "send":
+        return send(effect.to, effect.message);
+      case "append":
+        append(effect.body);
+        return;
+      case "tell-outcome":
+        tellOutcome(effect);
+        return;
+      default:
+        exhausted(effect);
+    }
+  }
+
+  async function append(body: string) {
+    const reply = await log.append(claimsStream, [body]);
+    if (reply.isErr()) logger("%s", formatError(reply.error));
+    await post(
+      reply.isOk()
+        ? { type: "appended", now: now() }
+        : { type: "append-failed", now: now(), random: Math.random() },
+    );
+  }
+
+  /** One read serves every resend that waits for the same record. */
+  function readItems(offset: Offset): Promise<readonly OnceItem[]> {
+    const items = log.read({
+      stream: claimsStream,
+      from: offset,
+      waitMs: 0,
+      max: 1,
+    })
+      .then((page) => {
+        reading.delete(offset);
+        const record = page.isOk() ? page.value.records[0] : undefined;
+        if (record === undefined) return [];
+        return parseBatch(record.body).map((one) => one.items).unwrapOr([]);
+      });
+    reading.set(offset, items);
+    return items;
+  }
+
+  /** Outcomes stay in the log, so a reader's memory holds no bodies. */
+  async function tellOutcome(
+    effect: Extract<ReaderEffect, { type: "tell-outcome" }>,
+  ) {
+    const { to, attempt, key, offset } = effect;
+    const items = await (reading.get(offset) ?? readItems(offset));
+    const item = items.find((one) => one.type === "outcome" && one.key === key);
+    const verdict: ClaimVerdict = item?.type === "outcome"
+      ? { type: "done", outcome: item.outcome }
+      : { type: "held", isLive: true };
+    loop.post(
+      Priority.Config,
+      () => send(to, { type: "once/verdict", attempt, verdict }),
+    );
+  }
+
+  function schedule() {
+    const waits = state.pending.length > 0 && state.sent === undefined;
+    if (!waits || timer !== undefined) return;
+    timer = setTimeout(() => {
+      timer = undefined;
+      post({ type: "ticked", now: now() });
+    }, appendTickMs);
+  }
+
+  /** A page past the end tells the oldest offset without any record. */
+  async function start() {
+    while (!stopped.signal.aborted) {
+      const page = await log.read({
+        stream: claimsStream,
+        from: Number.MAX_SAFE_INTEGER,
+        waitMs: 0,
+      });
+      if (page.isOk()) {
+        await post({ type: "gone", oldest: page.value.oldest });
+        await post({ type: "ticked", now: now() });
+        return;
+      }
+      const { signal } = stopped;
+      await sleep(retryMs, undefined, { signal }).catch(() => {});
+    }
+  }
+
+  async function follow() {
+    await start();
+    if (stopped.signal.aborted) return;
+    follower = followLog({
+      log,
+      stream: claimsStream,
+      next: () => state.claims.next,
+      onPage: ({ records, oldest }) =>
+        post({ type: "read", records, oldest, now: now() }),
+      onGone: start,
+      onError: (err, failures) => {
+        if (failures === 1) logger("%s", formatError(err));
+      },
+    });
+  }
+  follow();
+
+  return {
+    receive: (from, message) =>
+      run({ type: "received", from, message, now: now() }),
+    tick: () => run({ type: "ticked", now: now() }),
+    close: () => {
+      stopped.abort();
+      clearTimeout(timer);
+      follower?.close();
+    },
+  };
+}
--- a/tools/fake_log.ts
+++ b/tools/fake_log.ts
@@ -32,6 +32,10 @@
   losesReplies: boolean;
   /** Added to each answer, in milliseconds. */
   delayMs: number;
+  /** Most append requests a second, 0 for no limit. More wait their turn. */
+  appendsPerSecond: number;
+  /** Added to each append, in milliseconds. */
+  appendDelayMs: number;
 }
 
 export interface FakeLog {
@@ -50,6 +54,8 @@
     isOut: false,
     losesReplies: false,
     delayMs: 0,
+    appendsPerSecond: 0,
+    appendDelayMs: 0,
   };
   const totals = { appends: 0, reads: 0, records: 0 };
   const server = createServer();
@@ -63,6 +69,16 @@
     return stream;
   }
 
+  let lastTurn = 0;
+  async function appendTurn() {
+    const { appendsPerSecond, appendDelayMs } = faults;
+    const now = performance.now();
+    const gapMs = appendsPerSecond > 0 ? 1_000 / appendsPerSecond : 0;
+    lastTurn = Math.max(now, lastTurn + gapMs);
+    const waitMs = lastTurn - now + appendDelayMs;
+    if (waitMs > 0) await sleep(waitMs);
+  }
+
   app.use(async (_req, res, next) => {
     if (faults.delayMs > 0) await sleep(faults.delayMs);
     if (!faults.isOut) return next();
@@ -70,8 +86,12 @@
     res.end("outage\n");
   });
   app.post("/streams/:name/records", async (req, res) => {
+    await appendTurn();
     totals.appends++;
-    const body = JSON.parse(await readAll(req)) as { records: string[] };
+    const text = await readAll(req).catch(() => undefined);
+    // The writer left in the middle of its request.
+    if (text === undefined) return;
+    const body = JSON.parse(text) as { records: string[] };
     const stream = streamOf(String(req.params.name));
     const first = headOf(stream);
     stream.bodies.push(...body.records);
