--- a/tools/experiment.ts
+++ b/tools/experiment.ts
@@ -14,6 +14,7 @@
   calls: async () => (await import("./experiments/calls.ts")).runCalls,
   spreading: async () =>
     (await import("./experiments/spreading.ts")).runSpreading,
+  once: async () => (await import("./experiments/once.ts")).runOnce,
   memory: async () => (await import("./experiments/memory.ts")).runMemory,
   appending: async () =>
     (await import("./experiments/appending.ts")).runAppending,
