fix(quarantine): blame no call for a crash that is known

Cause: a call that failed at a crash could ask again after the crash was handled, and the second look blamed calls that had started since. Change: a call that the crash already took is answered from it. Conclusion: found by reading, while the end-to-end test was written.

--- a/src/adapters/drive_quarantine.ts
+++ b/src/adapters/drive_quarantine.ts
@@ -222,6 +222,9 @@
     start,
     end,
     async failed(endpoint, call) {
+      const isKnown = state.endpoints.get(endpoint)?.running.has(call) !== true;
+      // A later look would blame calls that have started since.
+      if (isKnown) return { isCrash: await (crashes.get(endpoint) ?? true) };
       const known = crashes.get(endpoint) ?? noteCrash(endpoint);
       crashes.set(endpoint, known);
       const isCrash = await known;
