feat(adapters): wire claims and quarantine into the call path

Cause: the drivers need to be asked before the choice of a home and at the moment of dispatch.

Change: the node that takes a keyed call on a non-repeatable route claims it first and settles it after; the home starts each dispatch through the quarantine.

--- /dev/null
+++ b/src/adapters/answer_claim.ts
@@ -0,0 +1,57 @@
+/**
+ * Answers for calls with an idempotency key that must not run now.
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import { exhausted } from "../core/exhausted.ts";
+import type { RunOutcome } from "../once/messages.ts";
+import type { ClaimOutcome } from "../once/state.ts";
+import { reasonHeader } from "../routing/headers.ts";
+import { refuseNotRun } from "./calls.ts";
+
+/** Set to `true` on an answer that was recorded for an earlier request. */
+export const replayedHeader = "lagoon-replayed";
+
+/** Set to `dropped` when the recorded answer was too large to keep. */
+export const replayedBodyHeader = "lagoon-replayed-body";
+
+/** Answers unless the call may run. */
+export function answerClaim(
+  claim: Exclude<ClaimOutcome, { type: "run" }>,
+  res: ServerResponse,
+): void {
+  switch (claim.type) {
+    case "repeat":
+      return replay(claim.outcome, res);
+    case "refused":
+      if (claim.isNotRun) {
+        return refuseNotRun(res, claim.code, claim.reason, claim.status);
+      }
+      res.writeHead(claim.status, {
+        "content-type": "text/plain",
+        [reasonHeader]: claim.code,
+        ...(claim.code === "LAGOON_ONCE_IN_PROGRESS"
+          ? { "retry-after": "1" }
+          : {}),
+      });
+      res.end(`${claim.reason}\n`);
+      return;
+    default:
+      exhausted(claim);
+  }
+}
+
+function replay(outcome: RunOutcome, res: ServerResponse) {
+  // An unknown outcome is refused before; without an answer nothing is whole.
+  if (outcome.type === "unknown") {
+    res.destroy();
+    return;
+  }
+  const isDropped = outcome.body === undefined;
+  res.writeHead(outcome.status, {
+    ...outcome.headers,
+    [replayedHeader]: "true",
+    ...(isDropped ? { [replayedBodyHeader]: "dropped" } : {}),
+  });
+  res.end(isDropped ? undefined : Buffer.from(outcome.body, "base64"));
+}
--- a/src/adapters/call_totals.ts
+++ b/src/adapters/call_totals.ts
@@ -8,6 +8,8 @@
   /** Calls from callers. */
   calls: number;
   answered: number;
+  /** Calls with a key that their claim answered, without a run. */
+  claimed: number;
   /** Refused as not run. */
   notRun: number;
   /** Ended after dispatch without a whole answer. */
@@ -27,6 +29,7 @@
   return {
     calls: 0,
     answered: 0,
+    claimed: 0,
     notRun: 0,
     broken: 0,
     cancelled: 0,
--- a/src/adapters/calls.ts
+++ b/src/adapters/calls.ts
@@ -14,6 +14,7 @@
   reasonHeader,
 } from "../routing/headers.ts";
 import type { CallBody } from "./call_body.ts";
+import type { AnswerCapture } from "./capture_answer.ts";
 
 /** Headers as both HTTP clients take them. */
 export type SentHeaders = Record<string, string | string[]>;
@@ -34,6 +35,13 @@
   readonly deadlineAt: MonotonicMs;
   /** Times that the call may still be passed to another node. */
   readonly hopsLeft: number;
+  /** Identifies the request and its resends to the quarantine. */
+  readonly fingerprint: string;
+  /**
+   * Copies the answer of a claimed call. Such a call goes on when its caller
+   * leaves, so that a resend finds its outcome.
+   */
+  readonly capture?: AnswerCapture;
 }
 
 /** Largest body of an operator's request, in bytes. */
--- /dev/null
+++ b/src/adapters/capture_answer.ts
@@ -0,0 +1,42 @@
+/**
+ * Keeps a bounded copy of an answer on its way to the caller.
+ * @module
+ */
+import { maxOutcomeBodyBytes, type RunOutcome } from "../once/messages.ts";
+import { outcomeOfAnswer } from "../once/outcome_of_answer.ts";
+import type { SentHeaders } from "./calls.ts";
+
+/** Told of each part of an answer by its relay. */
+export interface AnswerCapture {
+  head(status: number, headers: SentHeaders): void;
+  data(chunk: Uint8Array): void;
+  done(): void;
+  /** The whole answer, unknown unless it came to its end. */
+  outcome(): RunOutcome;
+}
+
+/** Creates a capture of one answer. */
+export function captureAnswer(): AnswerCapture {
+  let outcome: RunOutcome = { type: "unknown" };
+  let status = 0;
+  let headers: SentHeaders = {};
+  let bytes = 0;
+  const chunks: Uint8Array[] = [];
+  return {
+    head(code, sent) {
+      status = code;
+      headers = sent;
+    },
+    data(chunk) {
+      bytes += chunk.length;
+      if (bytes <= maxOutcomeBodyBytes) chunks.push(chunk);
+      else chunks.length = 0;
+    },
+    done() {
+      const isKept = bytes <= maxOutcomeBodyBytes;
+      const body = isKept ? Buffer.concat(chunks) : undefined;
+      outcome = outcomeOfAnswer({ status, headers, body });
+    },
+    outcome: () => outcome,
+  };
+}
--- a/src/adapters/create_call_path.ts
+++ b/src/adapters/create_call_path.ts
@@ -8,6 +8,7 @@
 import type { Polka } from "polka";
 import { exhausted } from "../core/exhausted.ts";
 import type { NodeInfo } from "../core/types.ts";
+import { SuspicionLevel } from "../quarantine/state.ts";
 import type { CallEnd } from "../retry/messages.ts";
 import { createRetryState } from "../retry/state.ts";
 import { decideRouting } from "../routing/decide_routing.ts";
@@ -15,13 +16,14 @@
 import { cacheDirectory } from "./cached_directory.ts";
 import { type CallTotals, createCallTotals } from "./call_totals.ts";
 import { type CallWatch, createCallWatch } from "./call_watch.ts";
-import { failUnknown, refuseNotRun } from "./calls.ts";
+import { type CallRequest, failUnknown, refuseNotRun } from "./calls.ts";
 import type { Control } from "./create_control.ts";
 import { createHome } from "./create_home.ts";
 import { createHomeLinks, forwardPrefix } from "./home_links.ts";
 import { createHeldBodies } from "./held_bodies.ts";
 import { isAuthorized } from "./is_authorized.ts";
 import { readCall, readForward, type ReadResult } from "./read_call.ts";
+import { needsClaim, runOnce } from "./run_once.ts";
 import { tryHomes, type TryHomesContext } from "./try_homes.ts";
 
 const log = createDebug("lagoon:calls");
@@ -57,7 +59,11 @@
   const { control, keys } = opts;
   const watch: CallWatch = createCallWatch({ idleMs });
   const links = createHomeLinks({ keys, watch });
-  const home = createHome({ endpoints: () => control.membership.own, watch });
+  const home = createHome({
+    endpoints: () => control.membership.own,
+    watch,
+    quarantine: control.quarantine,
+  });
   const totals = createCallTotals();
   const now = () => performance.now();
   const context: TryHomesContext = {
@@ -93,7 +99,19 @@
     totals.calls++;
     const read = await readCall({ control, held, watch, req, res });
     if (read.type === "refused") return refuseRead(res, read);
-    const end = await tryHomes(callers, read.call, res);
+    const { call } = read;
+    const level = control.quarantine.check(call.fingerprint);
+    if (level === SuspicionLevel.Convicted) {
+      return refuseRead(res, quarantined);
+    }
+    const run = (one: CallRequest) => tryHomes(callers, one, res);
+    const end = needsClaim(call)
+      ? await runOnce({ once: control.once, call, res, run })
+      : await run(call);
+    if (end === undefined) {
+      totals.claimed++;
+      return;
+    }
     count(end);
     tell(res, end);
   }
@@ -161,15 +179,17 @@
       return refuseNotRun(res, "LAGOON_CALL_STOPPING", "this node stops");
     }
     active.add(res);
-    // The caller's socket has the last say on whether an answer arrived.
-    res.once("close", () => {
-      active.delete(res);
-      if (active.size === 0) onIdle();
-    });
-    handle(req, res).catch((err) => {
+    // The caller's socket has the last say on whether an answer arrived, and a
+    // claimed call goes on without its caller.
+    const closed = new Promise((resolve) => res.once("close", resolve));
+    const handled = handle(req, res).catch((err) => {
       log("Call failed: %s.", String(err));
       res.destroy();
     });
+    Promise.all([closed, handled]).then(() => {
+      active.delete(res);
+      if (active.size === 0) onIdle();
+    });
   };
 
   return {
@@ -205,6 +225,13 @@
   };
 }
 
+const quarantined = {
+  type: "refused",
+  status: 422,
+  code: "LAGOON_CALL_QUARANTINED",
+  reason: "this request crashed its upstreams before",
+} as const;
+
 /** Tells the caller how its call ended, where the answer did not. */
 function tell(res: ServerResponse, end: CallEnd) {
   switch (end.type) {
--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -14,7 +14,7 @@
   NodeId,
   NodeInfo,
 } from "../core/types.ts";
-import { aliveIds } from "../membership/decide_membership.ts";
+import { aliveIds } from "../membership/alive_ids.ts";
 import type { MembershipState } from "../membership/state.ts";
 import type {
   CallEvent,
--- a/src/adapters/create_home.ts
+++ b/src/adapters/create_home.ts
@@ -8,6 +8,7 @@
 import { decideAdmission } from "../admission/decide_admission.ts";
 import { rampSlots } from "../admission/ramp_slots.ts";
 import { createAdmissionState } from "../admission/state.ts";
+import { exhausted } from "../core/exhausted.ts";
 import { type EndpointId, EndpointState } from "../core/types.ts";
 import type { OwnEndpoint } from "../membership/state.ts";
 import type { CallEnd } from "../retry/messages.ts";
@@ -21,6 +22,7 @@
 import type { CallRequest } from "./calls.ts";
 import type { Attempt } from "./create_relay.ts";
 import { dispatchCall } from "./dispatch_call.ts";
+import type { QuarantineDriver, StartResult } from "./drive_quarantine.ts";
 
 const keepAliveMs = 30_000;
 
@@ -34,6 +36,7 @@
 export interface CreateHomeOptions {
   readonly endpoints: () => ReadonlyMap<EndpointId, OwnEndpoint>;
   readonly watch: CallWatch;
+  readonly quarantine: QuarantineDriver;
 }
 
 export interface Home {
@@ -52,7 +55,7 @@
 
 /** Creates the home of this VM's upstreams. */
 export function createHome(opts: CreateHomeOptions): Home {
-  const { watch } = opts;
+  const { watch, quarantine } = opts;
   const runners = new Map<EndpointId, EndpointRunner>();
   const state = createAdmissionState();
   const now = () => performance.now();
@@ -132,17 +135,28 @@
     let attempt: Attempt | undefined;
     let isGivenUp = false;
     const work = async (): Promise<CallEnd> => {
+      const { fingerprint, deadlineAt } = call;
+      const begun = await quarantine.start({
+        endpoint,
+        fingerprint,
+        deadlineAt,
+      });
       const refusal = isGivenUp
         ? givenUp
-        : whyNotStart(call, res, opts.endpoints().get(endpoint));
-      const isRun = refusal === undefined;
+        : whyNotStart(call, res, opts.endpoints().get(endpoint), begun);
+      const isRun = refusal === undefined && begun.type === "started";
       decideAdmission(state, { type: "started", endpoint, plan, tag, isRun });
-      if (refusal !== undefined) return refusal;
+      if (begun.type !== "started") return refusal ?? quarantined;
+      if (refusal !== undefined) {
+        quarantine.end(endpoint, begun.call, false);
+        return refusal;
+      }
       const startedAt = now();
       attempt = runAtUpstream({ runner, own, call, res, overdue });
       const end = await attempt.end;
       const tookMs = now() - startedAt;
       decideAdmission(state, { type: "ended", endpoint, tookMs });
+      await tellQuarantine(endpoint, begun.call, end);
       return end.type === "answered" ? { ...end, load: loadOf(own) } : end;
     };
     return {
@@ -154,6 +168,31 @@
     };
   }
 
+  /** A broken connection may be a crash, which the domain has to know first. */
+  async function tellQuarantine(
+    endpoint: EndpointId,
+    call: number,
+    end: CallEnd,
+  ) {
+    switch (end.type) {
+      case "answered":
+        return quarantine.end(endpoint, call, true);
+      case "unknown":
+        if (end.isLate) return quarantine.end(endpoint, call, false);
+        await quarantine.failed(endpoint, call);
+        return;
+      case "cut":
+        await quarantine.failed(endpoint, call);
+        return;
+      case "not-run":
+      case "cancelled":
+      case "given-up":
+        return quarantine.end(endpoint, call, false);
+      default:
+        exhausted(end);
+    }
+  }
+
   function runAtUpstream(at: {
     readonly runner: EndpointRunner;
     readonly own: OwnEndpoint;
@@ -175,6 +214,7 @@
       body: call.body,
       deadlineAt: call.deadlineAt,
       isPeer: false,
+      ...(call.capture === undefined ? {} : { capture: call.capture }),
       extra: () => ({
         [versionHeader]: call.version,
         [loadHeader]: loadOf(at.own).toFixed(2),
@@ -216,13 +256,21 @@
 
 const givenUp: CallEnd = { type: "given-up" };
 
+const quarantined = notRun(
+  "LAGOON_CALL_QUARANTINED",
+  "the request is under suspicion and can't run here now",
+);
+
 /** Checks again at the turn of a call that has waited. */
 function whyNotStart(
   call: CallRequest,
   res: ServerResponse,
   own: OwnEndpoint | undefined,
+  begun: StartResult,
 ): CallEnd | undefined {
-  if (res.destroyed) return { type: "cancelled" };
+  if (begun.type !== "started") return quarantined;
+  const hasLeft = res.destroyed && call.capture === undefined;
+  if (hasLeft) return { type: "cancelled" };
   if (call.deadlineAt <= performance.now()) {
     return notRun(
       "LAGOON_CALL_DEADLINE",
--- a/src/adapters/create_relay.ts
+++ b/src/adapters/create_relay.ts
@@ -10,6 +10,7 @@
 import type { CallEnd } from "../retry/messages.ts";
 import { loadHeader, notRunHeader, reasonHeader } from "../routing/headers.ts";
 import { sendableHeaders, type SentHeaders } from "./calls.ts";
+import type { AnswerCapture } from "./capture_answer.ts";
 import type { CallWatch, Watched } from "./call_watch.ts";
 
 const maxReasonBytes = 512;
@@ -33,6 +34,8 @@
   readonly isPeer: boolean;
   /** Headers added to the answer. */
   readonly extra: () => SentHeaders;
+  /** Copies the answer, and keeps the attempt when the caller leaves. */
+  readonly capture?: AnswerCapture;
   /** Time until the attempt is overdue, in milliseconds. */
   readonly overdueMs?: number;
   readonly onOverdue?: () => void;
@@ -57,7 +60,8 @@
 
 /** Creates the relay of one attempt. */
 export function createRelay(opts: CreateRelayOptions): Relay {
-  const { res, watch } = opts;
+  const { res, watch, capture } = opts;
+  let hasLeft = false;
   let isSent = false;
   let hasHead = false;
   let refusal: { status: number; code: string; text: string } | undefined;
@@ -110,6 +114,8 @@
 
   function onClose() {
     if (isEnded) return;
+    hasLeft = true;
+    if (capture !== undefined) return opts.resume();
     finish({ type: "cancelled" });
     opts.cancel();
   }
@@ -151,7 +157,9 @@
         return stop("The answer has no length", false);
       }
       hasHead = true;
-      res.writeHead(code, sendableHeaders(headers, opts.extra()));
+      const sent = sendableHeaders(headers, opts.extra());
+      capture?.head(code, sent);
+      if (!hasLeft) res.writeHead(code, sent);
     },
     data(chunk) {
       if (isEnded) return true;
@@ -160,7 +168,8 @@
         if (refusal.text.length < maxReasonBytes) refusal.text += chunk;
         return true;
       }
-      if (res.write(chunk)) return true;
+      capture?.data(chunk);
+      if (hasLeft || res.write(chunk)) return true;
       // A slow reader is no fault of the far side.
       watched.progressAt = Infinity;
       res.once("drain", onDrain);
@@ -179,8 +188,9 @@
         });
       }
       if (!hasHead) return stop("The answer has no head", false);
+      capture?.done();
       // The end is known before the caller's socket has taken it all.
-      res.end();
+      if (!hasLeft) res.end();
       finish({ type: "answered", status, load });
     },
     fail(reason) {
--- a/src/adapters/is_endpoint_up.ts
+++ b/src/adapters/is_endpoint_up.ts
@@ -7,7 +7,10 @@
 
 const limitMs = 200;
 
-/** Resolves with whether the endpoint accepts a connection in time. */
+/**
+ * Resolves with false when the endpoint refuses a connection. Silence is no
+ * proof of a crash: a starved loop or a lost packet looks the same.
+ */
 export function isEndpointUp(endpoint: EndpointId): Promise<boolean> {
   const { hostname, port } = new URL(`http://${endpoint}`);
   return new Promise((resolve) => {
@@ -16,7 +19,7 @@
       socket.destroy();
       resolve(isUp);
     };
-    socket.setTimeout(limitMs, () => finish(false));
+    socket.setTimeout(limitMs, () => finish(true));
     socket.once("connect", () => finish(true));
     socket.once("error", () => finish(false));
   });
--- a/src/adapters/read_call.ts
+++ b/src/adapters/read_call.ts
@@ -3,6 +3,10 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  fingerprintHeader,
+  fingerprintOf,
+} from "../quarantine/fingerprint_of.ts";
 import { chooseVersion } from "../routing/choose_version.ts";
 import {
   customerHeader,
@@ -23,6 +27,7 @@
 import type { Control } from "./create_control.ts";
 import type { HeldBodies } from "./held_bodies.ts";
 import { forwardPrefix } from "./home_links.ts";
+import { contentDigest } from "./run_once.ts";
 
 const maxKeyLength = 256;
 
@@ -81,11 +86,13 @@
   const deadlineAt = performance.now() + Math.min(route.timeoutMs, asked);
   const body = await readBodyInTime(opts, deadlineAt);
   if (body === undefined) return tooManyHeld;
+  const headers = sendableHeaders(req.headers);
+  const { service, target: path } = url;
   return {
     type: "read",
     call: {
       method,
-      service: url.service,
+      service,
       version: chooseVersion({
         served,
         held: control.held,
@@ -94,11 +101,18 @@
       route: route.name,
       plan: served.plan,
       isRepeatable: route.repeatable,
-      path: url.target,
-      headers: sendableHeaders(req.headers),
+      path,
+      headers,
       body,
       deadlineAt,
       hopsLeft: maxHops,
+      fingerprint: fingerprintOf({
+        customer: String(customer),
+        service,
+        method,
+        path,
+        content: contentDigest({ body, headers }),
+      }),
     },
   };
 }
@@ -128,6 +142,7 @@
       deadlineAt,
       // No node may lend a call more hops than a caller's call has.
       hopsLeft: Math.min(Number(text(hopsHeader)) || 0, maxHops - 1),
+      fingerprint: text(fingerprintHeader),
     },
   };
 }
--- /dev/null
+++ b/src/adapters/run_once.ts
@@ -0,0 +1,73 @@
+/**
+ * Runs a call with an idempotency key under its claim.
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import { digestOf } from "../once/key_of_call.ts";
+import type { CallEnd } from "../retry/messages.ts";
+import { customerHeader, idempotencyHeader } from "../routing/headers.ts";
+import { answerClaim } from "./answer_claim.ts";
+import type { CallBody } from "./call_body.ts";
+import type { CallRequest } from "./calls.ts";
+import { captureAnswer } from "./capture_answer.ts";
+import type { OnceDriver } from "./drive_once.ts";
+
+/** Options of `runOnce`. */
+export interface RunOnceOptions {
+  readonly once: OnceDriver;
+  readonly call: CallRequest;
+  readonly res: ServerResponse;
+  readonly run: (call: CallRequest) => Promise<CallEnd>;
+}
+
+/** Whether a call needs a claim before it may run. */
+export function needsClaim(call: CallRequest): boolean {
+  return !call.isRepeatable && call.headers[idempotencyHeader] !== undefined;
+}
+
+/** Undefined when the caller already has its answer from the claim. */
+export async function runOnce(
+  opts: RunOnceOptions,
+): Promise<CallEnd | undefined> {
+  const { once, call, res } = opts;
+  const claim = await once.claim({
+    customer: String(call.headers[customerHeader] ?? ""),
+    service: call.service,
+    idempotencyKey: String(call.headers[idempotencyHeader]),
+    method: call.method,
+    path: call.path,
+    body: contentOf(call.body, call),
+    deadlineAt: call.deadlineAt,
+  });
+  if (claim.type !== "run") {
+    answerClaim(claim, res);
+    return undefined;
+  }
+  const capture = captureAnswer();
+  const end = await opts.run({ ...call, capture });
+  const isRun = end.type !== "not-run";
+  once.settle(claim.attempt, isRun ? capture.outcome() : undefined);
+  return end;
+}
+
+/** A streamed body is known by its length alone: it is never held whole. */
+function contentOf(body: CallBody, call: CallRequest): Uint8Array {
+  switch (body.type) {
+    case "none":
+      return new Uint8Array();
+    case "held":
+      return body.bytes;
+    case "streamed":
+      return Buffer.from(String(call.headers["content-length"] ?? "unknown"));
+  }
+}
+
+/** What tells one request of a customer on a route from another. */
+export function contentDigest(call: {
+  readonly body: CallBody;
+  readonly headers: CallRequest["headers"];
+}): string {
+  const { body, headers } = call;
+  if (body.type === "held") return digestOf([body.bytes]);
+  return String(headers[idempotencyHeader] ?? "");
+}
--- a/src/adapters/try_homes.ts
+++ b/src/adapters/try_homes.ts
@@ -60,7 +60,8 @@
     tried.push(target.to);
     const end = await tryOne(context, call, res, target, tried.length);
     // A finished answer also counts as destroyed, so the end goes first.
-    const hasLeft = res.destroyed && !res.writableEnded;
+    const hasLeft = call.capture === undefined && res.destroyed &&
+      !res.writableEnded;
     if (hasLeft && end.type !== "cut") return { type: "cancelled" };
     if (end.type !== "given-up") {
       const retryCall = describe(call, tried.length);
--- a/src/quarantine/fingerprint_of.ts
+++ b/src/quarantine/fingerprint_of.ts
@@ -5,6 +5,9 @@
 import { createHash } from "node:crypto";
 import type { Fingerprint } from "./messages.ts";
 
+/** Header that carries the fingerprint of a call between nodes. */
+export const fingerprintHeader = "lagoon-fingerprint";
+
 const fingerprintChars = 16;
 
 /** Options of `fingerprintOf`. */
--- a/src/testing/start_call_node.ts
+++ b/src/testing/start_call_node.ts
@@ -7,6 +7,7 @@
 import type { TestContext } from "node:test";
 import { type CallPath, createCallPath } from "../adapters/create_call_path.ts";
 import type { Control } from "../adapters/create_control.ts";
+import type { QuarantineDriver } from "../adapters/drive_quarantine.ts";
 import { type HttpServer, openHttpServer } from "../adapters/http_server.ts";
 import {
   type Announcement,
@@ -15,6 +16,7 @@
   type RemoteCapacity,
 } from "../core/types.ts";
 import type { OwnEndpoint } from "../membership/state.ts";
+import { SuspicionLevel } from "../quarantine/state.ts";
 import type { RolloutEvent } from "../rollout/state.ts";
 import type { ServingConfig } from "../serving/state.ts";
 
@@ -30,6 +32,14 @@
   readonly answers: Extract<RolloutEvent, { type: "answered" }>[];
 }
 
+/** Quarantine without suspicion. */
+const trustAll: Pick<QuarantineDriver, "check" | "start" | "end" | "failed"> = {
+  check: () => SuspicionLevel.Clear,
+  start: () => Promise.resolve({ type: "started", call: 0 }),
+  end: () => {},
+  failed: () => Promise.resolve({ isCrash: false }),
+};
+
 /** Long past the ramp of a cold endpoint. */
 const readySince = -1e9;
 
@@ -74,6 +84,7 @@
     membership: { own },
     held: new Set(),
     serving: () => config,
+    quarantine: trustAll,
     noteAnswer: (answer: CallNode["answers"][number]) => answers.push(answer),
   } as unknown as Control;
   const self = { id, domain: "a", region: "r", boot: id };
--- a/tools/experiments/once.ts
+++ b/tools/experiments/once.ts
@@ -8,6 +8,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { driveOnce, type OnceDriver } from "../../src/adapters/drive_once.ts";
+import { noMetrics } from "../../src/adapters/metrics.ts";
 import { createLogClient } from "../../src/adapters/log_client.ts";
 import {
   createControlLoop,
@@ -156,7 +157,7 @@
     const self = { id, domain, region: "r", boot: "b" };
     const now = () => performance.now();
     const node = driveOnce({
-      context: { self, loop, now, send },
+      context: { self, loop, now, metrics: noMetrics, send },
       log: client,
       members: () =>
         [...drivers.keys()].filter((_, at) =>
--- /dev/null
+++ b/tools/once_path_test.ts
@@ -0,0 +1,144 @@
+import { test, type TestContext } from "node:test";
+import assert from "node:assert/strict";
+import { request } from "undici";
+import { callAdmin } from "../src/adapters/admin_client.ts";
+import { runNode } from "../src/adapters/run_node.ts";
+import { parseLists } from "../src/lists/parse_lists.ts";
+import { planEdit, type RevisedLists } from "../src/lists/plan_edit.ts";
+import { startFakeLog } from "./fake_log.ts";
+import { healthy, startFakeUpstream } from "./fake_upstream.ts";
+import { freePorts } from "./free_ports.ts";
+import { waitFor } from "./wait_for.ts";
+
+const limitMs = 30_000;
+const key = "test-key";
+const lists = `
+customers:
+  - { customer: baker, plan: basic }
+uses:
+  - plan: basic
+    service: portaal
+    version: v1
+    routes:
+      - { name: pay, path: /pay, methods: [POST], repeatable: false }
+      - { name: look, path: /look, methods: [GET], repeatable: true }
+`;
+
+async function publish(node: string) {
+  const at = { node, key } as const;
+  const shown = await callAdmin({ ...at, method: "GET", path: "/v1/lists" });
+  const current = shown._unsafeUnwrap().body as RevisedLists;
+  const asked = parseLists({ file: "l", text: lists })._unsafeUnwrap();
+  const body = { editor: "tester", changes: planEdit({ current, asked }) };
+  await callAdmin({ ...at, method: "POST", path: "/v1/edits", body });
+}
+
+/** Two nodes of one domain, each the home of one upstream. */
+async function startPath(t: TestContext) {
+  const host = "127.0.0.1";
+  const log = await startFakeLog({ host, port: 0, retention: 10_000 });
+  t.after(() => log.close());
+  const ports = await freePorts(6);
+  const at = (index: number) => `${host}:${ports[index]}`;
+  const nodes = await Promise.all([0, 3].map((base) =>
+    runNode({
+      domain: "zone-a",
+      region: "nl-west",
+      peerAddr: at(base),
+      callAddr: at(base + 1),
+      adminAddr: at(base + 2),
+      seeds: [at(0), at(3)],
+      logUrl: log.url,
+      keys: [key],
+    })
+  ));
+  t.after(() => Promise.all(nodes.map((node) => node.close())));
+  const upstreams = await Promise.all([2, 5].map((admin) =>
+    startFakeUpstream({
+      host,
+      port: 0,
+      service: "portaal",
+      version: "v1",
+      slots: 20,
+      connections: 130,
+      homes: [at(admin)],
+      key,
+      serviceMs: 1,
+      faults: healthy,
+    })
+  ));
+  t.after(() => Promise.all(upstreams.map((one) => one.close())));
+  await publish(at(2));
+  await waitFor({
+    what: "every node serves the lists",
+    limitMs,
+    isTrue: () =>
+      nodes.every((node) =>
+        node.control.serving()?.services.has("basic/portaal") === true &&
+        node.control.membership.members.size === 2
+      ),
+  });
+  const call = async (
+    node: number,
+    path: string,
+    pay?: { key: string; body: string },
+  ) => {
+    const res = await request(`http://${at(node * 3 + 1)}/portaal${path}`, {
+      method: pay === undefined ? "GET" : "POST",
+      headers: {
+        "lagoon-customer": "baker",
+        ...(pay === undefined ? {} : { "idempotency-key": pay.key }),
+      },
+      body: pay?.body ?? null,
+    });
+    const text = await res.body.text();
+    return { status: res.statusCode, headers: res.headers, text };
+  };
+  return { log, upstreams, call };
+}
+
+test("keyed call runs once", async (t) => {
+  const { log, upstreams, call } = await startPath(t);
+  const pay = { key: "invoice-7", body: "ten" };
+  const ready = { key: "ready", body: "" };
+  for (;;) {
+    const probe = await call(0, "/pay", ready);
+    if (probe.status === 200) break;
+    assert.equal(probe.headers["lagoon-not-run"], "true");
+  }
+  const both = await Promise.all([0, 1].map((node) => call(node, "/pay", pay)));
+  const again = await call(1, "/pay", pay);
+  const runs = upstreams.flatMap((one) => one.keysRun)
+    .filter((one) => one === pay.key);
+  assert.equal(runs.length, 1);
+  assert.deepEqual([...both, again].map((one) => one.status), [200, 200, 200]);
+  assert.equal(both[0]?.text, again.text);
+  assert.equal(both[1]?.text, again.text);
+  assert.equal(again.headers["lagoon-replayed"], "true");
+  const other = await call(0, "/pay", { ...pay, body: "twenty" });
+  assert.equal(other.status, 422);
+  log.faults.isOut = true;
+  const away = await call(0, "/pay", { key: "invoice-8", body: "" });
+  assert.equal(away.headers["lagoon-not-run"], "true");
+  assert.equal(upstreams.flatMap((one) => one.keysRun).length, 2);
+});
+
+test("crashing request stops after two upstreams", async (t) => {
+  const { upstreams, call } = await startPath(t);
+  for (const one of upstreams) {
+    Object.assign(one.faults, { hangShare: 1, path: "/look/crash" });
+  }
+  for (let round = 0; round < 2; round++) {
+    const sent = call(round, "/look/crash");
+    await waitFor({
+      what: "the request hangs at an upstream",
+      limitMs,
+      isTrue: () => upstreams.some((one) => one.totals.running > 0),
+    });
+    await upstreams.find((one) => one.totals.running > 0)?.close();
+    assert.equal((await sent).status, 502);
+  }
+  const third = await call(0, "/look/crash");
+  assert.equal(third.headers["lagoon-reason"], "LAGOON_CALL_QUARANTINED");
+  assert.equal(third.headers["lagoon-not-run"], "true");
+});
