--- a/tools/experiments/once.ts
+++ b/tools/experiments/once.ts
@@ -4,9 +4,6 @@
  * Nodes pass messages in memory; the log is reached over loopback.
  * @module
  */
-import process from "node:process";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import { driveOnce, type OnceDriver } from "../../src/adapters/drive_once.ts";
 import { noMetrics } from "../../src/adapters/metrics.ts";
 import { createLogClient } from "../../src/adapters/log_client.ts";
@@ -14,11 +11,8 @@
   createControlLoop,
   Priority,
 } from "../../src/control/create_control_loop.ts";
-import {
-  createReaderState,
-  decideReader,
-  maxHeldClaims,
-} from "../../src/once/decide_reader.ts";
+import { maxHeldClaims } from "../../src/once/decide_reader.ts";
+import { measureClaimMemory } from "./claim_memory.ts";
 import type { OnceMessage } from "../../src/once/messages.ts";
 import { type FakeLog, startFakeLog } from "../fake_log.ts";
 import { waitFor } from "../wait_for.ts";
@@ -49,7 +43,7 @@
   }
   opts.onProgress("Memory of claims held.");
   figures.push(
-    figure("memory of a claim held", measureMemory(), "bytes"),
+    figure("memory of a claim held", measureClaimMemory(), "bytes"),
     figure("most claims held", maxHeldClaims, "claims"),
   );
   return figures;
@@ -276,28 +270,3 @@
   const sorted = tally.latencies.toSorted((a, b) => a - b);
   return sorted[Math.floor(sorted.length * share)] ?? NaN;
 }
-
-/** Bytes of heap for each claim that a reader holds with its outcome. */
-function measureMemory(): number {
-  setFlagsFromString("--expose-gc");
-  const collect = runInNewContext("gc") as () => void;
-  const count = 20_000;
-  const reader = createReaderState("w");
-  collect();
-  const before = process.memoryUsage().heapUsed;
-  for (let index = 0; index < count; index++) {
-    const key = index.toString(36).padStart(22, "k");
-    const attempt = `10.0.0.17:7000/${"b".repeat(36)}/${index}`;
-    const outcome = { type: "unknown" };
-    const items = [
-      { type: "claim", key, attempt, digest: key, leftMs: 1 },
-      { type: "outcome", key, attempt, outcome },
-    ];
-    const body = JSON.stringify({ writer: "x", floor: 1, items });
-    const records = [{ offset: index + 1, body }];
-    decideReader(reader, { type: "read", records, oldest: 1, now: 0 });
-  }
-  collect();
-  const bytes = process.memoryUsage().heapUsed - before;
-  return bytes / reader.claims.held.size;
-}
