test(adapters): refused connection is no crash

Cause: the end-to-end test catches the missing guard only when the second call meets the dead upstream first: with the guard removed it passed once. Change: a test of the home alone. It fails with the guard removed.

--- /dev/null
+++ b/src/adapters/create_home_test.ts
@@ -0,0 +1,47 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { IncomingMessage, ServerResponse } from "node:http";
+import { Socket } from "node:net";
+import { EndpointState } from "../core/types.ts";
+import { createHome } from "./create_home.ts";
+import type { QuarantineDriver } from "./drive_quarantine.ts";
+
+test("refused connection is no crash", async () => {
+  const seen: string[] = [];
+  const quarantine = {
+    start: () => Promise.resolve({ type: "started", call: 1 }),
+    end: (_endpoint: string, _call: number, isWhole: boolean) =>
+      seen.push(`end ${isWhole}`),
+    failed: () => Promise.resolve(seen.push("failed")),
+  } as unknown as QuarantineDriver;
+  // Port 1 of loopback has no listener.
+  const endpoint = "127.0.0.1:1";
+  const announcement = {
+    endpoint,
+    service: "portaal",
+    version: "v1",
+    slots: 1,
+    connections: 1,
+    state: EndpointState.Ready,
+    load: 0,
+    healthy: true,
+  };
+  const own = { announcement, heardAt: 0, readySince: 0 };
+  const home = createHome({
+    endpoints: () => new Map([[endpoint, own]]),
+    quarantine,
+  });
+  const res = new ServerResponse(new IncomingMessage(new Socket()));
+  await home.run({
+    method: "GET",
+    service: "portaal",
+    version: "v1",
+    path: "/",
+    headers: {},
+    body: Buffer.alloc(0),
+    deadlineAt: performance.now() + 5_000,
+    fingerprint: "f",
+  }, res);
+  await home.close();
+  assert.deepEqual(seen, ["end false"]);
+});
