--- /dev/null
+++ b/src/adapters/is_endpoint_up.ts
@@ -0,0 +1,26 @@
+/**
+ * Tells a broken connection from a dead upstream.
+ * @module
+ */
+import { connect } from "node:net";
+import type { EndpointId } from "../core/types.ts";
+
+const limitMs = 200;
+
+/**
+ * Resolves with false when the endpoint refuses a connection. Silence is no
+ * proof of a crash: a starved loop or a lost packet looks the same.
+ */
+export function isEndpointUp(endpoint: EndpointId): Promise<boolean> {
+  const { hostname, port } = new URL(`http://${endpoint}`);
+  return new Promise((resolve) => {
+    const socket = connect({ host: hostname, port: Number(port) });
+    const finish = (isUp: boolean) => {
+      socket.destroy();
+      resolve(isUp);
+    };
+    socket.setTimeout(limitMs, () => finish(true));
+    socket.once("connect", () => finish(true));
+    socket.once("error", () => finish(false));
+  });
+}
