fix(adapters): keep two slow homes from being given up for each other

Each was a repeatable call whose first home was overdue, whose second home was overdue too and was given up because the first counted as untried. Change: an attempt is given up only when an untried home is left; the test fails without it. Ruled out: quarantine (no crash in the logs) and stale summaries (no refusal for want of a home).

--- a/src/adapters/create_call_path.ts
+++ b/src/adapters/create_call_path.ts
@@ -13,7 +13,6 @@
 import { createRetryState } from "../retry/state.ts";
 import { decideRouting } from "../routing/decide_routing.ts";
 import { createRoutingState } from "../routing/state.ts";
-import { cacheDirectory } from "./cached_directory.ts";
 import { type CallTotals, createCallTotals } from "./call_totals.ts";
 import { type CallWatch, createCallWatch } from "./call_watch.ts";
 import { type CallRequest, failUnknown, refuseNotRun } from "./calls.ts";
@@ -68,7 +67,7 @@
   const now = () => performance.now();
   const context: TryHomesContext = {
     self: opts.self,
-    directory: cacheDirectory({ directory: control.directory, now }),
+    directory: control.directory,
     routing: createRoutingState(),
     retry: createRetryState(),
     home,
@@ -77,7 +76,7 @@
   };
   const callers: TryHomesContext = {
     ...context,
-    noteAnswer: control.noteAnswer,
+    noteCall: control.noteCall,
   };
   const held = createHeldBodies();
   const proven = new WeakMap<Socket, string>();
--- a/src/adapters/create_call_path_test.ts
+++ b/src/adapters/create_call_path_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { createHash } from "node:crypto";
 import { once } from "node:events";
-import { request as rawRequest } from "node:http";
+import { request as rawRequest, type ServerResponse } from "node:http";
 import { connect } from "node:net";
 import { Readable } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -172,6 +172,26 @@
   assert.equal(home.path.totals.retries, 0);
 });
 
+test("two slow homes are not given up for each other", async (t) => {
+  let delayMs = 0;
+  const answer = async (_req: unknown, res: ServerResponse) => {
+    await sleep(delayMs);
+    res.end("slow");
+  };
+  const { entry } = await startPair(t, answer);
+  const other = await startCallNode(t);
+  addEndpoint(other, await startUpstream(t, answer), [entry]);
+  for (let n = 0; n < 60; n++) {
+    await (await get(entry, "/portaal/again")).body.dump();
+  }
+  delayMs = 400;
+  for (let n = 0; n < 3; n++) {
+    const res = await get(entry, "/portaal/again");
+    assert.equal(await res.body.text(), "slow");
+  }
+  assert.ok(entry.path.totals.overdue > 0);
+});
+
 test("caller that leaves cancels the upstream", async (t) => {
   let began = 0;
   let left = 0;
--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -16,11 +16,7 @@
 } from "../core/types.ts";
 import { aliveIds } from "../membership/alive_ids.ts";
 import type { MembershipState } from "../membership/state.ts";
-import type {
-  CallEvent,
-  EvidencePoint,
-  RolloutEvent,
-} from "../rollout/state.ts";
+import type { CallEvent, EvidencePoint } from "../rollout/state.ts";
 import type { ServingConfig } from "../serving/state.ts";
 import type { ControlContext } from "./control_context.ts";
 import { type ConfigDriver, driveConfig } from "./drive_config.ts";
@@ -62,7 +58,6 @@
   /** Why a peer is refused, when it contradicts what is known. */
   checkPeer(info: NodeInfo): string | undefined;
   announce(announcement: Announcement): void;
-  noteAnswer(answer: Extract<RolloutEvent, { type: "answered" }>): void;
   /** Notes that a call to an upstream began, ended or was given up. */
   noteCall(event: CallEvent): void;
   /** Evidence over time of a rollout led here, oldest first. */
@@ -179,7 +174,6 @@
     announce: (announcement) => {
       loop.post(Priority.Drain, () => mesh.announce(announcement));
     },
-    noteAnswer: rollout.noteCall,
     noteCall: rollout.noteCall,
     rolloutHistory: rollout.history,
     submit: config.submit,
--- a/src/adapters/try_homes.ts
+++ b/src/adapters/try_homes.ts
@@ -10,7 +10,7 @@
 import { decideRetry } from "../retry/decide_retry.ts";
 import type { CallEnd } from "../retry/messages.ts";
 import type { RetryCall, RetryState } from "../retry/state.ts";
-import { CallOutcome, type RolloutEvent } from "../rollout/state.ts";
+import { type CallEvent, CallOutcome } from "../rollout/state.ts";
 import { chooseHome, type HomeChoice } from "../routing/choose_home.ts";
 import { decideRouting } from "../routing/decide_routing.ts";
 import { overdueAfter } from "../routing/recent_times.ts";
@@ -35,12 +35,13 @@
   readonly home: Home;
   readonly links: HomeLinks;
   readonly totals: CallTotals;
-  /** Takes the outcome of each attempt. Calls from callers only. */
-  readonly noteAnswer?: (
-    answer: Extract<RolloutEvent, { type: "answered" }>,
-  ) => void;
+  /** Takes the course of each attempt. Calls from callers only. */
+  readonly noteCall?: (event: CallEvent) => void;
 }
 
+/** Number of the next attempt, unique in the process. */
+let nextCall = 1;
+
 type Target = Exclude<HomeChoice, { type: "none" }>;
 
 /** Resolves with the end of the last attempt. Never rejects. */
@@ -58,7 +59,7 @@
       return concludeCall(last ?? noHome(call), hasRun);
     }
     tried.push(target.to);
-    const end = await tryOne(context, call, res, target, tried.length);
+    const end = await tryOne(context, call, res, target, tried);
     // A finished answer also counts as destroyed, so the end goes first.
     const hasLeft = call.capture === undefined && res.destroyed &&
       !res.writableEnded;
@@ -117,7 +118,7 @@
   call: CallRequest,
   res: ServerResponse,
   target: Target,
-  attempts: number,
+  tried: readonly NodeId[],
 ): Promise<CallEnd> {
   const { routing, totals } = context;
   const key = keyOfVersion(call.service, call.version);
@@ -136,17 +137,15 @@
     }
   }
 
+  const number = nextCall++;
+  const { service, version } = call;
+  const measured = { call: number, service, version, route: call.route };
+
   function note(outcome: CallOutcome) {
     if (isNoted) return;
     isNoted = true;
-    context.noteAnswer?.({
-      type: "answered",
-      service: call.service,
-      version: call.version,
-      route: call.route,
-      outcome,
-      latencyMs: performance.now() - startedAt,
-    });
+    const latencyMs = performance.now() - startedAt;
+    context.noteCall?.({ type: "answered", ...measured, outcome, latencyMs });
   }
 
   const overdueMs = overdueAfter(routing, route);
@@ -154,8 +153,9 @@
     wasOverdue = true;
     totals.overdue++;
     run({ type: "overdue", ...at, now: performance.now() });
-    const retryCall = describe(call, attempts);
-    const hasOther = choose(context, call, [target.to]).type !== "none";
+    const retryCall = describe(call, tried.length);
+    // Two slow homes must not be given up for each other.
+    const hasOther = choose(context, call, tried).type !== "none";
     const effect = hasOther
       ? decideRetry(context.retry, { type: "overdue", call: retryCall })
       : undefined;
@@ -169,6 +169,7 @@
   }
 
   run({ type: "dispatched", ...at, now: startedAt });
+  context.noteCall?.({ type: "begun", ...measured, now: startedAt });
   const attempt = begin(context, call, res, target, overdueMs, onOverdue);
   const end = await attempt.end;
   clearTimeout(lateNote);
@@ -177,6 +178,7 @@
   run({ type: "ended", ...at, route, end, tookMs, wasOverdue, now });
   const outcome = outcomeOf(end);
   if (outcome !== undefined) note(outcome);
+  else if (!isNoted) context.noteCall?.({ type: "abandoned", call: number });
   return end;
 }
 
--- a/src/cli/code_meanings.ts
+++ b/src/cli/code_meanings.ts
@@ -5,6 +5,8 @@
 
 /** Sentences for operators, by code. */
 export const codeMeanings: Readonly<Record<string, string>> = {
+  LAGOON_ACCESS_NO_KEY:
+    "Without a shared key the ports bind to loopback alone. Give --key.",
   LAGOON_ADMIN_KEY:
     "The shared key is wrong. Give --key or LAGOON_KEY as the nodes have it.",
   LAGOON_ADMIN_PATH:
@@ -23,8 +25,21 @@
     "The request is not a JSON object in UTF-8. Use lagoonctl.",
   LAGOON_BODY_TOO_LARGE:
     "The edit is too large. Apply fewer changes at a time.",
+  LAGOON_CALL_BODY_GONE:
+    "The body had begun to flow and can't be sent again. It did not run.",
+  LAGOON_CALL_BODY_LATE:
+    "The caller's body did not come in time. The call did not run.",
   LAGOON_CALL_DEADLINE:
     "The call's time ran out while it waited. It did not run.",
+  LAGOON_CALL_DEADLINE_MALFORMED:
+    "The header lagoon-deadline-ms is no number of milliseconds. Mend it.",
+  LAGOON_CALL_DRAINING:
+    "The upstream leaves. The call did not run and may be repeated.",
+  LAGOON_CALL_KEY_TOO_LONG:
+    "A customer or idempotency key has over 256 characters. Shorten it.",
+  LAGOON_CALL_LATE: "The call's time ran out after dispatch. It may have run.",
+  LAGOON_CALL_MEMORY:
+    "The node holds too many bodies. The call did not run; try again.",
   LAGOON_CALL_METHOD:
     "The route does not allow this method. Add it to the use entry.",
   LAGOON_CALL_NO_CONFIG:
@@ -43,9 +58,20 @@
     "The plan may not use this service. Add a use entry if it should.",
   LAGOON_CALL_OVERLOADED:
     "The upstreams are full. The call did not run; add upstreams.",
+  LAGOON_CALL_QUARANTINED:
+    "The request crashed upstreams. Mend it; it is let through again later.",
   LAGOON_CALL_SERVICE_ABSENT:
     "No upstream of the service is up. Its routes return when one is.",
+  LAGOON_CALL_STOPPING:
+    "The node stops. The call did not run; use another node.",
   LAGOON_CALL_TOO_LARGE: "The call's body is too large. It did not run.",
+  LAGOON_CALL_UNKNOWN:
+    "The answer was lost after dispatch. The call may have run.",
+  LAGOON_CALL_UNREACHABLE:
+    "No connection to the home or upstream. The call did not run.",
+  LAGOON_CALL_URL: "The URL names no service, or is malformed. Mend the call.",
+  LAGOON_CLAIM_MALFORMED:
+    "A claim in the log is not of this version. It changed nothing.",
   LAGOON_EDIT_CONFLICT:
     "Someone changed the entry first. Look at 'show' and apply again.",
   LAGOON_EDIT_PLAN_IN_USE:
@@ -71,8 +97,17 @@
   LAGOON_NODE_SILENT:
     "The node's answer never came. See 'audit' at another node, apply again.",
   LAGOON_NODE_UNREACHABLE: "The node does not answer. Ask another one.",
+  LAGOON_ONCE_AWAY:
+    "The log or its readers are away. The call did not run; try again.",
+  LAGOON_ONCE_IN_PROGRESS:
+    "The first call with this key still runs. Send it again later.",
+  LAGOON_ONCE_MISMATCH: "The key belongs to another request. Take a new key.",
+  LAGOON_ONCE_UNKNOWN:
+    "Whether the first call ran is unknown. Check before taking a new key.",
   LAGOON_PEER_KEY:
     "A node has another shared key. Give all nodes the old and the new one.",
+  LAGOON_PEER_MESSAGE_MALFORMED:
+    "A peer sent nonsense or is of another version. Upgrade all nodes.",
   LAGOON_RECORD_MALFORMED:
     "A record in the log is not of this version. It changed nothing.",
   LAGOON_REINSTATE_NOT_WITHDRAWN:
--- a/src/testing/start_call_node.ts
+++ b/src/testing/start_call_node.ts
@@ -17,7 +17,7 @@
 } from "../core/types.ts";
 import type { OwnEndpoint } from "../membership/state.ts";
 import { SuspicionLevel } from "../quarantine/state.ts";
-import type { RolloutEvent } from "../rollout/state.ts";
+import type { CallEvent } from "../rollout/state.ts";
 import type { ServingConfig } from "../serving/state.ts";
 
 /** What a test changes while the node runs. */
@@ -29,7 +29,7 @@
   readonly own: Map<string, OwnEndpoint>;
   homes: HomeCapacity[];
   remotes: RemoteCapacity[];
-  readonly answers: Extract<RolloutEvent, { type: "answered" }>[];
+  readonly answers: Extract<CallEvent, { type: "answered" }>[];
 }
 
 /** Quarantine without suspicion. */
@@ -85,7 +85,9 @@
     held: new Set(),
     serving: () => config,
     quarantine: trustAll,
-    noteAnswer: (answer: CallNode["answers"][number]) => answers.push(answer),
+    noteCall: (event: CallEvent) => {
+      if (event.type === "answered") answers.push(event);
+    },
   } as unknown as Control;
   const self = { id, domain: "a", region: "r", boot: id };
   const path = createCallPath({ control, self, keys: ["k"] });
