--- a/src/adapters/admin_server.ts
+++ b/src/adapters/admin_server.ts
@@ -23,6 +23,7 @@
 import { statusOf } from "./admin_status.ts";
 import type { Control } from "./create_control.ts";
 import { isAuthorized } from "./is_authorized.ts";
+import type { NodeUsage } from "./node_usage.ts";
 
 const log = createDebug("lagoon:admin");
 
@@ -46,6 +47,7 @@
   readonly keys: readonly string[];
   readonly domain: string;
   readonly nodeId: string;
+  readonly usage: () => NodeUsage;
 }
 
 type Handle = (req: IncomingMessage, res: ServerResponse) => Promise<void>;
@@ -62,6 +64,7 @@
     "/v1/lists",
     (_req, res) => send(res, 200, listsOf(control.config())),
   );
+  app.get("/v1/usage", (_req, res) => send(res, 200, opts.usage()));
   app.get("/v1/status", (_req, res) => send(res, 200, statusOf(opts)));
   app.get("/v1/rollouts", (_req, res) => {
     send(res, 200, { rollouts: [...control.config().rollouts.values()] });
@@ -95,6 +98,15 @@
   };
 }
 
+/** Without a configuration no service can be told from an unlisted one. */
+function isListed(config: ConfigState, service: string): boolean {
+  if (config.version === 0) return true;
+  for (const row of config.uses.values()) {
+    if (row.service === service) return true;
+  }
+  return false;
+}
+
 function listsOf(config: ConfigState) {
   return {
     version: config.version,
@@ -171,6 +183,12 @@
     const code = "LAGOON_ANNOUNCEMENT_MALFORMED";
     return sendError(res, 400, { code, message });
   }
+  const { service } = parsed.output;
+  if (!isListed(opts.control.config(), service)) {
+    const message = `no list names service ${service}`;
+    const code = "LAGOON_ANNOUNCEMENT_UNLISTED";
+    return sendError(res, 404, { code, message });
+  }
   opts.control.announce(parsed.output);
   send(res, 200, { domain: opts.domain, home: opts.nodeId });
 }
--- a/src/adapters/log_client.ts
+++ b/src/adapters/log_client.ts
@@ -36,9 +36,17 @@
   read(opts: ReadPageOptions): Promise<Result<LogPage, LagoonError>>;
   /** Oldest offset kept, and the head. */
   bounds(stream: string): Promise<Result<LogBounds, LagoonError>>;
+  readonly totals: Readonly<LogTotals>;
   close(): Promise<void>;
 }
 
+/** Requests and bytes of bodies since the start. */
+export interface LogTotals {
+  requests: number;
+  sentBytes: number;
+  receivedBytes: number;
+}
+
 /** Options of `LogClient.read`. */
 export interface ReadPageOptions {
   readonly stream: string;
@@ -71,9 +79,11 @@
 export function createLogClient(opts: CreateLogClientOptions): LogClient {
   const url = new URL(opts.url);
   const pool = new Pool(url.origin, { connections: 4 });
+  const totals = { requests: 0, sentBytes: 0, receivedBytes: 0 };
   const call = <T extends v.GenericSchema>(request: LogRequest<T>) =>
-    callLog(pool, url.host, request);
+    callLog(pool, url.host, totals, request);
   return {
+    totals,
     append: async (stream, bodies) => {
       const reply = await call({
         method: "POST",
@@ -118,11 +128,14 @@
 async function callLog<T extends v.GenericSchema>(
   pool: Pool,
   peer: string,
+  totals: LogTotals,
   request: LogRequest<T>,
 ): Promise<Result<v.InferOutput<T>, LagoonError>> {
   const step = `${request.method} ${request.path.split("?")[0]} of the log`;
   const fail = (code: LagoonError["code"], message: string) =>
     err<never, LagoonError>({ code, step, peer, message });
+  totals.requests++;
+  totals.sentBytes += request.path.length + (request.body?.length ?? 0);
   try {
     const res = await requestThrough(pool, {
       method: request.method,
@@ -133,6 +146,7 @@
       bodyTimeout: request.timeoutMs,
     });
     const text = await res.body.text();
+    totals.receivedBytes += text.length;
     const goodStatus = request.goodStatus ?? statusOk;
     if (res.statusCode === statusGone && goodStatus !== statusGone) {
       return fail(offsetGoneCode, text);
--- /dev/null
+++ b/src/adapters/node_usage.ts
@@ -0,0 +1,57 @@
+/**
+ * What a node has spent and done since its start.
+ * @module
+ */
+import type { CallTotals } from "./call_totals.ts";
+import type { LogTotals } from "./log_client.ts";
+import { MetricName, type Metrics } from "./metrics.ts";
+import type { LinkTotals } from "./peer_links.ts";
+
+/** Counts since the start. Bytes are of bodies, without TCP and IP. */
+export interface NodeUsage {
+  /** Control traffic with other nodes. */
+  readonly peers: Readonly<LinkTotals>;
+  /** Traffic with the platform's log. */
+  readonly log: Readonly<LogTotals>;
+  readonly calls: Readonly<CallTotals>;
+}
+
+const reportMs = 10_000;
+
+const callOutcomes = [
+  "answered",
+  "claimed",
+  "notRun",
+  "broken",
+  "cancelled",
+] as const satisfies readonly (keyof CallTotals)[];
+
+/** Options of `reportUsage`. */
+export interface ReportUsageOptions {
+  readonly metrics: Metrics;
+  readonly usage: () => NodeUsage;
+}
+
+/** Sends what has grown as metrics, until it is closed. */
+export function reportUsage(opts: ReportUsageOptions): { close(): void } {
+  const { metrics } = opts;
+  const before = new Map<string, number>();
+  const grow = (key: string, value: number) => {
+    const grown = value - (before.get(key) ?? 0);
+    before.set(key, value);
+    return grown;
+  };
+  const report = () => {
+    const { peers, log, calls } = opts.usage();
+    const sent = grow("sent", peers.sentBytes + log.sentBytes);
+    const received = grow("received", peers.receivedBytes + log.receivedBytes);
+    metrics.count(MetricName.ControlBytes, sent, { direction: "sent" });
+    metrics.count(MetricName.ControlBytes, received, { direction: "received" });
+    for (const outcome of callOutcomes) {
+      const grown = grow(outcome, calls[outcome]);
+      metrics.count(MetricName.Calls, grown, { outcome });
+    }
+  };
+  const timer = setInterval(report, reportMs);
+  return { close: () => clearInterval(timer) };
+}
--- a/src/adapters/peer_links.ts
+++ b/src/adapters/peer_links.ts
@@ -42,6 +42,17 @@
   refused: number;
 }
 
+export function createLinkTotals(): LinkTotals {
+  return {
+    sentBytes: 0,
+    receivedBytes: 0,
+    sentMessages: 0,
+    dropped: 0,
+    malformed: 0,
+    refused: 0,
+  };
+}
+
 export interface PeerLinks {
   /** Sends, or drops the message when the peer can't take it now. */
   send(to: NodeId, message: PeerMessage): void;
@@ -81,14 +92,7 @@
   const links = new Map<NodeId, Link>();
   const failing = new Map<NodeId, Failing>();
   const tokens = createLinkTokens(performance.now());
-  const totals: LinkTotals = {
-    sentBytes: 0,
-    receivedBytes: 0,
-    sentMessages: 0,
-    dropped: 0,
-    malformed: 0,
-    refused: 0,
-  };
+  const totals = createLinkTotals();
   const wss = new WebSocketServer({
     noServer: true,
     maxPayload: maxMessageBytes,
--- a/src/adapters/run_node.ts
+++ b/src/adapters/run_node.ts
@@ -12,7 +12,12 @@
 import { createMetrics } from "./create_metrics.ts";
 import { openHttpServer } from "./http_server.ts";
 import { createLogClient } from "./log_client.ts";
-import { createPeerLinks, type PeerLinks } from "./peer_links.ts";
+import { type NodeUsage, reportUsage } from "./node_usage.ts";
+import {
+  createLinkTotals,
+  createPeerLinks,
+  type PeerLinks,
+} from "./peer_links.ts";
 
 const log = createDebug("lagoon:node");
 
@@ -63,6 +68,12 @@
     send: (to, message) => links?.send(to, message),
   });
   const callPath = createCallPath({ control, self, keys });
+  const usage = (): NodeUsage => ({
+    peers: links?.totals ?? createLinkTotals(),
+    log: logClient.totals,
+    calls: callPath.totals,
+  });
+  const reporter = reportUsage({ metrics, usage });
   const peers = await openHttpServer({
     address: settings.peerAddr,
     asksForBody: true,
@@ -79,7 +90,8 @@
   });
   const admin = await openHttpServer({
     address: settings.adminAddr,
-    setUp: (app) => setUpAdmin({ app, control, keys, domain, nodeId: self.id }),
+    setUp: (app) =>
+      setUpAdmin({ app, control, keys, domain, nodeId: self.id, usage }),
   });
   const calls = await openHttpServer({
     address: settings.callAddr,
@@ -99,6 +111,7 @@
       await Promise.all([calls.close(boundMs), callPath.idle(boundMs)]);
       await callPath.close();
       control.close();
+      reporter.close();
       links?.close();
       await peers.close();
       await admin.close();
--- a/src/cli/code_meanings.ts
+++ b/src/cli/code_meanings.ts
@@ -13,6 +13,8 @@
     "The node has no such path. Use lagoonctl of the node's version.",
   LAGOON_ANNOUNCEMENT_MALFORMED:
     "An upstream announced nonsense. Mend the field that is named.",
+  LAGOON_ANNOUNCEMENT_UNLISTED:
+    "No list names the upstream's service. Add a use entry for it.",
   LAGOON_APPEND_CLOSED:
     "The node stopped before the verdict. Ask another node and apply again.",
   LAGOON_APPEND_OVERFLOW:
--- a/tools/fleet/start_fleet.ts
+++ b/tools/fleet/start_fleet.ts
@@ -28,6 +28,8 @@
   readonly admin: string;
   process: StartedProcess;
   isUp: boolean;
+  /** Index into the fleet's notes from which those of its process begin. */
+  notesFrom: number;
 }
 
 export interface Fleet {
@@ -78,7 +80,9 @@
       .slice(0, seedsPerDomain)
   );
 
-  function launch(node: Omit<FleetNode, "process" | "isUp">): StartedProcess {
+  function launch(
+    node: Omit<FleetNode, "process" | "isUp" | "notesFrom">,
+  ): StartedProcess {
     const record = opts.record === undefined
       ? []
       : [`--record=${opts.record}/${node.peer.replace(":", "-")}.jsonl`];
@@ -111,7 +115,7 @@
       call: addressOf(index, 1),
       admin: addressOf(index, 2),
     };
-    return { ...base, process: launch(base), isUp: true };
+    return { ...base, process: launch(base), isUp: true, notesFrom: 0 };
   });
   await waitFor({
     what: "every node answers",
@@ -133,6 +137,7 @@
       await node.process.exited;
     },
     start(node) {
+      node.notesFrom = applied.length;
       node.process = launch(node);
       node.isUp = true;
     },
--- a/tools/measure/operator.ts
+++ b/tools/measure/operator.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { callAdmin } from "../../src/adapters/admin_client.ts";
+import type { NodeUsage } from "../../src/adapters/node_usage.ts";
 import type { EntryChange } from "../../src/config_log/messages.ts";
 import type { Rollout, Verdict } from "../../src/config_log/state.ts";
 import type { Lists } from "../../src/lists/parse_lists.ts";
@@ -55,5 +56,9 @@
 
 /** Reads what a node has spent on control. */
 export async function readUsage(node: string): Promise<Usage> {
-  return await ask(node, "GET", "/v1/usage") as Usage;
+  const usage = await ask(node, "GET", "/v1/usage") as NodeUsage;
+  return {
+    sentBytes: usage.peers.sentBytes + usage.log.sentBytes,
+    receivedBytes: usage.peers.receivedBytes + usage.log.receivedBytes,
+  };
 }
--- a/tools/measure/upstream_host.ts
+++ b/tools/measure/upstream_host.ts
@@ -19,7 +19,7 @@
   | {
     readonly type: "faults";
     readonly endpoint: string;
-    readonly faults: UpstreamFaults;
+    readonly faults: Partial<UpstreamFaults>;
   }
   | { readonly type: "drain"; readonly endpoint: string }
   | { readonly type: "keys" };
