--- a/tools/experiment.ts
+++ b/tools/experiment.ts
@@ -15,6 +15,7 @@
   spreading: async () =>
     (await import("./experiments/spreading.ts")).runSpreading,
   once: async () => (await import("./experiments/once.ts")).runOnce,
+  cost: async () => (await import("./experiments/cost.ts")).runCost,
   memory: async () => (await import("./experiments/memory.ts")).runMemory,
   appending: async () =>
     (await import("./experiments/appending.ts")).runAppending,
