feat(overlay): broadcast holds over the ring, and check all peer messages

Cause: a hold was sent to each member directly, so one node opened up to 309 links when a fault showed. Messages of rollout, once and quarantine were taken without a check of their fields.

Change: `decideBroadcast` carries any slice's message in an envelope over the delegated ranges. Receivers confirm; a silent peer gets it again, up to 4 sends, and its range is served past it. Each delivers a broadcast once. `drive_rollout` uses it for "tell-domain". Schemas with bounds for rollout/*, once/*, quarantine/* and the envelope replace the loose ones.

Ruled out: repeating whole broadcasts from other starting points. A member whose two predecessors are dead is missed by most of the repeats, so no small number of them reaches all.

Quarantine rows still go to each member: their callers wait for each one's confirmation for 300 ms at most.

--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -84,6 +84,7 @@
     seeds: opts.seeds,
     log,
     config: (): ConfigDriver => config,
+    deliver: receive,
   });
   const config = driveConfig({
     context,
@@ -121,6 +122,9 @@
       case "distribution/repair":
       case "distribution/snapshot":
         return mesh.receiveDistribution(from, message);
+      case "overlay/broadcast":
+      case "overlay/ack":
+        return mesh.receiveOverlay(from, message);
       case "rollout/evidence":
       case "rollout/hold":
       case "rollout/held":
--- a/src/adapters/drive_mesh.ts
+++ b/src/adapters/drive_mesh.ts
@@ -36,10 +36,18 @@
   type MembershipState,
 } from "../membership/state.ts";
 import { findContradiction } from "../membership/take_row.ts";
+import { decideBroadcast } from "../overlay/decide_broadcast.ts";
+import type { OverlayMessage } from "../overlay/messages.ts";
+import {
+  ackTimeoutMs,
+  type BroadcastEvent,
+  createBroadcastState,
+} from "../overlay/state.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { ConfigDriver } from "./drive_config.ts";
 import { followLog, type LogFollower } from "./follow_log.ts";
 import type { LogClient, LogPage } from "./log_client.ts";
+import type { SliceMessage } from "./peer_message.ts";
 
 const logConfig = createDebug("lagoon:config");
 const logMembers = createDebug("lagoon:members");
@@ -53,6 +61,8 @@
   readonly seeds: readonly NodeId[];
   readonly log: LogClient;
   readonly config: () => ConfigDriver;
+  /** Takes a message that `origin` broadcast to the failure domain. */
+  readonly deliver: (origin: NodeId, message: SliceMessage) => void;
 }
 
 export interface MeshDriver {
@@ -65,6 +75,9 @@
   checkPeer(info: NodeInfo): string | undefined;
   receiveMembership(from: NodeId, message: MembershipMessage): void;
   receiveDistribution(from: NodeId, message: DistributionMessage): void;
+  receiveOverlay(from: NodeId, message: OverlayMessage<SliceMessage>): void;
+  /** Sends to all other members of the failure domain, over the ring. */
+  broadcast(message: SliceMessage): void;
   noteFolded(records: readonly LogRecord[]): void;
   noteApplied(version: Offset): void;
   announce(announcement: Announcement): void;
@@ -85,10 +98,13 @@
     startedAt: Date.now(),
     now: now(),
   });
+  const broadcasts = createBroadcastState<SliceMessage>(self.id, self.boot);
+  let broadcastTimer: NodeJS.Timeout | undefined;
   /** Head of the log at the first page read. */
   let firstHead: Offset | undefined;
   let presence: ReadonlyMap<string, readonly NodeId[]> = new Map();
   const gateways = () => gatewaysAbroad(membership);
+  const ring = () => overlayOf(membership).ring;
   const view = (): OverlayView => ({
     ...overlayOf(membership),
     gateways: gateways(),
@@ -161,6 +177,28 @@
     }
   }
 
+  function runBroadcast(event: BroadcastEvent<SliceMessage>) {
+    for (const effect of decideBroadcast(broadcasts, event)) {
+      switch (effect.type) {
+        case "send":
+          send(effect.to, effect.message);
+          break;
+        case "deliver":
+          opts.deliver(effect.origin, effect.message);
+          break;
+        default:
+          exhausted(effect);
+      }
+    }
+    if (broadcasts.unconfirmed.size === 0) return;
+    broadcastTimer ??= setTimeout(() => {
+      broadcastTimer = undefined;
+      loop.post(Priority.Rollback, () => {
+        runBroadcast({ type: "ticked", ring: ring(), now: now() });
+      });
+    }, ackTimeoutMs).unref();
+  }
+
   function takeLogPage(page: LogPage) {
     const { records } = page;
     firstHead ??= page.head;
@@ -219,6 +257,16 @@
         now: now(),
         view: view(),
       }),
+    receiveOverlay: (from, message) =>
+      runBroadcast({
+        type: "received",
+        from,
+        message,
+        ring: ring(),
+        now: now(),
+      }),
+    broadcast: (message) =>
+      runBroadcast({ type: "started", message, ring: ring(), now: now() }),
     noteFolded: (records) => {
       const { next, digest } = config().state();
       runDistribution({ type: "folded", next, digest, records });
@@ -243,6 +291,9 @@
         random: Math.random(),
       });
     },
-    close: () => follower?.close(),
+    close: () => {
+      clearTimeout(broadcastTimer);
+      follower?.close();
+    },
   };
 }
--- a/src/adapters/drive_rollout.ts
+++ b/src/adapters/drive_rollout.ts
@@ -64,9 +64,7 @@
           context.send(effect.to, effect.message);
           break;
         case "tell-domain":
-          for (const id of aliveIds(mesh.membership)) {
-            if (id !== self.id) context.send(id, effect.message);
-          }
+          mesh.broadcast(effect.message);
           break;
         case "append":
           submit(effect.rollout, effect.record);
--- a/src/adapters/peer_message.ts
+++ b/src/adapters/peer_message.ts
@@ -14,17 +14,24 @@
   type MembershipMessage,
   membershipSchema,
 } from "../membership/messages.ts";
-import type { OnceMessage } from "../once/messages.ts";
-import type { QuarantineMessage } from "../quarantine/messages.ts";
-import type { RolloutMessage } from "../rollout/messages.ts";
+import { type OnceMessage, onceSchema } from "../once/messages.ts";
+import { type OverlayMessage, overlaySchema } from "../overlay/messages.ts";
+import {
+  type QuarantineMessage,
+  quarantineSchema,
+} from "../quarantine/messages.ts";
+import { type RolloutMessage, rolloutSchema } from "../rollout/messages.ts";
 
-export type PeerMessage =
+/** Messages of the slices that decide what their nodes do. */
+export type SliceMessage =
   | DistributionMessage
   | MembershipMessage
   | OnceMessage
   | QuarantineMessage
   | RolloutMessage;
 
+export type PeerMessage = SliceMessage | OverlayMessage<SliceMessage>;
+
 /** Version of all messages. Peers of another version are refused. */
 export const protocolVersion = 1;
 
@@ -32,16 +39,12 @@
 const schemas: Readonly<Record<string, v.GenericSchema>> = {
   distribution: distributionSchema,
   membership: membershipSchema,
-  once: looseOf("once/"),
-  quarantine: looseOf("quarantine/"),
-  rollout: looseOf("rollout/"),
+  once: onceSchema,
+  overlay: overlaySchema,
+  quarantine: quarantineSchema,
+  rollout: rolloutSchema,
 };
 
-/** Fields of these messages are not checked yet. */
-function looseOf(prefix: string): v.GenericSchema {
-  return v.looseObject({ type: v.pipe(v.string(), v.startsWith(prefix)) });
-}
-
 /** Checks a decoded message. The error names the peer and the field. */
 export function parsePeerMessage(
   from: NodeId,
@@ -61,7 +64,25 @@
     });
   if (schema === undefined) return fail("no such message is known");
   const parsed = v.safeParse(schema, value);
-  if (parsed.success) return ok(parsed.output as PeerMessage);
+  if (parsed.success) return parseInner(from, parsed.output as PeerMessage);
   const [issue] = parsed.issues;
   return fail(`${v.getDotPath(issue) ?? "message"}: ${issue.message}`);
 }
+
+/** Checks the message inside a broadcast, which must be no broadcast itself. */
+function parseInner(
+  from: NodeId,
+  outer: PeerMessage,
+): Result<PeerMessage, LagoonError> {
+  if (outer.type !== "overlay/broadcast") return ok(outer);
+  const inner: { readonly type: string } = outer.message;
+  if (!inner.type.startsWith("overlay/")) {
+    return parsePeerMessage(from, inner).map(() => outer);
+  }
+  return err({
+    code: "LAGOON_PEER_MESSAGE_MALFORMED",
+    step: `take ${outer.type}`,
+    peer: from,
+    message: "message: a broadcast inside a broadcast",
+  });
+}
--- a/src/once/messages.ts
+++ b/src/once/messages.ts
@@ -2,6 +2,7 @@
  * Records of the `claims` stream and what nodes ask its readers.
  * @module
  */
+import * as v from "valibot";
 import type { Offset } from "../core/types.ts";
 
 /** Stream of the platform's log that carries claims. */
@@ -90,3 +91,61 @@
   }
   /** The record of the attempt's end is in the log. */
   | { readonly type: "once/finished"; readonly attempt: string };
+
+const text = v.pipe(v.string(), v.minLength(1), v.maxLength(256));
+const maxHeaders = 100;
+const maxBase64Chars = Math.ceil(maxOutcomeBodyBytes / 3) * 4;
+const attempt = { key: text, attempt: text };
+const headers = v.pipe(
+  v.record(
+    v.pipe(v.string(), v.maxLength(maxOutcomeHeaderBytes)),
+    v.pipe(v.string(), v.maxLength(maxOutcomeHeaderBytes)),
+  ),
+  v.check(
+    (all) => Object.keys(all).length <= maxHeaders,
+    `more than ${maxHeaders} headers`,
+  ),
+);
+const outcome = v.variant("type", [
+  v.strictObject({
+    type: v.literal("answered"),
+    status: v.pipe(v.number(), v.minValue(100), v.maxValue(599)),
+    headers,
+    body: v.exactOptional(v.pipe(v.string(), v.maxLength(maxBase64Chars))),
+  }),
+  v.strictObject({ type: v.literal("unknown") }),
+]);
+const verdict = v.variant("type", [
+  v.strictObject({ type: v.literal("won") }),
+  v.strictObject({ type: v.literal("held"), isLive: v.boolean() }),
+  v.strictObject({ type: v.literal("done"), outcome }),
+  v.strictObject({ type: v.literal("mismatch") }),
+  v.strictObject({
+    type: v.literal("away"),
+    reason: v.pipe(v.string(), v.maxLength(1_024)),
+  }),
+]);
+const literal = <T extends string>(name: T) => v.literal(`once/${name}`);
+
+/** Checks what a peer sent. */
+export const onceSchema: v.GenericSchema<unknown, OnceMessage> = v
+  .variant("type", [
+    v.strictObject({
+      type: literal("claim"),
+      claim: v.strictObject({
+        type: v.literal("claim"),
+        ...attempt,
+        digest: text,
+        leftMs: v.number(),
+      }),
+    }),
+    v.strictObject({ type: literal("verdict"), attempt: text, verdict }),
+    v.strictObject({
+      type: literal("finish"),
+      item: v.variant("type", [
+        v.strictObject({ type: v.literal("outcome"), ...attempt, outcome }),
+        v.strictObject({ type: v.literal("release"), ...attempt }),
+      ]),
+    }),
+    v.strictObject({ type: literal("finished"), attempt: text }),
+  ]);
--- /dev/null
+++ b/src/overlay/decide_broadcast.ts
@@ -0,0 +1,142 @@
+/**
+ * Broadcasts over the ring, around members that are dead and not yet known so.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { Ring } from "./build_ring.ts";
+import { delegateBroadcast } from "./delegate_broadcast.ts";
+import type { BroadcastId } from "./messages.ts";
+import {
+  ackTimeoutMs,
+  type BroadcastEffect,
+  type BroadcastEvent,
+  type BroadcastState,
+  maxAttempts,
+  maxRemembered,
+  type UnconfirmedSend,
+} from "./state.ts";
+
+type Received<Inner> = Extract<BroadcastEvent<Inner>, { type: "received" }>;
+type Ticked<Inner> = Extract<BroadcastEvent<Inner>, { type: "ticked" }>;
+type Envelope<Inner> = UnconfirmedSend<Inner>["envelope"];
+
+/** Takes one event of a broadcast in turn. */
+export function decideBroadcast<Inner>(
+  state: BroadcastState<Inner>,
+  event: BroadcastEvent<Inner>,
+): readonly BroadcastEffect<Inner>[] {
+  switch (event.type) {
+    case "started": {
+      const { self, boot } = state;
+      const { message, ring, now } = event;
+      const envelope = {
+        type: "overlay/broadcast",
+        id: `${self}/${boot}/${state.started++}`,
+        origin: self,
+        until: self,
+        message,
+      } as const;
+      remember(state, envelope.id);
+      return passOn({ state, envelope, ring, after: self, now });
+    }
+    case "received":
+      return receive(state, event);
+    case "ticked":
+      return sendAgain(state, event);
+    default:
+      return exhausted(event);
+  }
+}
+
+function receive<Inner>(
+  state: BroadcastState<Inner>,
+  event: Received<Inner>,
+): BroadcastEffect<Inner>[] {
+  const { from, message, ring, now } = event;
+  switch (message.type) {
+    case "overlay/ack":
+      state.unconfirmed.delete(keyOf(from, message.id));
+      return [];
+    case "overlay/broadcast": {
+      const ack = { type: "overlay/ack", id: message.id } as const;
+      const { origin } = message;
+      const effects: BroadcastEffect<Inner>[] = [
+        { type: "send", to: from, message: ack },
+      ];
+      // A repeat may bring a wider range, so it is passed on all the same.
+      if (remember(state, message.id)) {
+        effects.push({ type: "deliver", origin, message: message.message });
+      }
+      const after = state.self;
+      effects.push(...passOn({ state, envelope: message, ring, after, now }));
+      return effects;
+    }
+    default:
+      return exhausted(message);
+  }
+}
+
+/** Options of `passOn`. */
+interface PassOnOptions<Inner> {
+  readonly state: BroadcastState<Inner>;
+  readonly envelope: Envelope<Inner>;
+  readonly ring: Ring;
+  /** Node after which the range begins. */
+  readonly after: NodeId;
+  readonly now: MonotonicMs;
+}
+
+/** Delegates the range between `after` and the envelope's end. */
+function passOn<Inner>(opts: PassOnOptions<Inner>): BroadcastEffect<Inner>[] {
+  const { state, envelope, ring, after, now } = opts;
+  const { id, until } = envelope;
+  // An end at the range's own start would mean the whole ring again.
+  const isWhole = envelope.origin === state.self;
+  if (until === null || (until === after && !isWhole)) return [];
+  return delegateBroadcast(ring, after, until).map((one) => {
+    const { to } = one;
+    const message = { ...envelope, until: one.until };
+    const sent = { to, envelope: message, attempts: 1, sentAt: now };
+    state.unconfirmed.set(keyOf(to, id), sent);
+    return { type: "send", to, message };
+  });
+}
+
+/** Sends to silent peers again, and serves their ranges past them. */
+function sendAgain<Inner>(
+  state: BroadcastState<Inner>,
+  { ring, now }: Ticked<Inner>,
+): BroadcastEffect<Inner>[] {
+  const late = [...state.unconfirmed].filter(([, sent]) =>
+    now - sent.sentAt >= ackTimeoutMs
+  );
+  const effects: BroadcastEffect<Inner>[] = [];
+  for (const [key, { to, envelope, attempts }] of late) {
+    state.unconfirmed.delete(key);
+    effects.push(...passOn({ state, envelope, ring, after: to, now }));
+    if (attempts >= maxAttempts) continue;
+    // Its range has gone to others, so it is for the peer alone.
+    const message = { ...envelope, until: null };
+    const sent = { to, envelope: message, attempts: attempts + 1, sentAt: now };
+    state.unconfirmed.set(key, sent);
+    effects.push({ type: "send", to, message });
+  }
+  return effects;
+}
+
+/** Returns false when the broadcast was delivered before. */
+function remember<Inner>(
+  state: BroadcastState<Inner>,
+  id: BroadcastId,
+): boolean {
+  if (state.delivered.has(id)) return false;
+  state.delivered.add(id);
+  const [oldest] = state.delivered;
+  if (state.delivered.size > maxRemembered && oldest !== undefined) {
+    state.delivered.delete(oldest);
+  }
+  return true;
+}
+
+const keyOf = (to: NodeId, id: BroadcastId) => `${to} ${id}`;
--- /dev/null
+++ b/src/overlay/messages.ts
@@ -0,0 +1,37 @@
+/**
+ * Envelope of messages that other slices broadcast to the failure domain.
+ * @module
+ */
+import * as v from "valibot";
+import type { NodeId } from "../core/types.ts";
+
+/** Names one broadcast: its origin, the origin's start and a number. */
+export type BroadcastId = string;
+
+export type OverlayMessage<Inner> =
+  | {
+    readonly type: "overlay/broadcast";
+    readonly id: BroadcastId;
+    readonly origin: NodeId;
+    /** End of the receiver's range; null when it passes nothing on. */
+    readonly until: NodeId | null;
+    readonly message: Inner;
+  }
+  /** Confirms a broadcast to the node that sent it here. */
+  | { readonly type: "overlay/ack"; readonly id: BroadcastId };
+
+const node = v.pipe(v.string(), v.minLength(1), v.maxLength(256));
+const id = v.pipe(v.string(), v.minLength(1), v.maxLength(512));
+
+/** Checks the envelope that a peer sent, but not the message inside. */
+export const overlaySchema: v.GenericSchema<unknown, OverlayMessage<unknown>> =
+  v.variant("type", [
+    v.strictObject({
+      type: v.literal("overlay/broadcast"),
+      id,
+      origin: node,
+      until: v.nullable(node),
+      message: v.looseObject({ type: v.string() }),
+    }),
+    v.strictObject({ type: v.literal("overlay/ack"), id }),
+  ]);
--- a/src/quarantine/messages.ts
+++ b/src/quarantine/messages.ts
@@ -2,6 +2,7 @@
  * What nodes of a failure domain tell each other of crashed upstreams.
  * @module
  */
+import * as v from "valibot";
 import type { MonotonicMs } from "../core/types.ts";
 
 /** Digest of a request: customer, service, method, path and small body. */
@@ -46,3 +47,39 @@
     readonly trial: string;
     readonly row: SuspectRow;
   };
+
+const maxRows = 4_096;
+const maxCrashes = 1_024;
+const text = v.pipe(v.string(), v.minLength(1), v.maxLength(512));
+const crashes = v.pipe(v.array(text), v.maxLength(maxCrashes));
+const row = v.strictObject({ fingerprint: text, crashes, excused: crashes });
+const literal = <T extends string>(name: T) => v.literal(`quarantine/${name}`);
+
+/** Checks what a peer sent. */
+export const quarantineSchema: v.GenericSchema<unknown, QuarantineMessage> = v
+  .variant("type", [
+    v.strictObject({
+      type: literal("rows"),
+      rows: v.pipe(v.array(row), v.maxLength(maxRows)),
+      crash: v.exactOptional(text),
+    }),
+    v.strictObject({ type: literal("heard"), crash: text }),
+    v.strictObject({
+      type: literal("ask"),
+      fingerprint: text,
+      trial: text,
+      leftMs: v.number(),
+    }),
+    v.strictObject({
+      type: literal("answer"),
+      trial: text,
+      isGranted: v.boolean(),
+      row,
+    }),
+    v.strictObject({
+      type: literal("over"),
+      fingerprint: text,
+      trial: text,
+      row,
+    }),
+  ]);
--- a/src/rollout/messages.ts
+++ b/src/rollout/messages.ts
@@ -2,6 +2,7 @@
  * Evidence on versions, holds and signs of life, sent between nodes.
  * @module
  */
+import * as v from "valibot";
 
 /** Upper bounds of the latency buckets in milliseconds; one more is open. */
 export const latencyEdgesMs = [
@@ -85,3 +86,46 @@
     readonly rollout: string;
     readonly term: number;
   };
+
+const maxCounts = 2_000;
+const count = v.pipe(v.number(), v.minValue(0));
+const text = v.pipe(v.string(), v.minLength(1), v.maxLength(1_024));
+const report = v.strictObject({
+  rollout: text,
+  level: v.picklist(Object.values(ReportLevel)),
+  source: text,
+  seq: count,
+  domain: text,
+  receiver: text,
+  counts: v.pipe(
+    v.array(v.strictObject({
+      side: v.picklist(Object.values(Side)),
+      route: text,
+      calls: count,
+      failures: count,
+      overdue: count,
+      buckets: v.pipe(v.array(count), v.length(latencyEdgesMs.length + 1)),
+    })),
+    v.maxLength(maxCounts),
+  ),
+});
+const literal = <T extends string>(name: T) => v.literal(`rollout/${name}`);
+
+/** Checks what a peer sent. */
+export const rolloutSchema: v.GenericSchema<unknown, RolloutMessage> = v
+  .variant("type", [
+    v.strictObject({ type: literal("evidence"), report }),
+    v.strictObject({
+      type: literal("hold"),
+      rollout: text,
+      origin: text,
+      reason: v.pipe(v.string(), v.maxLength(4_096)),
+    }),
+    v.strictObject({ type: literal("held"), rollout: text, origin: text }),
+    v.strictObject({
+      type: literal("release"),
+      rollout: text,
+      isProbed: v.boolean(),
+    }),
+    v.strictObject({ type: literal("leading"), rollout: text, term: count }),
+  ]);
