fix(membership): take a floor only from a reader that reached the head

Cause: a property over membership, distribution, fold, compile and swap together found an address that went from version 6 back to 5. A node applied 6 and died with half of the fleet before it told anyone; its successor took the first floor it was told, from a member that had missed the record.

Change: a reader that is asked for a floor reads the log's bounds and answers when its state has reached that head; one reading serves all who asked before it began. Answers from memory are only gathered, and the greatest is taken after 3 ticks without a fresh one, so that a domain serves while the log is away. `seek_floor.ts` takes the floor's part out of `welcome_member.ts`. `membership/floor` carries `isFresh`.

Ruled out: each newcomer reads the log itself (a domain's return would be 310 readings at once); serving nothing while the log is away.

Conclusion: the promise holds while the log answers. With the log away and every node dead that had applied a version, the successor may start below.

--- a/src/adapters/drive_mesh.ts
+++ b/src/adapters/drive_mesh.ts
@@ -102,6 +102,8 @@
   let broadcastTimer: NodeJS.Timeout | undefined;
   /** Head of the log at the first page read. */
   let firstHead: Offset | undefined;
+  /** Head that the state has to reach before a fresh floor is told. */
+  let awaitedHead: Offset | undefined;
   let presence: ReadonlyMap<string, readonly NodeId[]> = new Map();
   const gateways = () => gatewaysAbroad(membership);
   const ring = () => overlayOf(membership).ring;
@@ -123,6 +125,9 @@
           logMembers("Nothing below version %d is served.", effect.floor);
           config().recompile();
           break;
+        case "read-head":
+          readHead();
+          break;
         case "record-presence":
           config().submit({
             kind: RecordKind.Presence,
@@ -142,6 +147,22 @@
     }
   }
 
+  async function readHead() {
+    const bounds = await log.bounds(configStream);
+    loop.post(Priority.Config, () => {
+      if (bounds.isErr()) return runMembership({ type: "head-unknown" });
+      awaitedHead = bounds.value.head;
+      noteHead();
+    });
+  }
+
+  function noteHead() {
+    const { next, version } = config().state();
+    if (awaitedHead === undefined || next < awaitedHead) return;
+    awaitedHead = undefined;
+    runMembership({ type: "head-reached", version });
+  }
+
   function runDistribution(event: DistributionEvent) {
     for (const effect of decideDistribution(distribution, event)) {
       switch (effect.type) {
@@ -271,6 +292,7 @@
       const { next, digest } = config().state();
       runDistribution({ type: "folded", next, digest, records });
       notePresence();
+      noteHead();
     },
     noteApplied: (version) =>
       runMembership({ type: "applied", version, now: now() }),
--- a/src/membership/decide_membership.ts
+++ b/src/membership/decide_membership.ts
@@ -34,13 +34,12 @@
   takeSummary,
 } from "./take_summary.ts";
 import {
+  answerAsking,
   answerFloor,
   seekFloor,
-  seekPeers,
   takeFloor,
-  takeWelcome,
-  welcomeMember,
-} from "./welcome_member.ts";
+} from "./seek_floor.ts";
+import { seekPeers, takeWelcome, welcomeMember } from "./welcome_member.ts";
 
 type Effects = readonly MembershipEffect[];
 type Received = Extract<MembershipEvent, { type: "received" }>;
@@ -62,7 +61,12 @@
       raiseApplied(state, state.self.id, event.version);
       return reportApplied(state);
     case "caught-up":
-      return takeFloor(state, 0);
+      return takeFloor(state, 0, true);
+    case "head-reached":
+      return answerAsking(state, event.version);
+    case "head-unknown":
+      state.floorAsking = undefined;
+      return [];
     case "seeded":
       for (const seed of event.seeds) notePeer(state, seed);
       return [];
@@ -130,7 +134,7 @@
     case "membership/want-floor":
       return answerFloor(state, from, message.domain);
     case "membership/floor":
-      return takeFloor(state, message.floor);
+      return takeFloor(state, message.floor, message.isFresh);
     default:
       return exhausted(message);
   }
--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -347,6 +347,35 @@
   );
 });
 
+test("a fresh floor is of a head read after the question", () => {
+  const fleet = startDomain(4);
+  const state = fleet.states.get("n:1");
+  assert.ok(state);
+  const [reader = ""] = overlayOf(state).readers;
+  const { now } = fleet;
+  const message = { type: "membership/want-floor", domain: "zone-a" } as const;
+  const ask = (from: string) =>
+    run(fleet, reader, { type: "received", from, message, now });
+  const reads = () =>
+    fleet.effects.filter((one) => one.type === "read-head").length;
+  const told = () => fleet.queue.splice(0).map(({ to }) => to);
+  // The members asked as well when they started.
+  run(fleet, reader, { type: "head-reached", version: 1 });
+  run(fleet, reader, { type: "head-reached", version: 1 });
+  told();
+  const before = reads();
+  ask("n:70");
+  ask("n:71");
+  assert.equal(reads(), before + 1);
+  run(fleet, reader, { type: "head-reached", version: 9 });
+  assert.deepEqual(told(), ["n:70"]);
+  assert.equal(reads(), before + 2);
+  run(fleet, reader, { type: "head-unknown" });
+  ask("n:72");
+  run(fleet, reader, { type: "head-reached", version: 9 });
+  assert.deepEqual(told(), ["n:72"]);
+});
+
 test("contradicting domain is refused", () => {
   const fleet = startDomain(4);
   const message: MembershipMessage = {
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -120,7 +120,12 @@
   | { readonly type: "membership/want-summary"; readonly domain: string }
   /** A node that has just started asks what it must not serve below. */
   | { readonly type: "membership/want-floor"; readonly domain: string }
-  | { readonly type: "membership/floor"; readonly floor: Offset };
+  | {
+    readonly type: "membership/floor";
+    readonly floor: Offset;
+    /** True when the log's head, read after the question, was reached. */
+    readonly isFresh: boolean;
+  };
 
 export interface Welcome {
   readonly domain: string;
@@ -219,5 +224,9 @@
     }),
     v.strictObject({ type: literal("want-summary"), domain: text }),
     v.strictObject({ type: literal("want-floor"), domain: text }),
-    v.strictObject({ type: literal("floor"), floor: count }),
+    v.strictObject({
+      type: literal("floor"),
+      floor: count,
+      isFresh: v.boolean(),
+    }),
   ]);
--- a/src/membership/state.ts
+++ b/src/membership/state.ts
@@ -54,6 +54,12 @@
   floor: Offset | undefined;
   /** Version that peers know of an earlier process at this address. */
   heardFloor: Offset;
+  /** Tick at which a member first told a floor without reading the log. */
+  floorHeardAt: number | undefined;
+  /** Nodes that ask for a floor and wait for the log's head to be read. */
+  floorAsked: Map<NodeId, string>;
+  /** Those that asked before the reading of the head that is under way. */
+  floorAsking: Map<NodeId, string> | undefined;
   isLeaving: boolean;
   ticks: number;
   /** True once a member of the own domain told its view. */
@@ -126,6 +132,10 @@
   }
   /** The state holds every record that the log had at the start. */
   | { readonly type: "caught-up"; readonly now: MonotonicMs }
+  /** The state holds all of the log up to the head that `read-head` found. */
+  | { readonly type: "head-reached"; readonly version: Offset }
+  /** The log did not tell its head. */
+  | { readonly type: "head-unknown" }
   | { readonly type: "seeded"; readonly seeds: readonly NodeId[] }
   | { readonly type: "leaving"; readonly now: MonotonicMs };
 
@@ -139,6 +149,8 @@
   | { readonly type: "upstreams-changed" }
   /** The node knows what it must not serve below. */
   | { readonly type: "floor-known"; readonly floor: Offset }
+  /** Read the log's head, and say when the state has reached it. */
+  | { readonly type: "read-head" }
   /** Record a sample of the domain's live nodes in the log. */
   | { readonly type: "record-presence"; readonly nodes: readonly NodeId[] }
   | {
@@ -186,6 +198,9 @@
     applied: 0,
     floor: undefined,
     heardFloor: 0,
+    floorHeardAt: undefined,
+    floorAsked: new Map(),
+    floorAsking: undefined,
     isLeaving: false,
     ticks: 0,
     isWelcomed: false,
--- a/src/membership/welcome_member.ts
+++ b/src/membership/welcome_member.ts
@@ -1,12 +1,11 @@
 /**
- * How a node finds its domain, and what it learns before it serves.
+ * How a node finds its domain, and what it learns of the others.
  * @module
  */
-import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { MemberRow, Welcome } from "./messages.ts";
 import { ownRow } from "./own_row.ts";
-import { overlayOf, send } from "./overlay_of.ts";
-import { gatewaysAbroad } from "./speak_domain.ts";
+import { send } from "./overlay_of.ts";
 import type { MembershipEffect, MembershipState } from "./state.ts";
 import { findContradiction, notePeer, takeRow } from "./take_row.ts";
 import { takeSummary } from "./take_summary.ts";
@@ -99,49 +98,3 @@
   }
   return effects;
 }
-
-/** Asks for the floor until it is known: members, or others when alone. */
-export function seekFloor(
-  state: MembershipState,
-  random: number,
-): MembershipEffect[] {
-  if (state.floor !== undefined) return [];
-  const { id, domain } = state.self;
-  const members = [...state.members.keys()].filter((one) => one !== id);
-  const strangers = [...state.seeds, ...gatewaysAbroad(state)]
-    .filter((one) => one !== id);
-  const candidates = members.length > 0 ? members : strangers;
-  const [reader] = overlayOf(state).readers;
-  const any = candidates[Math.floor(random * candidates.length)];
-  const targets = new Set([reader, any]);
-  return [...targets].filter((to) => to !== undefined && to !== id)
-    .map((to) => send(to ?? "", { type: "membership/want-floor", domain }));
-}
-
-/** Tells a node that has just started what it must not serve below. */
-export function answerFloor(
-  state: MembershipState,
-  from: NodeId,
-  domain: string,
-): MembershipEffect[] {
-  // A node that does not know its own floor has nothing to go by.
-  if (state.floor === undefined) return [];
-  const atAddress = state.members.get(from) ?? state.departed.get(from);
-  const floor = Math.max(
-    state.floor,
-    state.applied,
-    atAddress?.row.applied ?? 0,
-    state.summaries.get(domain)?.summary.highest ?? 0,
-  );
-  return [send(from, { type: "membership/floor", floor })];
-}
-
-/** Takes the first floor that is told. */
-export function takeFloor(
-  state: MembershipState,
-  floor: Offset,
-): MembershipEffect[] {
-  if (state.floor !== undefined) return [];
-  state.floor = Math.max(floor, state.heardFloor);
-  return [{ type: "floor-known", floor: state.floor }];
-}
