feat(trace): record each slice's decisions

Cause: the recorder had no users, so a node's faults could not be repeated. Change: every driver notes its state and wraps its decision; the fold, the swap of what is served and the start of a call are decisions with an event, so a trace holds them too. A trace may hold several nodes: each header begins a recording. Ruled out: recording whole directories; the versions present are enough to repeat the compile. Off, the recorder returns the decision itself.

--- a/src/adapters/control_context.ts
+++ b/src/adapters/control_context.ts
@@ -4,6 +4,7 @@
  */
 import type { ControlLoop } from "../control/create_control_loop.ts";
 import type { MonotonicMs, NodeId, NodeInfo } from "../core/types.ts";
+import type { Recorder } from "../trace/create_recorder.ts";
 import type { Metrics } from "./metrics.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
@@ -12,6 +13,7 @@
   readonly loop: ControlLoop;
   readonly now: () => MonotonicMs;
   readonly metrics: Metrics;
+  readonly recorder: Recorder;
   /** Sends to a peer, or drops the message. Never blocks. */
   readonly send: (to: NodeId, message: PeerMessage) => void;
 }
--- a/src/adapters/create_call_path.ts
+++ b/src/adapters/create_call_path.ts
@@ -24,6 +24,7 @@
 import { readCall, readForward, type ReadResult } from "./read_call.ts";
 import { needsClaim, runOnce } from "./run_once.ts";
 import { tryHomes, type TryHomesContext } from "./try_homes.ts";
+import type { Recorder } from "../trace/create_recorder.ts";
 
 const log = createDebug("lagoon:calls");
 const logTotals = createDebug("lagoon:totals");
@@ -38,6 +39,7 @@
   readonly control: Control;
   readonly self: NodeInfo;
   readonly keys: readonly string[];
+  readonly recorder?: Recorder;
 }
 
 export interface CallPath {
@@ -62,6 +64,7 @@
     endpoints: () => control.membership.own,
     watch,
     quarantine: control.quarantine,
+    ...(opts.recorder === undefined ? {} : { recorder: opts.recorder }),
   });
   const totals = createCallTotals();
   const now = () => performance.now();
--- a/src/adapters/create_control.ts
+++ b/src/adapters/create_control.ts
@@ -18,6 +18,7 @@
 import type { MembershipState } from "../membership/state.ts";
 import type { CallEvent, EvidencePoint } from "../rollout/state.ts";
 import type { ServingConfig } from "../serving/state.ts";
+import { type Recorder, silentRecorder } from "../trace/create_recorder.ts";
 import type { ControlContext } from "./control_context.ts";
 import { type ConfigDriver, driveConfig } from "./drive_config.ts";
 import { driveMesh } from "./drive_mesh.ts";
@@ -40,6 +41,7 @@
   readonly log: LogClient;
   readonly snapshots?: SnapshotPolicy;
   readonly metrics?: Metrics;
+  readonly recorder?: Recorder;
   readonly send: (to: NodeId, message: PeerMessage) => void;
 }
 
@@ -77,8 +79,15 @@
     maxWaiting: maxWaitingEvents,
   });
   const now = () => performance.now();
-  const { metrics = noMetrics, send } = opts;
-  const context: ControlContext = { self, loop, now, metrics, send };
+  const { metrics = noMetrics, recorder = silentRecorder, send } = opts;
+  const context: ControlContext = {
+    self,
+    loop,
+    now,
+    metrics,
+    recorder,
+    send,
+  };
   const mesh = driveMesh({
     context,
     seeds: opts.seeds,
--- a/src/adapters/create_home.ts
+++ b/src/adapters/create_home.ts
@@ -23,6 +23,8 @@
 import type { Attempt } from "./create_relay.ts";
 import { dispatchCall } from "./dispatch_call.ts";
 import type { QuarantineDriver, StartResult } from "./drive_quarantine.ts";
+import { type Recorder, silentRecorder } from "../trace/create_recorder.ts";
+import { TraceSlice } from "../trace/messages.ts";
 
 const keepAliveMs = 30_000;
 
@@ -37,6 +39,7 @@
   readonly endpoints: () => ReadonlyMap<EndpointId, OwnEndpoint>;
   readonly watch: CallWatch;
   readonly quarantine: QuarantineDriver;
+  readonly recorder?: Recorder;
 }
 
 export interface Home {
@@ -57,7 +60,13 @@
 export function createHome(opts: CreateHomeOptions): Home {
   const { watch, quarantine } = opts;
   const runners = new Map<EndpointId, EndpointRunner>();
-  const state = createAdmissionState();
+  const { recorder = silentRecorder } = opts;
+  const state = recorder.created(
+    TraceSlice.Admission,
+    {},
+    createAdmissionState(),
+  );
+  const decide = recorder.traced(TraceSlice.Admission, decideAdmission);
   const now = () => performance.now();
 
   function runnerOf(own: OwnEndpoint): EndpointRunner {
@@ -120,7 +129,7 @@
     }
     const leftMs = call.deadlineAt - now();
     const { plan } = call;
-    const [effect] = decideAdmission(state, {
+    const [effect] = decide(state, {
       type: "asked",
       endpoint,
       plan,
@@ -145,7 +154,7 @@
         ? givenUp
         : whyNotStart(call, res, opts.endpoints().get(endpoint), begun);
       const isRun = refusal === undefined && begun.type === "started";
-      decideAdmission(state, { type: "started", endpoint, plan, tag, isRun });
+      decide(state, { type: "started", endpoint, plan, tag, isRun });
       if (begun.type !== "started") return refusal ?? quarantined;
       if (refusal !== undefined) {
         quarantine.end(endpoint, begun.call, false);
@@ -155,7 +164,7 @@
       attempt = runAtUpstream({ runner, own, call, res, overdue });
       const end = await attempt.end;
       const tookMs = now() - startedAt;
-      decideAdmission(state, { type: "ended", endpoint, tookMs });
+      decide(state, { type: "ended", endpoint, tookMs });
       await tellQuarantine(endpoint, begun.call, end);
       return end.type === "answered" ? { ...end, load: loadOf(own) } : end;
     };
@@ -233,7 +242,7 @@
       if (runner.queue.pending + runner.queue.size > 0) continue;
       runners.delete(endpoint);
       runner.pool.close();
-      decideAdmission(state, { type: "gone", endpoint });
+      decide(state, { type: "gone", endpoint });
     }
   }
 
--- a/src/adapters/drive_append.ts
+++ b/src/adapters/drive_append.ts
@@ -22,6 +22,7 @@
 import { Priority } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
 import { exhausted } from "../core/exhausted.ts";
+import { TraceSlice } from "../trace/messages.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { LogClient } from "./log_client.ts";
 import { MetricName } from "./metrics.ts";
@@ -52,8 +53,14 @@
 /** Creates the driver. */
 export function driveAppend(opts: DriveAppendOptions): AppendDriver {
   const { context, log, config } = opts;
-  const { now, loop, self, metrics } = context;
-  const state = createAppendState(`${self.id}/${self.boot}`);
+  const { now, loop, self, metrics, recorder } = context;
+  const writer = `${self.id}/${self.boot}`;
+  const state = recorder.created(
+    TraceSlice.Append,
+    writer,
+    createAppendState(writer),
+  );
+  const decide = recorder.traced(TraceSlice.Append, decideAppend);
   const waiting = new Map<number, Resolve>();
   /** Submitted, but not yet taken by the loop. */
   const queued = new Set<Resolve>();
@@ -61,7 +68,7 @@
 
   function run(event: AppendEvent) {
     const waitingBefore = state.pending.length;
-    for (const effect of decideAppend(state, event)) {
+    for (const effect of decide(state, event)) {
       switch (effect.type) {
         case "append":
           sendBatch(effect.envelopes.map((one) => JSON.stringify(one)));
--- a/src/adapters/drive_config.ts
+++ b/src/adapters/drive_config.ts
@@ -9,7 +9,7 @@
   type EncodedSnapshot,
   encodeSnapshot,
 } from "../config_log/encode_snapshot.ts";
-import { foldRecord } from "../config_log/fold_record.ts";
+import { decideConfig } from "../config_log/decide_config.ts";
 import type { SnapshotPolicy } from "../config_log/decide_snapshot.ts";
 import type { ConfigRecord, LogRecord } from "../config_log/messages.ts";
 import type { ConfigState, SubmitOutcome } from "../config_log/state.ts";
@@ -17,9 +17,10 @@
 import { formatError } from "../core/errors.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { Directory, Offset } from "../core/types.ts";
-import { compileConfig } from "../serving/compile_config.ts";
-import { decideSwap } from "../serving/decide_swap.ts";
-import type { ServingConfig } from "../serving/state.ts";
+import { decideServing } from "../serving/decide_serving.ts";
+import { findPresent } from "../serving/find_present.ts";
+import { createServingState, type ServingConfig } from "../serving/state.ts";
+import { TraceSlice } from "../trace/messages.ts";
 import type { ControlContext } from "./control_context.ts";
 import { driveAppend } from "./drive_append.ts";
 import { driveSnapshots } from "./drive_snapshots.ts";
@@ -70,9 +71,15 @@
 /** Creates the driver. All its methods run on the control loop. */
 export function driveConfig(opts: DriveConfigOptions): ConfigDriver {
   const { context, log } = opts;
-  const { metrics } = context;
-  let state = createConfigState();
-  let serving: ServingConfig | undefined;
+  const { metrics, recorder } = context;
+  let state = recorder.created(TraceSlice.Config, {}, createConfigState());
+  const decideFold = recorder.traced(TraceSlice.Config, decideConfig);
+  const serving = recorder.created(
+    TraceSlice.Serving,
+    {},
+    createServingState(),
+  );
+  const decideSwap = recorder.traced(TraceSlice.Serving, decideServing);
   let isCompileDue = false;
   let encoded: EncodedSnapshot | undefined;
   const append = driveAppend({ context, log, config: () => state });
@@ -87,9 +94,10 @@
 
   function fold(records: readonly LogRecord[]) {
     for (const record of records) {
-      const verdict = foldRecord({ state, record });
-      append.noteVerdict(record, verdict);
-      metrics.count(MetricName.Verdicts, 1, { kind: verdict.type });
+      for (const verdict of decideFold(state, { type: "record", record })) {
+        append.noteVerdict(record, verdict);
+        metrics.count(MetricName.Verdicts, 1, { kind: verdict.type });
+      }
     }
     noteFolded(records);
   }
@@ -107,7 +115,9 @@
       logger("%s", formatError(decoded.error));
       return;
     }
+    decideFold(state, { type: "snapshot", snapshot });
     state = decoded.value;
+    recorder.replaced(TraceSlice.Config, state);
     append.noteSkipped();
     logger("Snapshot through %d loaded.", snapshot.through);
     noteFolded([]);
@@ -125,40 +135,38 @@
   }
 
   function compile() {
-    const candidate = compileConfig({
-      state,
-      directory: opts.directory(),
-      previous: serving,
+    const effects = decideSwap(serving, {
+      type: "compile",
+      config: state,
+      present: findPresent({ config: state, directory: opts.directory() }),
+      floor: opts.floor(),
     });
-    if (candidate.version === 0) return;
-    const floor = opts.floor();
-    if (floor === undefined) return;
-    const decision = decideSwap({ current: serving, candidate, floor });
-    switch (decision.type) {
-      case "swap":
-        swap(candidate);
-        return;
-      case "older":
-      case "broken":
-        logger("Version %d refused: %s.", candidate.version, decision.reason);
-        return;
-      default:
-        exhausted(decision);
+    for (const effect of effects) {
+      switch (effect.type) {
+        case "applied":
+          noteApplied(effect.version);
+          break;
+        case "older":
+        case "broken":
+          logger("Version %d refused: %s.", effect.version, effect.reason);
+          break;
+        case "swapped":
+          break;
+        default:
+          exhausted(effect);
+      }
     }
   }
 
-  function swap(candidate: ServingConfig) {
-    const isNew = candidate.version !== serving?.version;
-    serving = candidate;
-    if (!isNew) return;
-    logger("Version %d is in force.", candidate.version);
-    metrics.gauge(MetricName.Applied, candidate.version);
-    opts.onApplied(candidate.version);
+  function noteApplied(version: Offset) {
+    logger("Version %d is in force.", version);
+    metrics.gauge(MetricName.Applied, version);
+    opts.onApplied(version);
   }
 
   return {
     state: () => state,
-    serving: () => serving,
+    serving: () => serving.current,
     fold,
     loadSnapshot,
     snapshot() {
--- a/src/adapters/drive_mesh.ts
+++ b/src/adapters/drive_mesh.ts
@@ -43,6 +43,7 @@
   type BroadcastEvent,
   createBroadcastState,
 } from "../overlay/state.ts";
+import { TraceSlice } from "../trace/messages.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { ConfigDriver } from "./drive_config.ts";
 import { followLog, type LogFollower } from "./follow_log.ts";
@@ -89,15 +90,33 @@
 /** Creates the driver. All its methods run on the control loop. */
 export function driveMesh(opts: DriveMeshOptions): MeshDriver {
   const { context, log, config } = opts;
-  const { self, loop, now, send } = context;
+  const { self, loop, now, send, recorder } = context;
   let follower: LogFollower | undefined;
-  const distribution = createDistributionState(self.id, 1);
-  const membership = createMembershipState({
+  const first = { self: self.id, next: 1 };
+  const distribution = recorder.created(
+    TraceSlice.Distribution,
+    first,
+    createDistributionState(first.self, first.next),
+  );
+  const start = {
     self,
     seeds: opts.seeds,
     startedAt: Date.now(),
     now: now(),
-  });
+  };
+  const membership = recorder.created(
+    TraceSlice.Membership,
+    start,
+    createMembershipState(start),
+  );
+  const decideMember = recorder.traced(
+    TraceSlice.Membership,
+    decideMembership,
+  );
+  const decideSpread = recorder.traced(
+    TraceSlice.Distribution,
+    decideDistribution,
+  );
   const broadcasts = createBroadcastState<SliceMessage>(self.id, self.boot);
   let broadcastTimer: NodeJS.Timeout | undefined;
   /** Head of the log at the first page read. */
@@ -113,7 +132,7 @@
   });
 
   function runMembership(event: MembershipEvent) {
-    for (const effect of decideMembership(membership, event)) {
+    for (const effect of decideMember(membership, event)) {
       switch (effect.type) {
         case "send":
           send(effect.to, effect.message);
@@ -164,7 +183,7 @@
   }
 
   function runDistribution(event: DistributionEvent) {
-    for (const effect of decideDistribution(distribution, event)) {
+    for (const effect of decideSpread(distribution, event)) {
       switch (effect.type) {
         case "send":
           send(effect.to, effect.message);
--- a/src/adapters/drive_once.ts
+++ b/src/adapters/drive_once.ts
@@ -11,6 +11,7 @@
 import { keyOfCall, type KeyOfCallOptions } from "../once/key_of_call.ts";
 import type { OnceMessage, RunOutcome } from "../once/messages.ts";
 import type { AskEvent, ClaimOutcome } from "../once/state.ts";
+import { TraceSlice } from "../trace/messages.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { LogClient } from "./log_client.ts";
 import { type ClaimReader, readClaims } from "./read_claims.ts";
@@ -48,8 +49,14 @@
 /** Creates the driver. `claim` and `settle` may be called from anywhere. */
 export function driveOnce(opts: DriveOnceOptions): OnceDriver {
   const { context, members } = opts;
-  const { self, loop, now } = context;
-  const asking = createAskState(`${self.id}/${self.boot}`);
+  const { self, loop, now, recorder } = context;
+  const writer = `${self.id}/${self.boot}`;
+  const asking = recorder.created(
+    TraceSlice.Ask,
+    writer,
+    createAskState(writer),
+  );
+  const decide = recorder.traced(TraceSlice.Ask, decideAsk);
   const waiting = new Map<string, (outcome: ClaimOutcome) => void>();
   let reader: ClaimReader | undefined;
   let timer: NodeJS.Timeout | undefined;
@@ -63,7 +70,7 @@
   }
 
   function runAsk(event: AskEvent) {
-    for (const effect of decideAsk(asking, event)) {
+    for (const effect of decide(asking, event)) {
       switch (effect.type) {
         case "send":
           send(effect.to, effect.message);
--- a/src/adapters/drive_quarantine.ts
+++ b/src/adapters/drive_quarantine.ts
@@ -6,7 +6,8 @@
 import { Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { EndpointId, MonotonicMs, NodeId } from "../core/types.ts";
-import { beginCall } from "../quarantine/begin_call.ts";
+import { decideBegin } from "../quarantine/decide_begin.ts";
+import { TraceSlice } from "../trace/messages.ts";
 import { decideQuarantine } from "../quarantine/decide_quarantine.ts";
 import { levelOf } from "../quarantine/merge_row.ts";
 import type { Fingerprint, QuarantineMessage } from "../quarantine/messages.ts";
@@ -69,8 +70,14 @@
   opts: DriveQuarantineOptions,
 ): QuarantineDriver {
   const { context, members } = opts;
-  const { self, loop, now } = context;
-  const state = createQuarantineState(self.id, self.boot);
+  const { self, loop, now, recorder } = context;
+  const state = recorder.created(
+    TraceSlice.Quarantine,
+    { self: self.id, boot: self.boot },
+    createQuarantineState(self.id, self.boot),
+  );
+  const decide = recorder.traced(TraceSlice.Quarantine, decideQuarantine);
+  const begin = recorder.traced(TraceSlice.Quarantine, decideBegin);
   const trials = new Map<string, (verdict: TrialVerdict) => void>();
   const changes = new Map<EndpointId, Set<() => void>>();
   const crashes = new Map<EndpointId, Promise<boolean>>();
@@ -84,7 +91,7 @@
   }
 
   function run(event: QuarantineEvent) {
-    for (const effect of decideQuarantine(state, event)) {
+    for (const effect of decide(state, event)) {
       switch (effect.type) {
         case "send":
           send(effect.to, effect.message);
@@ -170,7 +177,8 @@
       return { type };
     };
     for (;;) {
-      const began = beginCall({ state, endpoint, fingerprint, trial });
+      const type = "begin";
+      const [began] = begin(state, { type, endpoint, fingerprint, trial });
       switch (began.type) {
         case "started":
           return began;
--- a/src/adapters/drive_rollout.ts
+++ b/src/adapters/drive_rollout.ts
@@ -19,6 +19,7 @@
   type Reader,
   type RolloutEvent,
 } from "../rollout/state.ts";
+import { TraceSlice } from "../trace/messages.ts";
 import type { ControlContext } from "./control_context.ts";
 import type { ConfigDriver } from "./drive_config.ts";
 import type { MeshDriver } from "./drive_mesh.ts";
@@ -49,16 +50,18 @@
 /** Creates the driver. */
 export function driveRollout(opts: DriveRolloutOptions): RolloutDriver {
   const { context, config, mesh } = opts;
-  const { self, loop, now } = context;
-  const state = createRolloutState({
-    self: self.id,
-    domain: self.domain,
-    boot: self.boot,
-  });
+  const { self, loop, now, recorder } = context;
+  const options = { self: self.id, domain: self.domain, boot: self.boot };
+  const state = recorder.created(
+    TraceSlice.Rollout,
+    options,
+    createRolloutState(options),
+  );
+  const decide = recorder.traced(TraceSlice.Rollout, decideRollout);
   let readers: readonly Reader[] = [];
 
   function run(event: RolloutEvent) {
-    for (const effect of decideRollout(state, event)) {
+    for (const effect of decide(state, event)) {
       switch (effect.type) {
         case "send":
           context.send(effect.to, effect.message);
--- a/src/adapters/read_claims.ts
+++ b/src/adapters/read_claims.ts
@@ -17,6 +17,7 @@
   type OnceMessage,
 } from "../once/messages.ts";
 import type { ReaderEffect, ReaderEvent } from "../once/state.ts";
+import { TraceSlice } from "../trace/messages.ts";
 import type { ControlContext } from "./control_context.ts";
 import { followLog, type LogFollower } from "./follow_log.ts";
 import type { LogClient } from "./log_client.ts";
@@ -47,8 +48,14 @@
 /** Starts reading from the oldest record that the log keeps. */
 export function readClaims(opts: ReadClaimsOptions): ClaimReader {
   const { context, log, send } = opts;
-  const { loop, now, self } = context;
-  const state = createReaderState(`${self.id}/${self.boot}/${starts++}`);
+  const { loop, now, self, recorder } = context;
+  const writer = `${self.id}/${self.boot}/${starts++}`;
+  const state = recorder.created(
+    TraceSlice.ClaimReader,
+    writer,
+    createReaderState(writer),
+  );
+  const decide = recorder.traced(TraceSlice.ClaimReader, decideReader);
   const stopped = new AbortController();
   const reading = new Map<Offset, Promise<readonly OnceItem[]>>();
   let follower: LogFollower | undefined;
@@ -56,7 +63,7 @@
 
   function run(event: ReaderEvent) {
     if (stopped.signal.aborted) return;
-    for (const effect of decideReader(state, event)) apply(effect);
+    for (const effect of decide(state, event)) apply(effect);
     schedule();
   }
 
--- a/src/adapters/run_node.ts
+++ b/src/adapters/run_node.ts
@@ -13,6 +13,7 @@
 import { openHttpServer } from "./http_server.ts";
 import { createLogClient } from "./log_client.ts";
 import { type NodeUsage, reportUsage } from "./node_usage.ts";
+import { openRecording } from "./open_recording.ts";
 import {
   createLinkTotals,
   createPeerLinks,
@@ -55,6 +56,8 @@
     domain,
     node: self.id,
   });
+  const recording = openRecording({ file: settings.record, node: self.id });
+  const { recorder } = recording;
   // Links need the peers' server, which needs the call path.
   let links: PeerLinks | undefined;
   const control = createControl({
@@ -62,12 +65,13 @@
     seeds: settings.seeds,
     log: logClient,
     metrics,
+    recorder,
     ...(settings.snapshots === undefined
       ? {}
       : { snapshots: settings.snapshots }),
     send: (to, message) => links?.send(to, message),
   });
-  const callPath = createCallPath({ control, self, keys });
+  const callPath = createCallPath({ control, self, keys, recorder });
   const usage = (): NodeUsage => ({
     peers: links?.totals ?? createLinkTotals(),
     log: logClient.totals,
@@ -117,6 +121,7 @@
       await admin.close();
       await logClient.close();
       await metrics.close();
+      await recording.close();
       log("Node %s is down.", self.id);
     },
   };
--- /dev/null
+++ b/src/config_log/decide_config.ts
@@ -0,0 +1,29 @@
+/**
+ * Folds the log as a decision, so that a trace can hold and repeat it.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { EncodedSnapshot } from "./encode_snapshot.ts";
+import { foldRecord } from "./fold_record.ts";
+import type { LogRecord } from "./messages.ts";
+import type { ConfigState, Verdict } from "./state.ts";
+
+export type ConfigEvent =
+  | { readonly type: "record"; readonly record: LogRecord }
+  /** A snapshot takes the place of the whole state. */
+  | { readonly type: "snapshot"; readonly snapshot: EncodedSnapshot };
+
+/** Folds a record into its verdict. A snapshot has none: its owner swaps. */
+export function decideConfig(
+  state: ConfigState,
+  event: ConfigEvent,
+): readonly Verdict[] {
+  switch (event.type) {
+    case "record":
+      return [foldRecord({ state, record: event.record })];
+    case "snapshot":
+      return [];
+    default:
+      return exhausted(event);
+  }
+}
--- a/src/serving/compile_config.ts
+++ b/src/serving/compile_config.ts
@@ -10,7 +10,7 @@
 /** Options of `compileConfig`. */
 export interface CompileConfigOptions {
   readonly state: ConfigState;
-  readonly directory: Directory;
+  readonly directory: Pick<Directory, "isPresent">;
   /** Configuration in force. What did not change is taken over from it. */
   readonly previous?: ServingConfig | undefined;
 }
@@ -42,7 +42,7 @@
 }
 
 /** Many plans use one service, and the directory searches all members. */
-function rememberPresence(directory: Directory): IsPresent {
+function rememberPresence(directory: Pick<Directory, "isPresent">): IsPresent {
   const known = new Map<string, boolean>();
   return (service, version) => {
     const key = keyOfVersion(service, version);
--- a/src/serving/state.ts
+++ b/src/serving/state.ts
@@ -2,6 +2,7 @@
  * The configuration in force on one proxy.
  * @module
  */
+import type { ConfigState } from "../config_log/state.ts";
 import type { Offset } from "../core/types.ts";
 import type { RouteRule } from "../lists/types.ts";
 
@@ -42,3 +43,32 @@
   /** Keys `plan/service` allowed but absent here, so not active. */
   readonly inactive: ReadonlySet<string>;
 }
+
+export interface ServingState {
+  /** Configuration in force, none before the first. */
+  current: ServingConfig | undefined;
+}
+
+export interface ServingEvent {
+  readonly type: "compile";
+  readonly config: ConfigState;
+  /** Versions with a ready endpoint, `service@version`. */
+  readonly present: ReadonlySet<string>;
+  /** Lowest version that may be served, none until it is known. */
+  readonly floor: Offset | undefined;
+}
+
+export type ServingEffect =
+  | { readonly type: "swapped"; readonly config: ServingConfig }
+  /** Another version is in force. */
+  | { readonly type: "applied"; readonly version: Offset }
+  | {
+    readonly type: "older" | "broken";
+    readonly version: Offset;
+    readonly reason: string;
+  };
+
+/** Creates the state of a proxy that serves nothing yet. */
+export function createServingState(): ServingState {
+  return { current: undefined };
+}
--- a/src/trace/create_recorder.ts
+++ b/src/trace/create_recorder.ts
@@ -16,10 +16,10 @@
 }
 
 /** A decision of a slice. */
-export type Decide<State, Event, Effect> = (
+export type Decide<State, Event, Effects extends readonly unknown[]> = (
   state: State,
   event: Event,
-) => readonly Effect[];
+) => Effects;
 
 export interface Recorder {
   /** Notes the creation of a slice's state, and returns the state. */
@@ -31,10 +31,10 @@
   /** Replaces the state that other slices' events refer to. */
   replaced(slice: string, state: object): void;
   /** Wraps a decision, so that its events and effects are noted. */
-  traced<State, Event, Effect>(
+  traced<State, Event, Effects extends readonly unknown[]>(
     slice: string,
-    decide: Decide<State, Event, Effect>,
-  ): Decide<State, Event, Effect>;
+    decide: Decide<State, Event, Effects>,
+  ): Decide<State, Event, Effects>;
 }
 
 /** A recorder that notes nothing. */
--- a/src/trace/messages.ts
+++ b/src/trace/messages.ts
@@ -6,7 +6,22 @@
 /** Format of traces. A replay refuses any other. */
 export const traceFormat = 1;
 
-/** First line of a trace. */
+/** Slices whose decisions are recorded. */
+export const TraceSlice = {
+  Config: "config",
+  Serving: "serving",
+  Append: "append",
+  Membership: "membership",
+  Distribution: "distribution",
+  Rollout: "rollout",
+  Ask: "ask",
+  ClaimReader: "claim-reader",
+  Quarantine: "quarantine",
+  Admission: "admission",
+} as const;
+export type TraceSlice = typeof TraceSlice[keyof typeof TraceSlice];
+
+/** First line of a node's recording. A trace may hold several recordings. */
 export interface TraceHeader {
   readonly type: "header";
   readonly format: number;
--- a/src/trace/replay_trace.ts
+++ b/src/trace/replay_trace.ts
@@ -32,6 +32,8 @@
   readonly file: string;
   readonly lines: readonly string[];
   readonly slices: Readonly<Record<string, ReplaySlice>>;
+  /** Called at the start of each node's recording. */
+  readonly onRecording?: (node: string) => void;
   /** Sees every decision, for checks of outcomes. */
   readonly onDecision: (decision: ReplayedDecision) => void;
 }
@@ -59,9 +61,14 @@
 ): Result<number, LagoonError> {
   switch (line.type) {
     case "header":
-      return line.format === traceFormat
-        ? ok(0)
-        : err(traceError(opts, number, `format ${line.format} is unknown`));
+      if (line.format !== traceFormat) {
+        return err(
+          traceError(opts, number, `format ${line.format} is unknown`),
+        );
+      }
+      states.clear();
+      opts.onRecording?.(line.node);
+      return ok(0);
     case "created": {
       const slice = opts.slices[line.slice];
       if (slice === undefined) return err(unknownSlice(opts, number, line));
--- a/tools/experiments/once.ts
+++ b/tools/experiments/once.ts
@@ -6,6 +6,7 @@
  */
 import { driveOnce, type OnceDriver } from "../../src/adapters/drive_once.ts";
 import { noMetrics } from "../../src/adapters/metrics.ts";
+import { silentRecorder } from "../../src/trace/create_recorder.ts";
 import { createLogClient } from "../../src/adapters/log_client.ts";
 import {
   createControlLoop,
@@ -151,7 +152,14 @@
     const self = { id, domain, region: "r", boot: "b" };
     const now = () => performance.now();
     const node = driveOnce({
-      context: { self, loop, now, metrics: noMetrics, send },
+      context: {
+        self,
+        loop,
+        now,
+        recorder: silentRecorder,
+        metrics: noMetrics,
+        send,
+      },
       log: client,
       members: () =>
         [...drivers.keys()].filter((_, at) =>
