feat(trace): replay recorded traces against stated outcomes

Cause: a promise could be tested, but a fault that a fleet had seen could not be repeated against later code. An outcome that a trace never shows fails as well, so no check passes on nothing. Ruled out: one file a node, since a fault is a story of several; judging times, which a replay does not have.

--- /dev/null
+++ b/src/adapters/open_recording_test.ts
@@ -0,0 +1,26 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { mkdtemp, readFile, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { silentRecorder } from "../trace/create_recorder.ts";
+import { openRecording } from "./open_recording.ts";
+
+test("recording outlives a restart", async (t) => {
+  const dir = await mkdtemp(join(tmpdir(), "lagoon-record-"));
+  t.after(() => rm(dir, { recursive: true }));
+  const file = join(dir, "n.jsonl");
+  for (const start of [1, 2]) {
+    const { recorder, close } = openRecording({ file, node: "n" });
+    recorder.traced("sum", () => [start])({}, {});
+    await close();
+  }
+  const lines = (await readFile(file, "utf8")).trim().split("\n");
+  const types = lines.map((line) => JSON.parse(line).type);
+  assert.deepEqual(types, ["header", "decided", "header", "decided"]);
+});
+
+test("no file, no recorder", () => {
+  const { recorder } = openRecording({ file: undefined, node: "n" });
+  assert.equal(recorder, silentRecorder);
+});
--- /dev/null
+++ b/src/trace/outcomes/check_draining.ts
@@ -0,0 +1,32 @@
+/**
+ * A home starts nothing at an endpoint that leaves.
+ * @module
+ */
+import { EndpointState } from "../../core/types.ts";
+import { TraceSlice } from "../messages.ts";
+import { held, judge, type OutcomeCheck } from "./outcome.ts";
+
+/** Creates the check. It holds only when an endpoint drained. */
+export function checkDraining(): OutcomeCheck {
+  const draining = new Set<string>();
+  return {
+    note(decision) {
+      if (decision.slice === TraceSlice.Membership) {
+        const { event } = decision;
+        if (event.type !== "announced") return undefined;
+        const { endpoint, state } = event.announcement;
+        if (state !== EndpointState.Draining) {
+          draining.delete(endpoint);
+          return undefined;
+        }
+        draining.add(endpoint);
+        return held;
+      }
+      if (decision.slice !== TraceSlice.Admission) return undefined;
+      const { event } = decision;
+      if (event.type !== "started" || !event.isRun) return undefined;
+      if (!draining.has(event.endpoint)) return undefined;
+      return judge(false, `${event.endpoint} got a call while it drained`);
+    },
+  };
+}
--- /dev/null
+++ b/src/trace/outcomes/check_edits_in_force.ts
@@ -0,0 +1,31 @@
+/**
+ * Each accepted change is served by the end of the recording that folded it.
+ * @module
+ */
+import { TraceSlice } from "../messages.ts";
+import { type Finding, judge, type OutcomeCheck } from "./outcome.ts";
+
+/** Creates the check. */
+export function checkEditsInForce(): OutcomeCheck {
+  let accepted = 0;
+  let served = 0;
+  return {
+    note(decision) {
+      if (decision.slice === TraceSlice.Config) {
+        accepted = decision.state.version;
+      } else if (decision.slice === TraceSlice.Serving) {
+        for (const effect of decision.effects) {
+          if (effect.type === "swapped") served = effect.config.version;
+        }
+      }
+      return undefined;
+    },
+    finishRecording(): Finding | undefined {
+      const finding = accepted === 0
+        ? undefined
+        : judge(served === accepted, `${accepted} accepted, ${served} served`);
+      accepted = served = 0;
+      return finding;
+    },
+  };
+}
--- /dev/null
+++ b/src/trace/outcomes/check_first_share.ts
@@ -0,0 +1,23 @@
+/**
+ * A new version begins with the first share, before there is evidence.
+ * @module
+ */
+import { rungs } from "../../rollout/plan_step.ts";
+import { TraceSlice } from "../messages.ts";
+import { judge, type OutcomeCheck } from "./outcome.ts";
+
+const first = rungs[0]?.perMille ?? 0;
+
+/** Creates the check. */
+export function checkFirstShare(): OutcomeCheck {
+  return {
+    note(decision) {
+      if (decision.slice !== TraceSlice.Config) return undefined;
+      const begun = [...decision.state.rollouts.values()]
+        .filter((one) => one.steps.length === 1 && one.perMille > 0);
+      if (begun.length === 0) return undefined;
+      const wrong = begun.find((one) => one.perMille > first);
+      return judge(wrong === undefined, `${wrong?.id} begins too high`);
+    },
+  };
+}
--- /dev/null
+++ b/src/trace/outcomes/check_fold_unchanged.ts
@@ -0,0 +1,34 @@
+/**
+ * Records with a certain verdict leave the lists and rollouts as they were.
+ * @module
+ */
+import type { ConfigState, Verdict } from "../../config_log/state.ts";
+import { encodeValue } from "../encode_value.ts";
+import { TraceSlice } from "../messages.ts";
+import { judge, type OutcomeCheck } from "./outcome.ts";
+
+/** Creates the check for one kind of verdict. */
+export function checkFoldUnchanged(kind: Verdict["type"]): OutcomeCheck {
+  let before = "";
+  return {
+    note(decision) {
+      if (decision.slice !== TraceSlice.Config) return undefined;
+      const after = contentOf(decision.state);
+      const isSame = after === before;
+      before = after;
+      const [verdict] = decision.effects;
+      if (verdict?.type !== kind) return undefined;
+      return judge(isSame, `a ${kind} record changed the state`);
+    },
+    finishRecording() {
+      before = "";
+      return undefined;
+    },
+  };
+}
+
+function contentOf(state: ConfigState): string {
+  const { version, customers, uses, rollouts, withdrawn, leases } = state;
+  const value = { version, customers, uses, rollouts, withdrawn, leases };
+  return encodeValue({ value, sliceOf: () => undefined });
+}
--- /dev/null
+++ b/src/trace/outcomes/check_not_run.ts
@@ -0,0 +1,27 @@
+/**
+ * An attempt that was refused as not run is never told to run.
+ * @module
+ */
+import { TraceSlice } from "../messages.ts";
+import { judge, type OutcomeCheck } from "./outcome.ts";
+
+/** Creates the check. It holds only when an attempt was refused as not run. */
+export function checkNotRun(): OutcomeCheck {
+  const refused = new Set<string>();
+  return {
+    note(decision) {
+      if (decision.slice !== TraceSlice.Ask) return undefined;
+      for (const effect of decision.effects) {
+        if (effect.type !== "resolve") continue;
+        const { attempt, outcome } = effect;
+        if (outcome.type === "refused" && outcome.isNotRun) {
+          refused.add(attempt);
+        }
+        if (refused.has(attempt)) {
+          return judge(outcome.type !== "run", `${attempt} ran after all`);
+        }
+      }
+      return undefined;
+    },
+  };
+}
--- /dev/null
+++ b/src/trace/outcomes/check_presence.ts
@@ -0,0 +1,28 @@
+/**
+ * Every active route has a version with a ready endpoint.
+ * @module
+ */
+import { keyOfVersion } from "../../core/key_of_version.ts";
+import { TraceSlice } from "../messages.ts";
+import { judge, type OutcomeCheck } from "./outcome.ts";
+
+/** Creates the check. It holds only when something was absent for a time. */
+export function checkPresence(): OutcomeCheck {
+  let wasAbsent = false;
+  return {
+    note(decision) {
+      if (decision.slice !== TraceSlice.Serving) return undefined;
+      const { present } = decision.event;
+      const swap = decision.effects.find((one) => one.type === "swapped");
+      if (swap === undefined) return undefined;
+      if (swap.config.inactive.size > 0) wasAbsent = true;
+      const wrong = [...swap.config.services.values()].find((served) => {
+        const { service, split } = served;
+        const named = [split.stable, split.candidate?.version ?? split.stable];
+        return named.some((one) => !present.has(keyOfVersion(service, one)));
+      });
+      if (wrong === undefined && !wasAbsent) return undefined;
+      return judge(wrong === undefined, `${wrong?.service} is absent`);
+    },
+  };
+}
--- /dev/null
+++ b/src/trace/outcomes/check_rollout_end.ts
@@ -0,0 +1,26 @@
+/**
+ * A rollout ends in one phase and in no other.
+ * @module
+ */
+import { RolloutPhase } from "../../config_log/state.ts";
+import { TraceSlice } from "../messages.ts";
+import { judge, type OutcomeCheck } from "./outcome.ts";
+
+type End = typeof RolloutPhase.Done | typeof RolloutPhase.RolledBack;
+
+/** Creates the check for one way to end. */
+export function checkRolloutEnd(end: End): OutcomeCheck {
+  const other = end === RolloutPhase.Done
+    ? RolloutPhase.RolledBack
+    : RolloutPhase.Done;
+  return {
+    note(decision) {
+      if (decision.slice !== TraceSlice.Config) return undefined;
+      const phases = [...decision.state.rollouts.values()]
+        .map((one) => one.phase);
+      const isOther = phases.includes(other);
+      if (!isOther && !phases.includes(end)) return undefined;
+      return judge(!isOther, `a rollout ended as ${other}`);
+    },
+  };
+}
--- /dev/null
+++ b/src/trace/outcomes/check_versions.ts
@@ -0,0 +1,25 @@
+/**
+ * No node, restarted ones included, serves an older version than before.
+ * @module
+ */
+import { TraceSlice } from "../messages.ts";
+import { judge, type OutcomeCheck } from "./outcome.ts";
+
+/** Creates the check. */
+export function checkVersions(): OutcomeCheck {
+  const highest = new Map<string, number>();
+  return {
+    note(decision) {
+      if (decision.slice !== TraceSlice.Serving) return undefined;
+      const swap = decision.effects.find((one) => one.type === "swapped");
+      if (swap === undefined) return undefined;
+      const { version } = swap.config;
+      const before = highest.get(decision.node) ?? 0;
+      highest.set(decision.node, version);
+      return judge(
+        version >= before && version >= (decision.event.floor ?? Infinity),
+        `${decision.node} went from version ${before} to ${version}`,
+      );
+    },
+  };
+}
--- /dev/null
+++ b/src/trace/outcomes/check_withdrawn.ts
@@ -0,0 +1,30 @@
+/**
+ * A version that was taken back gets no share again.
+ * @module
+ */
+import { keyOfVersion } from "../../core/key_of_version.ts";
+import { TraceSlice } from "../messages.ts";
+import { judge, type OutcomeCheck } from "./outcome.ts";
+
+/** Creates the check. */
+export function checkWithdrawn(): OutcomeCheck {
+  return {
+    note(decision) {
+      if (decision.slice !== TraceSlice.Serving) return undefined;
+      const { withdrawn } = decision.event.config;
+      const swap = decision.effects.find((one) => one.type === "swapped");
+      if (swap === undefined || withdrawn.size === 0) return undefined;
+      const back = new Set(
+        [...withdrawn.values()].map((one) =>
+          keyOfVersion(one.service, one.version)
+        ),
+      );
+      const wrong = [...swap.config.services.values()].find((served) => {
+        const { service, split } = served;
+        const named = [split.stable, split.candidate?.version ?? split.stable];
+        return named.some((one) => back.has(keyOfVersion(service, one)));
+      });
+      return judge(wrong === undefined, `${wrong?.service} serves it again`);
+    },
+  };
+}
--- /dev/null
+++ b/src/trace/outcomes/outcome.ts
@@ -0,0 +1,49 @@
+/**
+ * Stated outcomes of a trace, and what a check of one says.
+ * @module
+ */
+import type { TracedDecision } from "../traced_decision.ts";
+
+export const OutcomeName = {
+  VersionNeverFalls: "version-never-falls",
+  AcceptedEditInForce: "accepted-edit-in-force",
+  RefusedEditChangesNothing: "refused-edit-changes-nothing",
+  RepeatChangesNothing: "repeat-changes-nothing",
+  DigestAgrees: "digest-agrees",
+  WithdrawnStaysBack: "withdrawn-stays-back",
+  NoRouteToAbsentService: "no-route-to-absent-service",
+  FirstShareSmall: "first-share-small",
+  NoStepAfterLostLease: "no-step-after-lost-lease",
+  RolloutDone: "rollout-done",
+  RolloutTakenBack: "rollout-taken-back",
+  AppendSettledOnce: "append-settled-once",
+  LogFailureSeen: "log-failure-seen",
+  AtMostOneRunPerKey: "at-most-one-run-per-key",
+  NotRunNeverRuns: "not-run-never-runs",
+  CrashesAtMostTwo: "crashes-at-most-two",
+  DrainingGetsNoNewWork: "draining-gets-no-new-work",
+  StartedCallsEnd: "started-calls-end",
+  MembersKnownAgain: "members-known-again",
+} as const;
+export type OutcomeName = typeof OutcomeName[keyof typeof OutcomeName];
+
+/** What one decision, or the end of a trace, says of an outcome. */
+export type Finding =
+  | { readonly type: "held" }
+  | { readonly type: "broken"; readonly reason: string };
+
+/** Says nothing for what the outcome is not about. */
+export interface OutcomeCheck {
+  note(decision: TracedDecision): Finding | undefined;
+  /** Called at the end of each node's recording. */
+  finishRecording?(): Finding | undefined;
+  /** Called at the end of the trace. */
+  finish?(): Finding | undefined;
+}
+
+export const held: Finding = { type: "held" };
+
+/** An outcome that holds, or is broken for `reason`. */
+export function judge(isHeld: boolean, reason: string): Finding {
+  return isHeld ? held : { type: "broken", reason };
+}
--- a/src/trace/replay_trace_test.ts
+++ b/src/trace/replay_trace_test.ts
@@ -1,6 +1,10 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import { createRecorder } from "./create_recorder.ts";
+import { createConfigState } from "../config_log/create_config_state.ts";
+import { decideConfig } from "../config_log/decide_config.ts";
+import { encodeSnapshot } from "../config_log/encode_snapshot.ts";
+import { replaySlices } from "./replay_slices.ts";
 import { replayTrace } from "./replay_trace.ts";
 
 interface Sum {
@@ -82,3 +86,42 @@
   recorder.created("sum", {}, {});
   assert.equal(lines.length, 1);
 });
+
+test("snapshot replaces the fold", () => {
+  const lines: string[] = [];
+  const recorder = createRecorder({
+    node: "n1",
+    binary: "test",
+    write: (line) => lines.push(line),
+    maxLength: 10_000,
+  });
+  const state = recorder.created("config", {}, createConfigState());
+  const fold = recorder.traced("config", decideConfig);
+  const later = { ...createConfigState(), next: 8 };
+  fold(state, { type: "snapshot", snapshot: encodeSnapshot(later) });
+  fold(later, { type: "record", record: { offset: 8, body: "no record" } });
+  const offsets: number[] = [];
+  const result = replayTrace({
+    file: "config.jsonl",
+    lines,
+    slices: replaySlices,
+    onDecision: ({ state }) =>
+      offsets.push((state as ReturnType<typeof createConfigState>).next),
+  });
+  assert.equal(result._unsafeUnwrap(), 2);
+  assert.deepEqual(offsets, [8, 9]);
+});
+
+test("header begins another node", () => {
+  const nodes: string[] = [];
+  const [header = "", created = "", decided = ""] = record();
+  const result = replayTrace({
+    file: "sum.jsonl",
+    lines: [header, created, decided, header, decided],
+    slices,
+    onRecording: (node) => nodes.push(node),
+    onDecision: () => {},
+  });
+  assert.deepEqual(nodes, ["n1", "n1"]);
+  assert.match(result._unsafeUnwrapErr().message, /sum was not created/);
+});
