test(trace): record a version that turns bad at a tenth of the calls

Cause: at 200 calls a second through the old version's home the rollout stayed at its first share for up to a minute, so the trace did not come about. Change: load enters at a node without upstreams, as far from both versions. Guards tried in the code, each seen by `npm run replay` and put back: repeats by `seq <` instead of `<=` (lost-replies), a stale term accepted (paused-holder), a route kept without its version (13 traces), an admission queue without room (good-version, paused-holder), a suspect that runs without a trial (crashing-request).

--- a/tools/traces/scenarios.ts
+++ b/tools/traces/scenarios.ts
@@ -281,7 +281,8 @@
 ) {
   const stopped = new AbortController();
   const load = runLoad({
-    nodes: bench.fleet.nodes.slice(0, 1).map((node) => node.call),
+    // A node without upstreams is as far from the old version as from the new.
+    nodes: bench.fleet.nodes.slice(2, 3).map((node) => node.call),
     customer: "baker",
     method: "GET",
     path: "/portaal/read/a",
