--- a/tools/traces/scenarios.ts
+++ b/tools/traces/scenarios.ts
@@ -3,41 +3,19 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import { pickReaders } from "../../src/distribution/pick_readers.ts";
 import { OutcomeName as Outcome } from "../../src/trace/outcomes/outcome.ts";
-import type { UpstreamFaults } from "../fake_upstream.ts";
-import { runLoad } from "../load.ts";
 import { waitFor } from "../wait_for.ts";
-import type { Bench, StartBenchOptions } from "./start_bench.ts";
+import {
+  killHerd,
+  publishUnheard,
+  returnHerd,
+  start,
+  withLoad,
+} from "./act_on_bench.ts";
+import { rolloutScenarios } from "./rollout_scenarios.ts";
+import { lists, one, type Scenario, two } from "./scenario.ts";
 
 const limitMs = 60_000;
-const loadRate = 60;
-
-/** Enough for a new version to pass its first shares in seconds. */
-const movingRate = 200;
-
-export interface Scenario {
-  readonly name: string;
-  readonly fleet: StartBenchOptions;
-  readonly outcomes: readonly Outcome[];
-  /** Runs after the first lists are in force. */
-  readonly run: (bench: Bench) => Promise<void>;
-}
-
-const lists = [
-  Outcome.VersionNeverFalls,
-  Outcome.AcceptedEditInForce,
-  Outcome.DigestAgrees,
-];
-const badOutcomes = [
-  ...lists,
-  Outcome.FirstShareSmall,
-  Outcome.RolloutTakenBack,
-  Outcome.WithdrawnStaysBack,
-];
-const one = { domains: ["nl-west-a"], nodes: 3, versions: ["v1"] };
-const two = { ...one, domains: ["nl-west-a", "nl-west-b"], nodes: 4 };
-const moving = { ...one, versions: ["v1", "v2"] };
 
 export const scenarios: readonly Scenario[] = [
   {
@@ -143,46 +121,7 @@
       await sleep(5_000);
     },
   },
-  ...[
-    badVersion("bad-at-once", { errorShare: 0.6 }, 20),
-    badVersion("bad-slow", { delayMs: 150 }, 20),
-    badVersion("bad-later", { errorShare: 0.6 }, 100),
-    badVersion("bad-on-one-route", { errorShare: 0.8, path: "/read/a" }, 20),
-    badVersion("bad-hangs", { hangShare: 0.5 }, 20),
-  ],
-  {
-    name: "bad-under-load",
-    fleet: moving,
-    outcomes: badOutcomes,
-    run: (bench) =>
-      withLoad(bench, async () => {
-        await bench.publish(0, "v2");
-        await reachShare(bench, 20);
-        Object.assign(bench.upstreams[1]?.faults ?? {}, { delayMs: 150 });
-        await withLoad(bench, () => ended(bench), movingRate);
-        await bench.settle();
-      }),
-  },
-  {
-    name: "good-version",
-    fleet: moving,
-    outcomes: [...lists, Outcome.FirstShareSmall, Outcome.RolloutDone],
-    run: (bench) =>
-      withLoad(bench, async () => {
-        await bench.publish(0, "v2");
-        await ended(bench);
-      }, movingRate),
-  },
-  {
-    name: "paused-holder",
-    fleet: { ...moving, domains: two.domains, nodes: 4 },
-    outcomes: [
-      Outcome.VersionNeverFalls,
-      Outcome.DigestAgrees,
-      Outcome.NoStepAfterLostLease,
-    ],
-    run: (bench) => withLoad(bench, () => pauseHolder(bench)),
-  },
+  ...rolloutScenarios,
   {
     name: "crashing-request",
     fleet: { ...one, versions: ["v1", "v1", "v1"] },
@@ -252,118 +191,3 @@
       }),
   },
 ];
-
-/** A version whose faults begin at a share, and that is taken back. */
-function badVersion(
-  name: string,
-  faults: Partial<UpstreamFaults>,
-  fromPerMille: number,
-): Scenario {
-  return {
-    name,
-    fleet: moving,
-    outcomes: badOutcomes,
-    run: (bench) =>
-      withLoad(bench, async () => {
-        await bench.publish(0, "v2");
-        await reachShare(bench, fromPerMille);
-        Object.assign(bench.upstreams[1]?.faults ?? {}, faults);
-        await ended(bench);
-        await bench.settle();
-      }, fromPerMille > 20 ? movingRate : loadRate),
-  };
-}
-
-async function withLoad(
-  bench: Bench,
-  run: () => Promise<void>,
-  rate = loadRate,
-) {
-  const stopped = new AbortController();
-  const load = runLoad({
-    // A node without upstreams is as far from the old version as from the new.
-    nodes: bench.fleet.nodes.slice(2, 3).map((node) => node.call),
-    customer: "baker",
-    method: "GET",
-    path: "/portaal/read/a",
-    rate,
-    signal: stopped.signal,
-    durationMs: limitMs,
-  });
-  try {
-    await run();
-  } finally {
-    stopped.abort();
-    await load;
-  }
-}
-
-async function reachShare(bench: Bench, perMille: number) {
-  await waitFor({
-    what: `the share is ${perMille}`,
-    limitMs,
-    isTrue: async () =>
-      (await bench.rollouts(0)).some((row) => row.perMille >= perMille),
-  });
-}
-
-async function ended(bench: Bench) {
-  await waitFor({
-    what: "the rollout ends",
-    limitMs,
-    isTrue: async () =>
-      (await bench.rollouts(0)).some((row) =>
-        row.phase === "done" || row.phase === "rolled-back"
-      ),
-  });
-}
-
-async function killHerd(bench: Bench, nodes: readonly number[]) {
-  await Promise.all(nodes.map((node) => {
-    const killed = bench.fleet.nodes[node];
-    return killed === undefined ? undefined : bench.fleet.kill(killed);
-  }));
-}
-
-function start(bench: Bench, node: number) {
-  const killed = bench.fleet.nodes[node];
-  if (killed !== undefined) bench.fleet.start(killed);
-}
-
-/** Brings nodes back and waits until all are known everywhere. */
-async function returnHerd(bench: Bench, nodes: readonly number[]) {
-  for (const node of nodes) start(bench, node);
-  await bench.settle();
-  await sleep(5_000);
-}
-
-/** Pauses the holder of the rollout's lease until another leads. */
-async function pauseHolder(bench: Bench) {
-  await bench.publish(0, "v2");
-  let holder: string | undefined;
-  await waitFor({
-    what: "the rollout is led",
-    limitMs,
-    isTrue: async () => (holder = await bench.holder()) !== undefined,
-  });
-  const paused = bench.fleet.nodes.find((node) => node.peer === holder);
-  paused?.process.signal("SIGSTOP");
-  await sleep(12_000);
-  paused?.process.signal("SIGCONT");
-  await sleep(6_000);
-}
-
-/** Publishes through a node while the readers are paused for a moment. */
-async function publishUnheard(bench: Bench) {
-  const { nodes } = bench.fleet;
-  const peers = nodes.map(({ peer }) => peer);
-  const readers = pickReaders(peers, nodes[0]?.domain ?? "");
-  const writer = peers.findIndex((peer) => !readers.includes(peer));
-  const changes = await bench.plan(writer, "v1", 2);
-  const paused = nodes.filter(({ peer }) => readers.includes(peer));
-  for (const one of paused) one.process.signal("SIGSTOP");
-  const edit = bench.send(writer, changes);
-  await sleep(2_600);
-  for (const one of paused) one.process.signal("SIGCONT");
-  await edit;
-}
