--- a/src/cli/code_meanings.ts
+++ b/src/cli/code_meanings.ts
@@ -124,8 +124,8 @@
     "A snapshot was damaged. An older one or another node is used instead.",
   LAGOON_SNAPSHOT_NONE:
     "The log has no whole snapshot. Keep a node running that has the state.",
-  LAGOON_TRACE_OUTCOME:
-    "A recorded trace breaks an outcome that is stated for it.",
   LAGOON_TRACE_DIVERGED:
     "A replay decided otherwise than the trace. Record it again if meant.",
+  LAGOON_TRACE_OUTCOME:
+    "A recorded trace breaks an outcome that is stated for it.",
 };
