feat(config_log): refuse a first share above 2%

Cause: the bound on the first share stood in the holder's plan alone, so a holder with a fault or of another release could have given a new version all calls at once. Change: foldStep refuses a share above 20 per mille for a version that has none, as LAGOON_ROLLOUT_STEP_ORDER. Tests: fold_record_test used a first share of 1000 directly. It now takes 1000 refused, 20 and then 1000 accepted; the test of an old term asserts the code as well, since the bound alone would refuse too. Random records gain 20. Ruled out: a bound on later jumps. A blocked or rebuilt rollout may skip a rung, and the evidence, which the fold has not, decides that.

--- a/src/config_log/fold_record_test.ts
+++ b/src/config_log/fold_record_test.ts
@@ -51,11 +51,14 @@
   return { state, id: "portaal@v2#2" };
 }
 
-function step(id: string, term: number, type: string): ConfigRecord {
+function step(
+  id: string,
+  term: number,
+  type: string,
+  perMille = 20,
+): ConfigRecord {
   const reason = "because";
-  const step = type === "share"
-    ? { type, perMille: 1000, reason }
-    : { type, reason };
+  const step = type === "share" ? { type, perMille, reason } : { type, reason };
   return { kind: "rollout-step", rollout: id, term, step } as ConfigRecord;
 }
 
@@ -130,7 +133,10 @@
 test("rollout runs to done", () => {
   const { state, id } = startRollout();
   fold(state, lease(id, 1));
-  for (const type of ["share", "bake", "done"]) {
+  assert.equal(fold(state, step(id, 1, "share", 1000)).type, "refused");
+  assert.equal(fold(state, step(id, 1, "share", 20)).type, "accepted");
+  assert.equal(fold(state, step(id, 1, "share", 1000)).type, "accepted");
+  for (const type of ["bake", "done"]) {
     assert.equal(fold(state, step(id, 1, type)).type, "accepted");
   }
   assert.equal(state.uses.get("basic/portaal")?.stable, "v2");
@@ -143,7 +149,8 @@
   fold(state, lease(id, 1));
   fold(state, lease(id, 2));
   const verdict = fold(state, step(id, 1, "share"));
-  assert.equal(verdict.type, "refused");
+  assert.ok(verdict.type === "refused");
+  assert.equal(verdict.code, "LAGOON_LEASE_STALE_TERM");
   assert.equal(state.rollouts.get(id)?.perMille, 0);
 });
 
--- a/src/config_log/fold_rollout.ts
+++ b/src/config_log/fold_rollout.ts
@@ -30,6 +30,9 @@
 /** Share of a version that serves alone, in thousandths. */
 export const fullShare = 1000;
 
+/** Largest share of a version that has none yet, in thousandths. */
+export const firstShare = 20;
+
 /** Options of `foldLease`. */
 export interface FoldLeaseOptions {
   readonly state: ConfigState;
@@ -108,6 +111,12 @@
   switch (step.type) {
     case StepType.Share: {
       const { perMille } = step;
+      if (rollout.perMille === 0 && perMille > firstShare) {
+        return refused(
+          RefusalCode.StepOutOfOrder,
+          `first share of ${rollout.id} is ${perMille}, above ${firstShare}`,
+        );
+      }
       const phase = RolloutPhase.Shifting;
       const note = { offset, at, phase, perMille, reason };
       state.rollouts.set(rollout.id, noteStep(rollout, note));
--- a/src/testing/arbitrary_records.ts
+++ b/src/testing/arbitrary_records.ts
@@ -67,7 +67,7 @@
 const term = fc.integer({ min: 1, max: 3 });
 
 const step = fc.oneof(
-  fc.constantFrom(500, 1000).map((perMille) => ({
+  fc.constantFrom(20, 500, 1000).map((perMille) => ({
     type: "share" as const,
     perMille,
     reason: "r",
