feat(rollout): spread a domain's hold to the whole fleet at once

Cause: a hold by one domain's evidence stopped that domain only; the others went on until the holder's own verdict. The traces showed five faults: told holds were not spread; two told holds that took turns kept a version held for good (once spread); a late good call ended an alarm without asking the old version; the holder's own domain verdict was not its verdict as holder; a rollback that the log lost was never sent again. Change: a told hold holds everywhere; a domain's finding raises the alarm as the holder's own does; only the old version's calls end an alarm; while a hold is told, odds of 100 in the fleet's evidence are enough; told holds end together; releases carry the term and a deposed holder's is ignored; holds are retold twice as often. The history of ended rollouts is kept.

--- a/src/adapters/drive_rollout.ts
+++ b/src/adapters/drive_rollout.ts
@@ -122,7 +122,9 @@
 
   return {
     held: state.held,
-    history: (rollout) => state.tracks.get(rollout)?.leadership?.history ?? [],
+    history: (rollout) =>
+      state.tracks.get(rollout)?.leadership?.history ??
+        state.endedHistories.get(rollout) ?? [],
     receive: (from, message) =>
       run({ type: "received", from, message, now: now() }),
     noteCall: run,
--- a/src/rollout/confirm_fault.ts
+++ b/src/rollout/confirm_fault.ts
@@ -6,7 +6,8 @@
 import type { MonotonicMs } from "../core/types.ts";
 import { allRoutes, oldBuckets, slowFrom } from "./judge_evidence.ts";
 import { Side } from "./messages.ts";
-import { type Counts, type Fault, type Leadership, Measure } from "./state.ts";
+import { Measure } from "./messages.ts";
+import { type Alarm, type Counts, type Fault } from "./state.ts";
 
 /** Calls of the old version that settle who is to blame. */
 const minOldCalls = 40;
@@ -14,8 +15,15 @@
 const maxWaitMs = 4_000;
 /** The old version is to blame when it is bad at least this often. */
 const minSharedRate = 0.05;
-/** And at least this part as often as the new version. */
-const sharedPart = 0.25;
+/**
+ * And, while the fault stands, this part as often as the new version. Up to one
+ * in ten of a healthy old version's answers count as slow.
+ */
+const sharedParts: Readonly<Record<Measure, number>> = {
+  [Measure.Errors]: 0.1,
+  [Measure.Slowness]: 0.25,
+  [Measure.Overdue]: 0.1,
+};
 
 /** Outcome of comparing a fault with the old version. */
 export const Blame = {
@@ -25,10 +33,17 @@
 } as const;
 export type Blame = typeof Blame[keyof typeof Blame];
 
+/** Begins to compare a fault with the old version's next calls. */
+export function raiseAlarm(fault: Fault, now: MonotonicMs): Alarm {
+  const { calls, bad } = sumOld(fault);
+  return { at: now, fault, oldCalls: calls, oldBad: bad };
+}
+
 /** Options of `confirmFault`. */
 export interface ConfirmFaultOptions {
-  readonly lead: Leadership;
-  readonly fault: Fault;
+  readonly alarm: Alarm;
+  /** False when later calls took the fault out of the evidence again. */
+  readonly isStanding: boolean;
   readonly now: MonotonicMs;
 }
 
@@ -38,13 +53,8 @@
  * and how these end tells who is to blame.
  */
 export function confirmFault(opts: ConfirmFaultOptions): Blame {
-  const { lead, now } = opts;
-  if (lead.alarm === undefined) {
-    const { calls, bad } = sumOld(opts.fault);
-    lead.alarm = { at: now, fault: opts.fault, oldCalls: calls, oldBad: bad };
-  }
-  // The worst finding may change meanwhile: the first one is settled.
-  const { at, fault, oldCalls, oldBad } = lead.alarm;
+  const { alarm, isStanding, now } = opts;
+  const { at, fault, oldCalls, oldBad } = alarm;
   const { finding } = fault;
   const old = sumOld(fault);
   const calls = old.calls - oldCalls;
@@ -58,7 +68,8 @@
     bad / Math.max(1, calls),
     finding.oldBad / Math.max(1, finding.oldCalls),
   );
-  const isShared = oldRate >= minSharedRate && oldRate >= sharedPart * rate;
+  const isShared = oldRate >= minSharedRate &&
+    (!isStanding || oldRate >= sharedParts[finding.measure] * rate);
   return isShared ? Blame.Shared : Blame.NewVersion;
 }
 
--- a/src/rollout/decide_rollout.ts
+++ b/src/rollout/decide_rollout.ts
@@ -13,13 +13,14 @@
 import { createLeadership, createTrack } from "./create_track.ts";
 import { beginHold, endHold, releaseHold } from "./keep_hold.ts";
 import { leadRollout } from "./lead_rollout.ts";
+import { keepHistory } from "./note_history.ts";
 import { mergeReport } from "./merge_report.ts";
 import {
   type EvidenceReport,
   ReportLevel,
   type RolloutMessage,
 } from "./messages.ts";
-import { noteToldHold } from "./release_holds.ts";
+import { takeToldHold } from "./take_told_hold.ts";
 import type {
   RolloutEffect,
   RolloutEvent,
@@ -47,7 +48,10 @@
       const track = state.tracks.get(event.rollout);
       if (track === undefined) return [];
       track.isClaimSent = false;
-      delete track.leadership?.sentSteps;
+      if (track.leadership === undefined) return [];
+      delete track.leadership.sentSteps;
+      // A rollback that took effect ends the track; another is sent again.
+      track.leadership.isRollbackSent = false;
       return [];
     }
     case "ticked":
@@ -76,14 +80,13 @@
       return beginHold({ state, track, origin, reason, now });
     }
     case "rollout/held": {
-      const { origin } = message;
-      const isOwn = origin === state.self;
-      if (track.leadership && !isOwn) {
-        noteToldHold(track.leadership, from, origin, now);
-      }
-      return [];
+      const lead = track.leadership;
+      // A reader that repeats this holder's own order adds nothing.
+      if (lead === undefined || message.origin === state.self) return [];
+      return takeToldHold({ state, track, lead, from, message, now });
     }
     case "rollout/release":
+      if (message.term < track.signTerm) return [];
       return [
         ...passOn(state, from, message),
         ...releaseHold(state, track, now, message.isProbed),
@@ -182,6 +185,7 @@
       continue;
     }
     effects.push(...endHold(state, track));
+    keepHistory(state, track);
     state.tracks.delete(id);
   }
   for (const [id, rollout] of rollouts) {
--- a/src/rollout/decide_rollout_test.ts
+++ b/src/rollout/decide_rollout_test.ts
@@ -108,7 +108,12 @@
   const { id: rollout } = fixture;
   const from = "n2";
   const hold = { type: "rollout/hold", rollout, origin: from, reason: "r" };
-  const release = { type: "rollout/release", rollout, isProbed: true };
+  const release = {
+    type: "rollout/release",
+    rollout,
+    term: 1,
+    isProbed: true,
+  };
   for (const message of [hold, release] as never[]) {
     decideRollout(state, { type: "received", from, now: 1_100, message });
   }
--- a/src/rollout/describe_finding.ts
+++ b/src/rollout/describe_finding.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { exhausted } from "../core/exhausted.ts";
-import { type Finding, Measure } from "./state.ts";
+import { type Finding, Measure } from "./messages.ts";
 
 const perCent = 100;
 
--- a/src/rollout/judge_evidence.ts
+++ b/src/rollout/judge_evidence.ts
@@ -5,13 +5,12 @@
 import type { MonotonicMs } from "../core/types.ts";
 import { countsOf } from "./count_call.ts";
 import { latencyEdgesMs, Side } from "./messages.ts";
+import { type Finding, Measure } from "./messages.ts";
 import {
   type Counts,
   type Evidence,
-  type Finding,
   type Judge,
   type Judgement,
-  Measure,
   type TestState,
 } from "./state.ts";
 import { createTest, type Sample, updateScore } from "./update_score.ts";
--- a/src/rollout/keep_hold.ts
+++ b/src/rollout/keep_hold.ts
@@ -5,6 +5,7 @@
 import { keyOfVersion } from "../core/key_of_version.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { acquit } from "./judge_evidence.ts";
+import type { Finding } from "./messages.ts";
 import {
   HoldPhase,
   type RolloutEffect,
@@ -23,17 +24,20 @@
   readonly track: Track;
   readonly origin: NodeId;
   readonly reason: string;
+  /** Fault in the evidence of this node's domain. */
+  readonly finding?: Finding;
   readonly now: MonotonicMs;
 }
 
 /** Stops calls to the version at once. Nothing happens on a hold in force. */
 export function beginHold(opts: BeginHoldOptions): readonly RolloutEffect[] {
-  const { state, track, origin, reason, now } = opts;
+  const { state, track, origin, reason, finding, now } = opts;
   if (track.hold?.phase === HoldPhase.Full) return [];
   track.hold = {
     phase: HoldPhase.Full,
     origin,
     reason,
+    ...(finding === undefined ? {} : { finding }),
     since: now,
     toldAt: -Infinity,
   };
--- a/src/rollout/lead_rollout.ts
+++ b/src/rollout/lead_rollout.ts
@@ -4,40 +4,39 @@
  */
 import { RecordKind, type RolloutStep } from "../config_log/messages.ts";
 import { RolloutPhase } from "../config_log/state.ts";
+import type { MonotonicMs } from "../core/types.ts";
 import { keyOfVersion } from "../core/key_of_version.ts";
 import { exhausted } from "../core/exhausted.ts";
 import { stepMark } from "./claim_lease.ts";
 import { describeFinding } from "./describe_finding.ts";
-import { acquit, judgeEvidence, resetClearance } from "./judge_evidence.ts";
-import { beginHold, releaseHold } from "./keep_hold.ts";
-import { Blame, confirmFault } from "./confirm_fault.ts";
-import { createJudge } from "./create_track.ts";
+import { acquit, resetClearance } from "./judge_evidence.ts";
+import { Blame, confirmFault, raiseAlarm } from "./confirm_fault.ts";
+import { hasOpenHold } from "./has_open_hold.ts";
+import { holdEverywhere } from "./hold_everywhere.ts";
+import { faultOfDomain, judgeScopes } from "./judge_scopes.ts";
+import { keepToldHolds } from "./keep_told_holds.ts";
 import { noteHistory } from "./note_history.ts";
-import { planStep, ruleOutAt } from "./plan_step.ts";
-import { releaseHolds } from "./release_holds.ts";
-import type {
-  Fault,
-  Judgement,
-  Leadership,
-  RolloutEffect,
-  RolloutState,
-  TickedEvent,
-  Track,
+import { planStep } from "./plan_step.ts";
+import { readersOf } from "./readers_of.ts";
+import { releaseEverywhere } from "./release_everywhere.ts";
+import {
+  type Alarm,
+  type Fault,
+  HoldPhase,
+  type Judgement,
+  type Leadership,
+  type RolloutEffect,
+  type RolloutState,
+  type TickedEvent,
+  type Track,
 } from "./state.ts";
 
-const fleetFaultyAbove = Math.log(1e4);
-const domainFaultyAbove = Math.log(1e5);
-
-const fleetScope = "the fleet";
-
 /** Own gap between two ticks that shows that this process was paused. */
 const pauseMs = 3_000;
 /** Time in which readers tell a new holder what they know. */
 const rebuildMs = 2_000;
 /** Gap between two signs of life. */
 const signMs = 1_000;
-/** Gap between two orders to hold. */
-const holdGapMs = 1_000;
 /** Time without upstreams after which a rollout is reported as blocked. */
 const absentMs = 5_000;
 
@@ -55,13 +54,17 @@
   const isRebuilding = event.now - lead.since < rebuildMs;
   if (isRebuilding) restart(lead);
   const effects: RolloutEffect[] = [...giveSign(state, track, lead, event)];
-  if (fault !== undefined) {
-    return [...effects, ...answerFault(state, track, event, lead, fault)];
-  }
+  const seen = fault ?? findOwnFault(state, track, lead);
+  if (seen !== undefined) lead.alarm ??= raiseAlarm(seen, event.now);
   if (lead.alarm !== undefined) {
-    effects.push(...releaseEverywhere(state, track, lead, event.now));
+    const { alarm } = lead;
+    const { now } = event;
+    const isStanding = seen !== undefined;
+    const blame = confirmFault({ alarm, isStanding, now });
+    const opts = { state, track, lead, alarm, blame, now };
+    return [...effects, ...answerAlarm(opts)];
   }
-  effects.push(...releaseHolds(state, track, lead, event.now));
+  effects.push(...keepToldHolds(state, track, lead, event.now));
   const step = nextStep(track, event, lead, fleet);
   return step === undefined
     ? effects
@@ -92,54 +95,37 @@
   restart(lead);
 }
 
-function judgeScopes(
+/** A fault that this node saw as a reader of its failure domain. */
+function findOwnFault(
+  state: RolloutState,
   track: Track,
-  event: TickedEvent,
   lead: Leadership,
-): { fleet: Judgement; fault: Fault | undefined } {
-  const ruleOut = ruleOutAt(track.rollout.perMille);
-  const judge = (
-    scope: string,
-    evidence: Leadership["inbox"]["total"],
-    faultyAbove: number,
-  ) => {
-    let found = lead.judges.get(scope);
-    if (found === undefined) {
-      found = createJudge(event.now);
-      lead.judges.set(scope, found);
-    }
-    const { now } = event;
-    return judgeEvidence({ judge: found, evidence, faultyAbove, ruleOut, now });
-  };
-  const fleet = judge(fleetScope, lead.inbox.total, fleetFaultyAbove);
-  let fault: Fault | undefined = fleet.type === "faulty"
-    ? { finding: fleet.finding, scope: fleetScope, evidence: lead.inbox.total }
-    : undefined;
-  for (const [domain, evidence] of lead.inbox.byDomain) {
-    const scope = `failure domain ${domain}`;
-    const judgement = judge(scope, evidence, domainFaultyAbove);
-    if (judgement.type !== "faulty") continue;
-    fault ??= { finding: judgement.finding, scope, evidence };
+): Fault | undefined {
+  const { hold } = track;
+  if (hold?.phase !== HoldPhase.Full || hold.finding === undefined) {
+    return undefined;
   }
-  return { fleet, fault };
+  return faultOfDomain(lead, state.domain, hold.finding);
 }
 
-/** Holds everywhere at once, and records the rollback. */
-function answerFault(
-  state: RolloutState,
-  track: Track,
-  event: TickedEvent,
-  lead: Leadership,
-  fault: Fault,
-): readonly RolloutEffect[] {
-  const { now } = event;
-  const reason = describeFinding(fault.finding, fault.scope);
-  const effects = [
-    ...beginHold({ state, track, origin: state.self, reason, now }),
-    ...holdEverywhere(state, track, lead, reason, now),
-  ];
+interface AnswerAlarmOptions {
+  readonly state: RolloutState;
+  readonly track: Track;
+  readonly lead: Leadership;
+  readonly alarm: Alarm;
+  readonly blame: Blame;
+  readonly now: MonotonicMs;
+}
+
+/**
+ * Holds everywhere at once, and records the rollback once the old version's
+ * calls confirm it. A late good call does not end the alarm by itself.
+ */
+function answerAlarm(opts: AnswerAlarmOptions): readonly RolloutEffect[] {
+  const { state, track, lead, alarm, blame, now } = opts;
+  const reason = describeFinding(alarm.fault.finding, alarm.fault.scope);
+  const effects = holdEverywhere({ state, track, lead, reason, now });
   if (lead.isRollbackSent) return effects;
-  const blame = confirmFault({ lead, fault, now });
   switch (blame) {
     case Blame.NewVersion:
       lead.isRollbackSent = true;
@@ -151,66 +137,22 @@
       return effects;
     case Blame.Shared:
       for (const judge of lead.judges.values()) acquit(judge);
-      return [...effects, ...releaseEverywhere(state, track, lead, now)];
+      return [...effects, ...endAlarm(state, track, lead, now)];
     default:
       return exhausted(blame);
   }
 }
 
-/** Tells all readers to hold, again and again while the fault is on. */
-function holdEverywhere(
-  state: RolloutState,
-  track: Track,
-  lead: Leadership,
-  reason: string,
-  now: number,
-): readonly RolloutEffect[] {
-  if (now - lead.heldAt < holdGapMs) return [];
-  lead.heldAt = now;
-  const rollout = track.rollout.id;
-  const origin = state.self;
-  const message = { type: "rollout/hold", rollout, origin, reason } as const;
-  const sends = readersOf(state, lead).map((to) => ({
-    type: "send",
-    to,
-    message,
-  } as const));
-  return [{ type: "tell-domain", message }, ...sends];
-}
-
 /** Ends the holds once the evidence no longer blames the new version. */
-function releaseEverywhere(
+function endAlarm(
   state: RolloutState,
   track: Track,
   lead: Leadership,
-  now: number,
+  now: MonotonicMs,
 ): readonly RolloutEffect[] {
   delete lead.alarm;
   lead.holds.clear();
-  const rollout = track.rollout.id;
-  const message = {
-    type: "rollout/release",
-    rollout,
-    isProbed: false,
-  } as const;
-  const sends = readersOf(state, lead).map((to) => ({
-    type: "send",
-    to,
-    message,
-  } as const));
-  return [
-    ...releaseHold(state, track, now, false),
-    { type: "tell-domain", message },
-    ...sends,
-  ];
-}
-
-/** Readers of other domains that report to this holder. */
-export function readersOf(state: RolloutState, lead: Leadership): string[] {
-  const ids = [...lead.inbox.sources.keys()].map((source) =>
-    source.split("/")[0] ?? ""
-  );
-  return [...new Set(ids)].filter((id) => id !== state.self);
+  return releaseEverywhere({ state, track, lead, now, isProbed: false });
 }
 
 /** Tells every reader that hears of this rollout that its holder lives. */
@@ -248,7 +190,7 @@
   }
   delete lead.absentSince;
   const isHeld = track.hold !== undefined ||
-    [...lead.holds.values()].some((hold) => hold.isOpen);
+    hasOpenHold(lead);
   if (isHeld || fleet.type === "faulty") return undefined;
   const stageMs = event.now - Math.max(lead.stageAt, lead.since);
   return planStep({ rollout, judgement: fleet, stageMs, wall: event.wall });
--- a/src/rollout/messages.ts
+++ b/src/rollout/messages.ts
@@ -57,6 +57,27 @@
   readonly counts: readonly RouteCounts[];
 }
 
+/** What a sequential test looks at. */
+export const Measure = {
+  Errors: "errors",
+  Slowness: "slowness",
+  Overdue: "overdue",
+} as const;
+export type Measure = typeof Measure[keyof typeof Measure];
+
+/** A fault with the counts that show it. */
+export interface Finding {
+  /** Name of the route, or `*` for all of them. */
+  readonly route: string;
+  readonly measure: Measure;
+  readonly calls: number;
+  readonly bad: number;
+  readonly oldCalls: number;
+  readonly oldBad: number;
+  /** Log-likelihood ratio reached. */
+  readonly score: number;
+}
+
 export type RolloutMessage =
   | { readonly type: "rollout/evidence"; readonly report: EvidenceReport }
   /** Stop sending calls to the version. */
@@ -72,11 +93,15 @@
     readonly type: "rollout/held";
     readonly rollout: string;
     readonly origin: string;
+    /** Failure domain whose evidence shows the fault, with what it shows. */
+    readonly shown?: { readonly domain: string; readonly finding: Finding };
   }
   /** The holder ends a hold. */
   | {
     readonly type: "rollout/release";
     readonly rollout: string;
+    /** Term of the holder's lease, so that a deposed one releases nothing. */
+    readonly term: number;
     /** True when the fault was neither confirmed nor blamed elsewhere. */
     readonly isProbed: boolean;
   }
--- a/src/rollout/note_history.ts
+++ b/src/rollout/note_history.ts
@@ -8,6 +8,7 @@
   Evidence,
   EvidencePoint,
   Leadership,
+  RolloutState,
   TickedEvent,
   Track,
 } from "./state.ts";
@@ -15,6 +16,9 @@
 /** Points kept of one rollout. Longer rollouts get coarser points. */
 export const maxPoints = 300;
 
+/** Ended rollouts whose points are kept. */
+const maxEnded = 8;
+
 /** Adds a point when one is due. Points hold sums since the lease began. */
 export function noteHistory(
   track: Track,
@@ -32,6 +36,16 @@
   lead.historyStepMs *= 2;
 }
 
+/** Keeps the history of a rollout that ended, and drops the oldest. */
+export function keepHistory(state: RolloutState, track: Track) {
+  if (track.leadership === undefined) return;
+  const { endedHistories } = state;
+  endedHistories.set(track.rollout.id, track.leadership.history);
+  const [oldest] = endedHistories.keys();
+  if (oldest === undefined || endedHistories.size <= maxEnded) return;
+  endedHistories.delete(oldest);
+}
+
 function sumPoint(
   track: Track,
   evidence: Evidence,
--- a/src/rollout/render_report.ts
+++ b/src/rollout/render_report.ts
@@ -17,6 +17,8 @@
   readonly plotScript: string;
   /** Text of `uplot/dist/uPlot.min.css`. */
   readonly plotStyle: string;
+  /** A sentence on what the report lacks. */
+  readonly note?: string;
 }
 
 /** Series of one plot, by time in seconds. */
@@ -33,11 +35,13 @@
 export function renderReport(opts: RenderReportOptions): string {
   const { rollout, points, wall } = opts;
   const title = `Rollout ${rollout.id}`;
-  const lines = explainRollout(rollout, wall);
+  const lines = [
+    ...explainRollout(rollout, wall),
+    ...(opts.note === undefined ? [] : [opts.note]),
+  ];
   const plots = [
     plotShare(rollout, wall),
-    plotErrors(points),
-    plotLatency(points),
+    ...(points.length === 0 ? [] : [plotErrors(points), plotLatency(points)]),
   ];
   return `<!doctype html>
 <html lang="en">
--- a/src/rollout/state.ts
+++ b/src/rollout/state.ts
@@ -5,7 +5,12 @@
 import type { ConfigRecord } from "../config_log/messages.ts";
 import type { ConfigState, Rollout } from "../config_log/state.ts";
 import type { MonotonicMs, NodeId, WallMs } from "../core/types.ts";
-import type { EvidenceReport, RolloutMessage, Side } from "./messages.ts";
+import type {
+  EvidenceReport,
+  Finding,
+  RolloutMessage,
+  Side,
+} from "./messages.ts";
 
 /** How a call to an upstream ended. */
 export const CallOutcome = {
@@ -50,14 +55,6 @@
   sent: Evidence;
 }
 
-/** What a sequential test looks at. */
-export const Measure = {
-  Errors: "errors",
-  Slowness: "slowness",
-  Overdue: "overdue",
-} as const;
-export type Measure = typeof Measure[keyof typeof Measure];
-
 /** One sequential test of one route and measure. */
 export interface TestState {
   /** Log-likelihood ratio of each fault size, restarted at 0. */
@@ -96,19 +93,6 @@
   last?: Judgement;
 }
 
-/** A fault with the counts that show it. */
-export interface Finding {
-  /** Name of the route, or `*` for all of them. */
-  readonly route: string;
-  readonly measure: Measure;
-  readonly calls: number;
-  readonly bad: number;
-  readonly oldCalls: number;
-  readonly oldBad: number;
-  /** Log-likelihood ratio reached. */
-  readonly score: number;
-}
-
 /** A finding with the scope whose evidence shows it. */
 export interface Fault {
   readonly finding: Finding;
@@ -129,6 +113,8 @@
   phase: HoldPhase;
   readonly origin: NodeId;
   readonly reason: string;
+  /** Fault in the domain's evidence, when this reader saw it. */
+  readonly finding?: Finding;
   since: MonotonicMs;
   toldAt: MonotonicMs;
 }
@@ -157,6 +143,14 @@
   readonly oldSlowShare: number;
 }
 
+/** A fault that waits for calls of the old version to compare with. */
+export interface Alarm {
+  readonly at: MonotonicMs;
+  readonly fault: Fault;
+  readonly oldCalls: number;
+  readonly oldBad: number;
+}
+
 /** What only the holder of a rollout's lease keeps. */
 export interface Leadership {
   readonly term: number;
@@ -170,13 +164,7 @@
   sentSteps?: number;
   isRollbackSent: boolean;
   absentSince?: MonotonicMs;
-  /** A fault that waits for calls of the old version to compare with. */
-  alarm?: {
-    readonly at: MonotonicMs;
-    readonly fault: Fault;
-    readonly oldCalls: number;
-    readonly oldBad: number;
-  };
+  alarm?: Alarm;
   readonly judges: Map<string, Judge>;
   readonly inbox: Inbox;
   /** Holds by the reader that told of them and their origin. */
@@ -233,6 +221,8 @@
   /** Live rollouts by id. */
   readonly tracks: Map<string, Track>;
   readonly inFlight: Map<number, BegunCall>;
+  /** Evidence over time of rollouts that ended while this node led them. */
+  readonly endedHistories: Map<string, readonly EvidencePoint[]>;
   /** Versions that get no calls from this node, `service@version`. */
   readonly held: Set<string>;
 }
@@ -323,6 +313,7 @@
     readers: [],
     tracks: new Map(),
     inFlight: new Map(),
+    endedHistories: new Map(),
     held: new Set(),
   };
 }
--- a/src/rollout/watch_version.ts
+++ b/src/rollout/watch_version.ts
@@ -21,7 +21,7 @@
 const domainFaultyAbove = Math.log(1e5);
 
 /** Gap at which a hold is told again, in case it was lost. */
-const retellMs = 2_000;
+const retellMs = 1_000;
 
 /** Judges what this node and its domain measured. */
 export function watchVersion(
@@ -39,21 +39,24 @@
       evidence: track.local,
       faultyAbove: nodeFaultyAbove,
       name: `the calls of node ${state.self}`,
+      isDomain: false,
     },
     {
       judge: track.domainJudge,
       evidence: track.domain.total,
       faultyAbove: domainFaultyAbove,
       name: `failure domain ${state.domain}`,
+      isDomain: true,
     },
   ];
-  for (const { name, ...scope } of scopes) {
+  for (const { name, isDomain, ...scope } of scopes) {
     const judgement = judgeEvidence({ ...scope, ruleOut, now });
     if (judgement.type !== "faulty") continue;
-    const reason = describeFinding(judgement.finding, name);
-    effects.push(
-      ...beginHold({ state, track, origin: state.self, reason, now }),
-    );
+    const { finding } = judgement;
+    const reason = describeFinding(finding, name);
+    const shown = isDomain ? { finding } : {};
+    const origin = state.self;
+    effects.push(...beginHold({ state, track, origin, reason, now, ...shown }));
   }
   return [...effects, ...tellHold(state, track, event, holder)];
 }
@@ -80,6 +83,9 @@
     type: "rollout/held",
     rollout: track.rollout.id,
     origin: hold.origin,
+    ...(hold.finding === undefined
+      ? {}
+      : { shown: { domain: state.domain, finding: hold.finding } }),
   } as const;
   const isReader = event.readers.some((reader) => reader.id === state.self);
   if (isReader) {
--- a/tools/experiments/rollouts.ts
+++ b/tools/experiments/rollouts.ts
@@ -16,6 +16,8 @@
 
 const rolloutCount = 240;
 const curveRuns = 8;
+/** Longest time asked from a fault's evidence to the last call. */
+const maxStopMs = 2_000;
 
 interface Run {
   readonly scenario: Scenario;
@@ -38,7 +40,8 @@
     const isBad = scenario.fault !== undefined;
     const isRight = outcome.phase ===
       (isBad ? RolloutPhase.RolledBack : RolloutPhase.Done);
-    if (!isRight || (outcome.stopMs ?? 0) > 2_000) {
+    const stopMs = Math.max(outcome.stopMs ?? 0, outcome.alarmMs ?? 0);
+    if (!isRight || (isBad && stopMs > maxStopMs)) {
       opts.onProgress(`Wrong: ${JSON.stringify({ ...scenario, ...outcome })}`);
     }
   }
@@ -48,6 +51,7 @@
     ...summarize("", real, true),
     ...summarize("baseline: ", baseline, false),
     ...curve(opts.seed),
+    ...compareHangs(opts.seed),
     ...compareTests(opts.seed),
   ]);
 }
@@ -77,6 +81,28 @@
   });
 }
 
+/** Time from the first hung call to the last new one, in two ways. */
+function compareHangs(seed: number): readonly Figure[] {
+  const [, deployment] = deployments;
+  if (deployment === undefined) return [];
+  const ways = [Strategy.Real, Strategy.EndedCallsOnly] as const;
+  return [0.1, 0.5, 1].flatMap((hangShare) =>
+    ways.map((strategy) => {
+      const runs = Array.from({ length: curveRuns }, (_, run) =>
+        runRollout({
+          seed: seed + run,
+          deployment,
+          fault: { errorShare: 0, hangShare, slowdown: 1, when: "always" },
+          trouble: "none",
+          totalMs: 120_000,
+        }, strategy));
+      const seconds = runs.map((one) => (one.exposedMs ?? 0) / 1_000);
+      const name = `hangs ${hangShare}, ${strategy}: exposed, median`;
+      return figure(name, median(seconds), "s");
+    })
+  );
+}
+
 function summarize(
   prefix: string,
   runs: readonly Run[],
@@ -93,6 +119,8 @@
   const calls = sum(runs, (one) => one.calls);
   const badCalls = sum(runs, (one) => one.badCalls);
   const stops = bad.flatMap(({ outcome }) => outcome.stopMs ?? []);
+  const alarms = bad.flatMap(({ outcome }) => outcome.alarmMs ?? []);
+  const alarmed = alarms.filter((ms) => ms <= maxStopMs);
   const shares = runs.map(({ outcome }) => outcome.firstPerMille / 1_000);
   const make = (
     name: string,
@@ -126,12 +154,28 @@
       "< 0.01",
     ),
     make(
-      "fault shown to last call, longest",
+      "first alarm of any node to last call, longest",
+      Math.max(0, ...alarms) / 1_000,
+      "s",
+      "<= 2",
+    ),
+    make(
+      "first alarm of any node to last call, within 2 s",
+      alarmed.length / Math.max(1, alarms.length),
+      "of bad",
+    ),
+    make(
+      "first alarm of any node to last call, median",
+      median(alarms) / 1_000,
+      "s",
+    ),
+    make(
+      "fleet verdict to last call, longest",
       Math.max(0, ...stops) / 1_000,
       "s",
       "<= 2",
     ),
-    make("fault shown to last call, median", median(stops) / 1_000, "s"),
+    make("fleet verdict to last call, median", median(stops) / 1_000, "s"),
     make(
       "good version done, median",
       median(good.map(({ outcome }) => outcome.endMs)) / 1_000,
--- a/tools/experiments/rollouts_world.ts
+++ b/tools/experiments/rollouts_world.ts
@@ -35,7 +35,12 @@
 /** Calls of longer latency are told when they begin, too. */
 const shortCallMs = 200;
 
-export const Strategy = { Real: "real", Baseline: "baseline" } as const;
+export const Strategy = {
+  Real: "real",
+  /** The real decisions, told of a call only when it has ended. */
+  EndedCallsOnly: "ended-calls-only",
+  Baseline: "baseline",
+} as const;
 export type Strategy = typeof Strategy[keyof typeof Strategy];
 
 /** What came of one rollout. */
@@ -134,7 +139,10 @@
           append(effect.record, node.id);
           break;
         case "hold-changed":
-          if (node.state.held.size > 0) alarmAt ??= now;
+          // A hold before the first bad call is no alarm of the fault.
+          if (firstBadAt !== undefined && node.state.held.size > 0) {
+            alarmAt ??= now;
+          }
           break;
         default:
           exhausted(effect);
