feat(cli): report of a rollout, and the expected finish

Cause: operators could not see time left, the expected finish, or what was measured of a rollout. Change: explain, rollouts and status tell both, as text and JSON; report ID [--out FILE] writes one HTML page with uplot inside. A report from another node has the steps on record and names the holder. Tests: the page refers to nothing outside (the library's first comment, which names its home page, loads nothing and stays).

--- a/src/adapters/admin_server.ts
+++ b/src/adapters/admin_server.ts
@@ -7,6 +7,7 @@
 import type { Polka } from "polka";
 import * as v from "valibot";
 import { RecordKind } from "../config_log/messages.ts";
+import { leaseOf } from "../config_log/rollout_rows.ts";
 import { parseEnvelope } from "../config_log/parse_envelope.ts";
 import type { ConfigState, SubmitOutcome } from "../config_log/state.ts";
 import { exhausted } from "../core/exhausted.ts";
@@ -69,6 +70,9 @@
   app.get("/v1/rollouts", (_req, res) => {
     send(res, 200, { rollouts: [...control.config().rollouts.values()] });
   });
+  app.get("/v1/rollouts/:id/history", (req, res) => {
+    sendHistory(control, String(req.params["id"]), res);
+  });
   app.get("/v1/audit", (_req, res) => {
     send(res, 200, { entries: control.config().audit });
   });
@@ -88,6 +92,28 @@
   });
 }
 
+/** Answers what this node measured of a rollout, as far as it led it. */
+function sendHistory(control: Control, param: string, res: ServerResponse) {
+  const id = decodeParam(param);
+  if (!control.config().rollouts.has(id)) {
+    const code = "LAGOON_ROLLOUT_UNKNOWN";
+    const message = `no rollout ${id} is on record`;
+    return sendError(res, 404, { code, message });
+  }
+  const holder = control.config().leases.get(leaseOf(id))?.holder;
+  const points = control.rolloutHistory(id);
+  send(res, 200, { ...(holder === undefined ? {} : { holder }), points });
+}
+
+/** Polka leaves parameters of a path encoded. */
+function decodeParam(param: string): string {
+  try {
+    return decodeURIComponent(param);
+  } catch {
+    return param;
+  }
+}
+
 /** A client that goes away in mid-request must not end the process. */
 function guard(handle: Handle) {
   return (req: IncomingMessage, res: ServerResponse) => {
--- a/src/cli/ctl_settings.ts
+++ b/src/cli/ctl_settings.ts
@@ -15,6 +15,7 @@
   rollouts        moves between versions, and whether they are done
   explain WHAT    what became of a rollout id or an edit's offset, or
                   what a refusal code means
+  report ID       one rollout's report as an HTML page without links
   audit           who changed what, when, and the verdict
   codes           every refusal code and what to do
   wait            wait until the newest version is in force everywhere
@@ -60,6 +61,11 @@
     describe: "longest wait in seconds",
     fallback: "30",
   },
+  {
+    flag: "out",
+    kind: SettingKind.Text,
+    describe: "report: file to write instead of the output",
+  },
   {
     flag: "who",
     kind: SettingKind.Text,
--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { formatError } from "../core/errors.ts";
+import { explainRollout, statusOfRollout } from "../rollout/explain_rollout.ts";
 import { askNode } from "./ask_node.ts";
 import { codeMeanings } from "./code_meanings.ts";
 import { type CommandOptions, isOn } from "./command.ts";
@@ -40,8 +41,11 @@
     opts.printError(`No rollout '${what}'. Run 'lagoonctl rollouts' for ids.`);
     return ExitCode.Failed;
   }
-  if (isOn(opts, "json")) opts.print(JSON.stringify(rollout, null, 2));
-  else for (const line of tellSteps(rollout)) opts.print(line);
+  const wall = opts.wall();
+  const lines = isOn(opts, "json")
+    ? [JSON.stringify(statusOfRollout(rollout, wall), null, 2)]
+    : explainRollout(rollout, wall);
+  for (const line of lines) opts.print(line);
   return ExitCode.Done;
 }
 
@@ -81,19 +85,9 @@
   const meaning = codeMeanings[entry.code ?? ""];
   if (meaning !== undefined) opts.print(meaning);
   for (const rollout of rollouts) {
-    if (rollout.id.endsWith(`#${offset}`)) opts.print(tellRollout(rollout));
+    if (rollout.id.endsWith(`#${offset}`)) {
+      opts.print(tellRollout(rollout, opts.wall()));
+    }
   }
   return ExitCode.Done;
 }
-
-function tellSteps(rollout: RolloutAnswer): string[] {
-  const lines = [
-    `${rollout.id} moves ${rollout.entries.join(", ")} from ` +
-    `${rollout.from.join(", ")} to ${rollout.version}.`,
-  ];
-  for (const { at, offset, phase, perMille, reason } of rollout.steps) {
-    const share = (perMille / 10).toFixed(1);
-    lines.push(`  ${at} at ${offset}: ${phase}, ${share}%: ${reason}`);
-  }
-  return lines;
-}
--- a/src/cli/node_answers.ts
+++ b/src/cli/node_answers.ts
@@ -3,6 +3,8 @@
  * @module
  */
 import * as v from "valibot";
+import { RolloutPhase } from "../config_log/state.ts";
+import { WhenUnjudged } from "../lists/types.ts";
 import { customerSchema, useSchema } from "../lists/schemas.ts";
 
 const revision = v.number();
@@ -27,28 +29,50 @@
 });
 export type StatusAnswer = v.InferOutput<typeof statusAnswer>;
 
-const step = v.looseObject({
+const phase = v.picklist(Object.values(RolloutPhase));
+
+const step = v.object({
   offset: v.number(),
   at: v.string(),
-  phase: v.string(),
+  phase,
   perMille: v.number(),
   reason: v.string(),
 });
 
-const rollout = v.looseObject({
+const rollout = v.object({
   id: v.string(),
+  service: v.string(),
   version: v.string(),
   entries: v.array(v.string()),
   from: v.array(v.string()),
   takeOverBy: v.exactOptional(v.string()),
-  phase: v.string(),
+  whenUnjudged: v.picklist(Object.values(WhenUnjudged)),
+  phase,
   perMille: v.number(),
+  begunAt: v.string(),
   steps: v.array(step),
 });
 export type RolloutAnswer = v.InferOutput<typeof rollout>;
 
 export const rolloutsAnswer = v.object({ rollouts: v.array(rollout) });
 
+const evidencePoint = v.object({
+  at: v.number(),
+  perMille: v.number(),
+  calls: v.number(),
+  failures: v.number(),
+  oldCalls: v.number(),
+  oldFailures: v.number(),
+  slowShare: v.number(),
+  oldSlowShare: v.number(),
+});
+
+export const historyAnswer = v.object({
+  /** Node that leads the rollout, while one does. */
+  holder: v.exactOptional(v.string()),
+  points: v.array(evidencePoint),
+});
+
 const auditEntry = v.object({
   offset: v.number(),
   at: v.string(),
--- a/src/cli/run_command.ts
+++ b/src/cli/run_command.ts
@@ -13,6 +13,7 @@
 import { showRollouts } from "./show_rollouts.ts";
 import { showStatus } from "./show_status.ts";
 import { waitInForce } from "./wait_in_force.ts";
+import { writeReport } from "./write_report.ts";
 
 /** Options of `runCommand`. */
 export interface RunCommandOptions extends CommandOptions {
@@ -33,6 +34,8 @@
       return await showRollouts(opts);
     case "explain":
       return await explain(opts, args[0] ?? "");
+    case "report":
+      return await writeReport(opts, args[0] ?? "");
     case "audit":
       return await showAudit(opts);
     case "codes":
--- a/src/cli/show_rollouts.ts
+++ b/src/cli/show_rollouts.ts
@@ -2,6 +2,12 @@
  * The command `rollouts`.
  * @module
  */
+import {
+  type RolloutStatus,
+  statusOfRollout,
+} from "../rollout/explain_rollout.ts";
+import { tellLeft, toPerCent } from "../rollout/plan_step.ts";
+import { isLive } from "../config_log/rollout_rows.ts";
 import type { CommandOptions } from "./command.ts";
 import type { ExitCode } from "./exit_code.ts";
 import { type RolloutAnswer, rolloutsAnswer } from "./node_answers.ts";
@@ -9,20 +15,34 @@
 
 /** Prints one line for each rollout on record. */
 export function showRollouts(command: CommandOptions): Promise<ExitCode> {
+  const wall = command.wall();
   return printAnswer({
     command,
     path: "/v1/rollouts",
     schema: rolloutsAnswer,
     tell: ({ rollouts }) =>
-      rollouts.length === 0 ? ["No rollouts."] : rollouts.map(tellRollout),
+      rollouts.length === 0
+        ? ["No rollouts."]
+        : rollouts.map((one) => tellRollout(one, wall)),
+    tellJson: ({ rollouts }) => [toJson(rollouts, wall)],
   });
 }
 
-/** One line on where a rollout stands. */
-export function tellRollout(rollout: RolloutAnswer): string {
-  const share = (rollout.perMille / 10).toFixed(1);
-  const by = rollout.takeOverBy === undefined
+function toJson(rollouts: readonly RolloutAnswer[], wall: number): string {
+  const told: readonly RolloutStatus[] = rollouts.map((one) =>
+    statusOfRollout(one, wall)
+  );
+  return JSON.stringify({ rollouts: told }, null, 2);
+}
+
+/** One line on where a rollout stands, and when it is expected to end. */
+export function tellRollout(rollout: RolloutAnswer, wall: number): string {
+  const { id, phase, perMille } = rollout;
+  const line = `${id}: ${phase}, ${toPerCent(perMille)} of calls`;
+  if (!isLive(rollout)) return line;
+  const { expectedFinish } = statusOfRollout(rollout, wall);
+  const finish = expectedFinish === undefined
     ? ""
-    : `, by ${rollout.takeOverBy}`;
-  return `${rollout.id}: ${rollout.phase}, ${share}% of calls${by}`;
+    : `, expected finish ${expectedFinish}`;
+  return `${line}, ${tellLeft(rollout, wall)}${finish}`;
 }
--- a/src/cli/show_status.ts
+++ b/src/cli/show_status.ts
@@ -2,19 +2,50 @@
  * The command `status`.
  * @module
  */
-import type { CommandOptions } from "./command.ts";
-import type { ExitCode } from "./exit_code.ts";
-import { type StatusAnswer, statusAnswer } from "./node_answers.ts";
-import { printAnswer } from "./print_answer.ts";
+import { isLive } from "../config_log/rollout_rows.ts";
+import { formatError } from "../core/errors.ts";
+import { statusOfRollout } from "../rollout/explain_rollout.ts";
+import { askNode } from "./ask_node.ts";
+import { type CommandOptions, isOn } from "./command.ts";
+import { ExitCode } from "./exit_code.ts";
+import {
+  rolloutsAnswer,
+  type StatusAnswer,
+  statusAnswer,
+} from "./node_answers.ts";
+import { tellRollout } from "./show_rollouts.ts";
 
-/** Prints versions in force, laggards and inactive services. */
-export function showStatus(command: CommandOptions): Promise<ExitCode> {
-  return printAnswer({
-    command,
+/** Prints versions in force, laggards, inactive services and live rollouts. */
+export async function showStatus(command: CommandOptions): Promise<ExitCode> {
+  const ask = { command, method: "GET", goodStatus: [200] } as const;
+  const status = await askNode({
+    ...ask,
     path: "/v1/status",
     schema: statusAnswer,
-    tell: tellStatus,
   });
+  const answer = await askNode({
+    ...ask,
+    path: "/v1/rollouts",
+    schema: rolloutsAnswer,
+  });
+  if (status.isErr() || answer.isErr()) {
+    const failed = [status, answer].find((one) => one.isErr());
+    if (failed?.isErr()) command.printError(formatError(failed.error));
+    return ExitCode.Failed;
+  }
+  const live = answer.value.rollouts.filter(isLive);
+  const wall = command.wall();
+  if (isOn(command, "json")) {
+    const rollouts = live.map((one) => statusOfRollout(one, wall));
+    command.print(JSON.stringify({ ...status.value, rollouts }, null, 2));
+    return ExitCode.Done;
+  }
+  const lines = [
+    ...tellStatus(status.value),
+    ...live.map((one) => `  ${tellRollout(one, wall)}`),
+  ];
+  for (const line of lines) command.print(line);
+  return ExitCode.Done;
 }
 
 function tellStatus(status: StatusAnswer): string[] {
--- /dev/null
+++ b/src/cli/write_report.ts
@@ -0,0 +1,83 @@
+/**
+ * The command `report`.
+ * @module
+ */
+import { readFile, writeFile } from "node:fs/promises";
+import { createRequire } from "node:module";
+import { formatError } from "../core/errors.ts";
+import { renderReport } from "../rollout/render_report.ts";
+import { askNode } from "./ask_node.ts";
+import type { CommandOptions } from "./command.ts";
+import { ExitCode } from "./exit_code.ts";
+import { historyAnswer, rolloutsAnswer } from "./node_answers.ts";
+
+/** Writes a rollout's report as one HTML page, to a file or to the output. */
+export async function writeReport(
+  command: CommandOptions,
+  id: string,
+): Promise<ExitCode> {
+  const ask = { command, method: "GET", goodStatus: [200] } as const;
+  const answer = await askNode({
+    ...ask,
+    path: "/v1/rollouts",
+    schema: rolloutsAnswer,
+  });
+  if (answer.isErr()) return fail(command, formatError(answer.error));
+  const rollout = answer.value.rollouts.find((one) => one.id === id);
+  if (rollout === undefined) {
+    const hint = "Run 'lagoonctl rollouts' for ids.";
+    return fail(command, `No rollout '${id}'. ${hint}`);
+  }
+  const history = await askNode({
+    ...ask,
+    path: `/v1/rollouts/${encodeURIComponent(id)}/history`,
+    schema: historyAnswer,
+  });
+  if (history.isErr()) return fail(command, formatError(history.error));
+  const { holder, points } = history.value;
+  const note = points.length > 0 ? undefined : tellMissing(holder);
+  const page = renderReport({
+    rollout,
+    points,
+    wall: command.wall(),
+    plotScript: await readPackageFile("uplot/dist/uPlot.iife.min.js"),
+    plotStyle: await readPackageFile("uplot/dist/uPlot.min.css"),
+    ...(note === undefined ? {} : { note }),
+  });
+  return await deliver(command, page);
+}
+
+/** Only the holder keeps what was measured. */
+function tellMissing(holder: string | undefined): string {
+  const why = holder === undefined
+    ? "no node leads the rollout now, and this one did not"
+    : `the rollout is led by node ${holder}, so ask that one for the plots`;
+  return `This report has only the steps on record: ${why}.`;
+}
+
+async function deliver(
+  command: CommandOptions,
+  page: string,
+): Promise<ExitCode> {
+  const file = command.values.get("out");
+  if (file === undefined) {
+    command.print(page);
+    return ExitCode.Done;
+  }
+  try {
+    await writeFile(file, page);
+  } catch (cause) {
+    return fail(command, `The report could not be written: ${String(cause)}.`);
+  }
+  command.print(`Wrote ${file}.`);
+  return ExitCode.Done;
+}
+
+function readPackageFile(name: string): Promise<string> {
+  return readFile(createRequire(import.meta.url).resolve(name), "utf8");
+}
+
+function fail(command: CommandOptions, message: string): ExitCode {
+  command.printError(message);
+  return ExitCode.Failed;
+}
