fix(rollout): check the new fields of holds and releases

Change: the schema takes a domain's finding in a told hold and the term of a release; the test of all messages has both.

--- a/src/adapters/peer_message_test.ts
+++ b/src/adapters/peer_message_test.ts
@@ -28,7 +28,24 @@
   { type: "rollout/evidence", report },
   { type: "rollout/hold", rollout, origin: "n:1", reason: "r" },
   { type: "rollout/held", rollout, origin: "n:1" },
-  { type: "rollout/release", rollout, isProbed: true },
+  {
+    type: "rollout/held",
+    rollout,
+    origin: "n:1",
+    shown: {
+      domain: "d1",
+      finding: {
+        route: "*",
+        measure: "errors",
+        calls: 2,
+        bad: 1,
+        oldCalls: 9,
+        oldBad: 0,
+        score: 12.5,
+      },
+    },
+  },
+  { type: "rollout/release", rollout, term: 1, isProbed: true },
   { type: "rollout/leading", rollout, term: 1 },
 ];
 
--- a/src/rollout/messages.ts
+++ b/src/rollout/messages.ts
@@ -134,6 +134,15 @@
     v.maxLength(maxCounts),
   ),
 });
+const finding = v.strictObject({
+  route: text,
+  measure: v.picklist(Object.values(Measure)),
+  calls: count,
+  bad: count,
+  oldCalls: count,
+  oldBad: count,
+  score: count,
+});
 const literal = <T extends string>(name: T) => v.literal(`rollout/${name}`);
 
 /** Checks what a peer sent. */
@@ -146,10 +155,16 @@
       origin: text,
       reason: v.pipe(v.string(), v.maxLength(4_096)),
     }),
-    v.strictObject({ type: literal("held"), rollout: text, origin: text }),
+    v.strictObject({
+      type: literal("held"),
+      rollout: text,
+      origin: text,
+      shown: v.exactOptional(v.strictObject({ domain: text, finding })),
+    }),
     v.strictObject({
       type: literal("release"),
       rollout: text,
+      term: count,
       isProbed: v.boolean(),
     }),
     v.strictObject({ type: literal("leading"), rollout: text, term: count }),
