fix(membership): let only readers of a settled domain look for strangers

Cause: at rest 13 real nodes spent half of their control bytes on joins and welcomes. The first node of each domain is welcomed by nobody and looked for strangers each tick; every other node did each 5 s. Change: company counts like a welcome, and then only the domain's two readers look. The new test fails without it.

--- a/src/membership/membership_test.ts
+++ b/src/membership/membership_test.ts
@@ -491,3 +491,30 @@
     { runs: 40 },
   );
 });
+
+test("only readers look for strangers in a settled domain", () => {
+  const fleet = createFleet();
+  // The first node is welcomed by nobody, and one seed never answers.
+  for (const id of ["n:1", "n:2", "n:3", "n:4"]) {
+    start(fleet, id, "zone-a", ["n:1", "gone:1"]);
+    tick(fleet, 4);
+  }
+  tick(fleet, 10);
+  const joins = new Set<string>();
+  let count = 0;
+  for (let time = 0; time < 20; time++) {
+    fleet.now += 1_000;
+    for (const id of fleet.states.keys()) {
+      const { now } = fleet;
+      run(fleet, id, { type: "ticked", now, random: 0, presence: [] });
+    }
+    for (const { from, message } of fleet.queue) {
+      if (message.type !== "membership/join") continue;
+      joins.add(from);
+      count++;
+    }
+    deliver(fleet);
+  }
+  assert.equal(joins.size, 2);
+  assert.equal(count, 8);
+});
--- a/src/membership/welcome_member.ts
+++ b/src/membership/welcome_member.ts
@@ -5,7 +5,7 @@
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { MemberRow, Welcome } from "./messages.ts";
 import { ownRow } from "./own_row.ts";
-import { send } from "./overlay_of.ts";
+import { overlayOf, send } from "./overlay_of.ts";
 import type { MembershipEffect, MembershipState } from "./state.ts";
 import { findContradiction, notePeer, takeRow } from "./take_row.ts";
 import { takeSummary } from "./take_summary.ts";
@@ -14,14 +14,18 @@
 const seekTicks = 5;
 
 /**
- * Presents this node to one peer that is no member: at each tick until it is
- * welcomed, else now and then, which also joins the halves of a healed domain.
+ * Presents this node to one peer that is no member: at each tick until it has
+ * company, then now and then by the domain's readers, which also joins the
+ * halves of a healed domain. Each half has readers of its own.
  */
 export function seekPeers(
   state: MembershipState,
   random: number,
 ): MembershipEffect[] {
-  if (state.isWelcomed && state.ticks % seekTicks !== 0) return [];
+  const hasCompany = state.isWelcomed || state.members.size > 1;
+  const isReader = overlayOf(state).readers.includes(state.self.id);
+  const isDue = isReader && state.ticks % seekTicks === 0;
+  if (hasCompany && !isDue) return [];
   const known = [...state.seeds, ...state.met, ...state.departed.keys()];
   const strangers = [...new Set(known)].filter((id) => !state.members.has(id));
   const to = strangers[Math.floor(random * strangers.length)];
