--- a/src/adapters/drive_once.ts
+++ b/src/adapters/drive_once.ts
@@ -43,6 +43,8 @@
   settle(attempt: string, outcome: RunOutcome | undefined): void;
   receive(from: NodeId, message: OnceMessage): void;
   tick(): void;
+  /** Resolves when every outcome is recorded, or after `boundMs`. */
+  idle(boundMs: number): Promise<void>;
   close(): void;
 }
 
@@ -60,6 +62,7 @@
   const waiting = new Map<string, (outcome: ClaimOutcome) => void>();
   let reader: ClaimReader | undefined;
   let timer: NodeJS.Timeout | undefined;
+  let onIdle = () => {};
   // Hashing every member is too slow for each call.
   let chosen: readonly NodeId[] = [];
   const readers = () => chosen;
@@ -83,6 +86,7 @@
           exhausted(effect);
       }
     }
+    if (asking.attempts.size === 0) onIdle();
     schedule();
   }
 
@@ -166,6 +170,18 @@
       chooseRole();
       reader?.tick();
     },
+    idle: (boundMs) =>
+      new Promise((resolve) => {
+        const bound = setTimeout(resolve, boundMs);
+        onIdle = () => {
+          clearTimeout(bound);
+          resolve();
+        };
+        // Outcomes that were settled before wait in the loop.
+        loop.post(Priority.Config, () => {
+          if (asking.attempts.size === 0) onIdle();
+        });
+      }),
     close: () => {
       clearTimeout(timer);
       reader?.close();
--- a/src/adapters/run_node.ts
+++ b/src/adapters/run_node.ts
@@ -30,6 +30,9 @@
 /** Added to the longest timeout of a route when the node stops. */
 const stopSlackMs = 1_000;
 
+/** Time for outcomes of keyed calls to reach the log, in milliseconds. */
+const recordBoundMs = 2_000;
+
 const longestStopMs = 120_000;
 
 export interface RunningNode {
@@ -114,6 +117,7 @@
       await sleep(leaveGraceMs);
       await Promise.all([calls.close(boundMs), callPath.idle(boundMs)]);
       await callPath.close();
+      await control.once.idle(recordBoundMs);
       control.close();
       reporter.close();
       links?.close();
--- a/tools/once_path_test.ts
+++ b/tools/once_path_test.ts
@@ -94,7 +94,7 @@
     const text = await res.body.text();
     return { status: res.statusCode, headers: res.headers, text };
   };
-  return { log, upstreams, call };
+  return { log, nodes, upstreams, call };
 }
 
 test("keyed call runs once", async (t) => {
@@ -123,6 +123,23 @@
   assert.equal(upstreams.flatMap((one) => one.keysRun).length, 2);
 });
 
+test("planned stop records outcomes first", async (t) => {
+  const { nodes, call } = await startPath(t);
+  const ready = { key: "ready", body: "" };
+  for (;;) {
+    const probe = await call(0, "/pay", ready);
+    if (probe.status === 200) break;
+    assert.equal(probe.headers["lagoon-not-run"], "true");
+  }
+  const pay = { key: "invoice-9", body: "ten" };
+  const first = await call(0, "/pay", pay);
+  // A node closes once: the other is left to the end of the test.
+  await nodes.shift()?.close();
+  const again = await call(1, "/pay", pay);
+  assert.deepEqual([first.status, again.status], [200, 200]);
+  assert.equal(again.text, first.text);
+});
+
 test("crashing request stops after two upstreams", async (t) => {
   const { upstreams, call } = await startPath(t);
   for (const one of upstreams) {
