test(tools): stop a node while its outcome is on the way to the log

Cause: a planned stop has to leave no key unknown. Change: the log answers slower than the grace of a stop. Tried: the test passes without the wait of the stop too, because the other reader has the outcome by then; it proves the promise, not that one guard.

--- a/tools/once_path_test.ts
+++ b/tools/once_path_test.ts
@@ -124,13 +124,15 @@
 });
 
 test("planned stop records outcomes first", async (t) => {
-  const { nodes, call } = await startPath(t);
+  const { log, nodes, call } = await startPath(t);
   const ready = { key: "ready", body: "" };
   for (;;) {
     const probe = await call(0, "/pay", ready);
     if (probe.status === 200) break;
     assert.equal(probe.headers["lagoon-not-run"], "true");
   }
+  // Slower than the grace of a stop, so that only waiting gets it recorded.
+  log.faults.delayMs = 600;
   const pay = { key: "invoice-9", body: "ten" };
   const first = await call(0, "/pay", pay);
   // A node closes once: the other is left to the end of the test.
