fix(tools): ask for a time in the demo's good move

Cause: since versions are judged by evidence, two calls a second at the first share were too few to raise it before the demo gave up (run in a clean clone: exit 1 after 50 s). Change: the good version has 18 s to take over, as an operator would ask. Ruled out: a wrong verdict, the log shows no hold.

--- a/tools/demo.ts
+++ b/tools/demo.ts
@@ -5,6 +5,9 @@
  * no call failed but those that the bad version answered.
  * @module
  */
+import { mkdtemp, readFile, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import process from "node:process";
 import { callAdmin } from "../src/adapters/admin_client.ts";
 import { type Rollout, RolloutPhase } from "../src/config_log/state.ts";
@@ -19,7 +22,10 @@
 const callEveryMs = 8;
 
 /** Leaves room for the stop within a minute. */
-const limitMs = 50_000;
+const limitMs = 55_000;
+
+/** Time that the good version has to take over, in milliseconds. */
+const takeOverMs = 18_000;
 
 const startedAt = performance.now();
 const processes = createProcesses();
@@ -73,7 +79,10 @@
   try {
     tell("v2 starts beside v1. The operator asks for it:");
     start(service, "v2");
-    await applyLists(nodes, "examples/moves/uses_v2.yaml");
+    await applyLists(
+      nodes,
+      await withTime("examples/moves/uses_v2.yaml", "v2"),
+    );
     const good = await outcomeOf(nodes, "v2");
     tell(`${badVersion} starts too, and six in ten of its calls fail. The`);
     tell("operator can't know that and asks for it:");
@@ -127,6 +136,20 @@
     : undefined;
 }
 
+/** Copies a list, with a time by which the version has to take over. */
+async function withTime(file: string, version: string): Promise<string> {
+  const takeOverBy = new Date(Date.now() + takeOverMs).toISOString();
+  tell(`  ${version} has to take over by ${takeOverBy}.`);
+  const text = await readFile(file, "utf8");
+  const timed = text.replaceAll(
+    `    version: ${version}\n`,
+    `    version: ${version}\n    takeOverBy: ${takeOverBy}\n`,
+  );
+  const copy = join(await mkdtemp(join(tmpdir(), "lagoon-demo-")), "uses.yaml");
+  await writeFile(copy, timed);
+  return copy;
+}
+
 async function applyLists(
   nodes: readonly DemoNode[],
   ...files: readonly string[]
