refactor(adapters): drop a reader of bodies that nothing calls

Cause: the operators' port reads its bodies through admin_json and the way of a call through call_body, so readBody and its bound were left without a caller. Change: both go.

--- a/src/adapters/calls.ts
+++ b/src/adapters/calls.ts
@@ -2,11 +2,7 @@
  * A call as it passes through a node, and answers that the node gives itself.
  * @module
  */
-import type {
-  IncomingHttpHeaders,
-  IncomingMessage,
-  ServerResponse,
-} from "node:http";
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import type { MonotonicMs } from "../core/types.ts";
 import {
   customerHeader,
@@ -44,9 +40,6 @@
   readonly capture?: AnswerCapture;
 }
 
-/** Largest body of an operator's request, in bytes. */
-const maxBodyBytes = 1024 * 1024;
-
 const hopByHop = new Set([
   "connection",
   "expect",
@@ -135,18 +128,3 @@
 function closeUnread(res: ServerResponse): Record<string, string> {
   return res.req.complete ? {} : { connection: "close" };
 }
-
-/** Reads a body. Undefined when it is larger than may be held. */
-export async function readBody(
-  req: IncomingMessage,
-  maxBytes = maxBodyBytes,
-): Promise<Buffer | undefined> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of req) {
-    length += chunk.length;
-    if (length > maxBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
