--- /dev/null
+++ b/src/config_log/create_config_state.ts
@@ -0,0 +1,25 @@
+/**
+ * The state before any record.
+ * @module
+ */
+import type { ConfigState } from "./state.ts";
+
+/** Offset of the first record in a stream. 0 means "none". */
+export const firstOffset = 1;
+
+/** Creates the state of an empty log. */
+export function createConfigState(): ConfigState {
+  return {
+    next: firstOffset,
+    version: 0,
+    digest: "",
+    customers: new Map(),
+    uses: new Map(),
+    rollouts: new Map(),
+    withdrawn: new Map(),
+    leases: new Map(),
+    presence: new Map(),
+    writers: new Map(),
+    audit: [],
+  };
+}
--- /dev/null
+++ b/src/config_log/encode_snapshot.ts
@@ -0,0 +1,61 @@
+/**
+ * Encodes the folded state as text, the same bytes for the same state.
+ * @module
+ */
+import { createHash } from "node:crypto";
+import { deflateRawSync } from "node:zlib";
+import type { ConfigState } from "./state.ts";
+
+/** Format of the snapshot's content. A reader refuses any other. */
+export const snapshotFormat = 1;
+
+/** A state as text that survives the log and the wire. */
+export interface EncodedSnapshot {
+  /** Offset of the last record that the state includes. */
+  readonly through: number;
+  /** SHA-256 of `data`, in hexadecimal. */
+  readonly hash: string;
+  /** Compressed content in base64. */
+  readonly data: string;
+}
+
+/** Encodes a state. Key order is sorted, but for order that carries meaning. */
+export function encodeSnapshot(state: ConfigState): EncodedSnapshot {
+  const content = {
+    format: snapshotFormat,
+    next: state.next,
+    version: state.version,
+    digest: state.digest,
+    customers: sortEntries(state.customers),
+    uses: sortEntries(state.uses),
+    // Ended rollouts and writers are forgotten in order of age.
+    rollouts: [...state.rollouts],
+    withdrawn: sortEntries(state.withdrawn),
+    leases: sortEntries(state.leases),
+    presence: sortEntries(state.presence),
+    writers: [...state.writers],
+    audit: state.audit,
+  };
+  const text = JSON.stringify(content, sortKeys);
+  const data = deflateRawSync(text).toString("base64");
+  return { through: state.next - 1, hash: hashOf(data), data };
+}
+
+/** SHA-256 in hexadecimal. */
+export function hashOf(data: string): string {
+  return createHash("sha256").update(data).digest("hex");
+}
+
+function sortEntries<T>(map: ReadonlyMap<string, T>): [string, T][] {
+  return [...map].sort(([a], [b]) => a < b ? -1 : 1);
+}
+
+/** A row's keys stand in insertion order, which differs by history. */
+function sortKeys(_key: string, value: unknown): unknown {
+  if (value === null || typeof value !== "object" || Array.isArray(value)) {
+    return value;
+  }
+  return Object.fromEntries(
+    Object.entries(value).sort(([a], [b]) => a < b ? -1 : 1),
+  );
+}
--- /dev/null
+++ b/src/config_log/fold_edit.ts
@@ -0,0 +1,212 @@
+/**
+ * Folds an operator's edit of the two lists, whole or not at all.
+ * @module
+ */
+import type { Offset } from "../core/types.ts";
+import { keyOfUse, ListName, type UseEntry } from "../lists/types.ts";
+import type { EditRecord, EntryChange } from "./messages.ts";
+import { accepted, type Outcome, refused } from "./outcome.ts";
+import { joinRollout, leaveRollout } from "./rollout_rows.ts";
+import { type ConfigState, RefusalCode, type UseRow } from "./state.ts";
+import { keyOfVersion } from "../core/key_of_version.ts";
+
+/** Options of `foldEdit`. */
+export interface FoldEditOptions {
+  readonly state: ConfigState;
+  readonly record: EditRecord;
+  readonly offset: Offset;
+  /** The writer's wall clock, ISO 8601. */
+  readonly at: string;
+}
+
+/** Checks every change first, then applies all of them. */
+export function foldEdit(opts: FoldEditOptions): Outcome {
+  const refusal = checkChanges(opts) ?? checkPlans(opts);
+  if (refusal !== undefined) return refusal;
+  for (const change of opts.record.changes) applyChange(opts, change);
+  return accepted(true);
+}
+
+function checkChanges(opts: FoldEditOptions): Outcome | undefined {
+  const seen = new Set<string>();
+  for (const change of opts.record.changes) {
+    const name = `${change.list}/${change.key}`;
+    if (seen.has(name) || !hasMatchingKey(change)) {
+      return refused(
+        RefusalCode.Malformed,
+        `entry ${name} stands twice or under a wrong key`,
+      );
+    }
+    seen.add(name);
+    const refusal = checkRevision(opts.state, change) ??
+      checkWithdrawn(opts.state, change);
+    if (refusal !== undefined) return refusal;
+  }
+  return undefined;
+}
+
+function hasMatchingKey(change: EntryChange): boolean {
+  if (change.value === null) return true;
+  if (change.list === ListName.Customers) {
+    return change.key === change.value.customer;
+  }
+  return change.key === keyOfUse(change.value.plan, change.value.service);
+}
+
+function checkRevision(
+  state: ConfigState,
+  change: EntryChange,
+): Outcome | undefined {
+  const row = change.list === ListName.Customers
+    ? state.customers.get(change.key)
+    : state.uses.get(change.key);
+  const found = row?.revision ?? 0;
+  if (found === change.expected) return undefined;
+  const winner = row === undefined
+    ? "it was removed"
+    : `${row.editor} changed it at ${found}`;
+  return refused(
+    RefusalCode.RevisionConflict,
+    `entry ${change.list}/${change.key}: expected revision ` +
+      `${change.expected}, found ${found}; ${winner}`,
+  );
+}
+
+function checkWithdrawn(
+  state: ConfigState,
+  change: EntryChange,
+): Outcome | undefined {
+  if (change.list !== ListName.Uses || change.value === null) return undefined;
+  const { service, version } = change.value;
+  const withdrawn = state.withdrawn.get(keyOfVersion(service, version));
+  const isAskedAlready = state.uses.get(change.key)?.asked === version;
+  if (withdrawn === undefined || isAskedAlready) return undefined;
+  return refused(
+    RefusalCode.VersionWithdrawn,
+    `entry uses/${change.key}: ${service}@${version} was taken back at ` +
+      `${withdrawn.since}: ${withdrawn.reason}`,
+  );
+}
+
+/** Checks that every customer's plan still has something to use. */
+function checkPlans(opts: FoldEditOptions): Outcome | undefined {
+  const { state, record } = opts;
+  const usesAfter = new Map<string, number>();
+  for (const row of state.uses.values()) addTo(usesAfter, row.plan, 1);
+  const emptied = new Set<string>();
+  for (const change of record.changes) {
+    if (change.list !== ListName.Uses) continue;
+    const row = state.uses.get(change.key);
+    if (row === undefined && change.value !== null) {
+      addTo(usesAfter, change.value.plan, 1);
+    }
+    if (row !== undefined && change.value === null) {
+      addTo(usesAfter, row.plan, -1);
+      emptied.add(row.plan);
+    }
+  }
+  return checkHeldPlans(opts, usesAfter) ??
+    checkEmptiedPlans(opts, usesAfter, emptied);
+}
+
+function checkHeldPlans(
+  opts: FoldEditOptions,
+  usesAfter: ReadonlyMap<string, number>,
+): Outcome | undefined {
+  for (const change of opts.record.changes) {
+    if (change.list !== ListName.Customers || change.value === null) continue;
+    if ((usesAfter.get(change.value.plan) ?? 0) > 0) continue;
+    return refused(
+      RefusalCode.UnknownPlan,
+      `entry customers/${change.key}: no use entry names plan ` +
+        `${change.value.plan}`,
+    );
+  }
+  return undefined;
+}
+
+function checkEmptiedPlans(
+  opts: FoldEditOptions,
+  usesAfter: ReadonlyMap<string, number>,
+  emptied: ReadonlySet<string>,
+): Outcome | undefined {
+  const gone = [...emptied].filter((plan) => (usesAfter.get(plan) ?? 0) <= 0);
+  if (gone.length === 0) return undefined;
+  const moved = new Map<string, string | undefined>();
+  for (const change of opts.record.changes) {
+    if (change.list !== ListName.Customers) continue;
+    moved.set(change.key, change.value?.plan);
+  }
+  for (const [customer, row] of opts.state.customers) {
+    const plan = moved.has(customer) ? moved.get(customer) : row.entry.plan;
+    if (plan === undefined || !gone.includes(plan)) continue;
+    return refused(
+      RefusalCode.PlanInUse,
+      `plan ${plan} would have nothing to use, but customer ${customer} ` +
+        "holds it",
+    );
+  }
+  return undefined;
+}
+
+function addTo(counts: Map<string, number>, key: string, amount: number) {
+  counts.set(key, (counts.get(key) ?? 0) + amount);
+}
+
+function applyChange(opts: FoldEditOptions, change: EntryChange) {
+  if (change.list === ListName.Uses) {
+    applyUse(opts, change.key, change.value);
+    return;
+  }
+  if (change.value === null) {
+    opts.state.customers.delete(change.key);
+    return;
+  }
+  opts.state.customers.set(change.key, {
+    entry: change.value,
+    revision: opts.offset,
+    editor: opts.record.editor,
+  });
+}
+
+function applyUse(opts: FoldEditOptions, key: string, value: UseEntry | null) {
+  const { state, offset } = opts;
+  const before = state.uses.get(key);
+  if (before?.rollout !== undefined && before.asked !== value?.version) {
+    leaveRollout(state, before.rollout, key, offset, opts.at);
+  }
+  if (value === null) {
+    state.uses.delete(key);
+    return;
+  }
+  const isSameMove = before?.asked === value.version;
+  const row: UseRow = {
+    plan: value.plan,
+    service: value.service,
+    routes: value.routes,
+    whenUnjudged: value.whenUnjudged,
+    asked: value.version,
+    stable: before?.stable ?? firstStable(state, value),
+    ...(value.takeOverBy === undefined ? {} : { takeOverBy: value.takeOverBy }),
+    ...(isSameMove && before?.rollout !== undefined
+      ? { rollout: before.rollout }
+      : {}),
+    revision: offset,
+    editor: opts.record.editor,
+  };
+  state.uses.set(key, row);
+  joinRollout({ state, key, offset, at: opts.at });
+}
+
+/**
+ * Version that serves a new entry. A version that serves no plan yet is
+ * unproven and has to be rolled out, unless the service itself is new.
+ */
+function firstStable(state: ConfigState, value: UseEntry): string {
+  const proven = new Set<string>();
+  for (const row of state.uses.values()) {
+    if (row.service === value.service) proven.add(row.stable);
+  }
+  if (proven.size === 0 || proven.has(value.version)) return value.version;
+  return [...proven].sort()[0] ?? value.version;
+}
--- /dev/null
+++ b/src/config_log/parse_envelope.ts
@@ -0,0 +1,124 @@
+/**
+ * Reads one record's text as a typed envelope.
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import type { LagoonError } from "../core/errors.ts";
+import { customerSchema, nameSchema, useSchema } from "../lists/schemas.ts";
+import { ListName } from "../lists/types.ts";
+import { type Envelope, RecordKind, StepType } from "./messages.ts";
+
+const maxReasonLength = 2_000;
+const maxChanges = 20_000;
+const maxPresenceNodes = 16;
+
+const offset = v.pipe(v.number(), v.integer(), v.minValue(0));
+const identity = v.pipe(v.string(), v.minLength(1), v.maxLength(200));
+const reason = v.pipe(v.string(), v.maxLength(maxReasonLength));
+
+const changeSchema = v.variant("list", [
+  v.strictObject({
+    list: v.literal(ListName.Customers),
+    key: identity,
+    expected: offset,
+    value: v.nullable(customerSchema),
+  }),
+  v.strictObject({
+    list: v.literal(ListName.Uses),
+    key: identity,
+    expected: offset,
+    value: v.nullable(useSchema),
+  }),
+]);
+
+const stepSchema = v.variant("type", [
+  v.strictObject({
+    type: v.literal(StepType.Share),
+    perMille: v.pipe(
+      v.number(),
+      v.integer(),
+      v.minValue(0),
+      v.maxValue(1000),
+    ),
+    reason,
+  }),
+  v.strictObject({ type: v.literal(StepType.Bake), reason }),
+  v.strictObject({ type: v.literal(StepType.Done), reason }),
+  v.strictObject({ type: v.literal(StepType.Rollback), reason }),
+  v.strictObject({ type: v.literal(StepType.Block), reason }),
+]);
+
+const recordSchema = v.variant("kind", [
+  v.strictObject({
+    kind: v.literal(RecordKind.Edit),
+    editor: identity,
+    changes: v.pipe(
+      v.array(changeSchema),
+      v.minLength(1),
+      v.maxLength(maxChanges),
+    ),
+  }),
+  v.strictObject({
+    kind: v.literal(RecordKind.Lease),
+    name: identity,
+    holder: identity,
+    term: v.pipe(v.number(), v.integer(), v.minValue(1)),
+  }),
+  v.strictObject({
+    kind: v.literal(RecordKind.RolloutStep),
+    rollout: identity,
+    term: offset,
+    step: stepSchema,
+  }),
+  v.strictObject({
+    kind: v.literal(RecordKind.Reinstate),
+    editor: identity,
+    service: nameSchema,
+    version: nameSchema,
+  }),
+  v.strictObject({
+    kind: v.literal(RecordKind.Presence),
+    domain: identity,
+    nodes: v.pipe(v.array(identity), v.maxLength(maxPresenceNodes)),
+  }),
+  v.strictObject({
+    kind: v.literal(RecordKind.Snapshot),
+    through: offset,
+    chunk: offset,
+    chunks: v.pipe(v.number(), v.integer(), v.minValue(1)),
+    hash: identity,
+    data: v.string(),
+  }),
+]);
+
+const envelopeSchema = v.strictObject({
+  writer: identity,
+  seq: v.pipe(v.number(), v.integer(), v.minValue(1)),
+  at: v.pipe(v.string(), v.maxLength(40)),
+  record: recordSchema,
+});
+
+/** Parses the text of a record. Fails with `LAGOON_RECORD_MALFORMED`. */
+export function parseEnvelope(body: string): Result<Envelope, LagoonError> {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(body);
+  } catch {
+    return err(malformed("not JSON"));
+  }
+  const parsed = v.safeParse(envelopeSchema, raw, { abortEarly: true });
+  if (parsed.success) return ok(parsed.output);
+  const issue = parsed.issues[0];
+  const path = v.getDotPath(issue) ?? "record";
+  return err(malformed(`${path}: ${issue.message}`));
+}
+
+function malformed(message: string): LagoonError {
+  return {
+    code: "LAGOON_RECORD_MALFORMED",
+    step: "read a configuration record",
+    message,
+    hint: "Write records with lagoonctl or a node of this version.",
+  };
+}
--- /dev/null
+++ b/src/lists/parse_lists_test.ts
@@ -0,0 +1,71 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { formatProblem, parseLists } from "./parse_lists.ts";
+import { planEdit } from "./plan_edit.ts";
+
+const text = `customers:
+  - { customer: baker, plan: basic }
+uses:
+  - plan: basic
+    service: portaal
+    version: v1
+    routes:
+      - { name: accounts, path: /accounts, methods: [GET] }
+`;
+
+function problemsOf(broken: string): string[] {
+  const parsed = parseLists({ file: "lists.yaml", text: broken });
+  return parsed.isErr() ? parsed.error.map(formatProblem) : [];
+}
+
+test("valid lists get defaults", () => {
+  const lists = parseLists({ file: "lists.yaml", text })._unsafeUnwrap();
+  assert.equal(lists.uses?.[0]?.routes[0]?.repeatable, false);
+  assert.equal(lists.uses?.[0]?.whenUnjudged, "proceed");
+});
+
+test("bad field is told with file, line and entry", () => {
+  const [problem] = problemsOf(text.replace("v1", "'not a name'"));
+  assert.match(
+    problem ?? "",
+    /^lists.yaml:6: uses\[0\] \(basic\/portaal\): version: expected letters/,
+  );
+});
+
+test("missing field is told at its entry", () => {
+  const [problem] = problemsOf(text.replace("    version: v1\n", ""));
+  assert.match(problem ?? "", /^lists.yaml:4: .*version: missing field/);
+});
+
+test("unknown field is told", () => {
+  const [problem] = problemsOf(text.replace("plan: basic }", "plam: basic }"));
+  assert.match(problem ?? "", /^lists.yaml:2: customers\[0\] \(baker\)/);
+});
+
+test("broken YAML is told with its line", () => {
+  const [problem] = problemsOf(text.replace("[GET]", "[GET"));
+  assert.match(problem ?? "", /^lists.yaml:[89]: document: /);
+});
+
+test("repeated entry is told", () => {
+  const twice = text.replace(
+    "uses:",
+    "  - { customer: baker, plan: gold }\nuses:",
+  );
+  const [problem] = problemsOf(twice);
+  assert.match(problem ?? "", /^lists.yaml:3: .*entry baker stands twice/);
+});
+
+test("unchanged lists need no edit", () => {
+  const asked = parseLists({ file: "lists.yaml", text })._unsafeUnwrap();
+  const revise = <T>(entry: T) => ({ revision: 7, entry });
+  const current = {
+    customers: asked.customers?.map(revise) ?? [],
+    uses: asked.uses?.map(revise) ?? [],
+  };
+  assert.deepEqual(planEdit({ current, asked }), []);
+  const fewer = planEdit({ current, asked: { customers: [] } });
+  assert.deepEqual(fewer, [
+    { list: "customers", key: "baker", expected: 7, value: null },
+  ]);
+});
--- /dev/null
+++ b/src/lists/plan_edit.ts
@@ -0,0 +1,75 @@
+/**
+ * Works out the changes that turn the lists in force into those asked for.
+ * @module
+ */
+import { isDeepStrictEqual } from "node:util";
+import type { EntryChange } from "../config_log/messages.ts";
+import type { Lists } from "./parse_lists.ts";
+import {
+  type CustomerEntry,
+  keyOfUse,
+  ListName,
+  type UseEntry,
+} from "./types.ts";
+
+/** An entry in force with its revision. */
+export interface Revised<T> {
+  readonly revision: number;
+  readonly entry: T;
+}
+
+/** The lists in force, as an operator's client reads them. */
+export interface RevisedLists {
+  readonly customers: readonly Revised<CustomerEntry>[];
+  readonly uses: readonly Revised<UseEntry>[];
+}
+
+/** Options of `planEdit`. */
+export interface PlanEditOptions {
+  readonly current: RevisedLists;
+  readonly asked: Lists;
+}
+
+/** Returns the changes needed, none when nothing differs. */
+export function planEdit(opts: PlanEditOptions): EntryChange[] {
+  const { current, asked } = opts;
+  const changes: EntryChange[] = [];
+  if (asked.customers !== undefined) {
+    const rows = indexBy(current.customers, (entry) => entry.customer);
+    const wanted = new Map(asked.customers.map((one) => [one.customer, one]));
+    for (const diff of diffEntries(rows, wanted)) {
+      changes.push({ list: ListName.Customers, ...diff });
+    }
+  }
+  if (asked.uses !== undefined) {
+    const keyOf = (entry: UseEntry) => keyOfUse(entry.plan, entry.service);
+    const rows = indexBy(current.uses, keyOf);
+    const wanted = new Map(asked.uses.map((one) => [keyOf(one), one]));
+    for (const diff of diffEntries(rows, wanted)) {
+      changes.push({ list: ListName.Uses, ...diff });
+    }
+  }
+  return changes;
+}
+
+function indexBy<T>(
+  rows: readonly Revised<T>[],
+  keyOf: (entry: T) => string,
+): Map<string, Revised<T>> {
+  return new Map(rows.map((row) => [keyOf(row.entry), row]));
+}
+
+function* diffEntries<T>(
+  rows: ReadonlyMap<string, Revised<T>>,
+  wanted: ReadonlyMap<string, T>,
+): Generator<{ key: string; expected: number; value: T | null }> {
+  for (const [key, value] of wanted) {
+    const row = rows.get(key);
+    if (row !== undefined && isDeepStrictEqual(row.entry, value)) continue;
+    yield { key, expected: row?.revision ?? 0, value };
+  }
+  for (const [key, row] of rows) {
+    if (wanted.has(key)) continue;
+    yield { key, expected: row.revision, value: null };
+  }
+}
--- /dev/null
+++ b/src/serving/decide_swap.ts
@@ -0,0 +1,48 @@
+/**
+ * Decides whether a compiled configuration may take the place of another.
+ * @module
+ */
+import type { ServingConfig } from "./state.ts";
+
+export type SwapDecision =
+  | { readonly type: "swap" }
+  | { readonly type: "older"; readonly reason: string }
+  | { readonly type: "broken"; readonly reason: string };
+
+/** Options of `decideSwap`. */
+export interface DecideSwapOptions {
+  readonly current: ServingConfig | undefined;
+  readonly candidate: ServingConfig;
+  /** Highest version known to have been applied at this address. */
+  readonly floor: number;
+}
+
+/** Refuses an older version, and one with a reference that does not hold. */
+export function decideSwap(opts: DecideSwapOptions): SwapDecision {
+  const { candidate, current, floor } = opts;
+  const least = Math.max(floor, current?.version ?? 0);
+  if (candidate.version < least) {
+    return {
+      type: "older",
+      reason: `version ${candidate.version} is below ${least}`,
+    };
+  }
+  const planless = findPlanlessCustomer(candidate);
+  if (planless !== undefined) {
+    return {
+      type: "broken",
+      reason: `customer ${planless} holds a plan that nothing defines`,
+    };
+  }
+  return { type: "swap" };
+}
+
+function findPlanlessCustomer(candidate: ServingConfig): string | undefined {
+  const plans = new Set<string>();
+  for (const served of candidate.services.values()) plans.add(served.plan);
+  for (const key of candidate.inactive) plans.add(key.split("/")[0] ?? "");
+  for (const [customer, plan] of candidate.planOf) {
+    if (!plans.has(plan)) return customer;
+  }
+  return undefined;
+}
--- /dev/null
+++ b/src/serving/state.ts
@@ -0,0 +1,37 @@
+/**
+ * The configuration in force on one proxy.
+ * @module
+ */
+import type { Offset } from "../core/types.ts";
+import type { RouteRule } from "../lists/types.ts";
+
+/** Which version of a service answers, and the share of a newer one. */
+export interface VersionSplit {
+  readonly stable: string;
+  readonly candidate?: {
+    readonly rollout: string;
+    readonly version: string;
+    /** Share of calls in thousandths. */
+    readonly perMille: number;
+  };
+}
+
+/** A service that one plan may use, with its active routes. */
+export interface ServedService {
+  readonly plan: string;
+  readonly service: string;
+  readonly routes: readonly RouteRule[];
+  readonly split: VersionSplit;
+}
+
+/** A whole configuration. Never changed in place: a new one replaces it. */
+export interface ServingConfig {
+  readonly version: Offset;
+  readonly digest: string;
+  /** Plan of each customer. */
+  readonly planOf: ReadonlyMap<string, string>;
+  /** Active services by `plan/service`. */
+  readonly services: ReadonlyMap<string, ServedService>;
+  /** Keys `plan/service` allowed but absent here, so not active. */
+  readonly inactive: ReadonlySet<string>;
+}
--- /dev/null
+++ b/src/settings/read_settings_test.ts
@@ -0,0 +1,68 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { nodeSettingSpecs, toNodeSettings } from "./node_settings.ts";
+import { readSettings } from "./read_settings.ts";
+import { lagoonVersion } from "./run_binary.ts";
+
+const needed = [
+  "--domain=zone-a",
+  "--peer-addr=127.0.0.1:7001",
+  "--call-addr=127.0.0.1:7002",
+  "--admin-addr=127.0.0.1:7003",
+];
+
+function read(argv: string[], env: Record<string, string> = {}) {
+  return readSettings({
+    binary: "lagoon-node",
+    summary: "",
+    specs: nodeSettingSpecs,
+    argv,
+    env,
+  });
+}
+
+test("flag goes before variable", () => {
+  const env = {
+    LAGOON_LOG_URL: "http://127.0.0.1:7900",
+    LAGOON_DOMAIN: "zone-b",
+  };
+  const values = read(needed, env)._unsafeUnwrap();
+  assert.equal(values.type, "values");
+  if (values.type !== "values") return;
+  const settings = toNodeSettings(values.values);
+  assert.equal(settings.domain, "zone-a");
+  assert.equal(settings.logUrl, "http://127.0.0.1:7900");
+  assert.deepEqual(settings.seeds, []);
+});
+
+test("missing setting is named with its variable", () => {
+  const err = read(needed)._unsafeUnwrapErr();
+  assert.match(err.message, /--log-url: no value is given/);
+  assert.match(err.hint ?? "", /LAGOON_LOG_URL/);
+});
+
+test("bad address is refused", () => {
+  const err = read([...needed, "--peer-addr=nowhere"])._unsafeUnwrapErr();
+  assert.match(err.message, /--peer-addr: expected host:port/);
+});
+
+test("unknown flag is refused", () => {
+  const err = read([...needed, "--frob"])._unsafeUnwrapErr();
+  assert.match(err.message, /--frob/);
+  assert.match(err.hint ?? "", /--help/);
+});
+
+test("help lists every flag", () => {
+  const help = read(["--help"])._unsafeUnwrap();
+  assert.equal(help.type, "help");
+  if (help.type !== "help") return;
+  for (const spec of nodeSettingSpecs) {
+    assert.ok(help.text.includes(`--${spec.flag}`));
+  }
+});
+
+test("binaries tell the package's version", () => {
+  const text = readFileSync("package.json", "utf8");
+  assert.equal(JSON.parse(text).version, lagoonVersion);
+});
--- /dev/null
+++ b/src/settings/run_binary.ts
@@ -0,0 +1,46 @@
+/**
+ * Starts a binary: settings, help, version and exit codes.
+ * @module
+ */
+import process from "node:process";
+import { formatError } from "../core/errors.ts";
+import { readSettings, type SettingSpec } from "./read_settings.ts";
+
+/** Version of all binaries, kept equal to package.json by a test. */
+export const lagoonVersion = "0.1.0";
+
+const exitUsage = 2;
+
+/** Options of `runBinary`. */
+export interface RunBinaryOptions {
+  readonly binary: string;
+  readonly summary: string;
+  readonly specs: readonly SettingSpec[];
+  readonly positionals?: string;
+  readonly main: (
+    values: ReadonlyMap<string, string>,
+    positionals: readonly string[],
+  ) => Promise<void>;
+}
+
+/** Runs `main` with checked settings, or exits 2 with what to mend. */
+export async function runBinary(opts: RunBinaryOptions): Promise<void> {
+  const { main, ...rest } = opts;
+  const argv = process.argv.slice(2);
+  const read = readSettings({ ...rest, argv, env: process.env });
+  if (read.isErr()) {
+    process.stderr.write(`${formatError(read.error)}\n`);
+    process.exitCode = exitUsage;
+    return;
+  }
+  switch (read.value.type) {
+    case "help":
+      process.stdout.write(`${read.value.text}\n`);
+      return;
+    case "version":
+      process.stdout.write(`${opts.binary} ${lagoonVersion}\n`);
+      return;
+    case "values":
+      return await main(read.value.values, read.value.positionals);
+  }
+}
