--- /dev/null
+++ b/src/bin/lagoon_sidecar.ts
@@ -0,0 +1,29 @@
+#!/usr/bin/env node
+/**
+ * The one process beside an endpoint on the users' platform.
+ * @module
+ */
+import process from "node:process";
+import { createPlatform } from "../../platform/create_platform.ts";
+import {
+  readSidecarSettings,
+  settingsVariable,
+} from "../../platform/read_sidecar_settings.ts";
+import { formatError } from "../core/errors.ts";
+import { runSidecar } from "../sidecar/run_sidecar.ts";
+
+const exitUsage = 2;
+
+const read = readSidecarSettings(process.env[settingsVariable] ?? "");
+if (read.isErr()) {
+  process.stderr.write(`${formatError(read.error)}\n`);
+  process.exit(exitUsage);
+}
+const settings = read.value;
+const platform = createPlatform({ storeAddress: settings.storeAddress });
+const sidecar = await runSidecar({ settings, platform });
+const stop = () => void sidecar.close().then(() => process.exit(0));
+process.once("SIGTERM", stop);
+process.once("SIGINT", stop);
+// Addresses never change within a VM's life, so a reload has nothing to do.
+process.on("SIGHUP", () => {});
--- /dev/null
+++ b/src/budget/budget_test.ts
@@ -0,0 +1,39 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { countRequest, spendRepeat } from "./spend_repeat.ts";
+import { createBudgetState } from "./state.ts";
+
+const terms = { ratio: 0.2, slack: 60, windowMs: 10_000 };
+
+test("repeats of all nodes stay within ratio and slack in any window", () => {
+  const nodes = 12;
+  const states = Array.from({ length: nodes }, createBudgetState);
+  const sent: { at: number; isRepeat: boolean }[] = [];
+  for (let now = 0; now < 40_000; now += 10) {
+    const state = states[(now / 10) % nodes];
+    assert.ok(state);
+    countRequest(state, terms, "one", now);
+    sent.push({ at: now, isRepeat: false });
+    for (let n = 0; n < 3; n++) {
+      const opts = { terms, service: "one", nodes, now };
+      if (spendRepeat(state, opts)) sent.push({ at: now, isRepeat: true });
+    }
+  }
+  for (let from = 0; from < 30_000; from += 500) {
+    const window = sent.filter(({ at }) =>
+      at >= from && at < from + terms.windowMs
+    );
+    const repeats = window.filter((one) => one.isRepeat).length;
+    const requests = window.length - repeats;
+    assert.ok(repeats <= requests * terms.ratio + terms.slack);
+  }
+  assert.ok(sent.some((one) => one.isRepeat));
+});
+
+test("services have budgets of their own", () => {
+  const state = createBudgetState();
+  const spend = (service: string) =>
+    spendRepeat(state, { terms, service, nodes: 12, now: 0 });
+  while (spend("one"));
+  assert.ok(spend("two"));
+});
--- /dev/null
+++ b/src/callers/create_caller_server.ts
@@ -0,0 +1,156 @@
+/**
+ * The server that clients and the endpoint on this VM call.
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { Socket } from "node:net";
+import { LogLevel } from "../logs/create_log.ts";
+import { CallResult } from "../metrics/create_metrics.ts";
+import { findRoute } from "../routes/find_route.ts";
+import type { ClientLimits } from "../routes/state.ts";
+import { answerItself } from "./answer_caller.ts";
+import { serveCall, type ServedCall } from "./serve_call.ts";
+import type { CallContext } from "./state.ts";
+
+/**
+ * Bound of a request's head. Node fixes it when the server is made, before the
+ * first route table says what operators allow.
+ */
+const maxHeadBytes = 65_536;
+
+/** Time after which a caller may come back before the first route table. */
+const noTableRetryMs = 200;
+
+/** A connection is kept a little longer than its idle limit says. */
+const idleSlackMs = 500;
+
+/** Options of `createCallerServer`. */
+export interface CreateCallerServerOptions {
+  readonly ctx: CallContext;
+  /** Address of this VM. What calls from it is the endpoint. */
+  readonly ip: string;
+}
+
+export interface CallerServer {
+  readonly server: Server;
+  setLimits(limits: ClientLimits): void;
+  /** Asks callers to connect elsewhere with their next request. */
+  drain(): void;
+  /** Requests that are not answered yet. */
+  open(): number;
+}
+
+/** Requests of one connection. */
+interface Connection {
+  readonly calls: Set<ServedCall>;
+  /** Answer that goes out last. */
+  latest: ServerResponse;
+}
+
+/** Creates the server. It listens where its owner tells it to. */
+export function createCallerServer(
+  opts: CreateCallerServerOptions,
+): CallerServer {
+  const { ctx } = opts;
+  const connections = new Map<Socket, Connection>();
+  let isDraining = false;
+  let count = 0;
+
+  function take(req: IncomingMessage, res: ServerResponse) {
+    const known = connections.get(req.socket);
+    if (known !== undefined) known.latest = res;
+    const { table } = ctx.routes;
+    const caller = ctx.dialect.readCaller(req.headers);
+    if (caller === undefined) {
+      return refuse(req, res, 400, "the request has no id");
+    }
+    if (table === undefined) {
+      const headers = ctx.dialect.refusalHeaders(caller.id, noTableRetryMs);
+      return refuse(req, res, 503, "no route table is known yet", headers);
+    }
+    const route = findRoute(table, req.headers.host ?? "", req.url ?? "/");
+    if (route === undefined) {
+      ctx.metrics.countCall("", CallResult.NoRoute, 0);
+      return refuse(req, res, 404, "no route matches");
+    }
+    const { bodyBytes } = table.limits;
+    if (Number(req.headers["content-length"] ?? 0) > bodyBytes) {
+      return refuse(req, res, 413, "the body is too large");
+    }
+    const { socket } = req;
+    const { calls } = connections.get(socket) ?? watch(socket, res);
+    let isDone = false;
+    let call: ServedCall | undefined = undefined;
+    count++;
+    call = serveCall({
+      ctx,
+      req,
+      res,
+      id: caller.id,
+      route,
+      isInner: socket.remoteAddress === opts.ip,
+      waitMs: caller.waitMs ?? route.timeoutMs,
+      maxBodyBytes: bodyBytes,
+      mayClose: () => mayClose(res),
+      onDone() {
+        isDone = true;
+        count--;
+        if (call !== undefined) calls.delete(call);
+      },
+    });
+    if (!isDone) calls.add(call);
+  }
+
+  /** A connection is closed behind its last request, never before one. */
+  function mayClose(res: ServerResponse): boolean {
+    const latest = connections.get(res.req.socket)?.latest;
+    return isDraining && (latest === undefined || latest === res);
+  }
+
+  function watch(socket: Socket, latest: ServerResponse): Connection {
+    const connection = { calls: new Set<ServedCall>(), latest };
+    connections.set(socket, connection);
+    socket.once("close", () => {
+      connections.delete(socket);
+      for (const call of connection.calls) call.abandon();
+    });
+    return connection;
+  }
+
+  function refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    status: number,
+    reason: string,
+    headers: Record<string, string> = {},
+  ) {
+    req.resume();
+    if (mayClose(res)) res.shouldKeepAlive = false;
+    answerItself(res, { status, reason, headers });
+    ctx.log.write("call", LogLevel.Warn, "request refused", {
+      status,
+      reason,
+      host: req.headers.host,
+      target: req.url,
+      table: ctx.routes.table?.version,
+    });
+  }
+
+  const server = createServer({ maxHeaderSize: maxHeadBytes }, take);
+  return {
+    server,
+    setLimits(limits) {
+      server.keepAliveTimeout = limits.idleMs + idleSlackMs;
+      server.headersTimeout = limits.headerMs;
+    },
+    drain() {
+      isDraining = true;
+    },
+    open: () => count,
+  };
+}
--- /dev/null
+++ b/src/callers/serve_call.ts
@@ -0,0 +1,426 @@
+/**
+ * Serves one request: finds its route and homes, and answers its caller.
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { countRequest, spendRepeat } from "../budget/spend_repeat.ts";
+import { type AttemptEnd, decideNext } from "../calls/decide_next.ts";
+import { retryAfterMs } from "../calls/retry_after.ts";
+import {
+  type Attempt,
+  type AttemptEvent,
+  type HeaderList,
+  type OfferedCall,
+  type Refusal,
+  RefusedBy,
+} from "../calls/state.ts";
+import { exhausted } from "../core/exhausted.ts";
+import type { NodeId } from "../core/types.ts";
+import { LogLevel } from "../logs/create_log.ts";
+import { CallResult } from "../metrics/create_metrics.ts";
+import { chooseCandidate } from "../placement/choose_candidate.ts";
+import { noteEnd, noteOffer, shunHome } from "../placement/note_home.ts";
+import type { Candidate } from "../placement/state.ts";
+import { RefusalReason } from "../queue/state.ts";
+import { pickPart } from "../routes/pick_part.ts";
+import type { Route } from "../routes/state.ts";
+import { chooseVersions } from "../takeover/choose_version.ts";
+import { answerItself, passOnAnswer } from "./answer_caller.ts";
+import { type BodySink, hasBody, readBody } from "./request_body.ts";
+import type { CallContext } from "./state.ts";
+
+/** Bodies up to this size travel with the offer instead of after it. */
+const inlineBytes = 4_096;
+
+/** A home that refused as closed, or was not reached, is left alone so long. */
+const shunMs = 250;
+
+/** Assumed size of an answer before the first, in bytes. */
+const firstAnswerBytes = 1_024;
+
+/** Weight of the newest answer in the mean size. */
+const newestAnswerWeight = 0.1;
+
+/** Time after which a caller without any candidate may come back. */
+const noHomeWaitMs = 300;
+
+/** Options of `serveCall`. */
+export interface ServeCallOptions {
+  readonly ctx: CallContext;
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly id: string;
+  readonly route: Route;
+  /** Made by the endpoint on this VM. */
+  readonly isInner: boolean;
+  readonly waitMs: number;
+  readonly maxBodyBytes: number;
+  /** Whether the connection may end behind this answer. */
+  readonly mayClose: () => boolean;
+  /** Called once, when nothing is left to do for the request. */
+  readonly onDone: () => void;
+}
+
+/** A request that is being served. */
+export interface ServedCall {
+  /** The caller's connection is gone. */
+  abandon(): void;
+}
+
+interface OpenAttempt {
+  readonly home: NodeId;
+  readonly attempt: Attempt;
+  readonly sink: BodySink;
+  /** The body follows once the endpoint has a slot. */
+  readonly hasLaterBody: boolean;
+}
+
+/** Starts serving. */
+export function serveCall(opts: ServeCallOptions): ServedCall {
+  const { ctx, req, res, id, route, isInner } = opts;
+  const startedAt = ctx.now();
+  const deadlineAt = startedAt + Math.min(opts.waitMs, route.timeoutMs);
+  const aimAt = startedAt + route.aimMs;
+  const service = pickPart(ctx.routes, route);
+  const headers = ctx.dialect.sentHeaders(req.rawHeaders);
+  const tried = new Set<NodeId>();
+  const refusedLate = new Set<NodeId>();
+  const attempts = new Set<OpenAttempt>();
+  let versions: readonly string[] | undefined;
+  let offers = 0;
+  let arrivals = 0;
+  let mayHaveRun = false;
+  let isHedged = false;
+  let leastWaitMs = Infinity;
+  let isDone = false;
+  let streaming: OpenAttempt | undefined;
+  const deadline = setTimeout(expire, Math.max(0, deadlineAt - startedAt));
+  if (!isInner) countRequest(ctx.budget, ctx.budgetTerms, service, startedAt);
+
+  const body = !hasBody(req) ? undefined : readBody({
+    req,
+    maxBytes: opts.maxBodyBytes,
+    onWhole() {
+      if (offers === 0) offer(false);
+    },
+    onTooLarge() {
+      giveUp(413, "the body is too large");
+      req.destroy();
+    },
+  });
+  const isSmall = (body?.announcedBytes ?? Infinity) <= inlineBytes;
+  // A body that follows the offer is not waited for.
+  if (body === undefined || !isSmall) offer(false);
+
+  function offer(mayBeLate: boolean): void {
+    if (isDone) return;
+    const found = findHome();
+    if (found !== undefined) return offerTo(found, mayBeLate);
+    if (refusedLate.size > 0 && !mayBeLate) {
+      for (const home of refusedLate) tried.delete(home);
+      refusedLate.clear();
+      return offer(true);
+    }
+    if (attempts.size > 0) return;
+    const reason = offers === 0
+      ? "no endpoint is known"
+      : "no endpoint is left";
+    if (!Number.isFinite(leastWaitMs)) leastWaitMs = noHomeWaitMs;
+    giveUp(mayHaveRun ? 502 : 503, reason);
+  }
+
+  function findHome(): NodeId | undefined {
+    const present = ctx.fleet.byService.get(service);
+    if (present === undefined) return undefined;
+    versions ??= chooseVersions(ctx.takeover, service, [...present.keys()]);
+    const candidates: readonly Candidate[] = versions.length === 1
+      ? present.get(versions[0] ?? "") ?? []
+      : versions.flatMap((version) => present.get(version) ?? []);
+    return chooseCandidate(ctx.placement, {
+      candidates,
+      tried,
+      ownDomain: ctx.domain,
+      bytes: (body?.announcedBytes ?? body?.size() ?? 0) +
+        (ctx.answerBytes.get(route.name) ?? firstAnswerBytes),
+      now: ctx.now(),
+      random: ctx.random,
+    })?.home;
+  }
+
+  function offerTo(node: NodeId, mayBeLate: boolean): void {
+    tried.add(node);
+    const home = ctx.homes.homeOf(node);
+    if (home === undefined) return offer(mayBeLate);
+    offers++;
+    noteOffer(ctx.placement, node);
+    const whole = body === undefined ? Buffer.alloc(0) : body.whole();
+    const isInline = whole !== undefined && whole.length <= inlineBytes;
+    const call = callFor(node, mayBeLate, isInline ? whole : undefined);
+    const attempt = home.offer(call, (event) => take(open, event));
+    const sink = {
+      send: (chunk: Buffer) => attempt.send(chunk),
+      finish: () => attempt.finish(),
+    };
+    const hasLaterBody = !isInline;
+    const open: OpenAttempt = { home: node, attempt, sink, hasLaterBody };
+    attempts.add(open);
+  }
+
+  function callFor(
+    node: NodeId,
+    mayBeLate: boolean,
+    inline: Buffer | undefined,
+  ): OfferedCall {
+    const now = ctx.now();
+    return {
+      id,
+      method: req.method ?? "GET",
+      target: req.url ?? "/",
+      headers,
+      service,
+      version: ctx.fleet.rows.get(node)?.row.endpoint?.version ?? "",
+      route: route.name,
+      urgency: route.urgency,
+      isInner,
+      callerService: ctx.service,
+      leftMs: deadlineAt - now,
+      aimLeftMs: aimAt - now,
+      mayBeLate,
+      body: inline,
+      bodyBytes: body?.announcedBytes,
+    };
+  }
+
+  function take(open: OpenAttempt, event: AttemptEvent) {
+    if (isDone || !attempts.has(open)) return;
+    switch (event.type) {
+      case "admitted":
+        arrivals++;
+        if (open.hasLaterBody) body?.pipe(open.sink);
+        return;
+      case "overdue":
+        return hedge();
+      case "refused":
+        close(open, event.refusal.by !== RefusedBy.Home);
+        return takeRefusal(open, event.refusal);
+      case "failed":
+        close(open, true);
+        if (streaming === open) return breakOff(event.failure.reason);
+        mayHaveRun = true;
+        if (attempts.size > 0) return;
+        return follow({ type: "failed", failure: event.failure });
+      case "answered":
+        return takeAnswer(open, event.head, event.body);
+      case "chunk":
+        if (streaming === open) res.write(event.chunk);
+        return;
+      case "ended":
+        if (streaming === open) finish(CallResult.Served, 200);
+        return;
+      default:
+        exhausted(event);
+    }
+  }
+
+  function takeRefusal(open: OpenAttempt, refusal: Refusal) {
+    ctx.metrics.countRefusal(refusal.reason);
+    leastWaitMs = Math.min(leastWaitMs, refusal.waitMs);
+    if (refusal.reason === RefusalReason.Late) refusedLate.add(open.home);
+    const isAway = refusal.reason === RefusalReason.Closed ||
+      refusal.by === RefusedBy.Link;
+    if (isAway) shunHome(ctx.placement, open.home, ctx.now() + shunMs);
+    if (attempts.size > 0) return;
+    follow({ type: "refused", refusal });
+  }
+
+  function takeAnswer(
+    open: OpenAttempt,
+    head: { status: number; headers: HeaderList },
+    whole: Buffer | undefined,
+  ) {
+    const isFailed = head.status >= 500;
+    close(open, isFailed);
+    if (isFailed) {
+      mayHaveRun = true;
+      // The other attempt may still bring a better answer.
+      if (attempts.size > 0) return;
+      const step = next({ type: "answered", head });
+      if (step.type === "offer") {
+        open.attempt.cancel();
+        return repeat(step.mayBeLate);
+      }
+    }
+    noteAnswerSize(whole);
+    if (opts.mayClose()) res.shouldKeepAlive = false;
+    passOnAnswer(res, ctx.dialect, head, whole);
+    if (whole !== undefined) {
+      const result = isFailed ? CallResult.EndpointFailed : CallResult.Served;
+      return finish(result, head.status);
+    }
+    attempts.add(open);
+    streaming = open;
+  }
+
+  function noteAnswerSize(whole: Buffer | undefined) {
+    if (whole === undefined) return;
+    const mean = ctx.answerBytes.get(route.name) ?? whole.length;
+    const change = (whole.length - mean) * newestAnswerWeight;
+    ctx.answerBytes.set(route.name, mean + change);
+  }
+
+  function follow(end: AttemptEnd) {
+    const step = next(end);
+    switch (step.type) {
+      case "offer":
+        if (end.type === "failed") return repeat(step.mayBeLate);
+        return offer(step.mayBeLate);
+      case "give-up":
+        return giveUp(step.status, reasonOf(end));
+      case "pass-on":
+        throw new TypeError("only answers are passed on");
+      default:
+        exhausted(step);
+    }
+  }
+
+  function next(end: AttemptEnd) {
+    return decideNext({
+      end,
+      isIdempotent: route.isIdempotent,
+      offers,
+      arrivals,
+      maxArrivals: route.maxAttempts,
+      mayHaveRun,
+      leftMs: deadlineAt - ctx.now(),
+      canResend: body?.canResend() ?? true,
+      spend,
+    });
+  }
+
+  function spend(): boolean {
+    const isSpent = spendRepeat(ctx.budget, {
+      terms: ctx.budgetTerms,
+      service,
+      nodes: ctx.fleet.linked.size + 1,
+      now: ctx.now(),
+    });
+    if (isSpent) ctx.metrics.countRepeat(service);
+    return isSpent;
+  }
+
+  /** The budget is spent; homes that refused as late are welcome again. */
+  function repeat(mayBeLate: boolean) {
+    for (const home of refusedLate) tried.delete(home);
+    refusedLate.clear();
+    offer(mayBeLate);
+  }
+
+  /** A second attempt beside one that hangs, for a call that may run twice. */
+  function hedge() {
+    const mayHedge = route.isIdempotent && !isHedged &&
+      arrivals < route.maxAttempts && (body?.canResend() ?? true) &&
+      ctx.now() < deadlineAt;
+    if (!mayHedge || findHome() === undefined || !spend()) return;
+    isHedged = true;
+    log(LogLevel.Info, "call repeated while it hangs");
+    offer(false);
+  }
+
+  /** Ends an attempt's part in the bookkeeping. */
+  function close(open: OpenAttempt, isFailed: boolean) {
+    attempts.delete(open);
+    body?.unpipe(open.sink);
+    noteEnd(ctx.placement, open.home, isFailed, ctx.now());
+  }
+
+  function expire() {
+    if (isDone || streaming !== undefined) return;
+    // A home's word is missing, so nobody knows whether the call has run.
+    giveUp(attempts.size > 0 || mayHaveRun ? 504 : 503, "its time is over");
+  }
+
+  function giveUp(status: number, reason: string) {
+    if (isDone) return;
+    const leftMs = deadlineAt - ctx.now();
+    const retryMs = retryAfterMs({
+      waitMs: Number.isFinite(leastWaitMs) ? leastWaitMs : noHomeWaitMs,
+      leftMs,
+      random: ctx.random(),
+    });
+    const isNotRun = status === 503;
+    const headers = isNotRun ? ctx.dialect.refusalHeaders(id, retryMs) : {};
+    if (opts.mayClose()) res.shouldKeepAlive = false;
+    answerItself(res, { status, headers, reason });
+    log(LogLevel.Warn, isNotRun ? "call refused" : "call failed", {
+      status,
+      reason,
+      ...(isNotRun ? { retryMs: Math.round(retryMs) } : {}),
+    });
+    finish(isNotRun ? CallResult.NotRun : CallResult.Unknown, status);
+  }
+
+  /** The answer is cut: its end must not look like the answer's own. */
+  function breakOff(reason: string) {
+    log(LogLevel.Warn, "answer cut", { reason });
+    res.destroy();
+    finish(CallResult.Unknown, 0);
+  }
+
+  function finish(result: CallResult, status: number) {
+    if (isDone) return;
+    isDone = true;
+    clearTimeout(deadline);
+    for (const open of attempts) {
+      if (open !== streaming || result !== CallResult.Served) {
+        open.attempt.cancel();
+      }
+      noteEnd(
+        ctx.placement,
+        open.home,
+        result === CallResult.Unknown,
+        ctx.now(),
+      );
+    }
+    attempts.clear();
+    if (streaming !== undefined && result === CallResult.Served) res.end();
+    const tookMs = ctx.now() - startedAt;
+    ctx.metrics.countCall(route.name, result, tookMs);
+    if (result === CallResult.EndpointFailed) {
+      log(LogLevel.Warn, "endpoint failed the call", { status });
+    }
+    opts.onDone();
+  }
+
+  function log(
+    level: LogLevel,
+    text: string,
+    fields: Record<string, unknown> = {},
+  ) {
+    ctx.log.write("call", level, text, {
+      id,
+      route: route.name,
+      service,
+      homes: [...tried],
+      offers,
+      arrivals,
+      tookMs: Math.round(ctx.now() - startedAt),
+      table: ctx.routes.table?.version,
+      ...fields,
+    });
+  }
+
+  return {
+    abandon: () => finish(CallResult.Left, 0),
+  };
+}
+
+function reasonOf(end: AttemptEnd): string {
+  switch (end.type) {
+    case "refused":
+      return end.refusal.reason;
+    case "failed":
+      return end.failure.reason;
+    case "answered":
+      return `the endpoint answered ${end.head.status}`;
+  }
+}
--- /dev/null
+++ b/src/callers/state.ts
@@ -0,0 +1,35 @@
+/**
+ * What serving a request needs to know of the rest of the node.
+ * @module
+ */
+import type { BudgetState, BudgetTerms } from "../budget/state.ts";
+import type { Homes } from "../calls/state.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { FleetState } from "../fleet/state.ts";
+import type { Log } from "../logs/create_log.ts";
+import type { Metrics } from "../metrics/create_metrics.ts";
+import type { PlacementState } from "../placement/state.ts";
+import type { RoutesState } from "../routes/state.ts";
+import type { CallDialect } from "../sidecar/platform_port.ts";
+import type { TakeoverState } from "../takeover/state.ts";
+
+/** The node around a request. */
+export interface CallContext {
+  readonly self: NodeId;
+  readonly domain: string;
+  readonly service: string;
+  readonly routes: RoutesState;
+  readonly takeover: TakeoverState;
+  readonly fleet: FleetState;
+  readonly placement: PlacementState;
+  readonly budget: BudgetState;
+  readonly budgetTerms: BudgetTerms;
+  /** Mean size of the answers of each route, in bytes. */
+  readonly answerBytes: Map<string, number>;
+  readonly homes: Homes;
+  readonly dialect: CallDialect;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  readonly now: () => MonotonicMs;
+  readonly random: () => number;
+}
--- /dev/null
+++ b/src/calls/calls_test.ts
@@ -0,0 +1,79 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { type AttemptEnd, decideNext } from "./decide_next.ts";
+import { retryAfterMs } from "./retry_after.ts";
+import { RefusedBy } from "./state.ts";
+
+const refusedBy = (by: RefusedBy, reason = "late"): AttemptEnd => ({
+  type: "refused",
+  refusal: { by, reason, waitMs: 10 },
+});
+const answered = (status: number): AttemptEnd => ({
+  type: "answered",
+  head: { status, headers: [] },
+});
+const failed = (isTimeout = false): AttemptEnd => ({
+  type: "failed",
+  failure: { reason: "reset", isTimeout },
+});
+
+function next(end: AttemptEnd, change: object = {}) {
+  return decideNext({
+    end,
+    isIdempotent: true,
+    offers: 1,
+    arrivals: 1,
+    maxArrivals: 2,
+    mayHaveRun: false,
+    leftMs: 500,
+    canResend: true,
+    spend: () => true,
+    ...change,
+  });
+}
+
+test("a call that may run once is never repeated after it may have run", () => {
+  const change = { isIdempotent: false, mayHaveRun: true };
+  assert.deepEqual(next(failed(), change), { type: "give-up", status: 502 });
+  assert.deepEqual(next(failed(true), change), {
+    type: "give-up",
+    status: 504,
+  });
+  assert.deepEqual(next(answered(500), change), { type: "pass-on" });
+});
+
+test("a refusal after a possible run is never told as not run", () => {
+  const change = { mayHaveRun: true, offers: 99 };
+  const step = next(refusedBy(RefusedBy.Home), change);
+  assert.deepEqual(step, { type: "give-up", status: 502 });
+});
+
+test("a refusal by a home costs no budget", () => {
+  const spend = () => assert.fail("spent");
+  const change = { arrivals: 0, spend, isIdempotent: false };
+  const step = next(refusedBy(RefusedBy.Home), change);
+  assert.deepEqual(step, { type: "offer", mayBeLate: false });
+});
+
+test("an endpoint's refusal is followed within budget and attempts", () => {
+  const end = refusedBy(RefusedBy.Endpoint, "full");
+  assert.equal(next(end, { isIdempotent: false }).type, "offer");
+  assert.equal(next(end, { spend: () => false }).type, "give-up");
+  assert.equal(next(end, { arrivals: 2 }).type, "give-up");
+});
+
+test("an idempotent call is repeated after a failure, within budget", () => {
+  assert.equal(next(answered(500)).type, "offer");
+  assert.equal(next(answered(200)).type, "pass-on");
+  assert.equal(next(answered(404)).type, "pass-on");
+  assert.equal(next(answered(500), { spend: () => false }).type, "pass-on");
+  assert.equal(next(failed(), { canResend: false }).type, "give-up");
+});
+
+test("callers come back spread out, and within a third of their time", () => {
+  const at = (random: number, leftMs = 900) =>
+    retryAfterMs({ waitMs: 100, leftMs, random });
+  assert.equal(at(0), 50);
+  assert.equal(at(1), 150);
+  assert.equal(at(1, 300), 100);
+});
--- /dev/null
+++ b/src/calls/decide_next.ts
@@ -0,0 +1,97 @@
+/**
+ * Decides what follows the end of an attempt.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import { RefusalReason } from "../queue/state.ts";
+import {
+  type AnswerHead,
+  type Failure,
+  type Refusal,
+  RefusedBy,
+} from "./state.ts";
+
+/** Homes that one call is offered to, at most. Offers cost milliseconds. */
+const maxOffers = 6;
+
+/** Lowest status with which an endpoint says that it failed. */
+const lowestServerError = 500;
+
+/** An idempotent call is not tried again with less time left, in ms. */
+const leastRetryMs = 20;
+
+/** How an attempt ended, before anything was told to the caller. */
+export type AttemptEnd =
+  | { readonly type: "refused"; readonly refusal: Refusal }
+  | { readonly type: "failed"; readonly failure: Failure }
+  | { readonly type: "answered"; readonly head: AnswerHead };
+
+/** Options of `decideNext`. */
+export interface DecideNextOptions {
+  readonly end: AttemptEnd;
+  readonly isIdempotent: boolean;
+  /** Homes that the call was offered to. */
+  readonly offers: number;
+  /** Endpoints that got the call. */
+  readonly arrivals: number;
+  readonly maxArrivals: number;
+  /** Some attempt may have run the call, or is still running it. */
+  readonly mayHaveRun: boolean;
+  readonly leftMs: number;
+  /** Every byte of the body is still here. */
+  readonly canResend: boolean;
+  /** Takes a repeat out of the retry budget. Asked last. */
+  readonly spend: () => boolean;
+}
+
+export type NextStep =
+  | { readonly type: "offer"; readonly mayBeLate: boolean }
+  | { readonly type: "pass-on" }
+  | { readonly type: "give-up"; readonly status: 502 | 503 | 504 };
+
+/**
+ * Decides whether a call is offered to another home.
+ *
+ * A refusal by a home costs nothing and may always be followed by an offer
+ * elsewhere. What an endpoint has received counts against the route's attempts
+ * and the shared budget, and only an idempotent call is repeated after it may
+ * have run.
+ */
+export function decideNext(opts: DecideNextOptions): NextStep {
+  const { end } = opts;
+  switch (end.type) {
+    case "refused":
+      return afterRefusal(opts, end.refusal);
+    case "failed":
+      if (mayRepeat(opts)) return { type: "offer", mayBeLate: true };
+      return { type: "give-up", status: end.failure.isTimeout ? 504 : 502 };
+    case "answered": {
+      const isFailed = end.head.status >= lowestServerError;
+      return isFailed && mayRepeat(opts)
+        ? { type: "offer", mayBeLate: true }
+        : { type: "pass-on" };
+    }
+    default:
+      return exhausted(end);
+  }
+}
+
+function afterRefusal(opts: DecideNextOptions, refusal: Refusal): NextStep {
+  const isLate = refusal.reason === RefusalReason.Late;
+  const mayOffer = opts.canResend && opts.leftMs > 0 &&
+    opts.offers < maxOffers && mayArriveAgain(opts, refusal);
+  if (mayOffer) return { type: "offer", mayBeLate: !isLate };
+  return { type: "give-up", status: opts.mayHaveRun ? 502 : 503 };
+}
+
+function mayArriveAgain(opts: DecideNextOptions, refusal: Refusal): boolean {
+  if (opts.arrivals >= opts.maxArrivals) return false;
+  // The budget is spent on a second arrival, whoever refused the first.
+  return refusal.by !== RefusedBy.Endpoint || opts.spend();
+}
+
+function mayRepeat(opts: DecideNextOptions): boolean {
+  return opts.isIdempotent && opts.canResend && opts.leftMs > leastRetryMs &&
+    opts.offers < maxOffers && opts.arrivals < opts.maxArrivals &&
+    opts.spend();
+}
--- /dev/null
+++ b/src/fleet/index_candidates.ts
@@ -0,0 +1,32 @@
+/**
+ * Index of the endpoints that calls may be offered to.
+ * @module
+ */
+import type { Candidate } from "../placement/state.ts";
+import type { FleetState } from "./state.ts";
+
+/** Rebuilds the index from the rows of this node and of linked nodes. */
+export function indexCandidates(state: FleetState) {
+  const byService = new Map<string, Map<string, Candidate[]>>();
+  for (const [node, { row, takenAt }] of state.rows) {
+    const { endpoint } = row;
+    const isReachable = node === state.self || state.linked.has(node);
+    if (endpoint === undefined || !isReachable) continue;
+    const { service, version, slots, coldMs } = endpoint;
+    let versions = byService.get(service);
+    if (versions === undefined) {
+      versions = new Map();
+      byService.set(service, versions);
+    }
+    const candidate: Candidate = {
+      home: node,
+      domain: row.domain,
+      slots,
+      coldUntil: takenAt + coldMs,
+    };
+    const same = versions.get(version);
+    if (same === undefined) versions.set(version, [candidate]);
+    else same.push(candidate);
+  }
+  state.byService = byService;
+}
--- /dev/null
+++ b/src/fleet/state.ts
@@ -0,0 +1,109 @@
+/**
+ * Rows that nodes keep of themselves and tell each other.
+ * @module
+ */
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { Candidate } from "../placement/state.ts";
+
+/** An endpoint that takes calls. */
+export interface RowEndpoint {
+  readonly id: string;
+  readonly service: string;
+  readonly version: string;
+  readonly slots: number;
+  /** How much longer it was slow when the row was made, in milliseconds. */
+  readonly coldMs: number;
+}
+
+/** What a node says of itself. Only the node changes its own row. */
+export interface NodeRow {
+  readonly node: NodeId;
+  readonly domain: string;
+  /** Grows with each change, also over restarts. */
+  readonly revision: number;
+  /** Absent while the endpoint takes no new calls. */
+  readonly endpoint?: RowEndpoint | undefined;
+}
+
+/** A row and when it came. */
+export interface KnownRow {
+  readonly row: NodeRow;
+  readonly takenAt: MonotonicMs;
+}
+
+export interface FleetState {
+  readonly self: NodeId;
+  readonly rows: Map<NodeId, KnownRow>;
+  /** Nodes with a link that answers. */
+  readonly linked: Set<NodeId>;
+  /** When a node was last linked, or first heard of. */
+  readonly seenAt: Map<NodeId, MonotonicMs>;
+  /** Ready endpoints by service, then by version. Rebuilt at a change. */
+  byService: ReadonlyMap<string, ReadonlyMap<string, readonly Candidate[]>>;
+}
+
+export type FleetEvent =
+  | {
+    readonly type: "row-changed";
+    readonly endpoint: RowEndpoint | undefined;
+    readonly now: MonotonicMs;
+  }
+  | {
+    readonly type: "rows-heard";
+    readonly rows: readonly NodeRow[];
+    readonly now: MonotonicMs;
+  }
+  /** Addresses without a row, such as those kept in the store. */
+  | {
+    readonly type: "nodes-found";
+    readonly nodes: readonly NodeId[];
+    readonly now: MonotonicMs;
+  }
+  | {
+    readonly type: "linked";
+    readonly node: NodeId;
+    readonly now: MonotonicMs;
+  }
+  | {
+    readonly type: "unlinked";
+    readonly node: NodeId;
+    readonly now: MonotonicMs;
+  }
+  | { readonly type: "ticked"; readonly now: MonotonicMs };
+
+export type FleetEffect =
+  /** Keep a link to a node that was not known. */
+  | { readonly type: "dial"; readonly node: NodeId }
+  | { readonly type: "forget"; readonly node: NodeId }
+  /** Tell all linked nodes. */
+  | { readonly type: "tell"; readonly row: NodeRow };
+
+/** Options of `createFleetState`. */
+export interface CreateFleetStateOptions {
+  readonly self: NodeId;
+  readonly domain: string;
+  /** Revision of the first row. The wall clock serves well enough. */
+  readonly revision: number;
+}
+
+export function createFleetState(opts: CreateFleetStateOptions): FleetState {
+  const row = {
+    node: opts.self,
+    domain: opts.domain,
+    revision: opts.revision,
+  };
+  return {
+    self: opts.self,
+    rows: new Map([[opts.self, { row, takenAt: -Infinity }]]),
+    linked: new Set(),
+    seenAt: new Map(),
+    byService: new Map(),
+  };
+}
+
+/** This node's own row. */
+export function ownRow(state: FleetState): NodeRow {
+  const own = state.rows.get(state.self);
+  if (own === undefined) throw new TypeError("a node always has its own row");
+  return own.row;
+}
--- /dev/null
+++ b/src/homes/create_home.ts
@@ -0,0 +1,300 @@
+/**
+ * The home of the endpoint beside this node.
+ * @module
+ */
+import { Pool } from "undici";
+import {
+  type Attempt,
+  type AttemptEvent,
+  type Home,
+  type OfferedCall,
+  RefusedBy,
+} from "../calls/state.ts";
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs } from "../core/types.ts";
+import type { Instance } from "../instance/state.ts";
+import { decideQueue, reportQueue } from "../queue/decide_queue.ts";
+import {
+  createQueueState,
+  type Gate,
+  type QueueEffect,
+  type QueueReport,
+} from "../queue/state.ts";
+import type { CallDialect } from "../sidecar/platform_port.ts";
+import type { Run } from "../takeover/count_run.ts";
+import { runCall, type RunEvent, type RunningAttempt } from "./run_call.ts";
+
+/** Connections besides the slots, for those that are just being closed. */
+const spareConnections = 4;
+
+/** Time for a connection on the same VM, in milliseconds. */
+const connectMs = 500;
+
+/** Idle time after which a connection is not used again, in milliseconds. */
+const keepAliveMs = 4_000;
+
+/** Time between looks at the queue while calls wait or run. */
+const tickMs = 20;
+
+/** Time after which an endpoint that took no connection is tried again. */
+const unreachableMs = 300;
+
+/** An endpoint's own answer at the deadline is waited for this long. */
+const graceMs = 150;
+
+/** Lowest status with which an endpoint says that it failed. */
+const lowestServerError = 500;
+
+/** Options of `createHome`. */
+export interface CreateHomeOptions {
+  readonly endpointAddress: string;
+  readonly dialect: CallDialect;
+  readonly now: () => MonotonicMs;
+  /** Told of each run that was answered or failed. */
+  readonly onRun: (run: Run) => void;
+  /** Told when the endpoint can't be used as announced. */
+  readonly onTrouble: (reason: string) => void;
+}
+
+export interface LocalHome extends Home {
+  /** Opens or closes the gate for the endpoint as last heard of. */
+  setInstance(instance: Instance | undefined, reason: string): void;
+  report(): QueueReport;
+  close(): Promise<void>;
+}
+
+interface OpenCall {
+  readonly call: OfferedCall;
+  readonly deadlineAt: MonotonicMs;
+  readonly onEvent: (event: AttemptEvent) => void;
+  run?: RunningAttempt;
+  timer?: NodeJS.Timeout;
+  startedAt?: MonotonicMs;
+}
+
+/** Creates the home. Its gate is closed until an instance is set. */
+export function createHome(opts: CreateHomeOptions): LocalHome {
+  const { dialect, now } = opts;
+  const queue = createQueueState();
+  const open = new Map<number, OpenCall>();
+  let lastKey = 0;
+  let instance: Instance | undefined;
+  let pool: Pool | undefined;
+  let ticker: NodeJS.Timeout | undefined;
+  let reopener: NodeJS.Timeout | undefined;
+
+  function apply(effects: readonly QueueEffect[]) {
+    for (const effect of effects) applyOne(effect);
+    const isBusy = queue.running.size + queue.waiting.size > 0;
+    if (isBusy && ticker === undefined) {
+      ticker = setTimeout(() => {
+        ticker = undefined;
+        apply(decideQueue(queue, { type: "ticked", now: now() }));
+      }, tickMs);
+    }
+  }
+
+  function applyOne(effect: QueueEffect) {
+    const entry = open.get(effect.key);
+    if (entry === undefined) return;
+    switch (effect.type) {
+      case "start":
+        return start(effect.key, entry);
+      case "refuse": {
+        open.delete(effect.key);
+        const { reason, waitMs } = effect;
+        const refusal = { by: RefusedBy.Home, reason, waitMs };
+        entry.onEvent({ type: "refused", refusal });
+        return;
+      }
+      case "overdue":
+        entry.onEvent({ type: "overdue" });
+        return;
+      default:
+        exhausted(effect);
+    }
+  }
+
+  function start(key: number, entry: OpenCall) {
+    if (instance === undefined || pool === undefined) {
+      throw new TypeError("a call started behind a closed gate");
+    }
+    const runningOn = instance;
+    const leftMs = entry.deadlineAt - now();
+    entry.startedAt = now();
+    entry.timer = setTimeout(
+      () => expire(key, entry),
+      Math.max(0, leftMs) + graceMs,
+    );
+    entry.run = runCall({
+      pool,
+      dialect,
+      call: entry.call,
+      instanceId: instance.id,
+      leftMs,
+      onEvent: (event) => takeRun(key, entry, runningOn, event),
+    });
+    entry.onEvent({ type: "admitted" });
+  }
+
+  function takeRun(
+    key: number,
+    entry: OpenCall,
+    runningOn: Instance,
+    event: RunEvent,
+  ) {
+    switch (event.type) {
+      case "chunk":
+        entry.onEvent(event);
+        return;
+      case "answered": {
+        const isFailed = event.head.status >= lowestServerError;
+        entry.onEvent(event);
+        if (event.body === undefined) return;
+        noteRun(entry, runningOn, isFailed);
+        end(key, entry, !isFailed);
+        return;
+      }
+      case "ended":
+        entry.onEvent(event);
+        noteRun(entry, runningOn, false);
+        return end(key, entry, true);
+      case "not-run":
+        end(key, entry, false);
+        if (!event.isReached) shut("the endpoint takes no connection");
+        if (event.isWrongInstance) shut("another endpoint has the address");
+        entry.onEvent({
+          type: "refused",
+          refusal: {
+            by: event.isReached ? RefusedBy.Endpoint : RefusedBy.Home,
+            reason: event.reason,
+            waitMs: reportQueue(queue).meanMs,
+          },
+        });
+        return;
+      case "failed":
+        noteRun(entry, runningOn, true);
+        end(key, entry, false);
+        entry.onEvent({
+          type: "failed",
+          failure: { reason: event.reason, isTimeout: false },
+        });
+        return;
+      default:
+        exhausted(event);
+    }
+  }
+
+  function expire(key: number, entry: OpenCall) {
+    entry.run?.cancel();
+    if (instance !== undefined) noteRun(entry, instance, true);
+    end(key, entry, false);
+    const failure = { reason: "its time is over", isTimeout: true };
+    entry.onEvent({ type: "failed", failure });
+  }
+
+  function end(key: number, entry: OpenCall, isAnswered: boolean) {
+    clearTimeout(entry.timer);
+    open.delete(key);
+    apply(decideQueue(queue, { type: "ended", key, isAnswered, now: now() }));
+  }
+
+  function noteRun(entry: OpenCall, runningOn: Instance, isFailed: boolean) {
+    opts.onRun({
+      service: runningOn.service,
+      version: runningOn.version,
+      route: entry.call.route,
+      isFailed,
+      tookMs: now() - (entry.startedAt ?? now()),
+    });
+  }
+
+  /** Takes no calls for a while, or until the endpoint's next ping. */
+  function shut(reason: string) {
+    opts.onTrouble(reason);
+    gate({ type: "closed", reason });
+    clearTimeout(reopener);
+    reopener = setTimeout(openGate, unreachableMs);
+  }
+
+  function openGate() {
+    if (instance === undefined) return;
+    gate({ type: "open", slots: instance.slots });
+  }
+
+  function gate(next: Gate) {
+    const coldUntil = instance?.coldUntil ?? -Infinity;
+    apply(decideQueue(queue, {
+      type: "gated",
+      gate: next,
+      coldUntil,
+      now: now(),
+    }));
+  }
+
+  function withdraw(key: number, entry: OpenCall) {
+    if (open.get(key) !== entry) return;
+    entry.run?.cancel();
+    if (entry.run !== undefined) return end(key, entry, false);
+    open.delete(key);
+    apply(decideQueue(queue, { type: "withdrawn", key, now: now() }));
+  }
+
+  return {
+    offer(call, onEvent): Attempt {
+      const key = ++lastKey;
+      const at = now();
+      const deadlineAt = at + call.leftMs;
+      const entry: OpenCall = { call, deadlineAt, onEvent };
+      open.set(key, entry);
+      const { route, urgency, isInner, mayBeLate } = call;
+      const aimAt = at + call.aimLeftMs;
+      const queued = { key, route, urgency, isInner, aimAt, deadlineAt };
+      // Events never come before the caller holds the attempt.
+      queueMicrotask(() => {
+        if (open.get(key) !== entry) return;
+        apply(decideQueue(queue, {
+          type: "offered",
+          call: queued,
+          mayBeLate,
+          now: now(),
+        }));
+      });
+      return {
+        send: (chunk) => entry.run?.send(chunk),
+        finish: () => entry.run?.finish(),
+        cancel: () => withdraw(key, entry),
+      };
+    },
+    setInstance(next, reason) {
+      clearTimeout(reopener);
+      const isSame = next?.id === instance?.id && next !== undefined;
+      instance = next;
+      if (next === undefined) return gate({ type: "closed", reason });
+      if (!isSame || pool === undefined) {
+        // Answers of an earlier endpoint must not reach calls to this one.
+        void pool?.destroy();
+        pool = createPool(opts.endpointAddress, next.slots);
+      }
+      openGate();
+    },
+    report: () => reportQueue(queue),
+    async close() {
+      clearTimeout(ticker);
+      clearTimeout(reopener);
+      for (const entry of open.values()) clearTimeout(entry.timer);
+      await pool?.destroy();
+    },
+  };
+}
+
+function createPool(address: string, slots: number): Pool {
+  return new Pool(`http://${address}`, {
+    connections: slots + spareConnections,
+    pipelining: 1,
+    connectTimeout: connectMs,
+    keepAliveTimeout: keepAliveMs,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
--- /dev/null
+++ b/src/homes/run_call.ts
@@ -0,0 +1,179 @@
+/**
+ * Sends one call to the endpoint and reads its answer.
+ * @module
+ */
+import { Readable } from "node:stream";
+import type { Dispatcher, Pool } from "undici";
+import type { AnswerHead, OfferedCall } from "../calls/state.ts";
+import type { CallDialect } from "../sidecar/platform_port.ts";
+
+/** Answers up to this size are read whole before any byte is passed on. */
+const maxWholeBytes = 65_536;
+
+/** How a run ends or goes on. One of the last three comes last. */
+export type RunEvent =
+  | {
+    readonly type: "answered";
+    readonly head: AnswerHead;
+    readonly body: Buffer | undefined;
+  }
+  | { readonly type: "chunk"; readonly chunk: Buffer }
+  | { readonly type: "ended" }
+  | {
+    readonly type: "not-run";
+    readonly reason: string;
+    /** False when no connection could be made. */
+    readonly isReached: boolean;
+    readonly isWrongInstance: boolean;
+  }
+  | { readonly type: "failed"; readonly reason: string };
+
+/** Options of `runCall`. */
+export interface RunCallOptions {
+  readonly pool: Pool;
+  readonly dialect: CallDialect;
+  readonly call: OfferedCall;
+  readonly instanceId: string;
+  readonly leftMs: number;
+  readonly onEvent: (event: RunEvent) => void;
+}
+
+/** A run in flight. */
+export interface RunningAttempt {
+  send(chunk: Buffer): void;
+  finish(): void;
+  /** Closes the endpoint's connection, so that it stops working. */
+  cancel(): void;
+}
+
+/** Starts a run. Events come later, never before it returns. */
+export function runCall(opts: RunCallOptions): RunningAttempt {
+  const { call, dialect } = opts;
+  const feed = call.body === undefined
+    ? new Readable({ read: () => {} })
+    : undefined;
+  let controller: Dispatcher.DispatchController | undefined;
+  let isSent = false;
+  let isOver = false;
+  let head: AnswerHead | undefined;
+  let isStreaming = false;
+  const parts: Buffer[] = [];
+  let size = 0;
+
+  function emit(event: RunEvent) {
+    if (isOver) return;
+    isOver = event.type !== "chunk" &&
+      !(event.type === "answered" && event.body === undefined);
+    opts.onEvent(event);
+  }
+
+  function takeHead(status: number, headers: string[]) {
+    const marks = dialect.readAnswer(status, headers);
+    // An answer to another call may come late, where this one's is due.
+    const isForeign = marks.callId !== call.id &&
+      (marks.callId !== undefined || status < 300);
+    if (isForeign) {
+      emit({ type: "failed", reason: "the answer belongs to another call" });
+      controller?.abort(new Error("foreign answer"));
+      return;
+    }
+    head = { status, headers };
+    if (!marks.isNotRun) return;
+    emit({
+      type: "not-run",
+      reason: `the endpoint refused it with ${status}`,
+      isReached: true,
+      isWrongInstance: marks.isWrongInstance,
+    });
+  }
+
+  function takeData(chunk: Buffer) {
+    if (head === undefined || isOver) return;
+    if (isStreaming) return emit({ type: "chunk", chunk });
+    parts.push(chunk);
+    size += chunk.length;
+    if (size <= maxWholeBytes) return;
+    isStreaming = true;
+    emit({ type: "answered", head, body: undefined });
+    for (const part of parts.splice(0)) emit({ type: "chunk", chunk: part });
+  }
+
+  function takeEnd() {
+    if (head === undefined) return;
+    if (isStreaming) emit({ type: "ended" });
+    else emit({ type: "answered", head, body: Buffer.concat(parts, size) });
+  }
+
+  function takeError(err: Error) {
+    if (isSent) return emit({ type: "failed", reason: err.message });
+    emit({
+      type: "not-run",
+      reason: `no connection to the endpoint: ${err.message}`,
+      isReached: false,
+      isWrongInstance: false,
+    });
+  }
+
+  try {
+    opts.pool.dispatch({
+      method: call.method as Dispatcher.HttpMethod,
+      path: call.target,
+      headers: headersOf(opts),
+      body: feed ?? (call.body?.length === 0 ? null : call.body ?? null),
+    }, {
+      onRequestStart(given) {
+        controller = given;
+        if (isOver) given.abort(new Error("call withdrawn"));
+        else isSent = true;
+      },
+      onResponseStart(given, status, headers) {
+        takeHead(status, listOf(given.rawHeaders, headers));
+      },
+      onResponseData: (_given, chunk) => takeData(chunk),
+      onResponseEnd: takeEnd,
+      onResponseError: (_given, err) => takeError(err),
+    });
+  } catch (err) {
+    // The client refuses a malformed call before anything is sent.
+    const reason = err instanceof Error ? err.message : String(err);
+    queueMicrotask(() => takeError(new Error(reason)));
+  }
+
+  return {
+    send: (chunk) => void feed?.push(chunk),
+    finish: () => void feed?.push(null),
+    cancel() {
+      if (isOver) return;
+      isOver = true;
+      feed?.destroy();
+      controller?.abort(new Error("call withdrawn"));
+    },
+  };
+}
+
+function headersOf(opts: RunCallOptions): string[] {
+  const { call, dialect, instanceId, leftMs } = opts;
+  const headers = dialect.endpointHeaders({
+    headers: call.headers,
+    callId: call.id,
+    callerService: call.callerService,
+    instanceId,
+    leftMs,
+  });
+  if (call.body === undefined && call.bodyBytes !== undefined) {
+    headers.push("content-length", String(call.bodyBytes));
+  }
+  return headers;
+}
+
+/** Header names and values by turns, in the order of the wire. */
+function listOf(raw: unknown, headers: object): string[] {
+  if (Array.isArray(raw)) {
+    return raw.map((one) =>
+      Buffer.isBuffer(one) ? one.toString("latin1") : String(one)
+    );
+  }
+  return Object.entries(headers).flatMap(([name, value]) =>
+    [value].flat().flatMap((one) => [name, String(one)])
+  );
+}
--- /dev/null
+++ b/src/instance/decide_instance.ts
@@ -0,0 +1,97 @@
+/**
+ * Orders the pings of endpoints that start, drain and leave beside a node.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import {
+  type Instance,
+  type InstanceChange,
+  type InstanceEvent,
+  InstancePhase,
+  type InstancePing,
+  type InstanceState,
+} from "./state.ts";
+
+/** Endpoints remembered after they left. A VM runs one at a time. */
+const maxLeft = 64;
+
+/**
+ * Takes a ping or a leave. A ping that was delayed past a newer one, past a
+ * newer start, or past the leave of its sender changes nothing.
+ */
+export function decideInstance(
+  state: InstanceState,
+  event: InstanceEvent,
+): InstanceChange {
+  switch (event.type) {
+    case "pinged":
+      return takePing(state, event);
+    case "left":
+      return takeLeave(state, event.id);
+    default:
+      return exhausted(event);
+  }
+}
+
+function takePing(
+  state: InstanceState,
+  event: Extract<InstanceEvent, { type: "pinged" }>,
+): InstanceChange {
+  const { ping, now } = event;
+  const { current } = state;
+  const reason = whyIgnored(state, ping);
+  if (reason !== undefined) return { type: "none", reason };
+  const { coldMs, ...rest } = ping;
+  const isSameStart = current?.id === ping.id && current.bornAt === ping.bornAt;
+  const wasDraining = isSameStart &&
+    current.phase === InstancePhase.Draining;
+  const instance: Instance = {
+    ...rest,
+    phase: wasDraining ? InstancePhase.Draining : ping.phase,
+    coldUntil: now + coldMs,
+    heardAt: now,
+  };
+  state.current = instance;
+  if (instance.phase === InstancePhase.Draining) {
+    return wasDraining ? { type: "heard" } : { type: "draining", instance };
+  }
+  return isSameStart && isAlike(current, instance)
+    ? { type: "heard" }
+    : { type: "started", instance };
+}
+
+function whyIgnored(
+  state: InstanceState,
+  ping: InstancePing,
+): string | undefined {
+  const { current } = state;
+  const leftBornAt = state.left.get(ping.id);
+  if (leftBornAt !== undefined && ping.bornAt <= leftBornAt) {
+    return "its sender has left";
+  }
+  if (current === undefined) return undefined;
+  if (ping.bornAt < current.bornAt) return "a later start has pinged";
+  const isSameStart = current.id === ping.id && current.bornAt === ping.bornAt;
+  return isSameStart && ping.seq <= current.seq
+    ? "a later ping has arrived"
+    : undefined;
+}
+
+function isAlike(a: Instance, b: Instance): boolean {
+  return a.service === b.service && a.version === b.version &&
+    a.slots === b.slots;
+}
+
+function takeLeave(state: InstanceState, id: string): InstanceChange {
+  const { current, left } = state;
+  // A leave names no start, so it ends the latest one known under that id.
+  const bornAt = current?.id === id ? current.bornAt : 0;
+  left.set(id, Math.max(bornAt, left.get(id) ?? 0));
+  const [oldest] = left.keys();
+  if (left.size > maxLeft && oldest !== undefined) left.delete(oldest);
+  if (current?.id !== id) {
+    return { type: "none", reason: "another endpoint runs here" };
+  }
+  state.current = undefined;
+  return { type: "left", id };
+}
--- /dev/null
+++ b/src/instance/instance_test.ts
@@ -0,0 +1,91 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import fc from "fast-check";
+import { checkProperty } from "../testing/check_property.ts";
+import { decideInstance } from "./decide_instance.ts";
+import {
+  createInstanceState,
+  InstancePhase,
+  type InstancePing,
+} from "./state.ts";
+
+function pingOf(fields: Partial<InstancePing>): InstancePing {
+  return {
+    id: "i-1",
+    bornAt: 1_000,
+    seq: 1,
+    service: "one",
+    version: "v1",
+    slots: 6,
+    phase: InstancePhase.Ready,
+    coldMs: 0,
+    ...fields,
+  };
+}
+
+test("a late ping does not revive an endpoint that left", () => {
+  const state = createInstanceState();
+  decideInstance(state, { type: "pinged", ping: pingOf({}), now: 0 });
+  decideInstance(state, { type: "left", id: "i-1" });
+  const late = pingOf({ seq: 2 });
+  const change = decideInstance(state, { type: "pinged", ping: late, now: 9 });
+  assert.equal(change.type, "none");
+  assert.equal(state.current, undefined);
+});
+
+test("draining is never taken back within one start", () => {
+  const state = createInstanceState();
+  const draining = pingOf({ seq: 5, phase: InstancePhase.Draining });
+  decideInstance(state, { type: "pinged", ping: draining, now: 0 });
+  const again = pingOf({ seq: 6 });
+  decideInstance(state, { type: "pinged", ping: again, now: 1 });
+  assert.equal(state.current?.phase, InstancePhase.Draining);
+});
+
+test("the same id starts again with its counts anew", () => {
+  const state = createInstanceState();
+  const first = pingOf({ seq: 50, phase: InstancePhase.Draining });
+  decideInstance(state, { type: "pinged", ping: first, now: 0 });
+  const reborn = pingOf({ bornAt: 2_000, seq: 1 });
+  const change = decideInstance(state, {
+    type: "pinged",
+    ping: reborn,
+    now: 1,
+  });
+  assert.equal(change.type, "started");
+  assert.equal(state.current?.phase, InstancePhase.Ready);
+});
+
+test("an unknown leave is remembered", () => {
+  const state = createInstanceState();
+  decideInstance(state, { type: "left", id: "i-9" });
+  assert.equal(state.current, undefined);
+});
+
+test("any order of delivery ends at the latest start and ping", () => {
+  const pings = fc.array(
+    fc.record({
+      bornAt: fc.integer({ min: 1, max: 3 }),
+      seq: fc.integer({ min: 1, max: 5 }),
+    }),
+    { minLength: 1 },
+  );
+  checkProperty(
+    fc.property(pings, (all) => {
+      const state = createInstanceState();
+      for (const { bornAt, seq } of all) {
+        const ping = pingOf({ id: `i-${bornAt}`, bornAt, seq });
+        decideInstance(state, { type: "pinged", ping, now: 0 });
+      }
+      const bornAt = Math.max(...all.map((one) => one.bornAt));
+      const seq = Math.max(
+        ...all.filter((one) => one.bornAt === bornAt).map((one) => one.seq),
+      );
+      assert.deepEqual(
+        [state.current?.bornAt, state.current?.seq],
+        [bornAt, seq],
+      );
+    }),
+    { runs: 200 },
+  );
+});
--- /dev/null
+++ b/src/instance/state.ts
@@ -0,0 +1,63 @@
+/**
+ * The endpoint beside this node.
+ * @module
+ */
+import type { MonotonicMs, WallMs } from "../core/types.ts";
+
+export const InstancePhase = {
+  Ready: "ready",
+  Draining: "draining",
+} as const;
+export type InstancePhase = typeof InstancePhase[keyof typeof InstancePhase];
+
+/** What an endpoint says of itself in one ping. */
+export interface InstancePing {
+  /** Mostly new at each start of the endpoint. */
+  readonly id: string;
+  /** Start of the endpoint by its own clock. Later starts go first. */
+  readonly bornAt: WallMs;
+  /** Grows with each ping of one start. */
+  readonly seq: number;
+  readonly service: string;
+  /** Version of the endpoint's software. */
+  readonly version: string;
+  /** Requests that it runs at once. */
+  readonly slots: number;
+  readonly phase: InstancePhase;
+  /** How much longer the endpoint is slow after its start, in milliseconds. */
+  readonly coldMs: number;
+}
+
+/** The endpoint as last heard of. */
+export interface Instance extends Omit<InstancePing, "coldMs"> {
+  readonly coldUntil: MonotonicMs;
+  readonly heardAt: MonotonicMs;
+}
+
+export interface InstanceState {
+  /** Undefined before the first ping and after a leave. */
+  current: Instance | undefined;
+  /** Starts of endpoints that left, by id. They never come back. */
+  readonly left: Map<string, WallMs>;
+}
+
+export type InstanceEvent =
+  | {
+    readonly type: "pinged";
+    readonly ping: InstancePing;
+    readonly now: MonotonicMs;
+  }
+  | { readonly type: "left"; readonly id: string };
+
+/** What a ping or a leave changed. */
+export type InstanceChange =
+  | { readonly type: "none"; readonly reason: string }
+  /** Only times and counts are newer. */
+  | { readonly type: "heard" }
+  | { readonly type: "started"; readonly instance: Instance }
+  | { readonly type: "draining"; readonly instance: Instance }
+  | { readonly type: "left"; readonly id: string };
+
+export function createInstanceState(): InstanceState {
+  return { current: undefined, left: new Map() };
+}
--- /dev/null
+++ b/src/links/accept_links.ts
@@ -0,0 +1,104 @@
+/**
+ * Accepts the links that other nodes open.
+ * @module
+ */
+import { createServer, type Server } from "node:http";
+import { type WebSocket, WebSocketServer } from "ws";
+import type { Home } from "../calls/state.ts";
+import type { NodeId } from "../core/types.ts";
+import type { QueueReport } from "../queue/state.ts";
+import { decodeMessage, encodeMessage } from "./encode_message.ts";
+import type { Gossip, LinkMessage } from "./messages.ts";
+import { serveLink } from "./serve_link.ts";
+
+/** Largest message. Bodies travel in parts far smaller than that. */
+const maxMessageBytes = 16 * 1_024 * 1_024;
+
+/** Options of `acceptLinks`. */
+export interface AcceptLinksOptions {
+  readonly home: Home;
+  readonly report: () => QueueReport;
+  /** Answers gossip through `reply`. The sender is known after its hello. */
+  readonly onGossip: (
+    from: NodeId | undefined,
+    message: Gossip,
+    reply: (message: Gossip) => void,
+  ) => void;
+  readonly onError: (reason: string, from: NodeId | undefined) => void;
+}
+
+export interface AcceptedLinks {
+  readonly server: Server;
+  close(): void;
+}
+
+/** Creates the server of links. It listens where the caller tells it to. */
+export function acceptLinks(opts: AcceptLinksOptions): AcceptedLinks {
+  const server = createServer((_req, res) => {
+    res.writeHead(404).end();
+  });
+  const wss = new WebSocketServer({
+    server,
+    maxPayload: maxMessageBytes,
+    perMessageDeflate: false,
+    skipUTF8Validation: true,
+  });
+  // Errors of the server itself are reported where it is told to listen.
+  wss.on("error", () => {});
+  wss.on("connection", (socket) => serve(socket, opts));
+  return {
+    server,
+    close() {
+      for (const socket of wss.clients) socket.terminate();
+      wss.close();
+      server.close();
+    },
+  };
+}
+
+function serve(socket: WebSocket, opts: AcceptLinksOptions) {
+  let from: NodeId | undefined;
+  const send = (message: LinkMessage) => {
+    if (socket.readyState === socket.OPEN) socket.send(encodeMessage(message));
+  };
+  const { home, report } = opts;
+  const calls = serveLink({ home, report, send });
+
+  function take(message: LinkMessage) {
+    switch (message.type) {
+      case "offer":
+      case "body":
+      case "body-end":
+      case "cancel":
+        return calls.take(message);
+      case "event":
+      case "pong":
+        throw new TypeError(`${message.type} came from a caller`);
+      case "ping":
+        send({ type: "pong", report: report() });
+        break;
+      case "hello":
+        from = message.row.node;
+        break;
+      case "rows":
+      case "ask-rows":
+      case "ask-operator":
+      case "operator":
+      case "move-step":
+      case "move-report":
+        break;
+    }
+    opts.onGossip(from, message, send);
+  }
+
+  socket.on("message", (data) => {
+    try {
+      take(decodeMessage(data as Buffer));
+    } catch (err) {
+      opts.onError(err instanceof Error ? err.message : String(err), from);
+      socket.terminate();
+    }
+  });
+  socket.on("error", (err) => opts.onError(err.message, from));
+  socket.on("close", () => calls.close());
+}
--- /dev/null
+++ b/src/links/dial_link.ts
@@ -0,0 +1,224 @@
+/**
+ * The caller's side of a link: offers calls to the home on another node.
+ * @module
+ */
+import { WebSocket } from "ws";
+import {
+  type Attempt,
+  type AttemptEvent,
+  type Home,
+  RefusedBy,
+} from "../calls/state.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { QueueReport } from "../queue/state.ts";
+import { checkLink } from "./check_link.ts";
+import { decodeMessage, encodeMessage } from "./encode_message.ts";
+import type { Gossip, LinkKey, LinkMessage } from "./messages.ts";
+import { isLast } from "./serve_link.ts";
+import type { LinkHealth } from "./state.ts";
+
+/** Time for a connection and its handshake, in milliseconds. */
+const connectMs = 1_000;
+
+/** Pauses between attempts to connect, in milliseconds. */
+const firstPauseMs = 100;
+const longestPauseMs = 1_500;
+
+/** Time between looks at the health of a link. */
+const tickMs = 200;
+
+/** Options of `dialLink`. */
+export interface DialLinkOptions {
+  readonly node: NodeId;
+  /** Time between pings while the link is idle. */
+  readonly idleMs: number;
+  readonly now: () => MonotonicMs;
+  readonly random: () => number;
+  readonly hello: () => Gossip;
+  readonly ping: () => Gossip;
+  readonly onReport: (report: QueueReport) => void;
+  readonly onGossip: (message: Gossip) => void;
+  readonly onOpen: () => void;
+  readonly onClose: (reason: string) => void;
+}
+
+export interface DialledLink extends Home {
+  send(message: Gossip): void;
+  /** Connects now instead of after the pause. */
+  hurry(): void;
+  close(): void;
+}
+
+interface OfferedEntry {
+  readonly onEvent: (event: AttemptEvent) => void;
+}
+
+/** Keeps a link to a node, connecting again for as long as it is not closed. */
+export function dialLink(opts: DialLinkOptions): DialledLink {
+  const { now } = opts;
+  const offered = new Map<LinkKey, OfferedEntry>();
+  let lastKey = 0;
+  let socket: WebSocket | undefined;
+  let isOpen = false;
+  let isClosed = false;
+  let failures = 0;
+  let health: LinkHealth = createHealth(now());
+  let redial: NodeJS.Timeout | undefined;
+  const ticker = setInterval(tick, tickMs);
+
+  function connect() {
+    redial = undefined;
+    const fresh = new WebSocket(`ws://${opts.node}`, {
+      perMessageDeflate: false,
+      handshakeTimeout: connectMs,
+      skipUTF8Validation: true,
+    });
+    socket = fresh;
+    let reason = "closed by the other side";
+    fresh.on("open", () => {
+      isOpen = true;
+      failures = 0;
+      health = createHealth(now());
+      send(opts.hello());
+      opts.onOpen();
+    });
+    fresh.on("message", (data) => {
+      health.heardAt = now();
+      try {
+        take(decodeMessage(data as Buffer));
+      } catch (err) {
+        reason = err instanceof Error ? err.message : String(err);
+        fresh.terminate();
+      }
+    });
+    fresh.on("error", (err) => reason = err.message);
+    fresh.on("close", () => {
+      if (socket !== fresh) return;
+      lose(reason);
+    });
+  }
+
+  function lose(reason: string) {
+    const wasOpen = isOpen;
+    isOpen = false;
+    socket = undefined;
+    if (wasOpen) opts.onClose(reason);
+    failAll(reason);
+    if (isClosed) return;
+    const ceiling = Math.min(longestPauseMs, firstPauseMs * 2 ** failures);
+    failures++;
+    redial = setTimeout(connect, ceiling * (0.5 + opts.random() / 2));
+  }
+
+  /** The home may have begun the calls that it was offered. */
+  function failAll(reason: string) {
+    const lost = [...offered.values()];
+    offered.clear();
+    for (const { onEvent } of lost) {
+      const failure = { reason: `link lost: ${reason}`, isTimeout: false };
+      onEvent({ type: "failed", failure });
+    }
+  }
+
+  function take(message: LinkMessage) {
+    switch (message.type) {
+      case "event": {
+        opts.onReport(message.report);
+        const entry = offered.get(message.key);
+        if (entry === undefined) return;
+        if (isLast(message.event)) offered.delete(message.key);
+        entry.onEvent(message.event);
+        return;
+      }
+      case "pong":
+        opts.onReport(message.report);
+        return;
+      case "offer":
+      case "body":
+      case "body-end":
+      case "cancel":
+        throw new TypeError(`${message.type} came from a home`);
+      case "hello":
+      case "ping":
+      case "rows":
+      case "ask-rows":
+      case "ask-operator":
+      case "operator":
+      case "move-step":
+      case "move-report":
+        opts.onGossip(message);
+        return;
+    }
+  }
+
+  function send(message: LinkMessage) {
+    if (isOpen) socket?.send(encodeMessage(message));
+  }
+
+  function tick() {
+    if (!isOpen) return;
+    const check = checkLink(health, {
+      hasCalls: offered.size > 0,
+      idleMs: opts.idleMs,
+      now: now(),
+    });
+    switch (check.type) {
+      case "wait":
+        return;
+      case "ping":
+        health.pingedAt = now();
+        health.lastPingAt = health.pingedAt;
+        send(opts.ping());
+        return;
+      case "give-up": {
+        const silent = socket;
+        lose("silent");
+        silent?.terminate();
+        return;
+      }
+    }
+  }
+
+  connect();
+  return {
+    offer(call, onEvent): Attempt {
+      const key = ++lastKey;
+      if (!isOpen) {
+        const refusal = {
+          by: RefusedBy.Link,
+          reason: `no link to ${opts.node}`,
+          waitMs: 0,
+        };
+        queueMicrotask(() => onEvent({ type: "refused", refusal }));
+        return { send() {}, finish() {}, cancel() {} };
+      }
+      offered.set(key, { onEvent });
+      send({ type: "offer", key, call });
+      return {
+        send: (chunk) => send({ type: "body", key, chunk }),
+        finish: () => send({ type: "body-end", key }),
+        cancel() {
+          if (offered.delete(key)) send({ type: "cancel", key });
+        },
+      };
+    },
+    send,
+    hurry() {
+      if (socket !== undefined || isClosed) return;
+      clearTimeout(redial);
+      failures = 0;
+      connect();
+    },
+    close() {
+      isClosed = true;
+      clearInterval(ticker);
+      clearTimeout(redial);
+      socket?.terminate();
+      failAll("closed");
+    },
+  };
+}
+
+function createHealth(now: MonotonicMs): LinkHealth {
+  return { heardAt: now, pingedAt: -Infinity, lastPingAt: -Infinity };
+}
--- /dev/null
+++ b/src/links/encode_message.ts
@@ -0,0 +1,236 @@
+/**
+ * Encodes messages between nodes as short arrays.
+ *
+ * Bytes between failure domains are dear, so calls and their events travel
+ * without field names. What is sent seldom keeps its names.
+ * @module
+ */
+import { Packr } from "msgpackr";
+import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
+import { exhausted } from "../core/exhausted.ts";
+import type { QueueReport } from "../queue/state.ts";
+import type { LinkMessage } from "./messages.ts";
+
+/** First element of an encoded message. */
+const Kind = {
+  Offer: 0,
+  Body: 1,
+  BodyEnd: 2,
+  Cancel: 3,
+  Event: 4,
+  Ping: 5,
+  Pong: 6,
+  Named: 7,
+} as const;
+
+const EventKind = {
+  Admitted: 0,
+  Overdue: 1,
+  Refused: 2,
+  Failed: 3,
+  Answered: 4,
+  Chunk: 5,
+  Ended: 6,
+} as const;
+
+const packr = new Packr({ useRecords: false });
+
+type Fields = readonly unknown[];
+
+export function encodeMessage(message: LinkMessage): Buffer {
+  return packr.pack(fieldsOf(message));
+}
+
+/** Throws on bytes that are no message; the link is then closed. */
+export function decodeMessage(bytes: Buffer): LinkMessage {
+  const fields = packr.unpack(bytes) as Fields;
+  if (!Array.isArray(fields)) throw new TypeError("a message is an array");
+  return messageOf(fields);
+}
+
+function fieldsOf(message: LinkMessage): Fields {
+  switch (message.type) {
+    case "offer":
+      return [Kind.Offer, message.key, ...callFields(message.call)];
+    case "body":
+      return [Kind.Body, message.key, message.chunk];
+    case "body-end":
+      return [Kind.BodyEnd, message.key];
+    case "cancel":
+      return [Kind.Cancel, message.key];
+    case "event":
+      return [
+        Kind.Event,
+        message.key,
+        ...reportFields(message.report),
+        ...eventFields(message.event),
+      ];
+    case "ping":
+      return [
+        Kind.Ping,
+        ...reportFields(message.report),
+        message.operatorEnd,
+        message.isStoreHealthy,
+      ];
+    case "pong":
+      return [Kind.Pong, ...reportFields(message.report)];
+    case "hello":
+    case "rows":
+    case "ask-rows":
+    case "ask-operator":
+    case "operator":
+    case "move-step":
+    case "move-report":
+      return [Kind.Named, message];
+    default:
+      return exhausted(message);
+  }
+}
+
+function messageOf(fields: Fields): LinkMessage {
+  const key = fields[1] as number;
+  switch (fields[0]) {
+    case Kind.Offer:
+      return { type: "offer", key, call: callOf(fields.slice(2)) };
+    case Kind.Body:
+      return { type: "body", key, chunk: fields[2] as Buffer };
+    case Kind.BodyEnd:
+      return { type: "body-end", key };
+    case Kind.Cancel:
+      return { type: "cancel", key };
+    case Kind.Event:
+      return {
+        type: "event",
+        key,
+        report: reportOf(fields, 2),
+        event: eventOf(fields.slice(5)),
+      };
+    case Kind.Ping:
+      return {
+        type: "ping",
+        report: reportOf(fields, 1),
+        operatorEnd: fields[4] as number,
+        isStoreHealthy: fields[5] as boolean,
+      };
+    case Kind.Pong:
+      return { type: "pong", report: reportOf(fields, 1) };
+    case Kind.Named:
+      return fields[1] as LinkMessage;
+    default:
+      throw new TypeError(`no message has the kind ${String(fields[0])}`);
+  }
+}
+
+function reportFields(report: QueueReport): Fields {
+  return [report.running, report.waiting, report.meanMs];
+}
+
+function reportOf(fields: Fields, at: number): QueueReport {
+  return {
+    running: fields[at] as number,
+    waiting: fields[at + 1] as number,
+    meanMs: fields[at + 2] as number,
+  };
+}
+
+function callFields(call: OfferedCall): Fields {
+  return [
+    call.id,
+    call.method,
+    call.target,
+    call.headers,
+    call.service,
+    call.version,
+    call.route,
+    call.urgency,
+    call.isInner,
+    call.callerService,
+    Math.round(call.leftMs),
+    Math.round(call.aimLeftMs),
+    call.mayBeLate,
+    call.body,
+    call.bodyBytes,
+  ];
+}
+
+function callOf(fields: Fields): OfferedCall {
+  return {
+    id: fields[0] as string,
+    method: fields[1] as string,
+    target: fields[2] as string,
+    headers: fields[3] as string[],
+    service: fields[4] as string,
+    version: fields[5] as string,
+    route: fields[6] as string,
+    urgency: fields[7] as number,
+    isInner: fields[8] as boolean,
+    callerService: fields[9] as string,
+    leftMs: fields[10] as number,
+    aimLeftMs: fields[11] as number,
+    mayBeLate: fields[12] as boolean,
+    body: (fields[13] ?? undefined) as Buffer | undefined,
+    bodyBytes: (fields[14] ?? undefined) as number | undefined,
+  };
+}
+
+function eventFields(event: AttemptEvent): Fields {
+  switch (event.type) {
+    case "admitted":
+      return [EventKind.Admitted];
+    case "overdue":
+      return [EventKind.Overdue];
+    case "refused": {
+      const { by, reason, waitMs } = event.refusal;
+      return [EventKind.Refused, by, reason, waitMs];
+    }
+    case "failed": {
+      const { reason, isTimeout } = event.failure;
+      return [EventKind.Failed, reason, isTimeout];
+    }
+    case "answered":
+      return [
+        EventKind.Answered,
+        event.head.status,
+        event.head.headers,
+        event.body,
+      ];
+    case "chunk":
+      return [EventKind.Chunk, event.chunk];
+    case "ended":
+      return [EventKind.Ended];
+    default:
+      return exhausted(event);
+  }
+}
+
+function eventOf(fields: Fields): AttemptEvent {
+  switch (fields[0]) {
+    case EventKind.Admitted:
+      return { type: "admitted" };
+    case EventKind.Overdue:
+      return { type: "overdue" };
+    case EventKind.Refused: {
+      const [, by, reason, waitMs] = fields as [number, "home", string, number];
+      return { type: "refused", refusal: { by, reason, waitMs } };
+    }
+    case EventKind.Failed: {
+      const [, reason, isTimeout] = fields as [number, string, boolean];
+      return { type: "failed", failure: { reason, isTimeout } };
+    }
+    case EventKind.Answered:
+      return {
+        type: "answered",
+        head: {
+          status: fields[1] as number,
+          headers: fields[2] as string[],
+        },
+        body: (fields[3] ?? undefined) as Buffer | undefined,
+      };
+    case EventKind.Chunk:
+      return { type: "chunk", chunk: fields[1] as Buffer };
+    case EventKind.Ended:
+      return { type: "ended" };
+    default:
+      throw new TypeError(`no event has the kind ${String(fields[0])}`);
+  }
+}
--- /dev/null
+++ b/src/links/links_test.ts
@@ -0,0 +1,76 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
+import { checkLink } from "./check_link.ts";
+import { decodeMessage, encodeMessage } from "./encode_message.ts";
+import type { LinkMessage } from "./messages.ts";
+
+const call: OfferedCall = {
+  id: "r-1",
+  method: "POST",
+  target: "/a/x?y=1",
+  headers: ["Host", "shop.example"],
+  service: "one",
+  version: "v1",
+  route: "a",
+  urgency: 1,
+  isInner: false,
+  callerService: "two",
+  leftMs: 800,
+  aimLeftMs: -5,
+  mayBeLate: true,
+  body: Buffer.from("body"),
+  bodyBytes: undefined,
+};
+const report = { running: 1, waiting: 2, meanMs: 3.5 };
+const events: AttemptEvent[] = [
+  { type: "admitted" },
+  { type: "overdue" },
+  { type: "refused", refusal: { by: "link", reason: "late", waitMs: 9 } },
+  { type: "failed", failure: { reason: "reset", isTimeout: true } },
+  {
+    type: "answered",
+    head: { status: 200, headers: ["A", "b"] },
+    body: Buffer.from("answer"),
+  },
+  { type: "answered", head: { status: 200, headers: [] }, body: undefined },
+  { type: "chunk", chunk: Buffer.from("part") },
+  { type: "ended" },
+];
+const messages: LinkMessage[] = [
+  { type: "offer", key: 1, call },
+  { type: "offer", key: 2, call: { ...call, body: undefined, bodyBytes: 7 } },
+  { type: "body", key: 1, chunk: Buffer.from("more") },
+  { type: "body-end", key: 1 },
+  { type: "cancel", key: 1 },
+  ...events.map((event) => ({ type: "event" as const, key: 3, event, report })),
+  { type: "ping", report, operatorEnd: 12, isStoreHealthy: true },
+  { type: "pong", report },
+  { type: "ask-operator" },
+];
+
+test("messages survive the wire", () => {
+  for (const message of messages) {
+    assert.deepEqual(decodeMessage(encodeMessage(message)), message);
+  }
+});
+
+test("foreign bytes are no message", () => {
+  for (const bytes of ["", "{}", "\xc1"]) {
+    assert.throws(() => decodeMessage(Buffer.from(bytes, "latin1")));
+  }
+});
+
+test("a silent link with calls is given up within its bound", () => {
+  const health = { heardAt: 0, pingedAt: -Infinity, lastPingAt: 0 };
+  const check = (now: number, hasCalls = true) =>
+    checkLink(health, { hasCalls, idleMs: 2_000, now }).type;
+  assert.equal(check(200), "wait");
+  assert.equal(check(400, false), "wait");
+  assert.equal(check(400), "ping");
+  health.pingedAt = 400;
+  assert.equal(check(1_000), "wait");
+  assert.equal(check(1_300), "give-up");
+  health.heardAt = 1_300;
+  assert.equal(check(1_400), "wait");
+});
--- /dev/null
+++ b/src/links/messages.ts
@@ -0,0 +1,59 @@
+/**
+ * Messages between two nodes over one link.
+ * @module
+ */
+import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
+import type { Offset } from "../core/types.ts";
+import type { NodeRow } from "../fleet/state.ts";
+import type { QueueReport } from "../queue/state.ts";
+import type { KeyedRecord } from "../store/state.ts";
+import type { MoveReport, MoveStep } from "../takeover/state.ts";
+
+/** Names a call on one link. */
+export type LinkKey = number;
+
+/** From the node that offers a call to its home. */
+export type CallMessage =
+  | {
+    readonly type: "offer";
+    readonly key: LinkKey;
+    readonly call: OfferedCall;
+  }
+  | { readonly type: "body"; readonly key: LinkKey; readonly chunk: Buffer }
+  | { readonly type: "body-end"; readonly key: LinkKey }
+  | { readonly type: "cancel"; readonly key: LinkKey };
+
+/** From a home, about a call that it was offered. */
+export interface EventMessage {
+  readonly type: "event";
+  readonly key: LinkKey;
+  readonly event: AttemptEvent;
+  /** The home's queue at the time of the event. */
+  readonly report: QueueReport;
+}
+
+/** What nodes tell each other besides calls. */
+export type Gossip =
+  /** Opens a link. */
+  | { readonly type: "hello"; readonly row: NodeRow }
+  | {
+    readonly type: "ping";
+    readonly report: QueueReport;
+    /** How far the operators' topic was read. */
+    readonly operatorEnd: Offset;
+    /** Reads of the store succeed. */
+    readonly isStoreHealthy: boolean;
+  }
+  | { readonly type: "pong"; readonly report: QueueReport }
+  | { readonly type: "rows"; readonly rows: readonly NodeRow[] }
+  | { readonly type: "ask-rows" }
+  | { readonly type: "ask-operator" }
+  | {
+    readonly type: "operator";
+    readonly records: readonly KeyedRecord[];
+    readonly end: Offset;
+  }
+  | { readonly type: "move-step"; readonly step: MoveStep }
+  | { readonly type: "move-report"; readonly report: MoveReport };
+
+export type LinkMessage = CallMessage | EventMessage | Gossip;
--- /dev/null
+++ b/src/links/serve_link.ts
@@ -0,0 +1,79 @@
+/**
+ * The home's side of a link: takes calls that another node offers.
+ * @module
+ */
+import type { Attempt, AttemptEvent, Home } from "../calls/state.ts";
+import { exhausted } from "../core/exhausted.ts";
+import type { QueueReport } from "../queue/state.ts";
+import type { CallMessage, LinkKey, LinkMessage } from "./messages.ts";
+
+/** Options of `serveLink`. */
+export interface ServeLinkOptions {
+  readonly home: Home;
+  readonly report: () => QueueReport;
+  readonly send: (message: LinkMessage) => void;
+}
+
+export interface ServedLink {
+  take(message: CallMessage): void;
+  /** Withdraws all calls of the link, whose node can't be answered any more. */
+  close(): void;
+}
+
+/** Serves the calls of one link. */
+export function serveLink(opts: ServeLinkOptions): ServedLink {
+  const attempts = new Map<LinkKey, Attempt>();
+
+  function tell(key: LinkKey, event: AttemptEvent) {
+    if (isLast(event)) attempts.delete(key);
+    opts.send({ type: "event", key, event, report: opts.report() });
+  }
+
+  return {
+    take(message) {
+      const { key } = message;
+      switch (message.type) {
+        case "offer":
+          attempts.set(
+            key,
+            opts.home.offer(message.call, (event) => tell(key, event)),
+          );
+          return;
+        case "body":
+          attempts.get(key)?.send(message.chunk);
+          return;
+        case "body-end":
+          attempts.get(key)?.finish();
+          return;
+        case "cancel":
+          attempts.get(key)?.cancel();
+          attempts.delete(key);
+          return;
+        default:
+          exhausted(message);
+      }
+    },
+    close() {
+      for (const attempt of attempts.values()) attempt.cancel();
+      attempts.clear();
+    },
+  };
+}
+
+/** Whether no event follows. */
+export function isLast(event: AttemptEvent): boolean {
+  switch (event.type) {
+    case "refused":
+    case "failed":
+    case "ended":
+      return true;
+    case "answered":
+      return event.body !== undefined;
+    case "admitted":
+    case "overdue":
+    case "chunk":
+      return false;
+    default:
+      return exhausted(event);
+  }
+}
--- /dev/null
+++ b/src/metrics/create_metrics.ts
@@ -0,0 +1,80 @@
+/**
+ * Counters and latency histograms of one node.
+ * @module
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Bounds in seconds, from a short inner call to the longest time-outs. */
+const latencyBounds = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.2,
+  0.3,
+  0.5,
+  0.8,
+  1.2,
+  2,
+  5,
+];
+
+/** How a request ended for its caller. */
+export const CallResult = {
+  Served: "served",
+  /** An endpoint answered with a failure. */
+  EndpointFailed: "endpoint_failed",
+  NotRun: "not_run",
+  /** It may have run, and no answer came. */
+  Unknown: "unknown",
+  NoRoute: "no_route",
+  Left: "caller_left",
+} as const;
+export type CallResult = typeof CallResult[keyof typeof CallResult];
+
+export interface Metrics {
+  countCall(route: string, result: CallResult, tookMs: number): void;
+  countRefusal(reason: string): void;
+  countRepeat(service: string): void;
+  setTableVersion(version: number): void;
+  /** All metrics in the text format of Prometheus. */
+  text(): Promise<string>;
+}
+
+/** Creates the metrics. Labels hold routes, services and fixed words only. */
+export function createMetrics(): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const calls = new Histogram({
+    name: "lagoon_call_duration_seconds",
+    help: "Time from a request's arrival to its answer.",
+    labelNames: ["route", "result"],
+    buckets: latencyBounds,
+    registers,
+  });
+  const refusals = new Counter({
+    name: "lagoon_refusals_total",
+    help: "Offers that were refused as not run, by reason.",
+    labelNames: ["reason"],
+    registers,
+  });
+  const repeats = new Counter({
+    name: "lagoon_repeats_total",
+    help: "Requests sent to a further endpoint.",
+    labelNames: ["service"],
+    registers,
+  });
+  const table = new Gauge({
+    name: "lagoon_route_table_version",
+    help: "Version of the route table in force.",
+    registers,
+  });
+  return {
+    countCall: (route, result, tookMs) =>
+      calls.observe({ route, result }, tookMs / 1_000),
+    countRefusal: (reason) => refusals.inc({ reason }),
+    countRepeat: (service) => repeats.inc({ service }),
+    setTableVersion: (version) => table.set(version),
+    text: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/src/placement/choose_candidate.ts
@@ -0,0 +1,110 @@
+/**
+ * Chooses the home with the least expected cost of a call.
+ * @module
+ */
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import { failingOf } from "./note_home.ts";
+import {
+  type Candidate,
+  type HomeView,
+  type PlacementState,
+  viewOf,
+} from "./state.ts";
+
+/** Run time assumed at a home that has reported none, in milliseconds. */
+const firstGuessMs = 60;
+
+/** Endpoints that have just started take about twice as long. */
+const coldFactor = 2;
+
+/** Part of a run that a busy endpoint adds to it, at most. */
+const crowdShare = 0.15;
+
+/** Cost of a failed offer, in milliseconds: it is made again elsewhere. */
+const failureMs = 150;
+
+/** Round trip to another failure domain and the work of two more hops. */
+const leaveMs = 4;
+
+/**
+ * Price of a kilobyte between failure domains, in milliseconds of latency.
+ * A photograph or an archive waits for a slot of its own domain; a small call
+ * leaves as soon as it would have to wait.
+ */
+const msPerKilobyte = 4;
+
+/** Options of `chooseCandidate`. */
+export interface ChooseCandidateOptions {
+  readonly candidates: readonly Candidate[];
+  readonly tried: ReadonlySet<NodeId>;
+  readonly ownDomain: string;
+  /** Expected size of request and answer. */
+  readonly bytes: number;
+  readonly now: MonotonicMs;
+  /** 0 to 1. Parts equals. */
+  readonly random: () => number;
+}
+
+/** The cheapest home and what the call is expected to take there. */
+export interface Choice {
+  readonly home: NodeId;
+  /** Expected wait for a slot, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/**
+ * Returns the untried home with the least cost, if any.
+ *
+ * Answers load that is spread unevenly: a burst in one failure domain spills
+ * to others only as far as it has to wait at home; slow and cold endpoints get
+ * fewer calls by their run times; endpoints that fail part of their calls are
+ * left to those calls that find no other room.
+ */
+export function chooseCandidate(
+  state: PlacementState,
+  opts: ChooseCandidateOptions,
+): Choice | undefined {
+  let best: Choice | undefined;
+  let bestCost = Infinity;
+  for (const candidate of opts.candidates) {
+    if (opts.tried.has(candidate.home)) continue;
+    const view = viewOf(state, candidate.home);
+    const runMs = runMsOf(view, candidate, opts.now);
+    const waitMs = waitMsOf(view, candidate.slots, runMs);
+    const isShunned = opts.now < view.shunnedUntil;
+    const cost = waitMs + runMs + opts.random() +
+      crowdShare * runMs * Math.min(1, outstandingOf(view) / candidate.slots) +
+      failingOf(state, candidate.home, opts.now) * failureMs +
+      (candidate.domain === opts.ownDomain ? 0 : priceOfLeaving(opts.bytes)) +
+      (isShunned ? 1e6 : 0);
+    if (cost >= bestCost) continue;
+    bestCost = cost;
+    best = { home: candidate.home, waitMs };
+  }
+  return best;
+}
+
+function priceOfLeaving(bytes: number): number {
+  return leaveMs + bytes / 1_024 * msPerKilobyte;
+}
+
+function runMsOf(
+  view: HomeView,
+  candidate: Candidate,
+  now: MonotonicMs,
+): number {
+  const mean = view.report.meanMs > 0 ? view.report.meanMs : firstGuessMs;
+  return now < candidate.coldUntil ? mean * coldFactor : mean;
+}
+
+/** Calls at a home: those it reported, and those sent from here since. */
+function outstandingOf(view: HomeView): number {
+  const { report, inFlight, inFlightAtReport } = view;
+  const since = inFlight - inFlightAtReport;
+  return Math.max(inFlight, report.running + report.waiting + since);
+}
+
+function waitMsOf(view: HomeView, slots: number, runMs: number): number {
+  const over = outstandingOf(view) - slots + 1;
+  return over <= 0 ? 0 : over * runMs / slots;
+}
--- /dev/null
+++ b/src/placement/note_home.ts
@@ -0,0 +1,65 @@
+/**
+ * Learns from reports and from how offers to a home end.
+ * @module
+ */
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { QueueReport } from "../queue/state.ts";
+import { type PlacementState, viewOf } from "./state.ts";
+
+/** Weight of the newest end of an offer. */
+const newestWeight = 0.12;
+
+/** Failures count half after this time, in milliseconds. */
+const halfLifeMs = 2_000;
+
+/** Takes a home's report of its queue. */
+export function noteReport(
+  state: PlacementState,
+  home: NodeId,
+  report: QueueReport,
+  now: MonotonicMs,
+) {
+  const view = viewOf(state, home);
+  view.report = report;
+  view.reportedAt = now;
+  view.inFlightAtReport = view.inFlight;
+}
+
+/** Counts a call that is offered to a home. */
+export function noteOffer(state: PlacementState, home: NodeId) {
+  viewOf(state, home).inFlight++;
+}
+
+/** Counts the end of an offered call. */
+export function noteEnd(
+  state: PlacementState,
+  home: NodeId,
+  isFailed: boolean,
+  now: MonotonicMs,
+) {
+  const view = viewOf(state, home);
+  view.inFlight--;
+  const failing = failingOf(state, home, now);
+  view.failing = failing + ((isFailed ? 1 : 0) - failing) * newestWeight;
+  view.failingAt = now;
+}
+
+/** Sends no offers to a home for a while. */
+export function shunHome(
+  state: PlacementState,
+  home: NodeId,
+  until: MonotonicMs,
+) {
+  viewOf(state, home).shunnedUntil = until;
+}
+
+/** Recent share of failures at a home. Fades, so that it is tried again. */
+export function failingOf(
+  state: PlacementState,
+  home: NodeId,
+  now: MonotonicMs,
+): number {
+  const view = viewOf(state, home);
+  if (view.failing === 0) return 0;
+  return view.failing * 0.5 ** ((now - view.failingAt) / halfLifeMs);
+}
--- /dev/null
+++ b/src/placement/placement_test.ts
@@ -0,0 +1,79 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { chooseCandidate } from "./choose_candidate.ts";
+import { noteEnd, noteOffer, noteReport, shunHome } from "./note_home.ts";
+import { type Candidate, createPlacementState } from "./state.ts";
+
+function candidateOf(home: string, domain = "d1"): Candidate {
+  return { home, domain, slots: 4, coldUntil: -Infinity };
+}
+
+const near = candidateOf("near");
+const far = candidateOf("far", "d2");
+
+function choose(
+  state = createPlacementState(),
+  opts: { bytes?: number; tried?: string[]; now?: number } = {},
+  candidates = [near, far],
+) {
+  return chooseCandidate(state, {
+    candidates,
+    tried: new Set(opts.tried),
+    ownDomain: "d1",
+    bytes: opts.bytes ?? 1_000,
+    now: opts.now ?? 0,
+    random: () => 0,
+  })?.home;
+}
+
+test("own domain goes first while it has room", () => {
+  const state = createPlacementState();
+  assert.equal(choose(state), "near");
+  noteReport(state, "near", { running: 3, waiting: 0, meanMs: 50 }, 0);
+  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 }, 0);
+  assert.equal(choose(state), "near");
+});
+
+test("a small call leaves its domain rather than wait", () => {
+  const state = createPlacementState();
+  noteReport(state, "near", { running: 4, waiting: 2, meanMs: 50 }, 0);
+  assert.equal(choose(state), "far");
+});
+
+test("a large body waits for its own domain", () => {
+  const state = createPlacementState();
+  noteReport(state, "near", { running: 4, waiting: 2, meanMs: 50 }, 0);
+  assert.equal(choose(state, { bytes: 60_000 }), "near");
+});
+
+test("calls sent since the report count", () => {
+  const state = createPlacementState();
+  noteReport(state, "near", { running: 3, waiting: 0, meanMs: 50 }, 0);
+  for (let n = 0; n < 3; n++) noteOffer(state, "near");
+  assert.equal(choose(state), "far");
+});
+
+test("a home that fails some calls is left, and tried again later", () => {
+  const state = createPlacementState();
+  for (let n = 0; n < 20; n++) {
+    noteOffer(state, "near");
+    noteEnd(state, "near", n % 2 === 0, 0);
+  }
+  assert.equal(choose(state), "far");
+  assert.equal(choose(state, { now: 20_000 }), "near");
+});
+
+test("a slow endpoint gets fewer calls", () => {
+  const state = createPlacementState();
+  noteReport(state, "near", { running: 0, waiting: 0, meanMs: 400 }, 0);
+  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 }, 0);
+  assert.equal(choose(state), "far");
+});
+
+test("a shunned home is the last resort", () => {
+  const state = createPlacementState();
+  shunHome(state, "near", 100);
+  assert.equal(choose(state, { bytes: 1e6 }), "far");
+  assert.equal(choose(state, { tried: ["far"] }), "near");
+  assert.equal(choose(state, { tried: ["far", "near"] }), undefined);
+});
--- /dev/null
+++ b/src/placement/state.ts
@@ -0,0 +1,54 @@
+/**
+ * What this node believes of each home's queue.
+ * @module
+ */
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { QueueReport } from "../queue/state.ts";
+
+/** A ready endpoint, reached through its home. */
+export interface Candidate {
+  readonly home: NodeId;
+  readonly domain: string;
+  readonly slots: number;
+  /** The endpoint is slow after its start until then. */
+  readonly coldUntil: MonotonicMs;
+}
+
+/** Load and reliability of one home, as seen from here. */
+export interface HomeView {
+  report: QueueReport;
+  reportedAt: MonotonicMs;
+  /** Calls from here at that home now, and when it last reported. */
+  inFlight: number;
+  inFlightAtReport: number;
+  /** Recent share of offers that failed, 0 to 1. */
+  failing: number;
+  failingAt: MonotonicMs;
+  /** No offers until then. */
+  shunnedUntil: MonotonicMs;
+}
+
+export interface PlacementState {
+  readonly views: Map<NodeId, HomeView>;
+}
+
+export function createPlacementState(): PlacementState {
+  return { views: new Map() };
+}
+
+/** View of a home, created when missing. */
+export function viewOf(state: PlacementState, home: NodeId): HomeView {
+  const known = state.views.get(home);
+  if (known !== undefined) return known;
+  const view: HomeView = {
+    report: { running: 0, waiting: 0, meanMs: 0 },
+    reportedAt: -Infinity,
+    inFlight: 0,
+    inFlightAtReport: 0,
+    failing: 0,
+    failingAt: -Infinity,
+    shunnedUntil: -Infinity,
+  };
+  state.views.set(home, view);
+  return view;
+}
--- /dev/null
+++ b/src/queue/decide_queue.ts
@@ -0,0 +1,210 @@
+/**
+ * Decides what starts, waits and is turned away in front of one endpoint.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs } from "../core/types.ts";
+import { compareCalls } from "./compare_calls.ts";
+import {
+  expectedRunMs,
+  expectedWaitMs,
+  learnRun,
+  meanRunMs,
+} from "./estimate.ts";
+import {
+  type CallKey,
+  type QueuedCall,
+  type QueueEffect,
+  type QueueEvent,
+  type QueueReport,
+  type QueueState,
+  RefusalReason,
+  type RunningCall,
+} from "./state.ts";
+
+/** Bound of the queue's memory. Deadlines keep it far shorter. */
+const maxWaiting = 512;
+
+/**
+ * Part of the expected run that must be left before the deadline. Runs differ,
+ * so some calls with less than the mean left are still answered in time.
+ */
+const leastRunShare = 0.7;
+
+/** A run of this many times its route's mean counts as overdue. */
+const overdueFactor = 3;
+
+/** Runs of a route after which its mean is trusted to tell what is overdue. */
+const overdueSamples = 10;
+
+/** Shortest run that may count as overdue, in milliseconds. */
+const minOverdueMs = 40;
+
+/** Takes one event of the queue in turn. */
+export function decideQueue(
+  state: QueueState,
+  event: QueueEvent,
+): readonly QueueEffect[] {
+  switch (event.type) {
+    case "offered":
+      return offer(state, event);
+    case "ended":
+      end(state, event);
+      return pump(state, event.now);
+    case "withdrawn":
+      state.waiting.delete(event.key);
+      return pump(state, event.now);
+    case "gated":
+      state.gate = event.gate;
+      state.coldUntil = event.coldUntil;
+      return event.gate.type === "open" ? pump(state, event.now) : flush(state);
+    case "ticked":
+      return [...expire(state, event.now), ...findOverdue(state, event.now)];
+    default:
+      return exhausted(event);
+  }
+}
+
+/** What other nodes are told of the queue. */
+export function reportQueue(state: QueueState): QueueReport {
+  return {
+    running: state.running.size,
+    waiting: state.waiting.size,
+    meanMs: Math.round(meanRunMs(state) * 10) / 10,
+  };
+}
+
+function offer(
+  state: QueueState,
+  event: Extract<QueueEvent, { type: "offered" }>,
+): readonly QueueEffect[] {
+  const { call, now, mayBeLate } = event;
+  const { gate } = state;
+  if (gate.type === "closed") {
+    return [refuse(state, call.key, RefusalReason.Closed)];
+  }
+  const runMs = expectedRunMs(state, call.route, now);
+  const ahead = countAhead(state, call, now);
+  const startAt = now + expectedWaitMs(state, ahead);
+  if (startAt + runMs * leastRunShare > call.deadlineAt) {
+    return [refuse(state, call.key, RefusalReason.NoTime)];
+  }
+  const mustWait = startAt > now;
+  const isLate = mustWait && startAt + runMs > call.aimAt;
+  if ((isLate && !mayBeLate) || state.waiting.size >= maxWaiting) {
+    return [refuse(state, call.key, RefusalReason.Late)];
+  }
+  state.waiting.set(call.key, call);
+  return pump(state, now);
+}
+
+function countAhead(
+  state: QueueState,
+  call: QueuedCall,
+  now: MonotonicMs,
+): number {
+  let ahead = 0;
+  for (const other of state.waiting.values()) {
+    if (compareCalls(state, other, call, now) <= 0) ahead++;
+  }
+  return ahead;
+}
+
+function end(
+  state: QueueState,
+  event: Extract<QueueEvent, { type: "ended" }>,
+) {
+  const call = state.running.get(event.key);
+  if (call === undefined) return;
+  state.running.delete(event.key);
+  if (!event.isAnswered) return;
+  const tookMs = event.now - call.startedAt;
+  learnRun(state.times, tookMs);
+  let times = state.timesOf.get(call.route);
+  if (times === undefined) {
+    times = { mean: 0, samples: 0 };
+    state.timesOf.set(call.route, times);
+  }
+  learnRun(times, tookMs);
+}
+
+/** Starts waiting calls while slots are free. */
+function pump(state: QueueState, now: MonotonicMs): readonly QueueEffect[] {
+  const { gate, running, waiting } = state;
+  const effects: QueueEffect[] = [];
+  while (
+    gate.type === "open" && running.size < gate.slots && waiting.size > 0
+  ) {
+    const next = firstOf(state, now);
+    if (next === undefined) break;
+    waiting.delete(next.key);
+    const runMs = expectedRunMs(state, next.route, now);
+    if (now + runMs * leastRunShare > next.deadlineAt) {
+      effects.push(refuse(state, next.key, RefusalReason.NoTime));
+      continue;
+    }
+    running.set(next.key, { ...next, startedAt: now, isOverdue: false });
+    effects.push({ type: "start", key: next.key });
+  }
+  return effects;
+}
+
+function firstOf(state: QueueState, now: MonotonicMs): QueuedCall | undefined {
+  let first: QueuedCall | undefined;
+  for (const call of state.waiting.values()) {
+    if (first === undefined || compareCalls(state, call, first, now) < 0) {
+      first = call;
+    }
+  }
+  return first;
+}
+
+/** Turns away at once what can't be answered before its deadline any more. */
+function expire(state: QueueState, now: MonotonicMs): QueueEffect[] {
+  const effects: QueueEffect[] = [];
+  for (const call of state.waiting.values()) {
+    const runMs = expectedRunMs(state, call.route, now);
+    if (now + runMs * leastRunShare <= call.deadlineAt) continue;
+    state.waiting.delete(call.key);
+    effects.push(refuse(state, call.key, RefusalReason.NoTime));
+  }
+  return effects;
+}
+
+function findOverdue(state: QueueState, now: MonotonicMs): QueueEffect[] {
+  const effects: QueueEffect[] = [];
+  for (const call of state.running.values()) {
+    if (!isOverdue(state, call, now)) continue;
+    call.isOverdue = true;
+    effects.push({ type: "overdue", key: call.key });
+  }
+  return effects;
+}
+
+function isOverdue(
+  state: QueueState,
+  call: RunningCall,
+  now: MonotonicMs,
+): boolean {
+  const times = state.timesOf.get(call.route);
+  if (call.isOverdue || times === undefined) return false;
+  if (times.samples < overdueSamples) return false;
+  const limitMs = Math.max(minOverdueMs, times.mean * overdueFactor);
+  return now - call.startedAt > limitMs;
+}
+
+/** Turns away all that wait, when the endpoint takes no more calls. */
+function flush(state: QueueState): readonly QueueEffect[] {
+  const keys = [...state.waiting.keys()];
+  state.waiting.clear();
+  return keys.map((key) => refuse(state, key, RefusalReason.Closed));
+}
+
+function refuse(
+  state: QueueState,
+  key: CallKey,
+  reason: RefusalReason,
+): QueueEffect {
+  const waitMs = Math.round(expectedWaitMs(state, state.waiting.size));
+  return { type: "refuse", key, reason, waitMs };
+}
--- /dev/null
+++ b/src/queue/estimate.ts
@@ -0,0 +1,54 @@
+/**
+ * Expected run and wait times at one endpoint.
+ * @module
+ */
+import type { MonotonicMs } from "../core/types.ts";
+import type { QueuedCall, QueueState, RunTimes } from "./state.ts";
+
+/** Weight of the newest run. Follows a change of speed within some 20 runs. */
+const newestWeight = 0.08;
+
+/** Run time that is assumed before the first answer, in milliseconds. */
+const firstGuessMs = 60;
+
+/** Endpoints that have just started take about twice as long. */
+const coldFactor = 2;
+
+/** Adds one run to the recent times. */
+export function learnRun(times: RunTimes, tookMs: number) {
+  times.samples++;
+  const weight = Math.max(newestWeight, 1 / times.samples);
+  times.mean += (tookMs - times.mean) * weight;
+}
+
+/** Expected time of one run of a call's route, in milliseconds. */
+export function expectedRunMs(
+  state: QueueState,
+  route: string,
+  now: MonotonicMs,
+): number {
+  const own = state.timesOf.get(route)?.mean ?? meanRunMs(state);
+  return now < state.coldUntil ? own * coldFactor : own;
+}
+
+/** Mean time of all recent runs, in milliseconds. */
+export function meanRunMs(state: QueueState): number {
+  return state.times.samples === 0 ? firstGuessMs : state.times.mean;
+}
+
+/** Expected wait with `ahead` calls before, in milliseconds. */
+export function expectedWaitMs(state: QueueState, ahead: number): number {
+  const slots = state.gate.type === "open" ? state.gate.slots : 1;
+  const free = slots - state.running.size;
+  if (ahead < free) return 0;
+  return (ahead - Math.max(0, free) + 1) * meanRunMs(state) / slots;
+}
+
+/** Whether a call that starts now is expected to meet its aim. */
+export function canMeetAim(
+  state: QueueState,
+  call: QueuedCall,
+  now: MonotonicMs,
+): boolean {
+  return now + expectedRunMs(state, call.route, now) <= call.aimAt;
+}
--- /dev/null
+++ b/src/queue/queue_test.ts
@@ -0,0 +1,202 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import fc from "fast-check";
+import { checkProperty } from "../testing/check_property.ts";
+import { decideQueue } from "./decide_queue.ts";
+import {
+  createQueueState,
+  type QueuedCall,
+  type QueueEffect,
+  type QueueState,
+} from "./state.ts";
+
+function openQueue(slots: number): QueueState {
+  const state = createQueueState();
+  const gate = { type: "open", slots } as const;
+  decideQueue(state, { type: "gated", gate, coldUntil: -Infinity, now: 0 });
+  return state;
+}
+
+let lastKey = 0;
+function callOf(fields: Partial<QueuedCall> = {}): QueuedCall {
+  return {
+    key: ++lastKey,
+    route: "a",
+    urgency: 1,
+    isInner: false,
+    aimAt: 300,
+    deadlineAt: 1_000,
+    ...fields,
+  };
+}
+
+function offer(
+  state: QueueState,
+  call: QueuedCall,
+  now = 0,
+  mayBeLate = true,
+) {
+  return decideQueue(state, { type: "offered", call, mayBeLate, now });
+}
+
+function end(state: QueueState, key: number, now: number) {
+  return decideQueue(state, { type: "ended", key, isAnswered: true, now });
+}
+
+function startedKeys(effects: readonly QueueEffect[]): number[] {
+  return effects.flatMap((one) => one.type === "start" ? [one.key] : []);
+}
+
+test("a closed gate refuses at once", () => {
+  const state = createQueueState();
+  const [effect] = offer(state, callOf());
+  assert.equal(effect?.type === "refuse" && effect.reason, "closed");
+});
+
+test("closing refuses all that wait and starts nothing", () => {
+  const state = openQueue(1);
+  offer(state, callOf());
+  const second = callOf();
+  assert.deepEqual(offer(state, second), []);
+  const gate = { type: "closed", reason: "draining" } as const;
+  const [effect] = decideQueue(state, {
+    type: "gated",
+    gate,
+    coldUntil: -Infinity,
+    now: 5,
+  });
+  assert.equal(effect?.type === "refuse" && effect.key, second.key);
+});
+
+test("an urgent call starts before one that came earlier", () => {
+  const state = openQueue(1);
+  const first = callOf();
+  offer(state, first);
+  offer(state, callOf({ urgency: 2 }));
+  const urgent = callOf({ urgency: 0 });
+  offer(state, urgent, 1);
+  assert.deepEqual(startedKeys(end(state, first.key, 50)), [urgent.key]);
+});
+
+test("a call of a running call starts before new work", () => {
+  const state = openQueue(1);
+  const first = callOf();
+  offer(state, first);
+  offer(state, callOf({ urgency: 0 }));
+  const inner = callOf({ isInner: true, urgency: 9, aimAt: 900 });
+  offer(state, inner, 1);
+  assert.deepEqual(startedKeys(end(state, first.key, 50)), [inner.key]);
+});
+
+test("a call past its aim waits for those that can still meet theirs", () => {
+  const state = openQueue(1);
+  const first = callOf();
+  offer(state, first);
+  const late = callOf({ aimAt: 60, urgency: 0 });
+  offer(state, late);
+  const timely = callOf({ aimAt: 300 });
+  offer(state, timely);
+  assert.deepEqual(startedKeys(end(state, first.key, 50)), [timely.key]);
+});
+
+test("what can't be answered before its deadline is refused at once", () => {
+  const state = openQueue(1);
+  offer(state, callOf());
+  for (let n = 0; n < 5; n++) offer(state, callOf());
+  const [effect] = offer(state, callOf({ deadlineAt: 100 }));
+  assert.equal(effect?.type === "refuse" && effect.reason, "no-time");
+  assert.ok(effect?.type === "refuse" && effect.waitMs > 0);
+});
+
+test("a waiting call is refused when its time runs out", () => {
+  const state = openQueue(1);
+  offer(state, callOf());
+  const second = callOf({ deadlineAt: 200 });
+  assert.deepEqual(offer(state, second), []);
+  const [effect] = decideQueue(state, { type: "ticked", now: 190 });
+  assert.equal(effect?.type === "refuse" && effect.key, second.key);
+});
+
+test("a late answer is refused first, and allowed as a last resort", () => {
+  const state = openQueue(1);
+  offer(state, callOf());
+  const call = callOf({ aimAt: 70 });
+  const [effect] = offer(state, call, 0, false);
+  assert.equal(effect?.type === "refuse" && effect.reason, "late");
+  assert.deepEqual(offer(state, call), []);
+});
+
+test("a run far over its route's mean is overdue once", () => {
+  const state = openQueue(4);
+  for (let n = 0; n < 10; n++) {
+    const call = callOf();
+    offer(state, call);
+    end(state, call.key, 20);
+  }
+  const slow = callOf();
+  offer(state, slow);
+  const at = (now: number) => decideQueue(state, { type: "ticked", now });
+  assert.deepEqual(at(50), []);
+  assert.deepEqual(at(70), [{ type: "overdue", key: slow.key }]);
+  assert.deepEqual(at(90), []);
+});
+
+const steps = fc.array(
+  fc.oneof(
+    fc.record({
+      type: fc.constant("offer" as const),
+      aimMs: fc.integer({ min: 10, max: 300 }),
+      deadlineMs: fc.integer({ min: 10, max: 900 }),
+      urgency: fc.integer({ min: 0, max: 2 }),
+      isInner: fc.boolean(),
+      mayBeLate: fc.boolean(),
+    }),
+    fc.record({ type: fc.constant("end" as const) }),
+    fc.record({ type: fc.constant("tick" as const) }),
+    fc.record({ type: fc.constant("leave" as const) }),
+  ),
+  { maxLength: 150 },
+);
+
+test("each call starts or is refused once, within the slots", () => {
+  checkProperty(
+    fc.property(fc.integer({ min: 1, max: 6 }), steps, (slots, all) => {
+      const state = openQueue(slots);
+      const open = new Set<number>();
+      const running: number[] = [];
+      let now = 0;
+      const apply = (effects: readonly QueueEffect[]) => {
+        for (const effect of effects) {
+          if (effect.type === "overdue") continue;
+          assert.ok(open.delete(effect.key));
+          if (effect.type === "start") running.push(effect.key);
+        }
+      };
+      for (const step of all) {
+        now += 7;
+        if (step.type === "offer") {
+          const call = callOf({
+            ...step,
+            aimAt: now + step.aimMs,
+            deadlineAt: now + step.deadlineMs,
+          });
+          open.add(call.key);
+          apply(offer(state, call, now, step.mayBeLate));
+        } else if (step.type === "end") {
+          const key = running.shift();
+          if (key !== undefined) apply(end(state, key, now));
+        } else if (step.type === "leave") {
+          const [key] = open;
+          if (key === undefined) continue;
+          open.delete(key);
+          apply(decideQueue(state, { type: "withdrawn", key, now }));
+        } else {
+          apply(decideQueue(state, { type: "ticked", now }));
+        }
+        assert.ok(running.length <= slots);
+        assert.equal(state.waiting.size, open.size);
+      }
+    }),
+    { runs: 200 },
+  );
+});
--- a/src/rollout/count_call.ts
+++ b/src/rollout/count_call.ts
@@ -101,7 +101,8 @@
   return counts;
 }
 
-function bucketOf(latencyMs: number): number {
+/** Index of the latency bucket of an answer. */
+export function bucketOf(latencyMs: number): number {
   const bucket = latencyEdgesMs.findIndex((edge) => latencyMs <= edge);
   return bucket < 0 ? latencyEdgesMs.length : bucket;
 }
--- /dev/null
+++ b/src/sidecar/create_gossip.ts
@@ -0,0 +1,223 @@
+/**
+ * What a node tells its peers, and what it does with what they tell.
+ * @module
+ */
+import type { Homes } from "../calls/state.ts";
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
+import { decideFleet } from "../fleet/decide_fleet.ts";
+import {
+  type FleetEffect,
+  type FleetEvent,
+  type FleetState,
+  ownRow,
+} from "../fleet/state.ts";
+import type { LocalHome } from "../homes/create_home.ts";
+import { type DialledLink, dialLink } from "../links/dial_link.ts";
+import type { Gossip } from "../links/messages.ts";
+import { type Log, LogLevel } from "../logs/create_log.ts";
+import { noteReport } from "../placement/note_home.ts";
+import type { PlacementState } from "../placement/state.ts";
+import type { KeyedRecord } from "../store/state.ts";
+import type { MoveReport, MoveStep } from "../takeover/state.ts";
+
+/** Time between pings of an idle link within the failure domain. */
+const nearIdleMs = 1_000;
+
+/** The same between failure domains, where bytes are dear. */
+const farIdleMs = 2_500;
+
+/**
+ * Time that a node waits for its own read of the store once a peer is ahead.
+ * Usually the read is only a few milliseconds behind.
+ */
+const behindMs = 600;
+
+/** A peer's word on the health of its store reads counts this long. */
+const healthMs = 6_000;
+
+/** Options of `createGossip`. */
+export interface CreateGossipOptions {
+  readonly self: NodeId;
+  readonly domain: string;
+  readonly fleet: FleetState;
+  readonly placement: PlacementState;
+  readonly home: LocalHome;
+  readonly log: Log;
+  readonly now: () => MonotonicMs;
+  readonly random: () => number;
+  /** How far this node has read the operators' topic, and all it holds. */
+  readonly operatorEnd: () => Offset;
+  readonly operatorRecords: () => readonly KeyedRecord[];
+  readonly isStoreHealthy: () => boolean;
+  readonly onOperatorRecords: (
+    records: readonly KeyedRecord[],
+    end: Offset,
+  ) => void;
+  /** A peer has read further for a while: this node's own read hangs. */
+  readonly onBehind: () => void;
+  readonly onStep: (step: MoveStep) => void;
+  readonly onReport: (report: MoveReport) => void;
+}
+
+export interface GossipHub extends Homes {
+  /** Takes a message; `reply` answers on the same link. */
+  take(
+    from: NodeId | undefined,
+    message: Gossip,
+    reply: (message: Gossip) => void,
+  ): void;
+  tellAll(message: Gossip): void;
+  /** Applies an event of the fleet and its effects. */
+  change(event: FleetEvent): void;
+  /** Linked nodes whose reads of the store succeed. */
+  healthyNodes(): readonly NodeId[];
+  close(): void;
+}
+
+/** Creates the hub. It dials nodes as the fleet learns of them. */
+export function createGossip(opts: CreateGossipOptions): GossipHub {
+  const { self, fleet, now } = opts;
+  const links = new Map<NodeId, DialledLink>();
+  const healthyAt = new Map<NodeId, MonotonicMs>();
+  let behindSince: MonotonicMs | undefined;
+
+  function change(event: FleetEvent) {
+    for (const effect of decideFleet(fleet, event)) apply(effect);
+  }
+
+  function apply(effect: FleetEffect) {
+    switch (effect.type) {
+      case "dial":
+        links.set(effect.node, dial(effect.node));
+        return;
+      case "forget":
+        links.get(effect.node)?.close();
+        links.delete(effect.node);
+        healthyAt.delete(effect.node);
+        return;
+      case "tell":
+        tellAll({ type: "rows", rows: [effect.row] });
+        return;
+      default:
+        exhausted(effect);
+    }
+  }
+
+  function dial(node: NodeId): DialledLink {
+    return dialLink({
+      node,
+      idleMs: isNear(node) ? nearIdleMs : farIdleMs,
+      now,
+      random: opts.random,
+      hello: () => ({ type: "hello", row: ownRow(fleet) }),
+      ping,
+      onReport: (report) => noteReport(opts.placement, node, report, now()),
+      onGossip: (message) => take(node, message, (reply) => send(node, reply)),
+      onOpen() {
+        opts.log.write("fleet", LogLevel.Info, "link opened", { peer: node });
+        change({ type: "linked", node, now: now() });
+      },
+      onClose(reason) {
+        const fields = { peer: node, reason };
+        opts.log.write("fleet", LogLevel.Warn, "link lost", fields);
+        healthyAt.delete(node);
+        change({ type: "unlinked", node, now: now() });
+      },
+    });
+  }
+
+  function isNear(node: NodeId): boolean {
+    return fleet.rows.get(node)?.row.domain === opts.domain;
+  }
+
+  function ping(): Gossip {
+    return {
+      type: "ping",
+      report: opts.home.report(),
+      operatorEnd: opts.operatorEnd(),
+      isStoreHealthy: opts.isStoreHealthy(),
+    };
+  }
+
+  function send(node: NodeId, message: Gossip) {
+    links.get(node)?.send(message);
+  }
+
+  function tellAll(message: Gossip) {
+    for (const link of links.values()) link.send(message);
+  }
+
+  function take(
+    from: NodeId | undefined,
+    message: Gossip,
+    reply: (message: Gossip) => void,
+  ) {
+    switch (message.type) {
+      case "hello":
+        change({ type: "rows-heard", rows: [message.row], now: now() });
+        // A node that has just started is reached without a pause.
+        links.get(message.row.node)?.hurry();
+        reply({ type: "rows", rows: [ownRow(fleet)] });
+        return;
+      case "rows":
+        return change({ type: "rows-heard", rows: message.rows, now: now() });
+      case "ask-rows":
+        reply({
+          type: "rows",
+          rows: [...fleet.rows.values()].map(({ row }) => row),
+        });
+        return;
+      case "ping":
+        return takePing(from, message);
+      case "pong":
+        return;
+      case "ask-operator":
+        reply({
+          type: "operator",
+          records: opts.operatorRecords(),
+          end: opts.operatorEnd(),
+        });
+        return;
+      case "operator":
+        behindSince = undefined;
+        return opts.onOperatorRecords(message.records, message.end);
+      case "move-step":
+        return opts.onStep(message.step);
+      case "move-report":
+        return opts.onReport(message.report);
+      default:
+        exhausted(message);
+    }
+  }
+
+  function takePing(
+    from: NodeId | undefined,
+    message: Extract<Gossip, { type: "ping" }>,
+  ) {
+    if (from === undefined) return;
+    noteReport(opts.placement, from, message.report, now());
+    if (message.isStoreHealthy) healthyAt.set(from, now());
+    else healthyAt.delete(from);
+    if (message.operatorEnd <= opts.operatorEnd()) return;
+    behindSince ??= now();
+    if (now() - behindSince < behindMs) return;
+    behindSince = undefined;
+    opts.onBehind();
+    send(from, { type: "ask-operator" });
+  }
+
+  return {
+    homeOf: (node) => node === self ? opts.home : links.get(node),
+    take,
+    tellAll,
+    change,
+    healthyNodes: () =>
+      [...healthyAt].flatMap(([node, at]) =>
+        now() - at < healthMs ? [node] : []
+      ),
+    close() {
+      for (const link of links.values()) link.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/sidecar/create_ping_server.ts
@@ -0,0 +1,66 @@
+/**
+ * The server for the endpoint's pings and for readiness checks.
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import polka from "polka";
+import type { PingCall } from "./platform_port.ts";
+
+/** Largest ping that is read. */
+const maxPingBytes = 16_384;
+
+/** Options of `createPingServer`. */
+export interface CreatePingServerOptions {
+  readonly match: (method: string, path: string) => PingCall;
+  readonly isReady: () => boolean;
+  /** Returns why a ping is refused, when it is. */
+  readonly onPing: (id: string, body: Buffer) => string | undefined;
+  readonly onLeave: (id: string) => void;
+}
+
+/** Creates a server that its owner tells where to listen. */
+export function createPingServer(opts: CreatePingServerOptions) {
+  function take(req: IncomingMessage, res: ServerResponse) {
+    const path = (req.url ?? "/").split("?")[0] ?? "/";
+    const call = opts.match(req.method ?? "GET", path);
+    switch (call.type) {
+      case "ready":
+        return answer(res, opts.isReady() ? 200 : 503);
+      case "leave":
+        req.resume();
+        opts.onLeave(call.id);
+        return answer(res, 200);
+      case "ping":
+        return readPing(req, res, call.id);
+      case "unknown":
+        req.resume();
+        return answer(res, 404);
+    }
+  }
+
+  function readPing(req: IncomingMessage, res: ServerResponse, id: string) {
+    const parts: Buffer[] = [];
+    let size = 0;
+    req.on("data", (part: Buffer) => {
+      size += part.length;
+      if (size <= maxPingBytes) parts.push(part);
+    });
+    req.on("end", () => {
+      if (size > maxPingBytes) return answer(res, 413);
+      const problem = opts.onPing(id, Buffer.concat(parts));
+      answer(res, problem === undefined ? 200 : 400);
+    });
+  }
+
+  return polka().use((req, res) => {
+    take(req as IncomingMessage, res as ServerResponse);
+  });
+}
+
+function answer(res: ServerResponse, status: number) {
+  res.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": "2",
+  });
+  res.end("{}");
+}
--- /dev/null
+++ b/src/sidecar/platform_port.ts
@@ -0,0 +1,102 @@
+/**
+ * What the product needs from the platform that it runs on.
+ * @module
+ */
+import type { Result } from "neverthrow";
+import type { BudgetTerms } from "../budget/state.ts";
+import type { HeaderList } from "../calls/state.ts";
+import type { LagoonError } from "../core/errors.ts";
+import type { NodeId } from "../core/types.ts";
+import type { InstancePing } from "../instance/state.ts";
+import type { RouteTable } from "../routes/state.ts";
+import type { KeyedRecord, KeyedStore } from "../store/state.ts";
+import type { MoveOrder, MoveStatus } from "../takeover/state.ts";
+
+/** Settings of the process beside an endpoint. Addresses are `host:port`. */
+export interface SidecarSettings {
+  /** Address at which other nodes reach this one. */
+  readonly node: NodeId;
+  readonly domain: string;
+  /** Address of this VM, from which its endpoint calls. */
+  readonly ip: string;
+  /** Service of the endpoint on this VM. */
+  readonly service: string;
+  readonly endpointAddress: string;
+  /** Where clients and the endpoint send their requests. */
+  readonly callerAddress: string;
+  readonly readyAddress: string;
+  /** Where the endpoint sends its pings. */
+  readonly pingAddress: string;
+  readonly metricsAddress: string;
+  readonly storeAddress: string;
+  readonly budget: BudgetTerms;
+  /** Time between SIGTERM and SIGKILL, in milliseconds. */
+  readonly graceMs: number;
+}
+
+/** What an operator wrote. */
+export type OperatorRecord =
+  | { readonly type: "table"; readonly table: RouteTable }
+  | { readonly type: "order"; readonly order: MoveOrder }
+  | { readonly type: "other" };
+
+/** A call as the caller's headers describe it. */
+export interface CallerHead {
+  readonly id: string;
+  /** Time that the caller waits, in milliseconds. */
+  readonly waitMs: number | undefined;
+}
+
+/** What an answer says besides its body. */
+export interface AnswerMarks {
+  /** The endpoint states that it did not run the call. */
+  readonly isNotRun: boolean;
+  /** Another endpoint has the address. */
+  readonly isWrongInstance: boolean;
+  /** Id of the call that the answer belongs to. */
+  readonly callId: string | undefined;
+}
+
+/** Options of `CallDialect.endpointHeaders`. */
+export interface EndpointHeadersOptions {
+  readonly headers: HeaderList;
+  readonly callId: string;
+  readonly instanceId: string;
+  readonly callerService: string;
+  readonly leftMs: number;
+}
+
+/** How calls are spelled towards callers and endpoints. */
+export interface CallDialect {
+  readCaller(headers: Record<string, unknown>): CallerHead | undefined;
+  /** End-to-end headers of a call, without those that the product sets. */
+  sentHeaders(raw: readonly string[]): string[];
+  endpointHeaders(opts: EndpointHeadersOptions): string[];
+  readAnswer(status: number, headers: HeaderList): AnswerMarks;
+  /** Headers of a refusal after which the caller may come back. */
+  refusalHeaders(callId: string, retryMs: number): Record<string, string>;
+}
+
+/** A call to the ping address. */
+export type PingCall =
+  | { readonly type: "ping"; readonly id: string }
+  | { readonly type: "leave"; readonly id: string }
+  | { readonly type: "ready" }
+  | { readonly type: "unknown" };
+
+export interface Platform {
+  readonly store: KeyedStore;
+  readonly topics: {
+    readonly operator: string;
+    readonly status: string;
+    readonly nodes: string;
+  };
+  readonly dialect: CallDialect;
+  decodeOperatorRecord(
+    record: KeyedRecord,
+  ): Result<OperatorRecord, LagoonError>;
+  decodeStatus(record: KeyedRecord): MoveStatus | undefined;
+  encodeStatus(status: MoveStatus): KeyedRecord;
+  matchPingCall(method: string, path: string): PingCall;
+  decodePing(id: string, body: Buffer): Result<InstancePing, LagoonError>;
+}
--- /dev/null
+++ b/src/sidecar/read_operator.ts
@@ -0,0 +1,71 @@
+/**
+ * Keeps what operators wrote, whichever way it came.
+ * @module
+ */
+import type { Offset } from "../core/types.ts";
+import { formatError } from "../core/errors.ts";
+import { type Log, LogLevel } from "../logs/create_log.ts";
+import type { RouteTable } from "../routes/state.ts";
+import type { KeyedRecord } from "../store/state.ts";
+import type { MoveOrder } from "../takeover/state.ts";
+import type { Platform } from "./platform_port.ts";
+
+/** Options of `createOperatorReader`. */
+export interface CreateOperatorReaderOptions {
+  readonly platform: Pick<Platform, "decodeOperatorRecord">;
+  readonly log: Log;
+  readonly onTable: (table: RouteTable) => void;
+  readonly onOrder: (order: MoveOrder) => void;
+}
+
+export interface OperatorReader {
+  /** Takes records from the store or from a peer. Older ones are dropped. */
+  take(records: readonly KeyedRecord[], end: Offset): void;
+  /** The newest record of each key, for peers that the store leaves out. */
+  records(): readonly KeyedRecord[];
+  end(): Offset;
+}
+
+/** Creates a reader that has read nothing. */
+export function createOperatorReader(
+  opts: CreateOperatorReaderOptions,
+): OperatorReader {
+  const newest = new Map<string, KeyedRecord>();
+  let readEnd: Offset = -1;
+
+  /** False when the record can't be used, and an earlier one counts. */
+  function decode(record: KeyedRecord): boolean {
+    const decoded = opts.platform.decodeOperatorRecord(record);
+    if (decoded.isErr()) {
+      const reason = formatError(decoded.error);
+      opts.log.write("config", LogLevel.Error, "record refused", { reason });
+      return false;
+    }
+    newest.set(record.key, record);
+    switch (decoded.value.type) {
+      case "table":
+        opts.onTable(decoded.value.table);
+        return true;
+      case "order":
+        opts.onOrder(decoded.value.order);
+        return true;
+      case "other":
+        return true;
+    }
+  }
+
+  return {
+    take(records, end) {
+      // Peers and the store may both bring what was read before.
+      if (end <= readEnd) return;
+      readEnd = end;
+      // A storm of changes is decoded once for each key, at its end.
+      const decoded = new Set<string>();
+      for (const record of records.toReversed()) {
+        if (!decoded.has(record.key) && decode(record)) decoded.add(record.key);
+      }
+    },
+    records: () => [...newest.values()],
+    end: () => readEnd,
+  };
+}
--- /dev/null
+++ b/src/sidecar/record_moves.ts
@@ -0,0 +1,94 @@
+/**
+ * Writes the statuses of moves to the store, under the lease.
+ * @module
+ */
+import type { NodeId } from "../core/types.ts";
+import { formatError } from "../core/errors.ts";
+import { type Log, LogLevel } from "../logs/create_log.ts";
+import { takeLease } from "../store/hold_lease.ts";
+import type { KeyedStore } from "../store/state.ts";
+import type { MoveStatus, TakeoverEvent } from "../takeover/state.ts";
+import type { Platform } from "./platform_port.ts";
+
+/** Name under which the store fences writers of statuses. */
+const producer = "moves";
+
+/** Pause after a lease that was not granted, in milliseconds. */
+const leasePauseMs = 1_000;
+
+/** Options of `createMoveRecorder`. */
+export interface CreateMoveRecorderOptions {
+  readonly self: NodeId;
+  readonly store: KeyedStore;
+  readonly topic: string;
+  readonly encodeStatus: Platform["encodeStatus"];
+  readonly log: Log;
+  readonly now: () => number;
+  readonly onEvent: (event: TakeoverEvent) => void;
+}
+
+export interface MoveRecorder {
+  /** Asks for the lease, unless it was asked for a moment ago. */
+  lease(): void;
+  record(epoch: number, status: MoveStatus): void;
+  close(): void;
+}
+
+/** Creates a recorder without a lease. */
+export function createMoveRecorder(
+  opts: CreateMoveRecorderOptions,
+): MoveRecorder {
+  const closing = new AbortController();
+  let leaseAskedAt = -Infinity;
+  let seq = 0;
+
+  async function lease() {
+    if (opts.now() - leaseAskedAt < leasePauseMs) return;
+    leaseAskedAt = opts.now();
+    const taken = await takeLease({
+      store: opts.store,
+      topic: opts.topic,
+      holder: opts.self,
+      signal: closing.signal,
+    });
+    if (taken.isErr()) {
+      const reason = formatError(taken.error);
+      opts.log.write("move", LogLevel.Warn, "lease not granted", { reason });
+      return;
+    }
+    const epoch = taken.value;
+    seq = 0;
+    opts.log.write("move", LogLevel.Info, "lease granted", { epoch });
+    opts.onEvent({ type: "leased", epoch });
+  }
+
+  async function record(epoch: number, status: MoveStatus) {
+    const { service, target, phase } = status;
+    const appended = await opts.store.append({
+      topic: opts.topic,
+      records: [opts.encodeStatus(status)],
+      condition: { type: "fenced", producer, epoch, seq: seq++ },
+    });
+    const fields = { service, target, phase, epoch };
+    if (appended.isOk()) {
+      opts.log.write("move", LogLevel.Info, "status recorded", fields);
+      opts.onEvent({ type: "recorded", service, phase, now: opts.now() });
+      return;
+    }
+    const reason = formatError(appended.error);
+    opts.log.write("move", LogLevel.Warn, "status not recorded", {
+      ...fields,
+      reason,
+    });
+    // Any failure leaves the order of this epoch's writes unknown, and a fence
+    // means that another node leads. Either way a new lease comes first.
+    opts.onEvent({ type: "leased", epoch: undefined });
+    opts.onEvent({ type: "record-failed", service });
+  }
+
+  return {
+    lease: () => void lease(),
+    record: (epoch, status) => void record(epoch, status),
+    close: () => closing.abort(),
+  };
+}
--- /dev/null
+++ b/src/sidecar/register_node.ts
@@ -0,0 +1,89 @@
+/**
+ * Writes this node's address to the store and finds the other nodes there.
+ * @module
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { formatError } from "../core/errors.ts";
+import type { NodeId } from "../core/types.ts";
+import { type Log, LogLevel } from "../logs/create_log.ts";
+import type { MoveStatus } from "../takeover/state.ts";
+import type { Platform, SidecarSettings } from "./platform_port.ts";
+
+/** Pauses after failed calls, in milliseconds. */
+const firstPauseMs = 150;
+const longestPauseMs = 1_500;
+
+/** Options of `registerNode`. */
+export interface RegisterNodeOptions {
+  readonly settings: SidecarSettings;
+  readonly platform: Platform;
+  readonly log: Log;
+  readonly random: () => number;
+  readonly onNodes: (nodes: readonly NodeId[]) => void;
+  readonly onStatus: (status: MoveStatus) => void;
+}
+
+export interface Registration {
+  close(): void;
+}
+
+/**
+ * Starts registering. The address is written before the others are read, so of
+ * two nodes that start together at least one finds the other.
+ */
+export function registerNode(opts: RegisterNodeOptions): Registration {
+  const { settings, platform, log } = opts;
+  const { store, topics } = platform;
+  const closing = new AbortController();
+  const { signal } = closing;
+
+  async function insist<T>(
+    step: string,
+    attempt: () => Promise<T | undefined>,
+  ): Promise<T | undefined> {
+    for (let failures = 0; !signal.aborted; failures++) {
+      const value = await attempt();
+      if (value !== undefined) return value;
+      const ceiling = Math.min(longestPauseMs, firstPauseMs * 2 ** failures);
+      log.write("store", LogLevel.Warn, "call repeated", { step, failures });
+      await sleep(ceiling * (0.5 + opts.random() / 2), undefined, { signal })
+        // The only rejection is the abort on close, which ends the loop.
+        .catch(() => undefined);
+    }
+    return undefined;
+  }
+
+  async function newest(topic: string) {
+    const page = await store.newest(topic, signal);
+    if (page.isOk()) return page.value.records;
+    const reason = formatError(page.error);
+    log.write("store", LogLevel.Warn, "read failed", { reason });
+    return undefined;
+  }
+
+  async function run() {
+    const value = Buffer.from(settings.domain);
+    await insist("register", async () => {
+      const appended = await store.append({
+        topic: topics.nodes,
+        records: [{ key: settings.node, value }],
+        condition: { type: "none" },
+      });
+      return appended.isOk() ? true : undefined;
+    });
+    const nodes = await insist("find nodes", () => newest(topics.nodes));
+    opts.onNodes((nodes ?? []).map(({ key }) => key));
+  }
+
+  async function readStatuses() {
+    const records = await insist("read statuses", () => newest(topics.status));
+    for (const record of records ?? []) {
+      const status = platform.decodeStatus(record);
+      if (status !== undefined) opts.onStatus(status);
+    }
+  }
+
+  void run();
+  void readStatuses();
+  return { close: () => closing.abort() };
+}
--- /dev/null
+++ b/src/sidecar/run_sidecar.ts
@@ -0,0 +1,364 @@
+/**
+ * Runs the process beside an endpoint.
+ * @module
+ */
+import { randomInt } from "node:crypto";
+import { createServer, type Server } from "node:http";
+import process from "node:process";
+import { setTimeout as sleep } from "node:timers/promises";
+import polka from "polka";
+import { createBudgetState } from "../budget/state.ts";
+import { createCallerServer } from "../callers/create_caller_server.ts";
+import type { CallContext } from "../callers/state.ts";
+import { formatError } from "../core/errors.ts";
+import { createFleetState } from "../fleet/state.ts";
+import { createHome } from "../homes/create_home.ts";
+import { decideInstance } from "../instance/decide_instance.ts";
+import {
+  createInstanceState,
+  type InstanceChange,
+  InstancePhase,
+} from "../instance/state.ts";
+import { acceptLinks } from "../links/accept_links.ts";
+import { createLog, LogLevel } from "../logs/create_log.ts";
+import { createMetrics } from "../metrics/create_metrics.ts";
+import { createPlacementState } from "../placement/state.ts";
+import { adoptTable } from "../routes/adopt_table.ts";
+import { createRoutesState, type RouteTable } from "../routes/state.ts";
+import { followTopic } from "../store/follow_topic.ts";
+import { countRun } from "../takeover/count_run.ts";
+import { decideTakeover } from "../takeover/decide_takeover.ts";
+import { createTakeoverState, type TakeoverEvent } from "../takeover/state.ts";
+import { createGossip } from "./create_gossip.ts";
+import { createPingServer } from "./create_ping_server.ts";
+import { loadOfVersion } from "./load_of_version.ts";
+import type { Platform, SidecarSettings } from "./platform_port.ts";
+import { createOperatorReader } from "./read_operator.ts";
+import { createMoveRecorder } from "./record_moves.ts";
+import { registerNode } from "./register_node.ts";
+
+/** Time between looks at moves, in milliseconds. */
+const moveTickMs = 250;
+
+/** Time between looks for nodes that are gone, in milliseconds. */
+const fleetTickMs = 5_000;
+
+/**
+ * Time after SIGTERM in which callers still come: two readiness checks have to
+ * fail before clients stop, and checks are a second apart.
+ */
+const drainMs = 2_500;
+
+/** Part of the grace that is left unused, in milliseconds. */
+const spareGraceMs = 700;
+
+/** Time for the last answers to leave their sockets. */
+const flushMs = 150;
+
+/** Options of `runSidecar`. */
+export interface RunSidecarOptions {
+  readonly settings: SidecarSettings;
+  readonly platform: Platform;
+}
+
+export interface Sidecar {
+  /** Finishes what was begun, within the grace of the settings. */
+  close(): Promise<void>;
+}
+
+/** Starts the process. Rejects when an address can't be listened on. */
+export async function runSidecar(opts: RunSidecarOptions): Promise<Sidecar> {
+  const { settings, platform } = opts;
+  const now = () => performance.now();
+  const random = () => randomInt(2 ** 32) / 2 ** 32;
+  const log = createLog({ node: settings.node, now });
+  const metrics = createMetrics();
+  const routes = createRoutesState();
+  const placement = createPlacementState();
+  const instances = createInstanceState();
+  const fleet = createFleetState({
+    self: settings.node,
+    domain: settings.domain,
+    revision: Date.now(),
+  });
+  const source = `${settings.node} ${Date.now()}`;
+  const takeover = createTakeoverState({ self: settings.node, source });
+  let isStopping = false;
+
+  const home = createHome({
+    endpointAddress: settings.endpointAddress,
+    dialect: platform.dialect,
+    now,
+    onRun: (run) => countRun(takeover, run),
+    onTrouble: (reason) =>
+      log.write("endpoint", LogLevel.Warn, "endpoint shut", { reason }),
+  });
+
+  const operator = createOperatorReader({
+    platform,
+    log,
+    onTable: takeTable,
+    onOrder(order) {
+      log.write("move", LogLevel.Info, "move ordered", { ...order });
+      decideTakeover(takeover, { type: "ordered", order, now: now() });
+    },
+  });
+
+  function takeTable(table: RouteTable) {
+    if (!adoptTable(routes, table)) return;
+    callers.setLimits(table.limits);
+    metrics.setTableVersion(table.version);
+    log.write("config", LogLevel.Info, "route table in force", {
+      version: table.version,
+    });
+  }
+
+  const follower = followTopic({
+    store: platform.store,
+    topic: platform.topics.operator,
+    onRecords: (records, end) => operator.take(records, end),
+    onHealth: noteStoreHealth,
+    random,
+  });
+
+  function noteStoreHealth(err?: Parameters<typeof formatError>[0]) {
+    if (err === undefined) return log.write("store", LogLevel.Info, "regained");
+    log.write("store", LogLevel.Warn, "lost", { reason: formatError(err) });
+  }
+
+  const gossip = createGossip({
+    self: settings.node,
+    domain: settings.domain,
+    fleet,
+    placement,
+    home,
+    log,
+    now,
+    random,
+    operatorEnd: operator.end,
+    operatorRecords: operator.records,
+    isStoreHealthy: follower.isHealthy,
+    onOperatorRecords: operator.take,
+    onBehind: follower.kick,
+    onStep: (step) => move({ type: "step-heard", step, now: now() }),
+    onReport: (report) => move({ type: "report-heard", report }),
+  });
+
+  const ctx: CallContext = {
+    self: settings.node,
+    domain: settings.domain,
+    service: settings.service,
+    routes,
+    takeover,
+    fleet,
+    placement,
+    budget: createBudgetState(),
+    budgetTerms: settings.budget,
+    answerBytes: new Map(),
+    homes: gossip,
+    dialect: platform.dialect,
+    log,
+    metrics,
+    now,
+    random,
+  };
+  const callers = createCallerServer({ ctx, ip: settings.ip });
+
+  const recorder = createMoveRecorder({
+    self: settings.node,
+    store: platform.store,
+    topic: platform.topics.status,
+    encodeStatus: platform.encodeStatus,
+    log,
+    now,
+    onEvent: move,
+  });
+
+  function move(event: TakeoverEvent) {
+    for (const effect of decideTakeover(takeover, event)) {
+      switch (effect.type) {
+        case "lease":
+          recorder.lease();
+          break;
+        case "record":
+          recorder.record(effect.epoch, effect.status);
+          break;
+        case "tell":
+          log.write("move", LogLevel.Info, "move step", { ...effect.step });
+          gossip.tellAll({ type: "move-step", step: effect.step });
+          break;
+        case "report":
+          gossip.tellAll({ type: "move-report", report: effect.report });
+          break;
+        case "faulty":
+          log.write("move", LogLevel.Warn, "version is faulty", { ...effect });
+          break;
+      }
+    }
+  }
+
+  function takeInstance(change: InstanceChange) {
+    switch (change.type) {
+      case "none":
+      case "heard":
+        return;
+      case "started":
+        log.write("endpoint", LogLevel.Info, "endpoint started", {
+          ...change.instance,
+        });
+        break;
+      case "draining":
+        log.write("endpoint", LogLevel.Info, "endpoint drains", {
+          instance: change.instance.id,
+        });
+        break;
+      case "left":
+        log.write("endpoint", LogLevel.Info, "endpoint left", {
+          instance: change.id,
+        });
+        break;
+    }
+    openForInstance();
+  }
+
+  /** Offers the endpoint to other nodes, and to this one's queue. */
+  function openForInstance() {
+    const { current } = instances;
+    const isReady = current?.phase === InstancePhase.Ready;
+    home.setInstance(isReady ? current : undefined, "the endpoint is leaving");
+    const endpoint = !isReady || isStopping ? undefined : {
+      id: current.id,
+      service: current.service,
+      version: current.version,
+      slots: current.slots,
+      coldMs: Math.max(0, current.coldUntil - now()),
+    };
+    gossip.change({ type: "row-changed", endpoint, now: now() });
+  }
+
+  const links = acceptLinks({
+    home,
+    report: home.report,
+    onGossip: gossip.take,
+    onError: (reason, peer) =>
+      log.write("fleet", LogLevel.Warn, "link refused", { reason, peer }),
+  });
+  const pings = createPingServer({
+    match: platform.matchPingCall,
+    isReady: () => !isStopping && routes.table !== undefined,
+    onPing(id, body) {
+      const ping = platform.decodePing(id, body);
+      if (ping.isErr()) {
+        const reason = formatError(ping.error);
+        log.write("endpoint", LogLevel.Warn, "ping refused", { reason });
+        return reason;
+      }
+      takeInstance(decideInstance(instances, {
+        type: "pinged",
+        ping: ping.value,
+        now: now(),
+      }));
+      return undefined;
+    },
+    onLeave: (id) =>
+      takeInstance(decideInstance(instances, { type: "left", id })),
+  });
+  const scrape = polka().get("/metrics", async (_req, res) => {
+    res.end(await metrics.text());
+  });
+
+  const moveTimer = setInterval(() => {
+    if (takeover.moves.size === 0) return;
+    const peers = gossip.healthyNodes();
+    const isFirst = peers.every((peer) => settings.node < peer);
+    move({
+      type: "ticked",
+      now: now(),
+      mayLead: isFirst && follower.isHealthy() && !isStopping,
+      loadOf: (service, version) =>
+        loadOfVersion({ fleet, placement, home, service, version }),
+    });
+  }, moveTickMs);
+  const fleetTimer = setInterval(
+    () => gossip.change({ type: "ticked", now: now() }),
+    fleetTickMs,
+  );
+
+  await listen(callers.server, settings.callerAddress);
+  await listen(links.server, settings.node);
+  const pingServers = await Promise.all(
+    [...new Set([settings.pingAddress, settings.readyAddress])].map((address) =>
+      listenPolka(pings, address)
+    ),
+  );
+  await listenPolka(scrape, settings.metricsAddress);
+  const registration = registerNode({
+    settings,
+    platform,
+    log,
+    random,
+    onNodes: (nodes) =>
+      gossip.change({ type: "nodes-found", nodes, now: now() }),
+    onStatus: (status) => move({ type: "status-read", status }),
+  });
+  log.write("process", LogLevel.Info, "started", {
+    pid: process.pid,
+    service: settings.service,
+  });
+
+  return {
+    async close() {
+      if (isStopping) return;
+      isStopping = true;
+      log.write("process", LogLevel.Info, "stopping", { open: callers.open() });
+      callers.drain();
+      openForInstance();
+      const endAt = now() + settings.graceMs - spareGraceMs;
+      const calmAt = now() + drainMs;
+      while (now() < endAt && (now() < calmAt || callers.open() > 0)) {
+        await sleep(50);
+      }
+      callers.server.close();
+      callers.server.closeIdleConnections();
+      await sleep(flushMs);
+      clearInterval(moveTimer);
+      clearInterval(fleetTimer);
+      follower.close();
+      recorder.close();
+      registration.close();
+      gossip.close();
+      links.close();
+      for (const server of pingServers) server.close();
+      await home.close();
+      log.write("process", LogLevel.Info, "stopped");
+      log.close();
+    },
+  };
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const { host, port } = splitAddress(address);
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+}
+
+async function listenPolka(
+  app: polka.Polka,
+  address: string,
+): Promise<Server> {
+  const server = createServer((req, res) =>
+    void app.handler(req as polka.Request, res)
+  );
+  await listen(server, address);
+  return server;
+}
+
+function splitAddress(address: string): { host: string; port: number } {
+  const at = address.lastIndexOf(":");
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
--- /dev/null
+++ b/src/store/hold_lease.ts
@@ -0,0 +1,56 @@
+/**
+ * Takes the lease under which statuses of moves are recorded.
+ * @module
+ */
+import { err, ok, type Result } from "neverthrow";
+import * as v from "valibot";
+import type { NodeId } from "../core/types.ts";
+import type { KeyedStore, StoreError } from "./state.ts";
+
+/** Key of the lease beside the records that it protects. */
+export const leaseKey = "lease";
+
+const leaseSchema = v.object({
+  epoch: v.pipe(v.number(), v.integer(), v.minValue(0)),
+  holder: v.string(),
+});
+
+/** Options of `takeLease`. */
+export interface TakeLeaseOptions {
+  readonly store: KeyedStore;
+  readonly topic: string;
+  readonly holder: NodeId;
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Takes the lease over with the next epoch and returns the epoch. Two nodes
+ * that try at once are parted by the topic's end: one of them conflicts.
+ */
+export async function takeLease(
+  opts: TakeLeaseOptions,
+): Promise<Result<number, StoreError>> {
+  const { store, topic, holder } = opts;
+  const page = await store.newest(topic, opts.signal);
+  if (page.isErr()) return err(page.error);
+  const known = page.value.records.find((record) => record.key === leaseKey);
+  const epoch = epochOf(known?.value) + 1;
+  const value = Buffer.from(JSON.stringify({ epoch, holder }));
+  const appended = await store.append({
+    topic,
+    records: [{ key: leaseKey, value }],
+    condition: { type: "at-end", end: page.value.next },
+  });
+  return appended.isErr() ? err(appended.error) : ok(epoch);
+}
+
+/** A lease that can't be read counts as none; the fence still holds. */
+function epochOf(value: Buffer | undefined): number {
+  if (value === undefined) return 0;
+  try {
+    const parsed = v.safeParse(leaseSchema, JSON.parse(value.toString()));
+    return parsed.success ? parsed.output.epoch : 0;
+  } catch {
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/takeover/choose_version.ts
@@ -0,0 +1,51 @@
+/**
+ * Chooses the version that runs a request.
+ * @module
+ */
+import { MovePhase, type TakeoverState } from "./state.ts";
+
+/**
+ * Versions of a service that a request may run on, the preferred one first.
+ * `present` lists the versions with a ready endpoint.
+ *
+ * Without an order, traffic stays on the version that carries it, so endpoints
+ * that start ahead of their order get nothing.
+ */
+export function chooseVersions(
+  state: TakeoverState,
+  service: string,
+  present: readonly string[],
+): readonly string[] {
+  const move = state.moves.get(service);
+  if (move === undefined) return chooseBase(state, service, present);
+  const { target } = move.order;
+  const others = present.filter((version) => version !== target);
+  switch (move.step.phase) {
+    case MovePhase.Completed:
+      return present.includes(target) ? [target] : others;
+    case MovePhase.RolledBack:
+      return others;
+    case MovePhase.Running:
+      break;
+  }
+  const share = move.fault === undefined ? move.step.share : 0;
+  if (!present.includes(target) || share === 0) return others;
+  if (others.length === 0) return share === 1 ? [target] : [];
+  move.credit += share;
+  if (move.credit < 1) return others;
+  move.credit -= 1;
+  return [target];
+}
+
+function chooseBase(
+  state: TakeoverState,
+  service: string,
+  present: readonly string[],
+): readonly string[] {
+  const base = state.base.get(service);
+  if (base !== undefined && present.includes(base)) return [base];
+  const [first] = present;
+  if (first === undefined) return [];
+  state.base.set(service, first);
+  return [first];
+}
--- /dev/null
+++ b/src/takeover/count_run.ts
@@ -0,0 +1,28 @@
+/**
+ * Counts runs as evidence for or against a new version.
+ * @module
+ */
+import { bucketOf, countsOf } from "../rollout/count_call.ts";
+import { Side } from "../rollout/messages.ts";
+import { MovePhase, type TakeoverState } from "./state.ts";
+
+/** One run at the endpoint beside this node. */
+export interface Run {
+  readonly service: string;
+  readonly version: string;
+  readonly route: string;
+  readonly isFailed: boolean;
+  readonly tookMs: number;
+}
+
+/** Counts a run, when its service is being moved. */
+export function countRun(state: TakeoverState, run: Run) {
+  const move = state.moves.get(run.service);
+  if (move === undefined || move.step.phase !== MovePhase.Running) return;
+  const side = run.version === move.order.target ? Side.New : Side.Old;
+  const counts = countsOf(move.local, side, run.route);
+  counts.calls++;
+  if (run.isFailed) counts.failures++;
+  const bucket = bucketOf(run.tookMs);
+  counts.buckets[bucket] = (counts.buckets[bucket] ?? 0) + 1;
+}
--- /dev/null
+++ b/src/takeover/decide_takeover.ts
@@ -0,0 +1,283 @@
+/**
+ * Decides how far the moves of services to new versions are.
+ *
+ * Every node judges the evidence of all nodes and stops using a faulty version
+ * by itself. Only the holder of the lease gives a version more, and only it
+ * records how a move ended.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import { createInbox, createJudge } from "../rollout/create_track.ts";
+import { judgeEvidence } from "../rollout/judge_evidence.ts";
+import { mergeReport } from "../rollout/merge_report.ts";
+import { ReportLevel } from "../rollout/messages.ts";
+import type { Judgement } from "../rollout/state.ts";
+import type { MonotonicMs } from "../core/types.ts";
+import { isSettled, planShare } from "./plan_share.ts";
+import {
+  type Move,
+  type MoveOrder,
+  MovePhase,
+  type MoveReport,
+  type MoveStatus,
+  type MoveStep,
+  type TakeoverEffect,
+  type TakeoverEvent,
+  type TakeoverState,
+  type VersionLoad,
+} from "./state.ts";
+
+/**
+ * Log-likelihood ratio above which a version is faulty. One good version in a
+ * thousand would reach it by chance.
+ */
+const faultyAbove = Math.log(1_000);
+
+/** Rise of the failure rate that a stage has to rule out. */
+const ruleOut = 0.2;
+
+/**
+ * Time for which the old version's last calls are waited for, in milliseconds.
+ * Its endpoints stop without draining once the move is completed.
+ */
+const emptyWithinMs = 3_000;
+
+type Ticked = Extract<TakeoverEvent, { type: "ticked" }>;
+
+/** Takes one event of the moves in turn. */
+export function decideTakeover(
+  state: TakeoverState,
+  event: TakeoverEvent,
+): readonly TakeoverEffect[] {
+  switch (event.type) {
+    case "ordered":
+      takeOrder(state, event.order, event.now);
+      return [];
+    case "status-read":
+      takeStatus(state, event.status);
+      return [];
+    case "step-heard":
+      takeStep(state, event.step, event.now);
+      return [];
+    case "report-heard":
+      takeReport(state, event.report);
+      return [];
+    case "recorded":
+      return confirm(state, event.service, event.phase, event.now);
+    case "record-failed": {
+      const move = state.moves.get(event.service);
+      if (move !== undefined) move.recording = undefined;
+      return [];
+    }
+    case "leased":
+      state.epoch = event.epoch;
+      return [];
+    case "ticked":
+      return [...state.moves.values()]
+        .filter((move) => move.step.phase === MovePhase.Running)
+        .flatMap((move) => tick(state, move, event));
+    default:
+      return exhausted(event);
+  }
+}
+
+function takeOrder(state: TakeoverState, order: MoveOrder, now: MonotonicMs) {
+  const known = state.moves.get(order.service);
+  if (known?.order.target === order.target) return;
+  const status = state.statuses.get(order.service);
+  const isOver = status?.target === order.target;
+  const step: MoveStep = {
+    service: order.service,
+    target: order.target,
+    epoch: 0,
+    seq: 0,
+    phase: isOver ? status.phase : MovePhase.Running,
+    share: 0,
+    elapsedMs: 0,
+  };
+  state.moves.set(order.service, {
+    order,
+    orderedAt: now,
+    step,
+    stepAt: now,
+    targetReadyAt: undefined,
+    fault: undefined,
+    recorded: isOver ? status.phase : undefined,
+    recording: undefined,
+    credit: 0,
+    local: new Map(),
+    localSeq: 0,
+    inbox: createInbox(),
+    judge: createJudge(now),
+  });
+}
+
+function takeStatus(state: TakeoverState, status: MoveStatus) {
+  state.statuses.set(status.service, status);
+  if (status.phase === MovePhase.Completed) {
+    state.base.set(status.service, status.target);
+  }
+  const move = state.moves.get(status.service);
+  if (move === undefined || move.order.target !== status.target) return;
+  move.recorded = status.phase;
+  if (move.step.phase !== MovePhase.Running) return;
+  move.step = { ...move.step, phase: status.phase };
+}
+
+function takeStep(state: TakeoverState, step: MoveStep, now: MonotonicMs) {
+  const move = state.moves.get(step.service);
+  if (move === undefined || move.order.target !== step.target) return;
+  // A restarted node learns from others how long ago the order was given.
+  move.orderedAt = Math.min(move.orderedAt, now - step.elapsedMs);
+  const isNewer = step.epoch > move.step.epoch ||
+    (step.epoch === move.step.epoch && step.seq > move.step.seq);
+  if (!isNewer || move.step.phase !== MovePhase.Running) return;
+  if (step.share !== move.step.share) move.stepAt = now;
+  move.step = step;
+}
+
+function takeReport(state: TakeoverState, report: MoveReport) {
+  const move = state.moves.get(report.service);
+  if (move === undefined || move.order.target !== report.target) return;
+  const { target, source, seq, counts } = report;
+  mergeReport(move.inbox, {
+    rollout: target,
+    level: ReportLevel.Node,
+    source,
+    seq,
+    domain: "fleet",
+    receiver: "all",
+    counts,
+  });
+}
+
+function confirm(
+  state: TakeoverState,
+  service: string,
+  phase: MovePhase,
+  now: MonotonicMs,
+): readonly TakeoverEffect[] {
+  const move = state.moves.get(service);
+  if (move === undefined) return [];
+  move.recorded = phase;
+  move.recording = undefined;
+  const { target } = move.order;
+  state.statuses.set(service, { service, target, phase });
+  if (phase === MovePhase.Running) return [];
+  if (phase === MovePhase.Completed) state.base.set(service, target);
+  const share = phase === MovePhase.Completed ? 1 : 0;
+  return [setStep(state, move, { phase, share }, now)];
+}
+
+function tick(
+  state: TakeoverState,
+  move: Move,
+  event: Ticked,
+): readonly TakeoverEffect[] {
+  const { now } = event;
+  const { service, target } = move.order;
+  const load = event.loadOf(service, target);
+  if (load.ready > 0) move.targetReadyAt ??= now;
+  const effects: TakeoverEffect[] = reportLocal(state, move);
+  const judgement = judgeEvidence({
+    judge: move.judge,
+    evidence: move.inbox.total,
+    faultyAbove,
+    ruleOut,
+    now,
+  });
+  if (judgement.type === "faulty" && move.fault === undefined) {
+    const { finding } = judgement;
+    move.fault = finding;
+    effects.push({ type: "faulty", service, target, finding });
+  }
+  if (!event.mayLead) return effects;
+  if (state.epoch === undefined) return [...effects, { type: "lease" }];
+  return [...effects, ...lead(state, move, load, judgement, now)];
+}
+
+/** Sums of this node, when they have grown. */
+function reportLocal(state: TakeoverState, move: Move): TakeoverEffect[] {
+  let calls = 0;
+  for (const counts of move.local.values()) calls += counts.calls;
+  if (calls === move.localSeq) return [];
+  move.localSeq = calls;
+  const report: MoveReport = {
+    service: move.order.service,
+    target: move.order.target,
+    source: state.source,
+    seq: calls,
+    counts: [...move.local.values()].map((counts) => ({
+      ...counts,
+      buckets: [...counts.buckets],
+    })),
+  };
+  takeReport(state, report);
+  return [{ type: "report", report }];
+}
+
+function lead(
+  state: TakeoverState,
+  move: Move,
+  load: VersionLoad,
+  judgement: Judgement,
+  now: MonotonicMs,
+): readonly TakeoverEffect[] {
+  const { step, order } = move;
+  if (move.fault !== undefined) {
+    const stop = step.share === 0 ? [] : [setStep(state, move, {
+      share: 0,
+    }, now)];
+    return [...stop, ...record(state, move, MovePhase.RolledBack)];
+  }
+  const effects = move.recorded === undefined
+    ? record(state, move, MovePhase.Running)
+    : [];
+  if (load.ready === 0) return effects;
+  const stageMs = now - move.stepAt;
+  const share = planShare({
+    share: step.share,
+    elapsedMs: now - move.orderedAt,
+    durationMs: order.durationMs,
+    stageMs,
+    judgement,
+  });
+  if (share !== step.share) {
+    return [...effects, setStep(state, move, { share }, now)];
+  }
+  const isEmpty = load.otherCalls === 0 || stageMs >= emptyWithinMs;
+  if (!isSettled(share, stageMs) || !isEmpty) return effects;
+  return [...effects, ...record(state, move, MovePhase.Completed)];
+}
+
+function record(
+  state: TakeoverState,
+  move: Move,
+  phase: MovePhase,
+): TakeoverEffect[] {
+  if (move.recording !== undefined || move.recorded === phase) return [];
+  if (state.epoch === undefined) return [];
+  move.recording = phase;
+  const { service, target } = move.order;
+  const status = { service, target, phase };
+  return [{ type: "record", epoch: state.epoch, status }];
+}
+
+function setStep(
+  state: TakeoverState,
+  move: Move,
+  change: Partial<Pick<MoveStep, "share" | "phase">>,
+  now: MonotonicMs,
+): TakeoverEffect {
+  const epoch = Math.max(state.epoch ?? 0, move.step.epoch);
+  const step = {
+    ...move.step,
+    ...change,
+    epoch,
+    seq: move.step.seq + 1,
+    elapsedMs: now - move.orderedAt,
+  };
+  move.step = step;
+  move.stepAt = now;
+  return { type: "tell", step };
+}
--- /dev/null
+++ b/src/takeover/state.ts
@@ -0,0 +1,166 @@
+/**
+ * Orders to move services to new versions, and how far each move is.
+ * @module
+ */
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { Finding, RouteCounts } from "../rollout/messages.ts";
+import type { Evidence, Inbox, Judge } from "../rollout/state.ts";
+
+/** Why a version is taken back, as the log shows it. */
+export type MoveFinding = Finding;
+
+export const MovePhase = {
+  Running: "running",
+  Completed: "completed",
+  RolledBack: "rolled-back",
+} as const;
+export type MovePhase = typeof MovePhase[keyof typeof MovePhase];
+
+/** An operator's order to move a service to a version. */
+export interface MoveOrder {
+  readonly service: string;
+  readonly target: string;
+  /** Time in which the move should be completed, in milliseconds. */
+  readonly durationMs: number;
+}
+
+/** How far a move is. A higher (epoch, seq) replaces a lower one. */
+export interface MoveStep {
+  readonly service: string;
+  readonly target: string;
+  /** Lease under which the step was decided. 0 before the first lease. */
+  readonly epoch: number;
+  readonly seq: number;
+  readonly phase: MovePhase;
+  /** Share of the service's requests that the target gets, 0 to 1. */
+  readonly share: number;
+  /** Time since the order, in milliseconds. */
+  readonly elapsedMs: number;
+}
+
+/** A node's counts of both versions since its process began. */
+export interface MoveReport {
+  readonly service: string;
+  readonly target: string;
+  /** Unique for each start of a process. */
+  readonly source: string;
+  readonly seq: number;
+  readonly counts: readonly RouteCounts[];
+}
+
+/** A status that the store holds. */
+export interface MoveStatus {
+  readonly service: string;
+  readonly target: string;
+  readonly phase: MovePhase;
+}
+
+export interface Move {
+  readonly order: MoveOrder;
+  /** When the order was given, on this node's clock. */
+  orderedAt: MonotonicMs;
+  step: MoveStep;
+  stepAt: MonotonicMs;
+  /** When the target first had a ready endpoint. */
+  targetReadyAt: MonotonicMs | undefined;
+  /** Fault seen here. This node sends the target nothing from then on. */
+  fault: MoveFinding | undefined;
+  /** Phase that the store has confirmed. */
+  recorded: MovePhase | undefined;
+  /** Phase that is on its way to the store. */
+  recording: MovePhase | undefined;
+  /** Carry of the share, so that few requests are shared exactly. */
+  credit: number;
+  readonly local: Evidence;
+  localSeq: number;
+  readonly inbox: Inbox;
+  readonly judge: Judge;
+}
+
+export interface TakeoverState {
+  readonly self: NodeId;
+  /** This process, as the source of its reports. */
+  readonly source: string;
+  /** Epoch of the lease that this node holds. */
+  epoch: number | undefined;
+  readonly moves: Map<string, Move>;
+  /** Version that carries a service while no move is ordered. */
+  readonly base: Map<string, string>;
+  /** Statuses read from the store at start, by service. */
+  readonly statuses: Map<string, MoveStatus>;
+}
+
+export type TakeoverEvent =
+  | {
+    readonly type: "ordered";
+    readonly order: MoveOrder;
+    readonly now: MonotonicMs;
+  }
+  | { readonly type: "status-read"; readonly status: MoveStatus }
+  | {
+    readonly type: "step-heard";
+    readonly step: MoveStep;
+    readonly now: MonotonicMs;
+  }
+  | { readonly type: "report-heard"; readonly report: MoveReport }
+  /** The store confirmed a status. */
+  | {
+    readonly type: "recorded";
+    readonly service: string;
+    readonly phase: MovePhase;
+    readonly now: MonotonicMs;
+  }
+  | { readonly type: "record-failed"; readonly service: string }
+  /** The lease was granted or lost. */
+  | { readonly type: "leased"; readonly epoch: number | undefined }
+  | {
+    readonly type: "ticked";
+    readonly now: MonotonicMs;
+    /** This node leads moves, if it gets the lease. */
+    readonly mayLead: boolean;
+    /** Ready endpoints of a version, and calls that run or wait there. */
+    readonly loadOf: (service: string, version: string) => VersionLoad;
+  };
+
+/** Endpoints of a version and their calls. */
+export interface VersionLoad {
+  readonly ready: number;
+  readonly calls: number;
+  /** The same of all other versions of the service. */
+  readonly otherReady: number;
+  readonly otherCalls: number;
+}
+
+export type TakeoverEffect =
+  | { readonly type: "lease" }
+  | {
+    readonly type: "record";
+    readonly epoch: number;
+    readonly status: MoveStatus;
+  }
+  | { readonly type: "tell"; readonly step: MoveStep }
+  | { readonly type: "report"; readonly report: MoveReport }
+  | {
+    readonly type: "faulty";
+    readonly service: string;
+    readonly target: string;
+    readonly finding: MoveFinding;
+  };
+
+/** Options of `createTakeoverState`. */
+export interface CreateTakeoverStateOptions {
+  readonly self: NodeId;
+  readonly source: string;
+}
+
+export function createTakeoverState(
+  opts: CreateTakeoverStateOptions,
+): TakeoverState {
+  return {
+    ...opts,
+    epoch: undefined,
+    moves: new Map(),
+    base: new Map(),
+    statuses: new Map(),
+  };
+}
--- /dev/null
+++ b/src/takeover/takeover_test.ts
@@ -0,0 +1,163 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { chooseVersions } from "./choose_version.ts";
+import { countRun } from "./count_run.ts";
+import { decideTakeover } from "./decide_takeover.ts";
+import {
+  createTakeoverState,
+  MovePhase,
+  type TakeoverEffect,
+  type TakeoverState,
+} from "./state.ts";
+
+const order = { service: "one", target: "v2", durationMs: 14_000 };
+const present = ["v1", "v2"];
+
+function leader(): TakeoverState {
+  const state = createTakeoverState({ self: "a", source: "a 1" });
+  decideTakeover(state, { type: "leased", epoch: 1 });
+  decideTakeover(state, { type: "ordered", order, now: 0 });
+  return state;
+}
+
+interface PlayOptions {
+  readonly untilMs: number;
+  /** Whether a run of the version at that time fails. */
+  readonly isFailed?: (version: string, now: number, n: number) => boolean;
+  readonly tookMs?: (version: string, now: number, n: number) => number;
+  readonly perTick?: number;
+}
+
+/** Plays requests in ticks of 250 ms; the store confirms at once. */
+function play(state: TakeoverState, opts: PlayOptions) {
+  const counts = new Map<string, number>();
+  const records: { phase: MovePhase; at: number }[] = [];
+  for (let now = 0; now <= opts.untilMs; now += 250) {
+    for (let n = 0; n < (opts.perTick ?? 50); n++) {
+      const [version] = chooseVersions(state, "one", present);
+      assert.ok(version);
+      counts.set(version, (counts.get(version) ?? 0) + 1);
+      countRun(state, {
+        service: "one",
+        version,
+        route: "a",
+        isFailed: opts.isFailed?.(version, now, n) ?? false,
+        tookMs: opts.tookMs?.(version, now, n) ?? 60,
+      });
+    }
+    const effects: readonly TakeoverEffect[] = decideTakeover(state, {
+      type: "ticked",
+      now,
+      mayLead: true,
+      loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
+    });
+    for (const effect of effects) {
+      if (effect.type !== "record") continue;
+      const { service, phase } = effect.status;
+      records.push({ phase, at: now });
+      decideTakeover(state, { type: "recorded", service, phase, now });
+    }
+  }
+  return { counts, records };
+}
+
+test("a good version is completed before its time is over", () => {
+  const { records } = play(leader(), { untilMs: 14_000 });
+  assert.equal(records[0]?.phase, MovePhase.Running);
+  assert.equal(records[1]?.phase, MovePhase.Completed);
+  assert.ok((records[1]?.at ?? Infinity) < 0.9 * order.durationMs);
+});
+
+for (
+  const [name, isFailed] of [
+    ["at once", () => true],
+    ["late", (_: string, now: number) => now > 3_000],
+    ["at a fifth of its runs", (_: string, __: number, n: number) => n < 10],
+  ] as const
+) {
+  test(`a version that fails ${name} is taken back`, () => {
+    const state = leader();
+    const { counts, records } = play(state, {
+      untilMs: 14_000,
+      isFailed: (version, now, n) => version === "v2" && isFailed("", now, n),
+    });
+    assert.equal(records.at(-1)?.phase, MovePhase.RolledBack);
+    const total = (counts.get("v1") ?? 0) + (counts.get("v2") ?? 0);
+    assert.ok((counts.get("v2") ?? 0) < 0.1 * total + 50);
+    assert.deepEqual(chooseVersions(state, "one", present), ["v1"]);
+  });
+}
+
+test("a version that is several times slower is taken back", () => {
+  const { records } = play(leader(), {
+    untilMs: 14_000,
+    tookMs: (version, _, n) => version === "v2" && n % 2 === 0 ? 500 : 60,
+  });
+  assert.equal(records.at(-1)?.phase, MovePhase.RolledBack);
+});
+
+test("a fault under load alone is found on the way up", () => {
+  const state = leader();
+  const { counts, records } = play(state, {
+    untilMs: 14_000,
+    isFailed: (version, _, n) =>
+      version === "v2" && n % 2 === 0 &&
+      (state.moves.get("one")?.step.share ?? 0) >= 0.2,
+  });
+  assert.equal(records.at(-1)?.phase, MovePhase.RolledBack);
+  const total = (counts.get("v1") ?? 0) + (counts.get("v2") ?? 0);
+  assert.ok((counts.get("v2") ?? 0) < 0.1 * total + 50);
+});
+
+test("without an order a new version gets nothing", () => {
+  const state = createTakeoverState({ self: "a", source: "a 1" });
+  assert.deepEqual(chooseVersions(state, "one", ["v1"]), ["v1"]);
+  assert.deepEqual(chooseVersions(state, "one", ["v2", "v1"]), ["v1"]);
+});
+
+test("only the holder of the lease plans", () => {
+  const state = createTakeoverState({ self: "a", source: "a 1" });
+  decideTakeover(state, { type: "ordered", order, now: 0 });
+  const load = { ready: 2, calls: 0, otherReady: 2, otherCalls: 0 };
+  const tick = (mayLead: boolean) =>
+    decideTakeover(state, {
+      type: "ticked",
+      now: 1_000,
+      mayLead,
+      loadOf: () => load,
+    });
+  assert.deepEqual(tick(false), []);
+  assert.deepEqual(tick(true), [{ type: "lease" }]);
+});
+
+test("steps of an older lease are ignored", () => {
+  const state = createTakeoverState({ self: "a", source: "a 1" });
+  decideTakeover(state, { type: "ordered", order, now: 0 });
+  const hear = (epoch: number, seq: number, share: number) =>
+    decideTakeover(state, {
+      type: "step-heard",
+      step: {
+        service: "one",
+        target: "v2",
+        epoch,
+        seq,
+        phase: MovePhase.Running,
+        share,
+        elapsedMs: 0,
+      },
+      now: 0,
+    });
+  hear(2, 1, 0.05);
+  hear(1, 9, 1);
+  assert.equal(state.moves.get("one")?.step.share, 0.05);
+  hear(2, 2, 0.2);
+  assert.equal(state.moves.get("one")?.step.share, 0.2);
+});
+
+test("a status read at start ends the move", () => {
+  const state = createTakeoverState({ self: "a", source: "a 2" });
+  const status = { service: "one", target: "v2", phase: MovePhase.RolledBack };
+  decideTakeover(state, { type: "status-read", status });
+  decideTakeover(state, { type: "ordered", order, now: 0 });
+  assert.deepEqual(chooseVersions(state, "one", present), ["v1"]);
+});
