fix(homes): treat an unframed answer that was reset as cut

Ruled out: the links, whose frames carry whole bodies. The connector marks a reset before the client hears of it.

--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -2,7 +2,7 @@
  * The home of the endpoint beside this node.
  * @module
  */
-import { Pool } from "undici";
+import Pool from "undici/lib/dispatcher/pool.js";
 import {
   type Attempt,
   type AttemptEvent,
@@ -22,6 +22,10 @@
 } from "../queue/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { Run } from "../takeover/count_run.ts";
+import {
+  createEndpointConnector,
+  type EndpointConnector,
+} from "./connect_endpoint.ts";
 import { runCall, type RunEvent, type RunningAttempt } from "./run_call.ts";
 
 /** Connections besides the slots, for those that are just being closed. */
@@ -75,6 +79,7 @@
 /** Creates the home. Its gate is closed until an instance is set. */
 export function createHome(opts: CreateHomeOptions): LocalHome {
   const { dialect, now } = opts;
+  const connector = createEndpointConnector({ connectMs });
   const queue = createQueueState();
   const open = new Map<number, OpenCall>();
   let lastKey = 0;
@@ -132,6 +137,7 @@
       call: entry.call,
       instanceId: instance.id,
       leftMs,
+      isResetting: connector.isResetting,
       onEvent: (event) => takeRun(key, entry, runningOn, event),
     });
     entry.onEvent({ type: "admitted" });
@@ -274,7 +280,7 @@
       if (!isSame || pool === undefined) {
         // Answers of an earlier endpoint must not reach calls to this one.
         void pool?.destroy();
-        pool = createPool(opts.endpointAddress, next.slots);
+        pool = createPool(opts.endpointAddress, next.slots, connector);
       }
       openGate();
     },
@@ -288,11 +294,15 @@
   };
 }
 
-function createPool(address: string, slots: number): Pool {
+function createPool(
+  address: string,
+  slots: number,
+  connector: EndpointConnector,
+): Pool {
   return new Pool(`http://${address}`, {
     connections: slots + spareConnections,
     pipelining: 1,
-    connectTimeout: connectMs,
+    connect: connector.connect,
     keepAliveTimeout: keepAliveMs,
     headersTimeout: 0,
     bodyTimeout: 0,
--- /dev/null
+++ b/src/homes/homes_test.ts
@@ -0,0 +1,155 @@
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import assert from "node:assert/strict";
+import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
+import { InstancePhase } from "../instance/state.ts";
+import { testDialect } from "../testing/test_dialect.ts";
+import { createHome } from "./create_home.ts";
+
+const call: OfferedCall = {
+  id: "r-1",
+  method: "GET",
+  target: "/a",
+  headers: ["host", "shop.example", "call-id", "r-1"],
+  service: "one",
+  version: "v1",
+  route: "a",
+  urgency: 1,
+  isInner: false,
+  callerService: "two",
+  leftMs: 5_000,
+  aimLeftMs: 5_000,
+  mayBeLate: true,
+  body: Buffer.alloc(0),
+  bodyBytes: undefined,
+};
+
+/** A home of an endpoint that answers each request as `serve` does. */
+async function homeOf(t: TestContext, serve: (socket: Socket) => void) {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", () => serve(socket));
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  const { port } = server.address() as AddressInfo;
+  const home = createHome({
+    endpointAddress: `127.0.0.1:${port}`,
+    dialect: testDialect,
+    now: () => performance.now(),
+    onRun: () => {},
+    onTrouble: () => {},
+  });
+  home.setInstance({
+    id: "i-1",
+    bornAt: 0,
+    seq: 1,
+    service: "one",
+    version: "v1",
+    slots: 2,
+    phase: InstancePhase.Ready,
+    coldUntil: -Infinity,
+    heardAt: 0,
+  }, "");
+  t.after(async () => {
+    await home.close();
+    server.close();
+  });
+  return { home, server };
+}
+
+function offer(
+  home: Awaited<ReturnType<typeof homeOf>>["home"],
+  change: Partial<OfferedCall> = {},
+): Promise<AttemptEvent> {
+  return new Promise((resolve) => {
+    home.offer({ ...call, ...change }, (event) => {
+      if (event.type !== "admitted" && event.type !== "overdue") resolve(event);
+    });
+  });
+}
+
+const head = (fields: string) => `HTTP/1.1 200 OK\r\n${fields}\r\n\r\n`;
+
+test("an answer with a length is passed on whole", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
+  });
+  const event = await offer(home);
+  assert.equal(event.type === "answered" && String(event.body), "body");
+});
+
+test("an answer without a length is whole at its orderly end", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    socket.end(head("call-id: r-1") + "body");
+  });
+  const event = await offer(home);
+  assert.equal(event.type === "answered" && String(event.body), "body");
+});
+
+test("an answer without a length that is reset is not whole", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    socket.write(head("call-id: r-1") + "bo");
+    // The bytes have to be read before the reset discards them.
+    setTimeout(() => socket.resetAndDestroy(), 50);
+  });
+  const event = await offer(home);
+  assert.equal(event.type, "failed");
+});
+
+test("an answer that ends short of its length is not whole", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    socket.end(head("call-id: r-1\r\ncontent-length: 9") + "body");
+  });
+  assert.equal((await offer(home)).type, "failed");
+});
+
+test("an answer to another call is never passed on", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    socket.write(head("call-id: r-0\r\ncontent-length: 4") + "body");
+  });
+  assert.equal((await offer(home)).type, "failed");
+});
+
+test("a second answer is not taken for the next call's", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    const answer = head("call-id: r-1\r\ncontent-length: 4") + "body";
+    socket.write(answer + answer);
+  });
+  assert.equal((await offer(home)).type, "answered");
+  const second = await offer(home, {
+    id: "r-2",
+    headers: ["host", "shop.example", "call-id", "r-2"],
+  });
+  assert.equal(second.type, "failed");
+});
+
+test("what the endpoint did not run is refused", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    socket.write(
+      "HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+    );
+  });
+  const event = await offer(home);
+  assert.equal(event.type === "refused" && event.refusal.by, "endpoint");
+});
+
+test("an endpoint that takes no connection has run nothing", async (t) => {
+  const { home, server } = await homeOf(t, () => {});
+  await new Promise((resolve) => server.close(resolve));
+  const event = await offer(home);
+  assert.equal(event.type === "refused" && event.refusal.by, "home");
+});
+
+test("a withdrawn call closes the endpoint's connection", async (t) => {
+  let closed: () => void;
+  const isClosed = new Promise<void>((resolve) => closed = resolve);
+  const { home } = await homeOf(t, (socket) => {
+    socket.on("close", () => closed());
+  });
+  const attempt = home.offer(call, (event) => {
+    if (event.type === "admitted") setTimeout(() => attempt.cancel(), 20);
+  });
+  await isClosed;
+});
--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import { Readable } from "node:stream";
-import type { Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
+import type Pool from "undici/lib/dispatcher/pool.js";
 import type { AnswerHead, OfferedCall } from "../calls/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 
@@ -35,6 +36,8 @@
   readonly call: OfferedCall;
   readonly instanceId: string;
   readonly leftMs: number;
+  /** True while a connection to the endpoint is being reset. */
+  readonly isResetting: () => boolean;
   readonly onEvent: (event: RunEvent) => void;
 }
 
@@ -100,6 +103,9 @@
 
   function takeEnd() {
     if (head === undefined) return;
+    if (opts.isResetting()) {
+      return emit({ type: "failed", reason: "the answer was reset" });
+    }
     if (isStreaming) emit({ type: "ended" });
     else emit({ type: "answered", head, body: Buffer.concat(parts, size) });
   }
