fix(queue): keep fresh calls ahead when runs grow long

Ruled out: slots standing idle; the reports of homes are fresh. A call is timely while six tenths of the mean run fit, and at most two late calls wait for each slot.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -114,13 +114,11 @@
 
   function offer(mayBeLate: boolean): void {
     if (isDone) return;
+    // A home that refused a late answer may still be the best for one.
+    if (mayBeLate) welcomeLate();
     const found = findHome();
     if (found !== undefined) return offerTo(found, mayBeLate);
-    if (refusedLate.size > 0 && !mayBeLate) {
-      for (const home of refusedLate) tried.delete(home);
-      refusedLate.clear();
-      return offer(true);
-    }
+    if (refusedLate.size > 0 && !mayBeLate) return offer(true);
     if (attempts.size > 0) return;
     const reason = offers === 0
       ? "no endpoint is known"
@@ -247,7 +245,7 @@
       const step = next({ type: "answered", head });
       if (step.type === "offer") {
         open.attempt.cancel();
-        return repeat(step.mayBeLate);
+        return offer(step.mayBeLate);
       }
     }
     noteAnswerSize(whole);
@@ -272,7 +270,6 @@
     const step = next(end);
     switch (step.type) {
       case "offer":
-        if (end.type === "failed") return repeat(step.mayBeLate);
         return offer(step.mayBeLate);
       case "give-up":
         return giveUp(step.status, reasonOf(end));
@@ -308,11 +305,9 @@
     return isSpent;
   }
 
-  /** The budget is spent; homes that refused as late are welcome again. */
-  function repeat(mayBeLate: boolean) {
+  function welcomeLate() {
     for (const home of refusedLate) tried.delete(home);
     refusedLate.clear();
-    offer(mayBeLate);
   }
 
   /** A second attempt beside one that hangs, for a call that may run twice. */
--- a/src/calls/calls_test.ts
+++ b/src/calls/calls_test.ts
@@ -55,6 +55,12 @@
   assert.deepEqual(step, { type: "offer", mayBeLate: false });
 });
 
+test("a late answer is asked for after two strict refusals", () => {
+  const end = refusedBy(RefusedBy.Home);
+  const step = next(end, { arrivals: 0, offers: 2 });
+  assert.deepEqual(step, { type: "offer", mayBeLate: true });
+});
+
 test("an endpoint's refusal is followed within budget and attempts", () => {
   const end = refusedBy(RefusedBy.Endpoint, "full");
   assert.equal(next(end, { isIdempotent: false }).type, "offer");
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -14,6 +14,13 @@
 /** Homes that one call is offered to, at most. Offers cost milliseconds. */
 const maxOffers = 6;
 
+/**
+ * Homes that may refuse a call because its answer would be late, before a late
+ * answer is asked for. What homes report is a few milliseconds old at most, so
+ * further ones would refuse it too.
+ */
+const strictOffers = 2;
+
 /** Lowest status with which an endpoint says that it failed. */
 const lowestServerError = 500;
 
@@ -80,7 +87,8 @@
   const isLate = refusal.reason === RefusalReason.Late;
   const mayOffer = opts.canResend && opts.leftMs > 0 &&
     opts.offers < maxOffers && mayArriveAgain(opts, refusal);
-  if (mayOffer) return { type: "offer", mayBeLate: !isLate };
+  const mayBeLate = !isLate || opts.offers >= strictOffers;
+  if (mayOffer) return { type: "offer", mayBeLate };
   return { type: "give-up", status: opts.mayHaveRun ? 502 : 503 };
 }
 
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -6,6 +6,7 @@
 import type { MonotonicMs } from "../core/types.ts";
 import { compareCalls } from "./compare_calls.ts";
 import {
+  canMeetAim,
   expectedRunMs,
   expectedWaitMs,
   learnRun,
@@ -25,6 +26,12 @@
 /** Bound of the queue's memory. Deadlines keep it far shorter. */
 const maxWaiting = 512;
 
+/**
+ * Calls for each slot that may wait though they miss their aim. They start in
+ * gaps between timely calls only; more of them would wait for nothing.
+ */
+const lateShare = 2;
+
 /**
  * Part of the expected run that must be left before the deadline. Runs differ,
  * so some calls with less than the mean left are still answered in time.
@@ -90,10 +97,11 @@
     return [refuse(state, call.key, RefusalReason.NoTime)];
   }
   const mustWait = startAt > now;
-  const isLate = mustWait && startAt + runMs > call.aimAt;
-  if ((isLate && !mayBeLate) || state.waiting.size >= maxWaiting) {
-    return [refuse(state, call.key, RefusalReason.Late)];
-  }
+  const isLate = mustWait && !canMeetAim(state, call, startAt);
+  const hasRoom = isLate
+    ? mayBeLate && state.waiting.size < lateShare * gate.slots
+    : state.waiting.size < maxWaiting;
+  if (!hasRoom) return [refuse(state, call.key, RefusalReason.Late)];
   state.waiting.set(call.key, call);
   return pump(state, now);
 }
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -14,6 +14,13 @@
 /** Endpoints that have just started take about twice as long. */
 const coldFactor = 2;
 
+/**
+ * Part of the expected run that must fit before the end of the aim. Runs
+ * differ, and a call that is taken for late waits behind all others: under a
+ * load that lengthens every run, all calls would be late for good.
+ */
+const timelyShare = 0.6;
+
 /** Adds one run to the recent times. */
 export function learnRun(times: RunTimes, tookMs: number) {
   times.samples++;
@@ -44,11 +51,12 @@
   return (ahead - Math.max(0, free) + 1) * meanRunMs(state) / slots;
 }
 
-/** Whether a call that starts now is expected to meet its aim. */
+/** Whether a call that starts at `startAt` has a fair chance to meet its aim. */
 export function canMeetAim(
   state: QueueState,
   call: QueuedCall,
-  now: MonotonicMs,
+  startAt: MonotonicMs,
 ): boolean {
-  return now + expectedRunMs(state, call.route, now) <= call.aimAt;
+  const runMs = expectedRunMs(state, call.route, startAt);
+  return startAt + runMs * timelyShare <= call.aimAt;
 }
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -126,6 +126,32 @@
   assert.deepEqual(offer(state, call), []);
 });
 
+test("a load that lengthens every run does not make fresh calls late", () => {
+  const state = openQueue(1);
+  for (let n = 0; n < 10; n++) {
+    const call = callOf();
+    offer(state, call);
+    end(state, call.key, 350);
+  }
+  const first = callOf();
+  offer(state, first);
+  const late = callOf({ aimAt: 100 });
+  offer(state, late);
+  const fresh = callOf({ aimAt: 300 });
+  offer(state, fresh);
+  assert.deepEqual(startedKeys(end(state, first.key, 50)), [fresh.key]);
+});
+
+test("late calls wait in a bounded number", () => {
+  const state = openQueue(2);
+  for (let n = 0; n < 2; n++) offer(state, callOf());
+  const offers = Array.from(
+    { length: 10 },
+    () => offer(state, callOf({ aimAt: 10, deadlineAt: 1e6 })),
+  );
+  assert.equal(offers.filter((effects) => effects.length === 0).length, 4);
+});
+
 test("a run far over its route's mean is overdue once", () => {
   const state = openQueue(4);
   for (let n = 0; n < 10; n++) {
