--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -291,7 +291,7 @@
       listenPolka(pings, address)
     ),
   );
-  await listenPolka(scrape, settings.metricsAddress);
+  const scraped = await listenPolka(scrape, settings.metricsAddress);
   const registration = registerNode({
     settings,
     platform,
@@ -328,8 +328,13 @@
       registration.close();
       gossip.close();
       links.close();
-      for (const server of pingServers) server.close();
+      for (const server of [...pingServers, scraped]) {
+        server.closeAllConnections();
+        server.close();
+      }
+      callers.server.closeAllConnections();
       await home.close();
+      await platform.store.close();
       log.write("process", LogLevel.Info, "stopped");
       log.close();
     },
