fix(homes): find resets that come with an answer's last bytes

The end of an unframed answer is now checked by writing an empty line: a connection that was reset fails at once. Test: fails without the check, passes with it, on loopback.

--- a/src/homes/connect_endpoint.ts
+++ b/src/homes/connect_endpoint.ts
@@ -16,8 +16,12 @@
 
 export interface EndpointConnector {
   connect(opts: ConnectorOptions, callback: ConnectCallback): void;
-  /** True while the HTTP client is told of a connection's error. */
-  isResetting(): boolean;
+  /**
+   * Whether the connection whose end the HTTP client is being told of was
+   * reset. Sends an empty line to find out, so it is asked only where the end
+   * of the connection is the end of the answer.
+   */
+  isReset(): boolean;
 }
 
 /** Options of `createEndpointConnector`. */
@@ -27,15 +31,19 @@
 }
 
 /**
- * Creates a connector. The HTTP client takes a reset as the end of an answer
- * without a length; such an answer is not whole.
+ * Creates a connector.
+ *
+ * An answer without a length that is reset is not whole, but the HTTP client
+ * takes it as whole: it ignores the reset, and where the last bytes and the
+ * reset come together, Node reports an orderly end in place of the reset.
  */
 export function createEndpointConnector(
   opts: CreateEndpointConnectorOptions,
 ): EndpointConnector {
   let isResetting = false;
+  let ending: Socket | undefined;
 
-  /** Added before the client's own listener, so that it runs first. */
+  // Both listeners are added before the client's own, so they run first.
   function markReset() {
     isResetting = true;
     queueMicrotask(() => {
@@ -43,12 +51,21 @@
     });
   }
 
+  function markEnd(socket: Socket) {
+    ending = socket;
+    queueMicrotask(() => {
+      ending = undefined;
+    });
+  }
+
   return {
     connect({ hostname, port }, callback) {
       const socket = connect({
         host: hostname,
         port: Number(port),
         noDelay: true,
+        // Writing has to be possible when the other side has ended.
+        allowHalfOpen: true,
       });
       const timer = setTimeout(() => {
         socket.destroy(new Error(`no connection in ${opts.connectMs} ms`));
@@ -62,9 +79,17 @@
         clearTimeout(timer);
         socket.off("error", fail);
         socket.on("error", markReset);
+        socket.on("end", () => markEnd(socket));
         callback(null, socket);
       });
     },
-    isResetting: () => isResetting,
+    isReset: () =>
+      isResetting || (ending !== undefined && failsToWrite(ending)),
   };
 }
+
+/** A connection that was reset fails at once, one that was ended does not. */
+function failsToWrite(socket: Socket): boolean {
+  socket.write("\r\n");
+  return socket.errored !== null;
+}
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -137,7 +137,7 @@
       call: entry.call,
       instanceId: instance.id,
       leftMs,
-      isResetting: connector.isResetting,
+      isReset: connector.isReset,
       onEvent: (event) => takeRun(key, entry, runningOn, event),
     });
     entry.onEvent({ type: "admitted" });
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -98,6 +98,13 @@
   assert.equal(event.type, "failed");
 });
 
+test("a reset that comes with the last bytes is no orderly end", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    socket.write(head("call-id: r-1") + "bo", () => socket.resetAndDestroy());
+  });
+  assert.equal((await offer(home)).type, "failed");
+});
+
 test("an answer that ends short of its length is not whole", async (t) => {
   const { home } = await homeOf(t, (socket) => {
     socket.end(head("call-id: r-1\r\ncontent-length: 9") + "body");
--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -11,6 +11,8 @@
 /** Answers up to this size are read whole before any byte is passed on. */
 const maxWholeBytes = 65_536;
 
+const framingHeaders = new Set(["content-length", "transfer-encoding"]);
+
 /** How a run ends or goes on. One of the last three comes last. */
 export type RunEvent =
   | {
@@ -36,8 +38,8 @@
   readonly call: OfferedCall;
   readonly instanceId: string;
   readonly leftMs: number;
-  /** True while a connection to the endpoint is being reset. */
-  readonly isResetting: () => boolean;
+  /** Whether the connection that is just ending was reset. */
+  readonly isReset: () => boolean;
   readonly onEvent: (event: RunEvent) => void;
 }
 
@@ -103,7 +105,7 @@
 
   function takeEnd() {
     if (head === undefined) return;
-    if (opts.isResetting()) {
+    if (!isFramed(head) && opts.isReset()) {
       return emit({ type: "failed", reason: "the answer was reset" });
     }
     if (isStreaming) emit({ type: "ended" });
@@ -172,6 +174,13 @@
   return headers;
 }
 
+/** Whether the end of the answer shows without the connection's end. */
+function isFramed(head: AnswerHead): boolean {
+  return head.headers.some((name, index) =>
+    index % 2 === 0 && framingHeaders.has(name.toLowerCase())
+  );
+}
+
 /** Header names and values by turns, in the order of the wire. */
 function listOf(raw: unknown, headers: object): string[] {
   if (Array.isArray(raw)) {
