--- a/src/bin/lagoon_sidecar.ts
+++ b/src/bin/lagoon_sidecar.ts
@@ -14,7 +14,8 @@
 
 const exitUsage = 2;
 
-const read = readSidecarSettings(process.env[settingsVariable] ?? "");
+const path = process.env[settingsVariable] ?? "";
+const read = readSidecarSettings(path);
 if (read.isErr()) {
   process.stderr.write(`${formatError(read.error)}\n`);
   process.exit(exitUsage);
@@ -25,5 +26,9 @@
 const stop = () => void sidecar.close().then(() => process.exit(0));
 process.once("SIGTERM", stop);
 process.once("SIGINT", stop);
-// Addresses never change within a VM's life, so a reload has nothing to do.
-process.on("SIGHUP", () => {});
+process.on("SIGHUP", () => {
+  readSidecarSettings(path).match(
+    (next) => sidecar.reload(next),
+    (err) => sidecar.rejectReload(formatError(err)),
+  );
+});
--- /dev/null
+++ b/src/callers/find_next_home.ts
@@ -0,0 +1,66 @@
+/**
+ * Finds the home that a request is offered to next.
+ * @module
+ */
+import type { NodeId } from "../core/types.ts";
+import { chooseCandidate } from "../placement/choose_candidate.ts";
+import type { Route } from "../routes/state.ts";
+import { chooseVersions } from "../takeover/choose_version.ts";
+import type { CallContext } from "./state.ts";
+
+/** Assumed size of an answer before the first, in bytes. */
+const firstAnswerBytes = 1_024;
+
+/** Weight of the newest answer in the mean size. */
+const newestAnswerWeight = 0.1;
+
+/** Options of `findNextHome`. */
+export interface FindNextHomeOptions {
+  readonly ctx: CallContext;
+  readonly service: string;
+  readonly versions: readonly string[];
+  readonly route: Route;
+  readonly tried: ReadonlySet<NodeId>;
+  /** Size of the request's body, as far as it is known. */
+  readonly bodyBytes: number;
+}
+
+/** Versions of the service that a request may run on. Chosen once for each. */
+export function allowedVersions(
+  ctx: CallContext,
+  service: string,
+): readonly string[] {
+  const present = ctx.fleet.byService.get(service);
+  if (present === undefined) return [];
+  return chooseVersions(ctx.takeover, service, [...present.keys()]);
+}
+
+/** Returns the untried home with the least expected cost. */
+export function findNextHome(opts: FindNextHomeOptions): NodeId | undefined {
+  const { ctx, service, versions, route } = opts;
+  const present = ctx.fleet.byService.get(service);
+  if (present === undefined) return undefined;
+  const candidates = versions.length === 1
+    ? present.get(versions[0] ?? "") ?? []
+    : versions.flatMap((version) => present.get(version) ?? []);
+  return chooseCandidate(ctx.placement, {
+    candidates,
+    tried: opts.tried,
+    ownDomain: ctx.domain,
+    bytes: opts.bodyBytes +
+      (ctx.answerBytes.get(route.name) ?? firstAnswerBytes),
+    now: ctx.now(),
+    random: ctx.random,
+  })?.home;
+}
+
+/** Learns the size of a route's answers. */
+export function noteAnswerBytes(
+  ctx: CallContext,
+  route: Route,
+  bytes: number,
+) {
+  const mean = ctx.answerBytes.get(route.name) ?? bytes;
+  const change = (bytes - mean) * newestAnswerWeight;
+  ctx.answerBytes.set(route.name, mean + change);
+}
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -18,15 +18,22 @@
 import type { NodeId } from "../core/types.ts";
 import { LogLevel } from "../logs/create_log.ts";
 import { CallResult } from "../metrics/create_metrics.ts";
-import { chooseCandidate } from "../placement/choose_candidate.ts";
 import { noteEnd, noteOffer, shunHome } from "../placement/note_home.ts";
-import type { Candidate } from "../placement/state.ts";
 import { RefusalReason } from "../queue/state.ts";
 import { pickPart } from "../routes/pick_part.ts";
 import type { Route } from "../routes/state.ts";
-import { chooseVersions } from "../takeover/choose_version.ts";
 import { answerItself, passOnAnswer } from "./answer_caller.ts";
-import { type BodySink, hasBody, readBody } from "./request_body.ts";
+import {
+  allowedVersions,
+  findNextHome,
+  noteAnswerBytes,
+} from "./find_next_home.ts";
+import {
+  type BodySink,
+  hasBody,
+  readBody,
+  type RequestBody,
+} from "./request_body.ts";
 import type { CallContext } from "./state.ts";
 
 /** Bodies up to this size travel with the offer instead of after it. */
@@ -35,12 +42,6 @@
 /** A home that refused as closed, or was not reached, is left alone so long. */
 const shunMs = 250;
 
-/** Assumed size of an answer before the first, in bytes. */
-const firstAnswerBytes = 1_024;
-
-/** Weight of the newest answer in the mean size. */
-const newestAnswerWeight = 0.1;
-
 /** Time after which a caller without any candidate may come back. */
 const noHomeWaitMs = 300;
 
@@ -88,7 +89,7 @@
   const tried = new Set<NodeId>();
   const refusedLate = new Set<NodeId>();
   const attempts = new Set<OpenAttempt>();
-  let versions: readonly string[] | undefined;
+  let versions: readonly string[] = [];
   let offers = 0;
   let arrivals = 0;
   let mayHaveRun = false;
@@ -97,7 +98,7 @@
   let isDone = false;
   let streaming: OpenAttempt | undefined;
   const deadline = setTimeout(expire, Math.max(0, deadlineAt - startedAt));
-  if (!isInner) countRequest(ctx.budget, ctx.budgetTerms, service, startedAt);
+  if (!isInner) countRequest(ctx.budget, ctx.budgetTerms(), service, startedAt);
 
   const body = !hasBody(req) ? undefined : readBody({
     req,
@@ -130,21 +131,9 @@
   }
 
   function findHome(): NodeId | undefined {
-    const present = ctx.fleet.byService.get(service);
-    if (present === undefined) return undefined;
-    versions ??= chooseVersions(ctx.takeover, service, [...present.keys()]);
-    const candidates: readonly Candidate[] = versions.length === 1
-      ? present.get(versions[0] ?? "") ?? []
-      : versions.flatMap((version) => present.get(version) ?? []);
-    return chooseCandidate(ctx.placement, {
-      candidates,
-      tried,
-      ownDomain: ctx.domain,
-      bytes: (body?.announcedBytes ?? body?.size() ?? 0) +
-        (ctx.answerBytes.get(route.name) ?? firstAnswerBytes),
-      now: ctx.now(),
-      random: ctx.random,
-    })?.home;
+    const search = { ctx, service, route, tried, bodyBytes: bytesOf(body) };
+    if (versions.length === 0) versions = allowedVersions(ctx, service);
+    return findNextHome({ ...search, versions });
   }
 
   function offerTo(node: NodeId, mayBeLate: boolean): void {
@@ -265,7 +254,7 @@
         return offer(step.mayBeLate);
       }
     }
-    noteAnswerSize(whole);
+    if (whole !== undefined) noteAnswerBytes(ctx, route, whole.length);
     if (opts.mayClose()) res.shouldKeepAlive = false;
     passOnAnswer(res, ctx.dialect, head, whole);
     if (whole !== undefined) {
@@ -276,13 +265,6 @@
     streaming = open;
   }
 
-  function noteAnswerSize(whole: Buffer | undefined) {
-    if (whole === undefined) return;
-    const mean = ctx.answerBytes.get(route.name) ?? whole.length;
-    const change = (whole.length - mean) * newestAnswerWeight;
-    ctx.answerBytes.set(route.name, mean + change);
-  }
-
   function follow(end: AttemptEnd) {
     const step = next(end);
     switch (step.type) {
@@ -313,7 +295,7 @@
 
   function spend(hasRun: boolean): boolean {
     const isSpent = spendRepeat(ctx.budget, {
-      terms: ctx.budgetTerms,
+      terms: ctx.budgetTerms(),
       service,
       nodes: ctx.fleet.linked.size + 1,
       hasRun,
@@ -427,6 +409,10 @@
   };
 }
 
+function bytesOf(body: RequestBody | undefined): number {
+  return body?.announcedBytes ?? body?.size() ?? 0;
+}
+
 function reasonOf(end: AttemptEnd): string {
   switch (end.type) {
     case "refused":
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -23,7 +23,8 @@
   readonly fleet: FleetState;
   readonly placement: PlacementState;
   readonly budget: BudgetState;
-  readonly budgetTerms: BudgetTerms;
+  /** Changes when the settings are read again. */
+  readonly budgetTerms: () => BudgetTerms;
   /** Mean size of the answers of each route, in bytes. */
   readonly answerBytes: Map<string, number>;
   readonly homes: Homes;
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -62,13 +62,18 @@
 }
 
 export interface Sidecar {
+  /** Takes changed limits over. Addresses hold for the process's life. */
+  reload(next: SidecarSettings): void;
+  /** Keeps the settings in force when new ones can't be read. */
+  rejectReload(reason: string): void;
   /** Finishes what was begun, within the grace of the settings. */
   close(): Promise<void>;
 }
 
 /** Starts the process. Rejects when an address can't be listened on. */
 export async function runSidecar(opts: RunSidecarOptions): Promise<Sidecar> {
-  const { settings, platform } = opts;
+  const { platform } = opts;
+  let settings = opts.settings;
   const now = () => performance.now();
   const random = () => randomInt(2 ** 32) / 2 ** 32;
   const log = createLog({ node: settings.node, now });
@@ -153,7 +158,7 @@
     fleet,
     placement,
     budget: createBudgetState(),
-    budgetTerms: settings.budget,
+    budgetTerms: () => settings.budget,
     answerBytes: new Map(),
     homes: gossip,
     dialect: platform.dialect,
@@ -307,6 +312,16 @@
   });
 
   return {
+    reload(next) {
+      const { budget, graceMs } = next;
+      settings = { ...settings, budget, graceMs };
+      log.write("process", LogLevel.Info, "settings reloaded", {
+        ...budget,
+        graceMs,
+      });
+    },
+    rejectReload: (reason) =>
+      log.write("process", LogLevel.Error, "settings kept", { reason }),
     async close() {
       if (isStopping) return;
       isStopping = true;
