fix(sidecar): finish requests read while the last connections close

Cause: a request that came on a kept connection between the closing of idle connections and the exit was passed on and then cut.

--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -359,8 +359,11 @@
       const calmAt = stoppedAt + drainMs;
       while (now() < endAt && (now() < calmAt || isBusy())) await sleep(50);
       callers.server.close();
-      callers.server.closeIdleConnections();
-      await sleep(flushMs);
+      // Requests that were read before their connection closed are finished.
+      do {
+        callers.server.closeIdleConnections();
+        await sleep(flushMs);
+      } while (now() < endAt && isBusy());
       clearInterval(moveTimer);
       clearInterval(fleetTimer);
       follower.close();
