--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -98,9 +98,10 @@
   }
   const mustWait = startAt > now;
   const isLate = mustWait && !canMeetAim(state, call, startAt);
-  const hasRoom = isLate
-    ? mayBeLate && state.waiting.size < lateShare * gate.slots
-    : state.waiting.size < maxWaiting;
+  // A parent's slot is wasted when one of its calls is turned away.
+  const isBounded = isLate && !call.isInner;
+  const hasRoom = (mayBeLate || !isLate) &&
+    state.waiting.size < (isBounded ? lateShare * gate.slots : maxWaiting);
   if (!hasRoom) return [refuse(state, call.key, RefusalReason.Late)];
   state.waiting.set(call.key, call);
   return pump(state, now);
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -152,6 +152,16 @@
   assert.equal(offers.filter((effects) => effects.length === 0).length, 4);
 });
 
+test("a call of a running call is taken beside a full queue", () => {
+  const state = openQueue(1);
+  offer(state, callOf());
+  for (let n = 0; n < 9; n++) {
+    offer(state, callOf({ aimAt: 10, deadlineAt: 1e6 }));
+  }
+  const inner = callOf({ isInner: true, aimAt: 10 });
+  assert.deepEqual(offer(state, inner), []);
+});
+
 test("a run far over its route's mean is overdue once", () => {
   const state = openQueue(4);
   for (let n = 0; n < 10; n++) {
