feat(placement): stay in the own domain while the aim is safe

A millisecond now counts fully only where it puts the aim at risk. Evidence of moves goes to the own domain and the leader alone.

--- a/src/callers/find_next_home.ts
+++ b/src/callers/find_next_home.ts
@@ -23,6 +23,8 @@
   readonly tried: ReadonlySet<NodeId>;
   /** Size of the request's body, as far as it is known. */
   readonly bodyBytes: number;
+  /** Time left to the end of the latency objective, in milliseconds. */
+  readonly aimLeftMs: number;
 }
 
 /** Versions of the service that a request may run on. Chosen once for each. */
@@ -49,6 +51,7 @@
     ownDomain: ctx.domain,
     bytes: opts.bodyBytes +
       (ctx.answerBytes.get(route.name) ?? firstAnswerBytes),
+    aimLeftMs: opts.aimLeftMs,
     now: ctx.now(),
     random: ctx.random,
   })?.home;
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -131,9 +131,11 @@
   }
 
   function findHome(): NodeId | undefined {
-    const search = { ctx, service, route, tried, bodyBytes: bytesOf(body) };
+    const aimLeftMs = aimAt - ctx.now();
+    const bodyBytes = bytesOf(body);
     if (versions.length === 0) versions = allowedVersions(ctx, service);
-    return findNextHome({ ...search, versions });
+    const search = { ctx, service, versions, route, tried };
+    return findNextHome({ ...search, bodyBytes, aimLeftMs });
   }
 
   function offerTo(node: NodeId, mayBeLate: boolean): void {
--- a/src/placement/choose_candidate.ts
+++ b/src/placement/choose_candidate.ts
@@ -33,6 +33,19 @@
  */
 const msPerKilobyte = 4;
 
+/**
+ * Part of the time left to the aim that an answer may take before it is at
+ * risk: runs differ by about a factor of two.
+ */
+const safeShare = 0.5;
+
+/**
+ * Cost of a millisecond that puts the aim at risk, and of one that does not.
+ * An answer well within its aim is worth nearly as much as a faster one.
+ */
+const riskyCost = 2;
+const safeCost = 0.25;
+
 /** Options of `chooseCandidate`. */
 export interface ChooseCandidateOptions {
   readonly candidates: readonly Candidate[];
@@ -40,6 +53,8 @@
   readonly ownDomain: string;
   /** Expected size of request and answer. */
   readonly bytes: number;
+  /** Time left to the end of the latency objective, in milliseconds. */
+  readonly aimLeftMs: number;
   readonly now: MonotonicMs;
   /** 0 to 1. Parts equals. */
   readonly random: () => number;
@@ -56,8 +71,8 @@
  * Returns the untried home with the least cost, if any.
  *
  * Answers load that is spread unevenly: a burst in one failure domain spills
- * to others only as far as it has to wait at home; slow and cold endpoints get
- * fewer calls by their run times; endpoints that fail part of their calls are
+ * to others only as far as waiting at home puts the aim at risk; slow and cold
+ * endpoints get fewer calls by their run times; endpoints that fail part of their calls are
  * left to those calls that find no other room.
  */
 export function chooseCandidate(
@@ -72,8 +87,9 @@
     const runMs = runMsOf(view, candidate, opts.now);
     const waitMs = waitMsOf(view, candidate.slots, runMs);
     const isShunned = opts.now < view.shunnedUntil;
-    const cost = waitMs + runMs + opts.random() +
-      crowdShare * runMs * Math.min(1, outstandingOf(view) / candidate.slots) +
+    const crowd = Math.min(1, outstandingOf(view) / candidate.slots);
+    const tookMs = waitMs + runMs * (1 + crowdShare * crowd);
+    const cost = costOfTime(tookMs, opts.aimLeftMs) + opts.random() +
       failingOf(state, candidate.home, opts.now) * failureMs +
       (candidate.domain === opts.ownDomain ? 0 : priceOfLeaving(opts.bytes)) +
       (isShunned ? 1e6 : 0);
@@ -84,6 +100,11 @@
   return best;
 }
 
+function costOfTime(tookMs: number, aimLeftMs: number): number {
+  const riskyMs = tookMs - Math.max(0, aimLeftMs) * safeShare;
+  return tookMs * safeCost + Math.max(0, riskyMs) * riskyCost;
+}
+
 function priceOfLeaving(bytes: number): number {
   return leaveMs + bytes / 1_024 * msPerKilobyte;
 }
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -13,7 +13,8 @@
 
 function choose(
   state = createPlacementState(),
-  opts: { bytes?: number; tried?: string[]; now?: number } = {},
+  opts: { bytes?: number; aimLeftMs?: number; tried?: string[]; now?: number } =
+    {},
   candidates = [near, far],
 ) {
   return chooseCandidate(state, {
@@ -21,6 +22,7 @@
     tried: new Set(opts.tried),
     ownDomain: "d1",
     bytes: opts.bytes ?? 1_000,
+    aimLeftMs: opts.aimLeftMs ?? 150,
     now: opts.now ?? 0,
     random: () => 0,
   })?.home;
@@ -77,3 +79,11 @@
   assert.equal(choose(state, { tried: ["far"] }), "near");
   assert.equal(choose(state, { tried: ["far", "near"] }), undefined);
 });
+
+test("a faster endpoint elsewhere is no reason to leave a safe one", () => {
+  const state = createPlacementState();
+  noteReport(state, "near", { running: 0, waiting: 0, meanMs: 80 }, 0);
+  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 }, 0);
+  assert.equal(choose(state, { aimLeftMs: 400 }), "near");
+  assert.equal(choose(state, { aimLeftMs: 90 }), "far");
+});
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -69,6 +69,11 @@
     reply: (message: Gossip) => void,
   ): void;
   tellAll(message: Gossip): void;
+  /**
+   * Tells the own failure domain and the node that leads. Counts change all the
+   * time, and bytes between domains are dear.
+   */
+  tellNearAndLeader(message: Gossip): void;
   /** Applies an event of the fleet and its effects. */
   change(event: FleetEvent): void;
   /** Linked nodes whose reads of the store succeed. */
@@ -206,6 +211,12 @@
     }
   }
 
+  function healthyNodes(): NodeId[] {
+    return [...healthyAt].flatMap(([node, at]) =>
+      now() - at < healthMs ? [node] : []
+    );
+  }
+
   function takePing(
     from: NodeId | undefined,
     message: Extract<Gossip, { type: "ping" }>,
@@ -226,11 +237,14 @@
     homeOf: (node) => node === self ? opts.home : links.get(node),
     take,
     tellAll,
+    tellNearAndLeader(message) {
+      const [leader] = healthyNodes().toSorted();
+      for (const [node, link] of links) {
+        if (node === leader || isNear(node)) link.send(message);
+      }
+    },
     change,
-    healthyNodes: () =>
-      [...healthyAt].flatMap(([node, at]) =>
-        now() - at < healthMs ? [node] : []
-      ),
+    healthyNodes,
     close() {
       for (const link of links.values()) link.close();
     },
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -208,7 +208,10 @@
           gossip.tellAll({ type: "move-step", step: effect.step });
           break;
         case "report":
-          gossip.tellAll({ type: "move-report", report: effect.report });
+          gossip.tellNearAndLeader({
+            type: "move-report",
+            report: effect.report,
+          });
           break;
         case "faulty":
           log.write("move", LogLevel.Warn, "version is faulty", {
