--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { Homes } from "../calls/state.ts";
+import { type ControlLoop, Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
 import { decideFleet } from "../fleet/decide_fleet.ts";
@@ -47,6 +48,7 @@
   readonly fleet: FleetState;
   readonly placement: PlacementState;
   readonly home: LocalHome;
+  readonly control: ControlLoop;
   readonly log: Log;
   readonly now: () => MonotonicMs;
   readonly random: () => number;
@@ -161,10 +163,22 @@
     for (const link of links.values()) link.send(message);
   }
 
+  /** Messages wait their turn, those that take a version back before others. */
   function take(
     from: NodeId | undefined,
     message: Gossip,
     reply: (message: Gossip) => void,
+  ) {
+    opts.control.post(
+      priorityOf(message),
+      () => handle(from, message, reply),
+    );
+  }
+
+  function handle(
+    from: NodeId | undefined,
+    message: Gossip,
+    reply: (message: Gossip) => void,
   ) {
     switch (message.type) {
       case "hello":
@@ -258,3 +272,24 @@
     },
   };
 }
+
+function priorityOf(message: Gossip): Priority {
+  switch (message.type) {
+    case "move-fault":
+    case "move-step":
+      return Priority.Rollback;
+    case "rows":
+    case "hello":
+      return Priority.Drain;
+    case "operator":
+      return Priority.Config;
+    case "ping":
+    case "pong":
+    case "ask-rows":
+    case "ask-operator":
+    case "move-report":
+      return Priority.Gossip;
+    default:
+      return exhausted(message);
+  }
+}
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -10,6 +10,7 @@
 import { createBudgetState } from "../budget/state.ts";
 import { createCallerServer } from "../callers/create_caller_server.ts";
 import type { CallContext } from "../callers/state.ts";
+import { createControlLoop } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
 import { createFleetState } from "../fleet/state.ts";
 import { createHome } from "../homes/create_home.ts";
@@ -38,6 +39,9 @@
 import { createMoveRecorder } from "./record_moves.ts";
 import { registerNode } from "./register_node.ts";
 
+/** Messages of peers that wait. More gossip is dropped; it comes again. */
+const maxControlEvents = 1_000;
+
 /** Time between looks at moves, in milliseconds. */
 const moveTickMs = 250;
 
@@ -102,6 +106,13 @@
   });
   const source = `${settings.node} ${Date.now()}`;
   const takeover = createTakeoverState({ self: settings.node, source });
+  const control = createControlLoop({
+    maxWaiting: maxControlEvents,
+    onError: (err) =>
+      log.write("process", LogLevel.Error, "control event failed", {
+        reason: err instanceof Error ? err.stack : String(err),
+      }),
+  });
   let isStopping = false;
   let isLeaving = false;
 
@@ -152,6 +163,7 @@
     fleet,
     placement,
     home,
+    control,
     log,
     now,
     random,
@@ -372,6 +384,7 @@
       follower.close();
       recorder.close();
       registration.close();
+      control.close();
       gossip.close();
       links.close();
       for (const server of [...pingServers, scraped]) {
