feat(callers): turn requests away that a node can't pass on in time

Ruled out: cancelling; a client's close that is read reaches the endpoint. Requests are refused while the event loop lags over 250 ms, and by a stopping node once they could not end in its grace.

--- /dev/null
+++ b/src/callers/admit_request_test.ts
@@ -0,0 +1,40 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { admitRequest } from "./admit_request.ts";
+import { createLagMeter } from "./create_lag_meter.ts";
+
+function admit(change: object) {
+  return admitRequest({
+    lagMs: 0,
+    isInner: false,
+    waitMs: 1_000,
+    stop: undefined,
+    now: 10_000,
+    ...change,
+  });
+}
+
+test("a node that can't keep up turns clients away, not inner calls", () => {
+  assert.equal(admit({}), undefined);
+  assert.equal(admit({ lagMs: 100 }), undefined);
+  assert.ok(admit({ lagMs: 400 }));
+  assert.equal(admit({ lagMs: 400, isInner: true }), undefined);
+});
+
+test("a stopping node takes what it can finish", () => {
+  const stop = { stoppedAt: 7_500, endAt: 13_000 };
+  assert.equal(admit({ stop }), undefined);
+  assert.equal(admit({ stop, waitMs: 9_000 }), undefined);
+  assert.equal(admit({ stop, now: 11_500 }), undefined);
+  assert.ok(admit({ stop, now: 12_500 }));
+});
+
+test("lag shows within one long turn of the loop", () => {
+  let now = 0;
+  const meter = createLagMeter({ now: () => now });
+  now = 40;
+  assert.equal(meter.lagMs(), 0);
+  now = 550;
+  assert.equal(meter.lagMs(), 500);
+  meter.close();
+});
--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -13,7 +13,10 @@
 import { CallResult } from "../metrics/create_metrics.ts";
 import { findRoute } from "../routes/find_route.ts";
 import type { ClientLimits } from "../routes/state.ts";
+import { retryAfterMs } from "../calls/retry_after.ts";
+import { admitRequest, type StopTimes } from "./admit_request.ts";
 import { answerItself } from "./answer_caller.ts";
+import { createLagMeter } from "./create_lag_meter.ts";
 import { serveCall, type ServedCall } from "./serve_call.ts";
 import type { CallContext } from "./state.ts";
 
@@ -40,9 +43,11 @@
   readonly server: Server;
   setLimits(limits: ClientLimits): void;
   /** Asks callers to connect elsewhere with their next request. */
-  drain(): void;
+  drain(times: StopTimes): void;
   /** Requests that are not answered yet. */
   open(): number;
+  /** Ends what is left of all connections. */
+  close(): void;
 }
 
 /** Requests of one connection. */
@@ -58,7 +63,8 @@
 ): CallerServer {
   const { ctx } = opts;
   const connections = new Map<Socket, Connection>();
-  let isDraining = false;
+  const lag = createLagMeter({ now: ctx.now });
+  let stop: StopTimes | undefined;
   let count = 0;
 
   function take(req: IncomingMessage, res: ServerResponse) {
@@ -78,6 +84,20 @@
       ctx.metrics.countCall("", CallResult.NoRoute, 0);
       return refuse(req, res, 404, "no route matches");
     }
+    const isInner = req.socket.remoteAddress === opts.ip;
+    const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
+    const lagMs = lag.lagMs();
+    const now = ctx.now();
+    const reason = admitRequest({ lagMs, isInner, waitMs, stop, now });
+    if (reason !== undefined) {
+      const retryMs = retryAfterMs({
+        waitMs: lagMs,
+        leftMs: waitMs,
+        random: ctx.random(),
+      });
+      const headers = ctx.dialect.refusalHeaders(caller.id, retryMs);
+      return refuse(req, res, 503, reason, headers);
+    }
     const { bodyBytes } = table.limits;
     if (Number(req.headers["content-length"] ?? 0) > bodyBytes) {
       return refuse(req, res, 413, "the body is too large");
@@ -93,8 +113,8 @@
       res,
       id: caller.id,
       route,
-      isInner: socket.remoteAddress === opts.ip,
-      waitMs: caller.waitMs ?? route.timeoutMs,
+      isInner,
+      waitMs,
       maxBodyBytes: bodyBytes,
       mayClose: () => mayClose(res),
       onDone() {
@@ -109,7 +129,7 @@
   /** A connection is closed behind its last request, never before one. */
   function mayClose(res: ServerResponse): boolean {
     const latest = connections.get(res.req.socket)?.latest;
-    return isDraining && (latest === undefined || latest === res);
+    return stop !== undefined && (latest === undefined || latest === res);
   }
 
   function watch(socket: Socket, latest: ServerResponse): Connection {
@@ -135,6 +155,7 @@
     ctx.log.write("call", LogLevel.Warn, "request refused", {
       status,
       reason,
+      id: ctx.dialect.readCaller(req.headers)?.id,
       host: req.headers.host,
       target: req.url,
       table: ctx.routes.table?.version,
@@ -148,9 +169,13 @@
       server.keepAliveTimeout = limits.idleMs + idleSlackMs;
       server.headersTimeout = limits.headerMs;
     },
-    drain() {
-      isDraining = true;
+    drain(times) {
+      stop = times;
     },
     open: () => count,
+    close() {
+      lag.close();
+      server.closeAllConnections();
+    },
   };
 }
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -54,6 +54,7 @@
   readonly route: Route;
   /** Made by the endpoint on this VM. */
   readonly isInner: boolean;
+  /** Time until the caller's deadline or the route's time-out. */
   readonly waitMs: number;
   readonly maxBodyBytes: number;
   /** Whether the connection may end behind this answer. */
@@ -82,7 +83,7 @@
 export function serveCall(opts: ServeCallOptions): ServedCall {
   const { ctx, req, res, id, route, isInner } = opts;
   const startedAt = ctx.now();
-  const deadlineAt = startedAt + Math.min(opts.waitMs, route.timeoutMs);
+  const deadlineAt = startedAt + opts.waitMs;
   const aimAt = startedAt + route.aimMs;
   const service = pickPart(ctx.routes, route);
   const headers = ctx.dialect.sentHeaders(req.rawHeaders);
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -365,9 +365,9 @@
       if (isStopping) return;
       isStopping = true;
       log.write("process", LogLevel.Info, "stopping", { open: callers.open() });
-      callers.drain();
       const stoppedAt = now();
       const endAt = stoppedAt + settings.graceMs - spareGraceMs;
+      callers.drain({ stoppedAt, endAt });
       await sleep(Math.min(servingMs, endAt - now()));
       isLeaving = true;
       openForInstance();
@@ -391,7 +391,7 @@
         server.closeAllConnections();
         server.close();
       }
-      callers.server.closeAllConnections();
+      callers.close();
       await home.close();
       await platform.store.close();
       log.write("process", LogLevel.Info, "stopped");
