fix(queue): start calls with time to spare, late ones newest first

A call is timely while 1.5 mean runs fit; late calls start newest first and the oldest are crowded out.

--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -85,7 +85,9 @@
 
 function afterRefusal(opts: DecideNextOptions, refusal: Refusal): NextStep {
   const isLate = refusal.reason === RefusalReason.Late;
-  const mayOffer = opts.canResend && opts.leftMs > 0 &&
+  // It has waited and lost its place: other homes are as full.
+  const isCrowded = refusal.reason === RefusalReason.Crowded;
+  const mayOffer = !isCrowded && opts.canResend && opts.leftMs > 0 &&
     opts.offers < maxOffers && mayArriveAgain(opts, refusal);
   const mayBeLate = !isLate || opts.offers >= strictOffers;
   if (mayOffer) return { type: "offer", mayBeLate };
--- a/src/queue/compare_calls.ts
+++ b/src/queue/compare_calls.ts
@@ -13,7 +13,9 @@
  * of this very service, until it is answered. Then come calls that can still
  * meet their aim, by urgency and by the end of their aim, so that a burst
  * costs the least urgent calls first. Calls that have missed their aim are
- * answered in the gaps, or every call behind them would miss its own.
+ * answered in the gaps, or every call behind them would miss its own. Of those
+ * the newest goes first: where runs have grown longer than the aim, all calls
+ * are late, and the oldest first would make each wait for its deadline.
  */
 export function compareCalls(
   state: QueueState,
@@ -26,6 +28,7 @@
     const isTimely = canMeetAim(state, a, now);
     if (isTimely !== canMeetAim(state, b, now)) return isTimely ? -1 : 1;
     if (a.urgency !== b.urgency) return a.urgency - b.urgency;
+    if (!isTimely) return b.aimAt - a.aimAt;
   }
   return a.aimAt - b.aimAt;
 }
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -98,13 +98,30 @@
   }
   const mustWait = startAt > now;
   const isLate = mustWait && !canMeetAim(state, call, startAt);
-  // A parent's slot is wasted when one of its calls is turned away.
-  const isBounded = isLate && !call.isInner;
-  const hasRoom = (mayBeLate || !isLate) &&
-    state.waiting.size < (isBounded ? lateShare * gate.slots : maxWaiting);
-  if (!hasRoom) return [refuse(state, call.key, RefusalReason.Late)];
+  if ((isLate && !mayBeLate) || state.waiting.size >= maxWaiting) {
+    return [refuse(state, call.key, RefusalReason.Late)];
+  }
   state.waiting.set(call.key, call);
-  return pump(state, now);
+  return [...crowdOut(state, gate.slots, now), ...pump(state, now)];
+}
+
+/**
+ * Turns the oldest late calls away when too many wait. Calls of running calls
+ * stay: a parent's slot is wasted when one of its calls is turned away.
+ */
+function crowdOut(
+  state: QueueState,
+  slots: number,
+  now: MonotonicMs,
+): QueueEffect[] {
+  if (state.waiting.size <= lateShare * slots) return [];
+  const late = [...state.waiting.values()]
+    .filter((call) => !call.isInner && !canMeetAim(state, call, now))
+    .toSorted((a, b) => compareCalls(state, a, b, now));
+  return late.slice(lateShare * slots).map(({ key }) => {
+    state.waiting.delete(key);
+    return refuse(state, key, RefusalReason.Crowded);
+  });
 }
 
 function countAhead(
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -15,11 +15,10 @@
 const coldFactor = 2;
 
 /**
- * Part of the expected run that must fit before the end of the aim. Runs
- * differ, and a call that is taken for late waits behind all others: under a
- * load that lengthens every run, all calls would be late for good.
+ * Expected runs that must fit before the end of the aim. With less, a full
+ * queue starts each call at the last moment, and every second one is late.
  */
-const timelyShare = 0.6;
+const timelyRuns = 1.5;
 
 /** Adds one run to the recent times. */
 export function learnRun(times: RunTimes, tookMs: number) {
@@ -51,12 +50,12 @@
   return (ahead - Math.max(0, free) + 1) * meanRunMs(state) / slots;
 }
 
-/** Whether a call that starts at `startAt` has a fair chance to meet its aim. */
+/** Whether a call that starts at `startAt` is expected to meet its aim. */
 export function canMeetAim(
   state: QueueState,
   call: QueuedCall,
   startAt: MonotonicMs,
 ): boolean {
   const runMs = expectedRunMs(state, call.route, startAt);
-  return startAt + runMs * timelyShare <= call.aimAt;
+  return startAt + runMs * timelyRuns <= call.aimAt;
 }
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -142,14 +142,26 @@
   assert.deepEqual(startedKeys(end(state, first.key, 50)), [fresh.key]);
 });
 
-test("late calls wait in a bounded number", () => {
+test("late calls wait in a bounded number, the newest first", () => {
   const state = openQueue(2);
-  for (let n = 0; n < 2; n++) offer(state, callOf());
-  const offers = Array.from(
+  const running = [callOf(), callOf()];
+  for (const call of running) offer(state, call);
+  const late = Array.from(
     { length: 10 },
-    () => offer(state, callOf({ aimAt: 10, deadlineAt: 1e6 })),
+    (_, n) => callOf({ aimAt: 10 + n, deadlineAt: 1e6 }),
   );
-  assert.equal(offers.filter((effects) => effects.length === 0).length, 4);
+  const refused = late.flatMap((call) =>
+    offer(state, call).flatMap((one) =>
+      one.type === "refuse" ? [[one.key, one.reason]] : []
+    )
+  );
+  assert.deepEqual(
+    refused,
+    late.slice(0, 6).map(({ key }) => [key, "crowded"]),
+  );
+  const [first] = running;
+  assert.ok(first);
+  assert.deepEqual(startedKeys(end(state, first.key, 50)), [late[9]?.key]);
 });
 
 test("a call of a running call is taken beside a full queue", () => {
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -82,6 +82,8 @@
   Closed: "closed",
   /** It would be answered past its aim, and another home may do better. */
   Late: "late",
+  /** Later calls took its place in a full queue. */
+  Crowded: "crowded",
   /** It can't be answered before its deadline. */
   NoTime: "no-time",
 } as const;
