--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -9,6 +9,7 @@
   type Home,
   RefusedBy,
 } from "../calls/state.ts";
+import { pauseAfter } from "../core/pause_after.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { QueueReport } from "../queue/state.ts";
 import { checkLink } from "./check_link.ts";
@@ -21,8 +22,7 @@
 const connectMs = 1_000;
 
 /** Pauses between attempts to connect, in milliseconds. */
-const firstPauseMs = 100;
-const longestPauseMs = 1_500;
+const redialBounds = { firstMs: 100, longestMs: 1_500 };
 
 /** Options of `dialLink`. */
 export interface DialLinkOptions {
@@ -103,9 +103,9 @@
     if (wasOpen) opts.onClose(reason);
     failAll(reason);
     if (isClosed) return;
-    const ceiling = Math.min(longestPauseMs, firstPauseMs * 2 ** failures);
+    const pauseMs = pauseAfter(redialBounds, failures, opts.random());
     failures++;
-    redial = setTimeout(connect, ceiling * (0.5 + opts.random() / 2));
+    redial = setTimeout(connect, pauseMs);
   }
 
   /** The home may have begun the calls that it was offered. */
--- a/src/placement/choose_candidate.ts
+++ b/src/placement/choose_candidate.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
+import { coldFactor, firstGuessMs } from "../queue/estimate.ts";
 import { failingOf } from "./note_home.ts";
 import {
   type Candidate,
@@ -11,12 +12,6 @@
   viewOf,
 } from "./state.ts";
 
-/** Run time assumed at a home that has reported none, in milliseconds. */
-const firstGuessMs = 60;
-
-/** Endpoints that have just started take about twice as long. */
-const coldFactor = 2;
-
 /** Part of a run that a busy endpoint adds to it, at most. */
 const crowdShare = 0.15;
 
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -9,10 +9,10 @@
 const newestWeight = 0.08;
 
 /** Run time that is assumed before the first answer, in milliseconds. */
-const firstGuessMs = 60;
+export const firstGuessMs = 60;
 
 /** Endpoints that have just started take about twice as long. */
-const coldFactor = 2;
+export const coldFactor = 2;
 
 /**
  * Expected runs that must fit before the end of the aim. With less, a full
--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -4,14 +4,14 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatError } from "../core/errors.ts";
+import { pauseAfter } from "../core/pause_after.ts";
 import type { NodeId } from "../core/types.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import type { MoveStatus } from "../takeover/state.ts";
 import type { Platform, SidecarSettings } from "./platform_port.ts";
 
 /** Pauses after failed calls, in milliseconds. */
-const firstPauseMs = 150;
-const longestPauseMs = 1_500;
+const failureBounds = { firstMs: 150, longestMs: 1_500 };
 
 /** Options of `registerNode`. */
 export interface RegisterNodeOptions {
@@ -44,9 +44,9 @@
     for (let failures = 0; !signal.aborted; failures++) {
       const value = await attempt();
       if (value !== undefined) return value;
-      const ceiling = Math.min(longestPauseMs, firstPauseMs * 2 ** failures);
+      const pauseMs = pauseAfter(failureBounds, failures, opts.random());
       log.write("store", LogLevel.Warn, "call repeated", { step, failures });
-      await sleep(ceiling * (0.5 + opts.random() / 2), undefined, { signal })
+      await sleep(pauseMs, undefined, { signal })
         // The only rejection is the abort on close, which ends the loop.
         .catch(() => undefined);
     }
--- a/src/store/follow_topic.ts
+++ b/src/store/follow_topic.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ResultAsync } from "neverthrow";
+import { pauseAfter } from "../core/pause_after.ts";
 import type { Offset } from "../core/types.ts";
 import type {
   KeyedRecord,
@@ -22,8 +23,7 @@
 const pauseMs = 400;
 
 /** Pauses after failed reads, in milliseconds. */
-const firstBackOffMs = 150;
-const longestBackOffMs = 1_000;
+const failureBounds = { firstMs: 150, longestMs: 1_000 };
 
 /** Options of `followTopic`. */
 export interface FollowTopicOptions {
@@ -87,8 +87,7 @@
     if (reading.signal.aborted) return;
     failures++;
     if (failures === 1) opts.onHealth(err);
-    const ceiling = Math.min(longestBackOffMs, firstBackOffMs * 2 ** failures);
-    await pause(ceiling * (0.5 + opts.random() / 2));
+    await pause(pauseAfter(failureBounds, failures, opts.random()));
   }
 
   function pause(ms: number): Promise<unknown> {
