feat(sidecar): learn all nodes from the first peer

A node that the store turns away at its start was reached by those that knew its address, and knew nobody else. Test: a node without the store gets its table from a peer, and calls an endpoint of a third node.

--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -92,6 +92,7 @@
   const links = new Map<NodeId, DialledLink>();
   const healthyAt = new Map<NodeId, MonotonicMs>();
   let behindSince: MonotonicMs | undefined;
+  let hasAskedRows = false;
   // One timer for all links: each wake-up costs, however many links there are.
   const checker = setInterval(() => {
     for (const link of links.values()) link.check();
@@ -132,6 +133,7 @@
       onOpen() {
         opts.log.write("fleet", LogLevel.Info, "link opened", { peer: node });
         change({ type: "linked", node, now: now() });
+        askRows(node);
       },
       onClose(reason) {
         const fields = { peer: node, reason };
@@ -142,6 +144,13 @@
     });
   }
 
+  /** The store may be out of reach at the start; one peer knows all others. */
+  function askRows(node: NodeId) {
+    if (hasAskedRows) return;
+    hasAskedRows = true;
+    send(node, { type: "ask-rows" });
+  }
+
   function isNear(node: NodeId): boolean {
     return fleet.rows.get(node)?.row.domain === opts.domain;
   }
