--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { countRequest, spendRepeat } from "../budget/spend_repeat.ts";
 import { type AttemptEnd, decideNext } from "../calls/decide_next.ts";
+import { reasonOf } from "../calls/reason_of.ts";
 import { retryAfterMs } from "../calls/retry_after.ts";
 import {
   type Attempt,
@@ -147,29 +148,8 @@
     noteOffer(ctx.placement, node);
     const whole = body === undefined ? Buffer.alloc(0) : body.whole();
     const isInline = whole !== undefined && whole.length <= inlineBytes;
-    const call = callFor(node, mayBeLate, isInline ? whole : undefined);
-    const attempt = home.offer(call, (event) => take(open, event));
-    const sink = {
-      send: (chunk: Buffer) => attempt.send(chunk),
-      finish: () => attempt.finish(),
-    };
-    const open: OpenAttempt = {
-      home: node,
-      attempt,
-      sink,
-      hasLaterBody: !isInline,
-      hasArrived: false,
-    };
-    attempts.add(open);
-  }
-
-  function callFor(
-    node: NodeId,
-    mayBeLate: boolean,
-    inline: Buffer | undefined,
-  ): OfferedCall {
     const now = ctx.now();
-    return {
+    const call: OfferedCall = {
       id,
       method: req.method ?? "GET",
       target: req.url ?? "/",
@@ -183,13 +163,26 @@
       leftMs: deadlineAt - now,
       aimLeftMs: aimAt - now,
       mayBeLate,
-      body: inline,
+      body: isInline ? whole : undefined,
       bodyBytes: body?.announcedBytes,
     };
+    const attempt = home.offer(call, (event) => take(open, event));
+    const sink = {
+      send: (chunk: Buffer) => attempt.send(chunk),
+      finish: () => attempt.finish(),
+    };
+    const open: OpenAttempt = {
+      home: node,
+      attempt,
+      sink,
+      hasLaterBody: !isInline,
+      hasArrived: false,
+    };
+    attempts.add(open);
   }
 
   function take(open: OpenAttempt, event: AttemptEvent) {
-    if (isDone || !attempts.has(open)) return;
+    if (isDone || (open !== streaming && !attempts.has(open))) return;
     switch (event.type) {
       case "admitted":
         arrive(open);
@@ -204,8 +197,8 @@
         return takeRefusal(open, event.refusal);
       case "failed":
         arrive(open);
-        close(open, true);
         if (streaming === open) return breakOff(event.failure.reason);
+        close(open, true);
         mayHaveRun = true;
         if (attempts.size > 0) return;
         return follow({ type: "failed", failure: event.failure });
@@ -264,7 +257,6 @@
       const result = isFailed ? CallResult.EndpointFailed : CallResult.Served;
       return finish(result, head.status);
     }
-    attempts.add(open);
     streaming = open;
   }
 
@@ -368,19 +360,13 @@
     if (isDone) return;
     isDone = true;
     clearTimeout(deadline);
+    const isLost = result === CallResult.Unknown;
     for (const open of attempts) {
-      if (open !== streaming || result !== CallResult.Served) {
-        open.attempt.cancel();
-      }
-      noteEnd(
-        ctx.placement,
-        open.home,
-        result === CallResult.Unknown,
-        ctx.now(),
-      );
+      open.attempt.cancel();
+      close(open, isLost);
     }
-    attempts.clear();
     if (streaming !== undefined && result === CallResult.Served) res.end();
+    else streaming?.attempt.cancel();
     const tookMs = ctx.now() - startedAt;
     ctx.metrics.countCall(route.name, result, tookMs);
     if (result === CallResult.EndpointFailed) {
@@ -415,14 +401,3 @@
 function bytesOf(body: RequestBody | undefined): number {
   return body?.announcedBytes ?? body?.size() ?? 0;
 }
-
-function reasonOf(end: AttemptEnd): string {
-  switch (end.type) {
-    case "refused":
-      return end.refusal.reason;
-    case "failed":
-      return end.failure.reason;
-    case "answered":
-      return `the endpoint answered ${end.head.status}`;
-  }
-}
