--- /dev/null
+++ b/src/sidecar/drive_moves.ts
@@ -0,0 +1,52 @@
+/**
+ * Carries out what is decided of moves to new versions.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import { type Log, LogLevel } from "../logs/create_log.ts";
+import { decideTakeover } from "../takeover/decide_takeover.ts";
+import type {
+  TakeoverEffect,
+  TakeoverEvent,
+  TakeoverState,
+} from "../takeover/state.ts";
+import type { GossipHub } from "./create_gossip.ts";
+import type { MoveRecorder } from "./record_moves.ts";
+
+/** Options of `driveMoves`. */
+export interface DriveMovesOptions {
+  readonly state: TakeoverState;
+  readonly recorder: MoveRecorder;
+  readonly gossip: GossipHub;
+  readonly log: Log;
+}
+
+/** Takes an event and carries out its effects. */
+export function driveMoves(opts: DriveMovesOptions, event: TakeoverEvent) {
+  for (const effect of decideTakeover(opts.state, event)) apply(opts, effect);
+}
+
+function apply(opts: DriveMovesOptions, effect: TakeoverEffect) {
+  const { recorder, gossip, log } = opts;
+  switch (effect.type) {
+    case "lease":
+      return recorder.lease();
+    case "record":
+      return recorder.record(effect.epoch, effect.status);
+    case "tell":
+      log.write("move", LogLevel.Info, "move step", { ...effect.step });
+      return gossip.tellAll({ type: "move-step", step: effect.step });
+    case "report":
+      return gossip.tellNearAndLeader({
+        type: "move-report",
+        report: effect.report,
+      });
+    case "faulty":
+      log.write("move", LogLevel.Warn, "version is faulty", {
+        ...effect.fault,
+      });
+      return gossip.tellAll({ type: "move-fault", fault: effect.fault });
+    default:
+      exhausted(effect);
+  }
+}
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -14,12 +14,6 @@
 import { formatError } from "../core/errors.ts";
 import { createFleetState } from "../fleet/state.ts";
 import { createHome } from "../homes/create_home.ts";
-import { decideInstance } from "../instance/decide_instance.ts";
-import {
-  createInstanceState,
-  type InstanceChange,
-  InstancePhase,
-} from "../instance/state.ts";
 import { acceptLinks } from "../links/accept_links.ts";
 import { createLog, LogLevel } from "../logs/create_log.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
@@ -33,11 +27,13 @@
 import { createTakeoverState, type TakeoverEvent } from "../takeover/state.ts";
 import { createGossip } from "./create_gossip.ts";
 import { createPingServer } from "./create_ping_server.ts";
+import { driveMoves } from "./drive_moves.ts";
 import { loadOfVersion } from "./load_of_version.ts";
 import type { Platform, SidecarSettings } from "./platform_port.ts";
 import { createOperatorReader } from "./read_operator.ts";
 import { createMoveRecorder } from "./record_moves.ts";
 import { registerNode } from "./register_node.ts";
+import { watchInstance } from "./watch_instance.ts";
 
 /** Messages of peers that wait. More gossip is dropped; it comes again. */
 const maxControlEvents = 1_000;
@@ -98,7 +94,6 @@
   const metrics = createMetrics();
   const routes = createRoutesState();
   const placement = createPlacementState();
-  const instances = createInstanceState();
   const fleet = createFleetState({
     self: settings.node,
     domain: settings.domain,
@@ -114,7 +109,6 @@
       }),
   });
   let isStopping = false;
-  let isLeaving = false;
 
   const home = createHome({
     endpointAddress: settings.endpointAddress,
@@ -207,78 +201,23 @@
   });
 
   function move(event: TakeoverEvent) {
-    for (const effect of decideTakeover(takeover, event)) {
-      switch (effect.type) {
-        case "lease":
-          recorder.lease();
-          break;
-        case "record":
-          recorder.record(effect.epoch, effect.status);
-          break;
-        case "tell":
-          log.write("move", LogLevel.Info, "move step", { ...effect.step });
-          gossip.tellAll({ type: "move-step", step: effect.step });
-          break;
-        case "report":
-          gossip.tellNearAndLeader({
-            type: "move-report",
-            report: effect.report,
-          });
-          break;
-        case "faulty":
-          log.write("move", LogLevel.Warn, "version is faulty", {
-            ...effect.fault,
-          });
-          gossip.tellAll({ type: "move-fault", fault: effect.fault });
-          break;
-      }
-    }
+    driveMoves({ state: takeover, recorder, gossip, log }, event);
   }
 
-  function takeInstance(change: InstanceChange) {
-    switch (change.type) {
-      case "none":
-      case "heard":
-        return;
-      case "started":
-        log.write("endpoint", LogLevel.Info, "endpoint started", {
-          ...change.instance,
-        });
-        break;
-      case "draining":
-        log.write("endpoint", LogLevel.Info, "endpoint drains", {
-          instance: change.instance.id,
-        });
-        break;
-      case "left":
-        log.write("endpoint", LogLevel.Info, "endpoint left", {
-          instance: change.id,
-        });
-        break;
-    }
-    openForInstance();
-  }
+  const instance = watchInstance({
+    decodePing: platform.decodePing,
+    home,
+    log,
+    now,
+    onEndpoint: (endpoint) =>
+      gossip.change({ type: "row-changed", endpoint, now: now() }),
+  });
 
   function isBusy(): boolean {
     const { running, waiting } = home.report();
     return callers.open() + running + waiting > 0;
   }
 
-  /** Offers the endpoint to other nodes, and to this one's queue. */
-  function openForInstance() {
-    const { current } = instances;
-    const isReady = current?.phase === InstancePhase.Ready;
-    home.setInstance(isReady ? current : undefined, "the endpoint is leaving");
-    const endpoint = !isReady || isLeaving ? undefined : {
-      id: current.id,
-      service: current.service,
-      version: current.version,
-      slots: current.slots,
-      coldMs: Math.max(0, current.coldUntil - now()),
-    };
-    gossip.change({ type: "row-changed", endpoint, now: now() });
-  }
-
   const links = acceptLinks({
     home,
     report: home.report,
@@ -289,22 +228,8 @@
   const pings = createPingServer({
     match: platform.matchPingCall,
     isReady: () => !isStopping && routes.table !== undefined,
-    onPing(id, body) {
-      const ping = platform.decodePing(id, body);
-      if (ping.isErr()) {
-        const reason = formatError(ping.error);
-        log.write("endpoint", LogLevel.Warn, "ping refused", { reason });
-        return reason;
-      }
-      takeInstance(decideInstance(instances, {
-        type: "pinged",
-        ping: ping.value,
-        now: now(),
-      }));
-      return undefined;
-    },
-    onLeave: (id) =>
-      takeInstance(decideInstance(instances, { type: "left", id })),
+    onPing: instance.ping,
+    onLeave: instance.leave,
   });
   const scrape = polka().get("/metrics", async (_req, res) => {
     res.end(await metrics.text());
@@ -369,8 +294,7 @@
       const endAt = stoppedAt + settings.graceMs - spareGraceMs;
       callers.drain({ stoppedAt, endAt });
       await sleep(Math.min(servingMs, endAt - now()));
-      isLeaving = true;
-      openForInstance();
+      instance.withdraw();
       const calmAt = stoppedAt + drainMs;
       while (now() < endAt && (now() < calmAt || isBusy())) await sleep(50);
       callers.server.close();
--- /dev/null
+++ b/src/sidecar/watch_instance.ts
@@ -0,0 +1,97 @@
+/**
+ * Follows the endpoint beside this node from its pings.
+ * @module
+ */
+import { formatError } from "../core/errors.ts";
+import type { MonotonicMs } from "../core/types.ts";
+import type { RowEndpoint } from "../fleet/state.ts";
+import type { LocalHome } from "../homes/create_home.ts";
+import { decideInstance } from "../instance/decide_instance.ts";
+import {
+  createInstanceState,
+  type InstanceChange,
+  InstancePhase,
+} from "../instance/state.ts";
+import { type Log, LogLevel } from "../logs/create_log.ts";
+import type { Platform } from "./platform_port.ts";
+
+/** Options of `watchInstance`. */
+export interface WatchInstanceOptions {
+  readonly decodePing: Platform["decodePing"];
+  readonly home: LocalHome;
+  readonly log: Log;
+  readonly now: () => MonotonicMs;
+  /** Told what other nodes may use from now on. */
+  readonly onEndpoint: (endpoint: RowEndpoint | undefined) => void;
+}
+
+export interface InstanceWatch {
+  /** Takes a ping before it is acknowledged. Returns why it is refused. */
+  ping(id: string, body: Buffer): string | undefined;
+  leave(id: string): void;
+  /** Keeps the endpoint from other nodes; this node still uses it. */
+  withdraw(): void;
+}
+
+/** Starts with no endpoint known. */
+export function watchInstance(opts: WatchInstanceOptions): InstanceWatch {
+  const { home, log, now } = opts;
+  const state = createInstanceState();
+  let isWithdrawn = false;
+
+  function take(change: InstanceChange) {
+    switch (change.type) {
+      case "none":
+      case "heard":
+        return;
+      case "started":
+        write("endpoint started", { ...change.instance });
+        break;
+      case "draining":
+        write("endpoint drains", { instance: change.instance.id });
+        break;
+      case "left":
+        write("endpoint left", { instance: change.id });
+        break;
+    }
+    open();
+  }
+
+  function write(text: string, fields: Record<string, unknown>) {
+    log.write("endpoint", LogLevel.Info, text, fields);
+  }
+
+  function open() {
+    const { current } = state;
+    const isReady = current?.phase === InstancePhase.Ready;
+    home.setInstance(isReady ? current : undefined, "the endpoint is leaving");
+    opts.onEndpoint(
+      !isReady || isWithdrawn ? undefined : {
+        id: current.id,
+        service: current.service,
+        version: current.version,
+        slots: current.slots,
+        coldMs: Math.max(0, current.coldUntil - now()),
+      },
+    );
+  }
+
+  return {
+    ping(id, body) {
+      const ping = opts.decodePing(id, body);
+      if (ping.isErr()) {
+        const reason = formatError(ping.error);
+        log.write("endpoint", LogLevel.Warn, "ping refused", { reason });
+        return reason;
+      }
+      const event = { type: "pinged", ping: ping.value, now: now() } as const;
+      take(decideInstance(state, event));
+      return undefined;
+    },
+    leave: (id) => take(decideInstance(state, { type: "left", id })),
+    withdraw() {
+      isWithdrawn = true;
+      open();
+    },
+  };
+}
