fix(queue): crowd out late calls of running calls too

The test of the exemption asserted what the measurement refutes; it is replaced by one that asserts the bound for them.

--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -106,8 +106,9 @@
 }
 
 /**
- * Turns the oldest late calls away when too many wait. Calls of running calls
- * stay: a parent's slot is wasted when one of its calls is turned away.
+ * Turns the oldest late calls away when too many wait. Those of running calls
+ * are no exception: while such a call waits its parent holds a slot, and an
+ * early refusal frees it for another.
  */
 function crowdOut(
   state: QueueState,
@@ -116,7 +117,7 @@
 ): QueueEffect[] {
   if (state.waiting.size <= lateShare * slots) return [];
   const late = [...state.waiting.values()]
-    .filter((call) => !call.isInner && !canMeetAim(state, call, now))
+    .filter((call) => !canMeetAim(state, call, now))
     .toSorted((a, b) => compareCalls(state, a, b, now));
   return late.slice(lateShare * slots).map(({ key }) => {
     state.waiting.delete(key);
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -164,14 +164,16 @@
   assert.deepEqual(startedKeys(end(state, first.key, 50)), [late[9]?.key]);
 });
 
-test("a call of a running call is taken beside a full queue", () => {
+test("late calls of running calls are crowded out like others", () => {
   const state = openQueue(1);
   offer(state, callOf());
-  for (let n = 0; n < 9; n++) {
-    offer(state, callOf({ aimAt: 10, deadlineAt: 1e6 }));
-  }
-  const inner = callOf({ isInner: true, aimAt: 10 });
-  assert.deepEqual(offer(state, inner), []);
+  const inner = Array.from(
+    { length: 5 },
+    () => callOf({ isInner: true, aimAt: 10, deadlineAt: 1e6 }),
+  );
+  const refused = inner.flatMap((call) => offer(state, call))
+    .filter((effect) => effect.type === "refuse");
+  assert.equal(refused.length, 3);
 });
 
 test("a run far over its route's mean is overdue once", () => {
