--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -255,7 +255,8 @@
       open.set(key, entry);
       const { route, urgency, isInner, mayBeLate } = call;
       const aimAt = at + call.aimLeftMs;
-      const queued = { key, route, urgency, isInner, aimAt, deadlineAt };
+      const times = { offeredAt: at, aimAt, deadlineAt };
+      const queued = { key, route, urgency, isInner, ...times };
       // Events never come before the caller holds the attempt.
       queueMicrotask(() => {
         if (open.get(key) !== entry) return;
--- a/src/queue/overload_test.ts
+++ b/src/queue/overload_test.ts
@@ -116,6 +116,7 @@
       route: "a",
       urgency: 1,
       isInner: false,
+      offeredAt: now,
       aimAt: now + aimMs,
       deadlineAt: now + deadlineMs,
     };
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -15,6 +15,7 @@
   readonly urgency: number;
   /** Made by a running call, which holds a slot until this one is answered. */
   readonly isInner: boolean;
+  readonly offeredAt: MonotonicMs;
   /** End of the latency objective. */
   readonly aimAt: MonotonicMs;
   /** The caller waits no longer than this. */
