refactor(queue): one deadline check, one bound of server errors

Found by reading the whole change: the check of a call's deadline stood three times, the lowest server error three times, and a map's one-field wrapper, an unused report type, an alias of Finding and a time that nothing reads added names without use. Behaviour is the same.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -11,6 +11,7 @@
   type Attempt,
   type AttemptEvent,
   type HeaderList,
+  lowestServerError,
   type OfferedCall,
   type Refusal,
   RefusedBy,
@@ -238,7 +239,7 @@
     head: { status: number; headers: HeaderList },
     whole: Buffer | undefined,
   ) {
-    const isFailed = head.status >= 500;
+    const isFailed = head.status >= lowestServerError;
     close(open, isFailed);
     if (isFailed) {
       mayHaveRun = true;
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -7,6 +7,7 @@
 import {
   type AnswerHead,
   type Failure,
+  lowestServerError,
   type Refusal,
   RefusedBy,
 } from "./state.ts";
@@ -21,9 +22,6 @@
  */
 const strictOffers = 2;
 
-/** Lowest status with which an endpoint says that it failed. */
-const lowestServerError = 500;
-
 /** An idempotent call is not tried again with less time left, in ms. */
 const leastRetryMs = 20;
 
--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -3,7 +3,6 @@
  * @module
  */
 import type { NodeId } from "../core/types.ts";
-import type { QueueReport } from "../queue/state.ts";
 
 /** Header names and values by turns, as they came. */
 export type HeaderList = readonly string[];
@@ -38,6 +37,9 @@
   readonly bodyBytes: number | undefined;
 }
 
+/** Lowest status with which an endpoint says that it failed. */
+export const lowestServerError = 500;
+
 /** Head of an endpoint's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -104,8 +106,3 @@
 export interface Homes {
   homeOf(node: NodeId): Home | undefined;
 }
-
-/** A home's queue at the time of an event. */
-export interface HomeReport extends QueueReport {
-  readonly node: NodeId;
-}
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -7,6 +7,7 @@
   type Attempt,
   type AttemptEvent,
   type Home,
+  lowestServerError,
   type OfferedCall,
   RefusedBy,
 } from "../calls/state.ts";
@@ -46,9 +47,6 @@
 /** An endpoint's own answer at the deadline is waited for this long. */
 const graceMs = 150;
 
-/** Lowest status with which an endpoint says that it failed. */
-const lowestServerError = 500;
-
 /** Options of `createHome`. */
 export interface CreateHomeOptions {
   readonly endpointAddress: string;
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -48,14 +48,10 @@
   close(): void;
 }
 
-interface OfferedEntry {
-  readonly onEvent: (event: AttemptEvent) => void;
-}
-
 /** Keeps a link to a node, connecting again for as long as it is not closed. */
 export function dialLink(opts: DialLinkOptions): DialledLink {
   const { now } = opts;
-  const offered = new Map<LinkKey, OfferedEntry>();
+  const offered = new Map<LinkKey, (event: AttemptEvent) => void>();
   let lastKey = 0;
   let socket: WebSocket | undefined;
   let isOpen = false;
@@ -112,7 +108,7 @@
   function failAll(reason: string) {
     const lost = [...offered.values()];
     offered.clear();
-    for (const { onEvent } of lost) {
+    for (const onEvent of lost) {
       const failure = { reason: `link lost: ${reason}`, isTimeout: false };
       onEvent({ type: "failed", failure });
     }
@@ -122,10 +118,10 @@
     switch (message.type) {
       case "event": {
         opts.onReport(message.report);
-        const entry = offered.get(message.key);
-        if (entry === undefined) return;
+        const onEvent = offered.get(message.key);
+        if (onEvent === undefined) return;
         if (isLast(message.event)) offered.delete(message.key);
-        entry.onEvent(message.event);
+        onEvent(message.event);
         return;
       }
       case "pong":
@@ -191,7 +187,7 @@
         queueMicrotask(() => onEvent({ type: "refused", refusal }));
         return { send() {}, finish() {}, cancel() {} };
       }
-      offered.set(key, { onEvent });
+      offered.set(key, onEvent);
       send({ type: "offer", key, call });
       return {
         send: (chunk) => send({ type: "body", key, chunk }),
--- a/src/placement/note_home.ts
+++ b/src/placement/note_home.ts
@@ -17,11 +17,9 @@
   state: PlacementState,
   home: NodeId,
   report: QueueReport,
-  now: MonotonicMs,
 ) {
   const view = viewOf(state, home);
   view.report = report;
-  view.reportedAt = now;
   view.inFlightAtReport = view.inFlight;
 }
 
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -31,26 +31,26 @@
 test("own domain goes first while it has room", () => {
   const state = createPlacementState();
   assert.equal(choose(state), "near");
-  noteReport(state, "near", { running: 3, waiting: 0, meanMs: 50 }, 0);
-  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 }, 0);
+  noteReport(state, "near", { running: 3, waiting: 0, meanMs: 50 });
+  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 });
   assert.equal(choose(state), "near");
 });
 
 test("a small call leaves its domain rather than wait", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 4, waiting: 2, meanMs: 50 }, 0);
+  noteReport(state, "near", { running: 4, waiting: 2, meanMs: 50 });
   assert.equal(choose(state), "far");
 });
 
 test("a large body waits for its own domain", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 4, waiting: 2, meanMs: 50 }, 0);
+  noteReport(state, "near", { running: 4, waiting: 2, meanMs: 50 });
   assert.equal(choose(state, { bytes: 60_000 }), "near");
 });
 
 test("calls sent since the report count", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 3, waiting: 0, meanMs: 50 }, 0);
+  noteReport(state, "near", { running: 3, waiting: 0, meanMs: 50 });
   for (let n = 0; n < 3; n++) noteOffer(state, "near");
   assert.equal(choose(state), "far");
 });
@@ -67,8 +67,8 @@
 
 test("a slow endpoint gets fewer calls", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 0, waiting: 0, meanMs: 400 }, 0);
-  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 }, 0);
+  noteReport(state, "near", { running: 0, waiting: 0, meanMs: 400 });
+  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 });
   assert.equal(choose(state), "far");
 });
 
@@ -82,8 +82,8 @@
 
 test("a faster endpoint elsewhere is no reason to leave a safe one", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 0, waiting: 0, meanMs: 80 }, 0);
-  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 }, 0);
+  noteReport(state, "near", { running: 0, waiting: 0, meanMs: 80 });
+  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 });
   assert.equal(choose(state, { aimLeftMs: 400 }), "near");
   assert.equal(choose(state, { aimLeftMs: 90 }), "far");
 });
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -17,7 +17,6 @@
 /** Load and reliability of one home, as seen from here. */
 export interface HomeView {
   report: QueueReport;
-  reportedAt: MonotonicMs;
   /** Calls from here at that home now, and when it last reported. */
   inFlight: number;
   inFlightAtReport: number;
@@ -42,7 +41,6 @@
   if (known !== undefined) return known;
   const view: HomeView = {
     report: { running: 0, waiting: 0, meanMs: 0 },
-    reportedAt: -Infinity,
     inFlight: 0,
     inFlightAtReport: 0,
     failing: 0,
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -7,7 +7,7 @@
 import { compareCalls } from "./compare_calls.ts";
 import {
   canMeetAim,
-  expectedRunMs,
+  canMeetDeadline,
   expectedWaitMs,
   learnRun,
   meanRunMs,
@@ -32,12 +32,6 @@
  */
 const lateShare = 2;
 
-/**
- * Part of the expected run that must be left before the deadline. Runs differ,
- * so some calls with less than the mean left are still answered in time.
- */
-const leastRunShare = 0.7;
-
 /** A run of this many times its route's mean counts as overdue. */
 const overdueFactor = 3;
 
@@ -90,10 +84,9 @@
   if (gate.type === "closed") {
     return [refuse(state, call.key, RefusalReason.Closed)];
   }
-  const runMs = expectedRunMs(state, call.route, now);
   const ahead = countAhead(state, call, now);
   const startAt = now + expectedWaitMs(state, ahead);
-  if (startAt + runMs * leastRunShare > call.deadlineAt) {
+  if (!canMeetDeadline(state, call, startAt, now)) {
     return [refuse(state, call.key, RefusalReason.NoTime)];
   }
   const mustWait = startAt > now;
@@ -165,8 +158,7 @@
     const next = firstOf(state, now);
     if (next === undefined) break;
     waiting.delete(next.key);
-    const runMs = expectedRunMs(state, next.route, now);
-    if (now + runMs * leastRunShare > next.deadlineAt) {
+    if (!canMeetDeadline(state, next, now, now)) {
       effects.push(refuse(state, next.key, RefusalReason.NoTime));
       continue;
     }
@@ -190,8 +182,7 @@
 function expire(state: QueueState, now: MonotonicMs): QueueEffect[] {
   const effects: QueueEffect[] = [];
   for (const call of state.waiting.values()) {
-    const runMs = expectedRunMs(state, call.route, now);
-    if (now + runMs * leastRunShare <= call.deadlineAt) continue;
+    if (canMeetDeadline(state, call, now, now)) continue;
     state.waiting.delete(call.key);
     effects.push(refuse(state, call.key, RefusalReason.NoTime));
   }
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -59,3 +59,20 @@
   const runMs = expectedRunMs(state, call.route, startAt);
   return startAt + runMs * timelyRuns <= call.aimAt;
 }
+
+/**
+ * Part of the expected run that must be left before the deadline. Runs differ,
+ * so some calls with less than the mean left are still answered in time.
+ */
+const leastRunShare = 0.7;
+
+/** Whether a call that starts at `startAt` may be answered in time at all. */
+export function canMeetDeadline(
+  state: QueueState,
+  call: QueuedCall,
+  startAt: MonotonicMs,
+  now: MonotonicMs,
+): boolean {
+  const runMs = expectedRunMs(state, call.route, now);
+  return startAt + runMs * leastRunShare <= call.deadlineAt;
+}
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -128,7 +128,7 @@
       random: opts.random,
       hello: () => ({ type: "hello", row: ownRow(fleet) }),
       ping,
-      onReport: (report) => noteReport(opts.placement, node, report, now()),
+      onReport: (report) => noteReport(opts.placement, node, report),
       onGossip: (message) => take(node, message, (reply) => send(node, reply)),
       onOpen() {
         opts.log.write("fleet", LogLevel.Info, "link opened", { peer: node });
@@ -252,7 +252,7 @@
     message: Extract<Gossip, { type: "ping" }>,
   ) {
     if (from === undefined) return;
-    noteReport(opts.placement, from, message.report, now());
+    noteReport(opts.placement, from, message.report);
     if (message.isStoreHealthy) healthyAt.set(from, now());
     else healthyAt.delete(from);
     if (message.operatorEnd <= opts.operatorEnd()) return;
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -6,9 +6,6 @@
 import type { Finding, RouteCounts } from "../rollout/messages.ts";
 import type { Evidence, Inbox, Judge } from "../rollout/state.ts";
 
-/** Why a version is taken back, as the log shows it. */
-export type MoveFinding = Finding;
-
 export const MovePhase = {
   Running: "running",
   Completed: "completed",
@@ -52,7 +49,7 @@
 export interface MoveFault {
   readonly service: string;
   readonly target: string;
-  readonly finding: MoveFinding;
+  readonly finding: Finding;
 }
 
 /** A status that the store holds. */
@@ -71,7 +68,7 @@
   /** When the target first had a ready endpoint. */
   targetReadyAt: MonotonicMs | undefined;
   /** Fault seen here. This node sends the target nothing from then on. */
-  fault: MoveFinding | undefined;
+  fault: Finding | undefined;
   /** Phase that the store has confirmed. */
   recorded: MovePhase | undefined;
   /** Phase that is on its way to the store. */
