perf(queue): bound waits so that calls start with time to spare

Placement judged homes by the mean of all their runs, so an endpoint that ran only long calls got no short ones, and it did not see what other nodes had queued at its own home.

Change: a call may wait for half of its spare time; one that will be late joins only a short queue and is given back after a quarter of its time. Reports carry the run time of the call's route; the own queue is seen in full; an old report's waiting calls no longer count.

--- a/src/callers/find_next_home.ts
+++ b/src/callers/find_next_home.ts
@@ -4,6 +4,7 @@
  */
 import type { NodeId } from "../core/types.ts";
 import { chooseCandidate } from "../placement/choose_candidate.ts";
+import { noteReport } from "../placement/note_home.ts";
 import type { Route } from "../routes/state.ts";
 import { chooseVersions } from "../takeover/choose_version.ts";
 import type { CallContext } from "./state.ts";
@@ -45,7 +46,15 @@
   const candidates = versions.length === 1
     ? present.get(versions[0] ?? "") ?? []
     : versions.flatMap((version) => present.get(version) ?? []);
+  // Other nodes report with each event; the own home is asked.
+  noteReport(ctx.placement, {
+    home: ctx.self,
+    report: ctx.ownReport(route.name),
+    route: route.name,
+    now: ctx.now(),
+  });
   return chooseCandidate(ctx.placement, {
+    route: route.name,
     candidates,
     tried: opts.tried,
     ownDomain: ctx.domain,
--- /dev/null
+++ b/src/callers/find_next_home_test.ts
@@ -0,0 +1,57 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { createPlacementState } from "../placement/state.ts";
+import { findNextHome } from "./find_next_home.ts";
+import type { CallContext } from "./state.ts";
+
+const candidates = ["self", "other"].map((home) => ({
+  home,
+  domain: "d1",
+  slots: 4,
+  coldUntil: -Infinity,
+}));
+
+/** A node beside an endpoint whose queue other nodes have filled. */
+function contextOf(waiting: number): CallContext {
+  const ctx: Partial<CallContext> = {
+    self: "self",
+    domain: "d1",
+    fleet: {
+      self: "self",
+      rows: new Map(),
+      linked: new Set(),
+      seenAt: new Map(),
+      byService: new Map([["one", new Map([["v1", candidates]])]]),
+    },
+    placement: createPlacementState(),
+    answerBytes: new Map(),
+    ownReport: () => ({ running: 4, waiting, meanMs: 50, routeMs: 50 }),
+    now: () => 0,
+    random: () => 0,
+  };
+  return ctx as CallContext;
+}
+
+test("the queue that others made counts at the own home", () => {
+  const route = {
+    name: "a",
+    prefix: "/a/",
+    isIdempotent: true,
+    timeoutMs: 1_000,
+    aimMs: 200,
+    maxAttempts: 2,
+    urgency: 1,
+    parts: [],
+  };
+  const find = (waiting: number) =>
+    findNextHome({
+      ctx: contextOf(waiting),
+      service: "one",
+      versions: ["v1"],
+      route,
+      tried: new Set(),
+      bodyBytes: 0,
+      aimLeftMs: 200,
+    });
+  assert.equal(find(8), "other");
+});
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -9,6 +9,7 @@
 import type { Log } from "../logs/create_log.ts";
 import type { Metrics } from "../metrics/create_metrics.ts";
 import type { PlacementState } from "../placement/state.ts";
+import type { QueueReport } from "../queue/state.ts";
 import type { RoutesState } from "../routes/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { TakeoverState } from "../takeover/state.ts";
@@ -28,6 +29,10 @@
   /** Mean size of the answers of each route, in bytes. */
   readonly answerBytes: Map<string, number>;
   readonly homes: Homes;
+  /** Whether the endpoint on this VM runs the call with this id. */
+  readonly runsHere: (callId: string) => boolean;
+  /** Queue of the endpoint on this VM, for a route. */
+  readonly ownReport: (route: string) => QueueReport;
   readonly dialect: CallDialect;
   readonly log: Log;
   readonly metrics: Metrics;
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -61,7 +61,10 @@
 export interface LocalHome extends Home {
   /** Opens or closes the gate for the endpoint as last heard of. */
   setInstance(instance: Instance | undefined, reason: string): void;
-  report(): QueueReport;
+  /** Its queue as other nodes are told of it, for a route where one is given. */
+  report(route?: string): QueueReport;
+  /** Whether the endpoint runs the call with this id. */
+  runs(callId: string): boolean;
   close(): Promise<void>;
 }
 
@@ -80,6 +83,7 @@
   const connector = createEndpointConnector({ connectMs });
   const queue = createQueueState();
   const open = new Map<number, OpenCall>();
+  const runningIds = new Set<string>();
   let lastKey = 0;
   let instance: Instance | undefined;
   let pool: Pool | undefined;
@@ -125,6 +129,7 @@
     const runningOn = instance;
     const leftMs = entry.deadlineAt - now();
     entry.startedAt = now();
+    runningIds.add(entry.call.id);
     entry.timer = setTimeout(
       () => expire(key, entry),
       Math.max(0, leftMs) + graceMs,
@@ -200,6 +205,7 @@
   function end(key: number, entry: OpenCall, isAnswered: boolean) {
     clearTimeout(entry.timer);
     open.delete(key);
+    runningIds.delete(entry.call.id);
     apply(decideQueue(queue, { type: "ended", key, isAnswered, now: now() }));
   }
 
@@ -283,7 +289,8 @@
       }
       openGate();
     },
-    report: () => reportQueue(queue),
+    runs: (callId) => runningIds.has(callId),
+    report: (route) => reportQueue(queue, route),
     async close() {
       clearTimeout(ticker);
       clearTimeout(reopener);
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -17,7 +17,7 @@
 /** Options of `acceptLinks`. */
 export interface AcceptLinksOptions {
   readonly home: Home;
-  readonly report: () => QueueReport;
+  readonly report: (route?: string) => QueueReport;
   /** Answers gossip through `reply`. The sender is known after its hello. */
   readonly onGossip: (
     from: NodeId | undefined,
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -33,7 +33,8 @@
   readonly random: () => number;
   readonly hello: () => Gossip;
   readonly ping: () => Gossip;
-  readonly onReport: (report: QueueReport) => void;
+  /** The route is known of a report that comes with a call's event. */
+  readonly onReport: (report: QueueReport, route?: string) => void;
   readonly onGossip: (message: Gossip) => void;
   readonly onOpen: () => void;
   readonly onClose: (reason: string) => void;
@@ -48,10 +49,15 @@
   close(): void;
 }
 
+interface OfferedOnLink {
+  readonly route: string;
+  readonly onEvent: (event: AttemptEvent) => void;
+}
+
 /** Keeps a link to a node, connecting again for as long as it is not closed. */
 export function dialLink(opts: DialLinkOptions): DialledLink {
   const { now } = opts;
-  const offered = new Map<LinkKey, (event: AttemptEvent) => void>();
+  const offered = new Map<LinkKey, OfferedOnLink>();
   let lastKey = 0;
   let socket: WebSocket | undefined;
   let isOpen = false;
@@ -108,7 +114,7 @@
   function failAll(reason: string) {
     const lost = [...offered.values()];
     offered.clear();
-    for (const onEvent of lost) {
+    for (const { onEvent } of lost) {
       const failure = { reason: `link lost: ${reason}`, isTimeout: false };
       onEvent({ type: "failed", failure });
     }
@@ -117,11 +123,11 @@
   function take(message: LinkMessage) {
     switch (message.type) {
       case "event": {
-        opts.onReport(message.report);
-        const onEvent = offered.get(message.key);
-        if (onEvent === undefined) return;
+        const call = offered.get(message.key);
+        opts.onReport(message.report, call?.route);
+        if (call === undefined) return;
         if (isLast(message.event)) offered.delete(message.key);
-        onEvent(message.event);
+        call.onEvent(message.event);
         return;
       }
       case "pong":
@@ -187,7 +193,7 @@
         queueMicrotask(() => onEvent({ type: "refused", refusal }));
         return { send() {}, finish() {}, cancel() {} };
       }
-      offered.set(key, onEvent);
+      offered.set(key, { route: call.route, onEvent });
       send({ type: "offer", key, call });
       return {
         send: (chunk) => send({ type: "body", key, chunk }),
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -104,14 +104,14 @@
         type: "event",
         key,
         report: reportOf(fields, 2),
-        event: eventOf(fields.slice(5)),
+        event: eventOf(fields.slice(6)),
       };
     case Kind.Ping:
       return {
         type: "ping",
         report: reportOf(fields, 1),
-        operatorEnd: fields[4] as number,
-        isStoreHealthy: fields[5] as boolean,
+        operatorEnd: fields[5] as number,
+        isStoreHealthy: fields[6] as boolean,
       };
     case Kind.Pong:
       return { type: "pong", report: reportOf(fields, 1) };
@@ -123,7 +123,7 @@
 }
 
 function reportFields(report: QueueReport): Fields {
-  return [report.running, report.waiting, report.meanMs];
+  return [report.running, report.waiting, report.meanMs, report.routeMs];
 }
 
 function reportOf(fields: Fields, at: number): QueueReport {
@@ -131,6 +131,7 @@
     running: fields[at] as number,
     waiting: fields[at + 1] as number,
     meanMs: fields[at + 2] as number,
+    routeMs: fields[at + 3] as number,
   };
 }
 
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -22,7 +22,7 @@
   body: Buffer.from("body"),
   bodyBytes: undefined,
 };
-const report = { running: 1, waiting: 2, meanMs: 3.5 };
+const report = { running: 1, waiting: 2, meanMs: 3.5, routeMs: 4.5 };
 const events: AttemptEvent[] = [
   { type: "admitted" },
   { type: "overdue" },
--- a/src/links/serve_link.ts
+++ b/src/links/serve_link.ts
@@ -15,7 +15,7 @@
 /** Options of `serveLink`. */
 export interface ServeLinkOptions {
   readonly home: Home;
-  readonly report: () => QueueReport;
+  readonly report: (route?: string) => QueueReport;
   readonly send: (message: LinkMessage) => void;
 }
 
@@ -29,16 +29,16 @@
 export function serveLink(opts: ServeLinkOptions): ServedLink {
   const attempts = new Map<LinkKey, Attempt>();
 
-  function tell(key: LinkKey, event: AttemptEvent) {
+  function tell(key: LinkKey, route: string, event: AttemptEvent) {
     if (isLast(event)) attempts.delete(key);
-    opts.send({ type: "event", key, event, report: opts.report() });
+    opts.send({ type: "event", key, event, report: opts.report(route) });
   }
 
   function offer(key: LinkKey, call: OfferedCall): Attempt {
     const isWaited = call.body === undefined;
     return opts.home.offer(call, (event) => {
       // An admission matters to a body that waits for it, and to nothing else.
-      if (event.type !== "admitted" || isWaited) tell(key, event);
+      if (event.type !== "admitted" || isWaited) tell(key, call.route, event);
     });
   }
 
--- a/src/placement/choose_candidate.ts
+++ b/src/placement/choose_candidate.ts
@@ -41,8 +41,16 @@
 const riskyCost = 2;
 const safeCost = 0.25;
 
+/** Run time assumed of a home that has not run the route, in milliseconds. */
+const unknownRunMs = 10;
+
+/** Age of a report after which its waiting calls no longer count, in ms. */
+const staleMs = 400;
+
 /** Options of `chooseCandidate`. */
 export interface ChooseCandidateOptions {
+  /** Route of the call. */
+  readonly route: string;
   readonly candidates: readonly Candidate[];
   readonly tried: ReadonlySet<NodeId>;
   readonly ownDomain: string;
@@ -79,10 +87,13 @@
   for (const candidate of opts.candidates) {
     if (opts.tried.has(candidate.home)) continue;
     const view = viewOf(state, candidate.home);
-    const runMs = runMsOf(view, candidate, opts.now);
-    const waitMs = waitMsOf(view, candidate.slots, runMs);
+    const runMs = runMsOf(view, candidate, opts);
+    const waitMs = waitMsOf(view, candidate, opts.now);
     const isShunned = opts.now < view.shunnedUntil;
-    const crowd = Math.min(1, outstandingOf(view) / candidate.slots);
+    const crowd = Math.min(
+      1,
+      outstandingOf(view, opts.now) / candidate.slots,
+    );
     const tookMs = waitMs + runMs * (1 + crowdShare * crowd);
     const cost = costOfTime(tookMs, opts.aimLeftMs) + opts.random() +
       failingOf(state, candidate.home, opts.now) * failureMs +
@@ -107,20 +118,30 @@
 function runMsOf(
   view: HomeView,
   candidate: Candidate,
-  now: MonotonicMs,
+  opts: ChooseCandidateOptions,
 ): number {
-  const mean = view.report.meanMs > 0 ? view.report.meanMs : firstGuessMs;
-  return now < candidate.coldUntil ? mean * coldFactor : mean;
+  // A home that has not run the route yet counts as a fast one, so that it is
+  // tried: its mean over other routes would keep it from ever being so.
+  const mean = view.routeMs.get(opts.route) ?? unknownRunMs;
+  return opts.now < candidate.coldUntil ? mean * coldFactor : mean;
 }
 
 /** Calls at a home: those it reported, and those sent from here since. */
-function outstandingOf(view: HomeView): number {
-  const { report, inFlight, inFlightAtReport } = view;
+function outstandingOf(view: HomeView, now: MonotonicMs): number {
+  const { report, inFlight, inFlightAtReport, reportedAt } = view;
   const since = inFlight - inFlightAtReport;
-  return Math.max(inFlight, report.running + report.waiting + since);
+  // What waited when the home last reported has started or gone since.
+  const waiting = now - reportedAt < staleMs ? report.waiting : 0;
+  return Math.max(inFlight, report.running + waiting + since);
 }
 
-function waitMsOf(view: HomeView, slots: number, runMs: number): number {
-  const over = outstandingOf(view) - slots + 1;
-  return over <= 0 ? 0 : over * runMs / slots;
+function waitMsOf(
+  view: HomeView,
+  candidate: Candidate,
+  now: MonotonicMs,
+): number {
+  const { slots } = candidate;
+  const over = outstandingOf(view, now) - slots + 1;
+  const meanMs = view.report.meanMs > 0 ? view.report.meanMs : firstGuessMs;
+  return over <= 0 ? 0 : over * meanMs / slots;
 }
--- a/src/placement/note_home.ts
+++ b/src/placement/note_home.ts
@@ -12,15 +12,25 @@
 /** Failures count half after this time, in milliseconds. */
 const halfLifeMs = 2_000;
 
+/** Options of `noteReport`. */
+export interface NoteReportOptions {
+  readonly home: NodeId;
+  readonly report: QueueReport;
+  /** Route that the report's run time is of. */
+  readonly route?: string | undefined;
+  readonly now: MonotonicMs;
+}
+
 /** Takes a home's report of its queue. */
-export function noteReport(
-  state: PlacementState,
-  home: NodeId,
-  report: QueueReport,
-) {
-  const view = viewOf(state, home);
+export function noteReport(state: PlacementState, opts: NoteReportOptions) {
+  const { report, route } = opts;
+  const view = viewOf(state, opts.home);
   view.report = report;
+  view.reportedAt = opts.now;
   view.inFlightAtReport = view.inFlight;
+  if (route !== undefined && report.routeMs > 0) {
+    view.routeMs.set(route, report.routeMs);
+  }
 }
 
 /** Counts a call that is offered to a home. */
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -2,7 +2,11 @@
 import assert from "node:assert/strict";
 import { chooseCandidate } from "./choose_candidate.ts";
 import { noteEnd, noteOffer, noteReport, shunHome } from "./note_home.ts";
-import { type Candidate, createPlacementState } from "./state.ts";
+import {
+  type Candidate,
+  createPlacementState,
+  type PlacementState,
+} from "./state.ts";
 
 function candidateOf(home: string, domain = "d1"): Candidate {
   return { home, domain, slots: 4, coldUntil: -Infinity };
@@ -11,6 +15,15 @@
 const near = candidateOf("near");
 const far = candidateOf("far", "d2");
 
+function report(
+  state: PlacementState,
+  home: string,
+  [running, waiting, meanMs]: readonly [number, number, number],
+) {
+  const queue = { running, waiting, meanMs, routeMs: meanMs };
+  noteReport(state, { home, report: queue, route: "a", now: 0 });
+}
+
 function choose(
   state = createPlacementState(),
   opts: { bytes?: number; aimLeftMs?: number; tried?: string[]; now?: number } =
@@ -18,6 +31,7 @@
   candidates = [near, far],
 ) {
   return chooseCandidate(state, {
+    route: "a",
     candidates,
     tried: new Set(opts.tried),
     ownDomain: "d1",
@@ -31,26 +45,26 @@
 test("own domain goes first while it has room", () => {
   const state = createPlacementState();
   assert.equal(choose(state), "near");
-  noteReport(state, "near", { running: 3, waiting: 0, meanMs: 50 });
-  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 });
+  report(state, "near", [3, 0, 50]);
+  report(state, "far", [0, 0, 50]);
   assert.equal(choose(state), "near");
 });
 
 test("a small call leaves its domain rather than wait", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 4, waiting: 2, meanMs: 50 });
+  report(state, "near", [4, 2, 50]);
   assert.equal(choose(state), "far");
 });
 
 test("a large body waits for its own domain", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 4, waiting: 2, meanMs: 50 });
+  report(state, "near", [4, 2, 50]);
   assert.equal(choose(state, { bytes: 60_000 }), "near");
 });
 
 test("calls sent since the report count", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 3, waiting: 0, meanMs: 50 });
+  report(state, "near", [3, 0, 50]);
   for (let n = 0; n < 3; n++) noteOffer(state, "near");
   assert.equal(choose(state), "far");
 });
@@ -67,8 +81,8 @@
 
 test("a slow endpoint gets fewer calls", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 0, waiting: 0, meanMs: 400 });
-  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 });
+  report(state, "near", [0, 0, 400]);
+  report(state, "far", [0, 0, 50]);
   assert.equal(choose(state), "far");
 });
 
@@ -82,8 +96,23 @@
 
 test("a faster endpoint elsewhere is no reason to leave a safe one", () => {
   const state = createPlacementState();
-  noteReport(state, "near", { running: 0, waiting: 0, meanMs: 80 });
-  noteReport(state, "far", { running: 0, waiting: 0, meanMs: 50 });
+  report(state, "near", [0, 0, 80]);
+  report(state, "far", [0, 0, 50]);
   assert.equal(choose(state, { aimLeftMs: 400 }), "near");
   assert.equal(choose(state, { aimLeftMs: 90 }), "far");
 });
+
+test("an endpoint that runs other, longer calls is not a slow one", () => {
+  const state = createPlacementState();
+  const near = { running: 0, waiting: 0, meanMs: 90, routeMs: 0 };
+  noteReport(state, { home: "near", report: near, route: "a", now: 0 });
+  report(state, "far", [0, 0, 10]);
+  assert.equal(choose(state, { aimLeftMs: 60 }), "near");
+});
+
+test("an old report of a queue does not keep calls away", () => {
+  const state = createPlacementState();
+  report(state, "near", [4, 8, 50]);
+  assert.equal(choose(state), "far");
+  assert.equal(choose(state, { now: 1_000, bytes: 20_000 }), "near");
+});
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -17,6 +17,9 @@
 /** Load and reliability of one home, as seen from here. */
 export interface HomeView {
   report: QueueReport;
+  reportedAt: MonotonicMs;
+  /** Mean run times there by route, in milliseconds, as last reported. */
+  readonly routeMs: Map<string, number>;
   /** Calls from here at that home now, and when it last reported. */
   inFlight: number;
   inFlightAtReport: number;
@@ -40,7 +43,9 @@
   const known = state.views.get(home);
   if (known !== undefined) return known;
   const view: HomeView = {
-    report: { running: 0, waiting: 0, meanMs: 0 },
+    report: { running: 0, waiting: 0, meanMs: 0, routeMs: 0 },
+    reportedAt: -Infinity,
+    routeMs: new Map(),
     inFlight: 0,
     inFlightAtReport: 0,
     failing: 0,
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -9,6 +9,7 @@
   canMeetAim,
   canMeetDeadline,
   expectedWaitMs,
+  isWaitSafe,
   learnRun,
   meanRunMs,
 } from "./estimate.ts";
@@ -32,6 +33,18 @@
  */
 const lateShare = 2;
 
+/**
+ * Calls for each slot that may be ahead of one that will miss its aim. Behind
+ * more of them it would wait for a gap that an overload does not leave.
+ */
+const aheadShare = 0.5;
+
+/**
+ * Part of its time after which a call that misses its aim is given back, so
+ * that its caller can still come again.
+ */
+const lateWaitShare = 0.25;
+
 /** A run of this many times its route's mean counts as overdue. */
 const overdueFactor = 3;
 
@@ -66,15 +79,24 @@
   }
 }
 
-/** What other nodes are told of the queue. */
-export function reportQueue(state: QueueState): QueueReport {
+/**
+ * What other nodes are told of the queue, with the run time of a route's calls
+ * where the report goes with one.
+ */
+export function reportQueue(state: QueueState, route?: string): QueueReport {
+  const routeMs = route === undefined ? undefined : state.timesOf.get(route);
   return {
     running: state.running.size,
     waiting: state.waiting.size,
-    meanMs: Math.round(meanRunMs(state) * 10) / 10,
+    meanMs: toTenths(meanRunMs(state)),
+    routeMs: toTenths(routeMs?.mean ?? 0),
   };
 }
 
+function toTenths(ms: number): number {
+  return Math.round(ms * 10) / 10;
+}
+
 function offer(
   state: QueueState,
   event: Extract<QueueEvent, { type: "offered" }>,
@@ -89,10 +111,14 @@
   if (!canMeetDeadline(state, call, startAt, now)) {
     return [refuse(state, call.key, RefusalReason.NoTime)];
   }
-  const mustWait = startAt > now;
-  const isLate = mustWait && !canMeetAim(state, call, startAt);
-  if ((isLate && !mayBeLate) || state.waiting.size >= maxWaiting) {
-    return [refuse(state, call.key, RefusalReason.Late)];
+  if (!isWaitSafe(state, call, startAt - now, now)) {
+    if (!mayBeLate) return [refuse(state, call.key, RefusalReason.Late)];
+    if (!call.isInner && ahead > aheadShare * gate.slots) {
+      return [refuse(state, call.key, RefusalReason.Crowded)];
+    }
+  }
+  if (state.waiting.size >= maxWaiting) {
+    return [refuse(state, call.key, RefusalReason.Crowded)];
   }
   state.waiting.set(call.key, call);
   return [...crowdOut(state, gate.slots, now), ...pump(state, now)];
@@ -178,17 +204,31 @@
   return first;
 }
 
-/** Turns away at once what can't be answered before its deadline any more. */
+/** Turns away what has no time left, or has waited in vain for a gap. */
 function expire(state: QueueState, now: MonotonicMs): QueueEffect[] {
   const effects: QueueEffect[] = [];
   for (const call of state.waiting.values()) {
-    if (canMeetDeadline(state, call, now, now)) continue;
+    const reason = whyExpired(state, call, now);
+    if (reason === undefined) continue;
     state.waiting.delete(call.key);
-    effects.push(refuse(state, call.key, RefusalReason.NoTime));
+    effects.push(refuse(state, call.key, reason));
   }
   return effects;
 }
 
+function whyExpired(
+  state: QueueState,
+  call: QueuedCall,
+  now: MonotonicMs,
+): RefusalReason | undefined {
+  if (!canMeetDeadline(state, call, now, now)) return RefusalReason.NoTime;
+  if (call.isInner || canMeetAim(state, call, now)) return undefined;
+  const timeMs = call.deadlineAt - call.offeredAt;
+  return now - call.offeredAt > timeMs * lateWaitShare
+    ? RefusalReason.Crowded
+    : undefined;
+}
+
 function findOverdue(state: QueueState, now: MonotonicMs): QueueEffect[] {
   const effects: QueueEffect[] = [];
   for (const call of state.running.values()) {
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -15,10 +15,18 @@
 export const coldFactor = 2;
 
 /**
- * Expected runs that must fit before the end of the aim. With less, a full
- * queue starts each call at the last moment, and every second one is late.
+ * Expected runs that must fit before the end of the aim when a call starts.
+ * Runs spread around their mean, so a call with just the mean left is late every
+ * second time.
  */
-const timelyRuns = 1.5;
+const timelyRuns = 1.2;
+
+/**
+ * Part of a call's spare time, the aim less its run, that it may wait. A queue
+ * that is allowed all of it starts each call at the last moment for as long as
+ * the load is at the capacity.
+ */
+const waitShare = 0.5;
 
 /** Adds one run to the recent times. */
 export function learnRun(times: RunTimes, tookMs: number) {
@@ -60,6 +68,17 @@
   return startAt + runMs * timelyRuns <= call.aimAt;
 }
 
+/** Whether a call that has to wait so long keeps a margin to its aim. */
+export function isWaitSafe(
+  state: QueueState,
+  call: QueuedCall,
+  waitMs: number,
+  now: MonotonicMs,
+): boolean {
+  const spareMs = call.aimAt - now - expectedRunMs(state, call.route, now);
+  return waitMs <= Math.max(0, spareMs) * waitShare;
+}
+
 /**
  * Part of the expected run that must be left before the deadline. Runs differ,
  * so some calls with less than the mean left are still answered in time.
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -177,6 +177,46 @@
   assert.equal(refused.length, 3);
 });
 
+/** Teaches the queue that runs of route a take 50 ms. */
+function learnRuns(state: QueueState) {
+  for (let n = 0; n < 10; n++) {
+    const call = callOf();
+    offer(state, call);
+    end(state, call.key, 50);
+  }
+}
+
+test("a wait that eats up the margin to the aim is refused", () => {
+  const state = openQueue(1);
+  learnRuns(state);
+  offer(state, callOf());
+  assert.deepEqual(offer(state, callOf(), 0, false), []);
+  assert.deepEqual(offer(state, callOf(), 0, false), []);
+  const [effect] = offer(state, callOf(), 0, false);
+  assert.equal(effect?.type === "refuse" && effect.reason, "late");
+});
+
+test("a late call does not join a queue of timely ones", () => {
+  const state = openQueue(1);
+  learnRuns(state);
+  for (let n = 0; n < 3; n++) offer(state, callOf());
+  const [effect] = offer(state, callOf());
+  assert.equal(effect?.type === "refuse" && effect.reason, "crowded");
+});
+
+test("a late call that finds no gap is given back early", () => {
+  const state = openQueue(1);
+  learnRuns(state);
+  offer(state, callOf());
+  const late = callOf({ aimAt: 80 });
+  assert.deepEqual(offer(state, late), []);
+  const refusedAt = (now: number) =>
+    decideQueue(state, { type: "ticked", now })
+      .flatMap((one) => one.type === "refuse" ? [one.key] : []);
+  assert.deepEqual(refusedAt(240), []);
+  assert.deepEqual(refusedAt(260), [late.key]);
+});
+
 test("an overload starves neither long aims nor low urgency", () => {
   const state = openQueue(1);
   let running = callOf();
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -106,8 +106,14 @@
 export interface QueueReport {
   readonly running: number;
   readonly waiting: number;
-  /** Mean time of a run, in milliseconds. */
+  /** Mean time of a run, in milliseconds. Tells how fast a queue moves. */
   readonly meanMs: number;
+  /**
+   * The same for calls of the route that the report goes with, or 0 when there
+   * were none. The mean of all runs says little about them: an endpoint that is
+   * sent only long calls is not a slow one.
+   */
+  readonly routeMs: number;
 }
 
 export function createQueueState(): QueueState {
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -128,7 +128,8 @@
       random: opts.random,
       hello: () => ({ type: "hello", row: ownRow(fleet) }),
       ping,
-      onReport: (report) => noteReport(opts.placement, node, report),
+      onReport: (report, route) =>
+        noteReport(opts.placement, { home: node, report, route, now: now() }),
       onGossip: (message) => take(node, message, (reply) => send(node, reply)),
       onOpen() {
         opts.log.write("fleet", LogLevel.Info, "link opened", { peer: node });
@@ -252,7 +253,8 @@
     message: Extract<Gossip, { type: "ping" }>,
   ) {
     if (from === undefined) return;
-    noteReport(opts.placement, from, message.report);
+    const { report } = message;
+    noteReport(opts.placement, { home: from, report, now: now() });
     if (message.isStoreHealthy) healthyAt.set(from, now());
     else healthyAt.delete(from);
     if (message.operatorEnd <= opts.operatorEnd()) return;
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -182,13 +182,15 @@
     budgetTerms: () => settings.budget,
     answerBytes: new Map(),
     homes: gossip,
+    ownReport: home.report,
+    runsHere: home.runs,
     dialect: platform.dialect,
     log,
     metrics,
     now,
     random,
   };
-  const callers = createCallerServer({ ctx, ip: settings.ip });
+  const callers = createCallerServer({ ctx });
 
   const recorder = createMoveRecorder({
     self: settings.node,
