fix(callers): tell calls of running calls from those of clients

Cause: clients and the endpoint call from the same address, so every request counted as made by a running call. All calls were exempt from the bound of late calls and from the check of event-loop lag, were served in order of arrival, and none counted towards the retry budget.

Change: a request is an inner call when the call that its id names as its parent runs at this VM's endpoint. A home that has no time for a call is followed by two others at most.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -17,6 +17,7 @@
 import { admitRequest, type StopTimes } from "./admit_request.ts";
 import { answerItself } from "./answer_caller.ts";
 import { createLagMeter } from "./create_lag_meter.ts";
+import { isInnerCall } from "./is_inner_call.ts";
 import { serveCall, type ServedCall } from "./serve_call.ts";
 import type { CallContext } from "./state.ts";
 
@@ -35,8 +36,6 @@
 /** Options of `createCallerServer`. */
 export interface CreateCallerServerOptions {
   readonly ctx: CallContext;
-  /** Address of this VM. What calls from it is the endpoint. */
-  readonly ip: string;
 }
 
 export interface CallerServer {
@@ -84,7 +83,7 @@
       ctx.metrics.countCall("", CallResult.NoRoute, 0);
       return refuse(req, res, 404, "no route matches");
     }
-    const isInner = req.socket.remoteAddress === opts.ip;
+    const isInner = isInnerCall(caller, ctx.runsHere);
     const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
     const lagMs = lag.lagMs();
     const now = ctx.now();
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -83,15 +83,26 @@
 
 function afterRefusal(opts: DecideNextOptions, refusal: Refusal): NextStep {
   const isLate = refusal.reason === RefusalReason.Late;
-  // It has waited and lost its place: other homes are as full.
-  const isCrowded = refusal.reason === RefusalReason.Crowded;
-  const mayOffer = !isCrowded && opts.canResend && opts.leftMs > 0 &&
+  const mayOffer = !isFull(opts, refusal) && opts.canResend &&
+    opts.leftMs > 0 &&
     opts.offers < maxOffers && mayArriveAgain(opts, refusal);
   const mayBeLate = !isLate || opts.offers >= strictOffers;
   if (mayOffer) return { type: "offer", mayBeLate };
   return { type: "give-up", status: opts.mayHaveRun ? 502 : 503 };
 }
 
+/** Whether no other home is expected to have room either. */
+function isFull(opts: DecideNextOptions, refusal: Refusal): boolean {
+  switch (refusal.reason) {
+    case RefusalReason.Crowded:
+      return true;
+    case RefusalReason.NoTime:
+      return opts.offers > strictOffers;
+    default:
+      return false;
+  }
+}
+
 function mayArriveAgain(opts: DecideNextOptions, refusal: Refusal): boolean {
   if (opts.arrivals >= opts.maxArrivals) return false;
   // The budget is spent on a second arrival, whoever refused the first.
--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -17,8 +17,6 @@
   /** Address at which other nodes reach this one. */
   readonly node: NodeId;
   readonly domain: string;
-  /** Address of this VM, from which its endpoint calls. */
-  readonly ip: string;
   /** Service of the endpoint on this VM. */
   readonly service: string;
   readonly endpointAddress: string;
@@ -43,6 +41,8 @@
 /** A call as the caller's headers describe it. */
 export interface CallerHead {
   readonly id: string;
+  /** Call whose run claims to have made this one. */
+  readonly parentId: string | undefined;
   /** Time that the caller waits, in milliseconds. */
   readonly waitMs: number | undefined;
 }
--- a/src/testing/test_dialect.ts
+++ b/src/testing/test_dialect.ts
@@ -11,7 +11,7 @@
     const id = headers["call-id"];
     if (typeof id !== "string") return undefined;
     const waitMs = Number(headers["wait-ms"]);
-    return { id, waitMs: waitMs > 0 ? waitMs : undefined };
+    return { id, parentId: undefined, waitMs: waitMs > 0 ? waitMs : undefined };
   },
   sentHeaders(raw) {
     const sent: string[] = [];
