perf(links): compress offers between domains, and age callers that return

Ruled out: compression by the web socket, which keeps two windows of memory a link and answers from another thread.

Callers that return: their objective runs from their first request, but each request counted as fresh, so calls that were late already took slots from those that could still be timely. A request that allows much less time than others on its route has waited before, and its aim is shortened by that.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -17,6 +17,7 @@
 import { admitRequest, type StopTimes } from "./admit_request.ts";
 import { answerItself } from "./answer_caller.ts";
 import { createLagMeter } from "./create_lag_meter.ts";
+import { estimateAgeMs } from "./estimate_age.ts";
 import { isInnerCall } from "./is_inner_call.ts";
 import { serveCall, type ServedCall } from "./serve_call.ts";
 import type { CallContext } from "./state.ts";
@@ -85,6 +86,9 @@
     }
     const isInner = isInnerCall(caller, ctx.runsHere);
     const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
+    const ageMs = isInner || caller.waitMs === undefined
+      ? 0
+      : estimateAgeMs(ctx.patience, route.name, caller.waitMs);
     const lagMs = lag.lagMs();
     const now = ctx.now();
     const reason = admitRequest({ lagMs, isInner, waitMs, stop, now });
@@ -114,6 +118,7 @@
       route,
       isInner,
       waitMs,
+      ageMs,
       maxBodyBytes: bodyBytes,
       mayClose: () => mayClose(res),
       onDone() {
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -58,6 +58,8 @@
   readonly isInner: boolean;
   /** Time until the caller's deadline or the route's time-out. */
   readonly waitMs: number;
+  /** Time that the caller has waited before, in milliseconds. */
+  readonly ageMs: number;
   readonly maxBodyBytes: number;
   /** Whether the connection may end behind this answer. */
   readonly mayClose: () => boolean;
@@ -86,7 +88,7 @@
   const { ctx, req, res, id, route, isInner } = opts;
   const startedAt = ctx.now();
   const deadlineAt = startedAt + opts.waitMs;
-  const aimAt = startedAt + route.aimMs;
+  const aimAt = startedAt + route.aimMs - opts.ageMs;
   const service = pickPart(ctx.routes, route);
   const headers = ctx.dialect.sentHeaders(req.rawHeaders);
   const tried = new Set<NodeId>();
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { BudgetState, BudgetTerms } from "../budget/state.ts";
+import type { CallerPatience } from "./estimate_age.ts";
 import type { Homes } from "../calls/state.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { FleetState } from "../fleet/state.ts";
@@ -26,6 +27,7 @@
   readonly budget: BudgetState;
   /** Changes when the settings are read again. */
   readonly budgetTerms: () => BudgetTerms;
+  readonly patience: CallerPatience;
   /** Mean size of the answers of each route, in bytes. */
   readonly answerBytes: Map<string, number>;
   readonly homes: Homes;
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -7,7 +7,7 @@
 import type { Home } from "../calls/state.ts";
 import type { NodeId } from "../core/types.ts";
 import type { QueueReport } from "../queue/state.ts";
-import { decodeMessage, encodeMessage } from "./encode_message.ts";
+import { createPacker, createUnpacker } from "./create_packer.ts";
 import type { Gossip, LinkMessage } from "./messages.ts";
 import { serveLink } from "./serve_link.ts";
 
@@ -24,6 +24,8 @@
     message: Gossip,
     reply: (message: Gossip) => void,
   ) => void;
+  /** Whether bytes to a node of this failure domain are dear. */
+  readonly isFar: (domain: string) => boolean;
   readonly onError: (reason: string, from: NodeId | undefined) => void;
 }
 
@@ -58,8 +60,11 @@
 
 function serve(socket: WebSocket, opts: AcceptLinksOptions) {
   let from: NodeId | undefined;
+  let isFar = false;
+  const pack = createPacker({ isCompressing: () => isFar });
+  const unpack = createUnpacker();
   const send = (message: LinkMessage) => {
-    if (socket.readyState === socket.OPEN) socket.send(encodeMessage(message));
+    if (socket.readyState === socket.OPEN) socket.send(pack(message));
   };
   const { home, report } = opts;
   const calls = serveLink({ home, report, send });
@@ -79,6 +84,7 @@
         break;
       case "hello":
         from = message.row.node;
+        isFar = opts.isFar(message.row.domain);
         break;
       case "rows":
       case "ask-rows":
@@ -94,7 +100,7 @@
 
   socket.on("message", (data) => {
     try {
-      take(decodeMessage(data as Buffer));
+      take(unpack(data as Buffer));
     } catch (err) {
       opts.onError(err instanceof Error ? err.message : String(err), from);
       socket.terminate();
--- /dev/null
+++ b/src/links/create_packer_test.ts
@@ -0,0 +1,63 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { createPacker, createUnpacker } from "./create_packer.ts";
+import { encodeMessage } from "./encode_message.ts";
+import type { LinkMessage } from "./messages.ts";
+
+function offerOf(key: number): LinkMessage {
+  return {
+    type: "offer",
+    key,
+    call: {
+      id: `id-${key * 7_919}`,
+      method: "GET",
+      target: `/a/${key}`,
+      headers: ["Host", "shop.example", "User-Agent", "client/1.0"],
+      service: "one",
+      version: "v1",
+      route: "a",
+      urgency: 1,
+      isInner: false,
+      callerService: "two",
+      leftMs: 800 - key,
+      aimLeftMs: 200,
+      mayBeLate: false,
+      body: Buffer.alloc(0),
+      bodyBytes: undefined,
+    },
+  };
+}
+
+test("messages survive packing in order, compressed or not", () => {
+  for (const isCompressing of [true, false]) {
+    const pack = createPacker({ isCompressing: () => isCompressing });
+    const unpack = createUnpacker();
+    for (let key = 0; key < 60; key++) {
+      const message = key % 7 === 0
+        ? { type: "cancel" as const, key }
+        : offerOf(key);
+      assert.deepEqual(unpack(pack(message)), message);
+    }
+  }
+});
+
+test("repeated offers between domains take half of their bytes", () => {
+  const pack = createPacker({ isCompressing: () => true });
+  for (let key = 0; key < 40; key++) pack(offerOf(key));
+  const message = offerOf(41);
+  assert.ok(pack(message).length < encodeMessage(message).length / 2);
+});
+
+test("a large body is sent as it is", () => {
+  const pack = createPacker({ isCompressing: () => true });
+  const chunk = Buffer.alloc(9_000);
+  const packed = pack({ type: "body", key: 1, chunk });
+  assert.ok(packed.length > chunk.length);
+});
+
+test("bytes that are no packed message are refused", () => {
+  const unpack = createUnpacker();
+  for (const bytes of ["", "\x09", "\x02junk"]) {
+    assert.throws(() => unpack(Buffer.from(bytes, "latin1")));
+  }
+});
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -13,7 +13,7 @@
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { QueueReport } from "../queue/state.ts";
 import { checkLink } from "./check_link.ts";
-import { decodeMessage, encodeMessage } from "./encode_message.ts";
+import { createPacker, createUnpacker } from "./create_packer.ts";
 import type { Gossip, LinkKey, LinkMessage } from "./messages.ts";
 import { isLast } from "./serve_link.ts";
 import type { LinkHealth } from "./state.ts";
@@ -31,6 +31,8 @@
   readonly idleMs: number;
   readonly now: () => MonotonicMs;
   readonly random: () => number;
+  /** Whether the node is in another failure domain, as far as is known. */
+  readonly isFar: () => boolean;
   readonly hello: () => Gossip;
   readonly ping: () => Gossip;
   /** The route is known of a report that comes with a call's event. */
@@ -60,6 +62,7 @@
   const offered = new Map<LinkKey, OfferedOnLink>();
   let lastKey = 0;
   let socket: WebSocket | undefined;
+  let pack = createPacker({ isCompressing: opts.isFar });
   let isOpen = false;
   let isClosed = false;
   let failures = 0;
@@ -68,6 +71,8 @@
 
   function connect() {
     redial = undefined;
+    pack = createPacker({ isCompressing: opts.isFar });
+    const unpack = createUnpacker();
     const fresh = new WebSocket(`ws://${opts.node}`, {
       perMessageDeflate: false,
       handshakeTimeout: connectMs,
@@ -85,7 +90,7 @@
     fresh.on("message", (data) => {
       health.heardAt = now();
       try {
-        take(decodeMessage(data as Buffer));
+        take(unpack(data as Buffer));
       } catch (err) {
         reason = err instanceof Error ? err.message : String(err);
         fresh.terminate();
@@ -153,7 +158,7 @@
   }
 
   function send(message: LinkMessage) {
-    if (isOpen) socket?.send(encodeMessage(message));
+    if (isOpen) socket?.send(pack(message));
   }
 
   function check() {
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -126,6 +126,7 @@
       idleMs: isNear(node) ? nearIdleMs : farIdleMs,
       now,
       random: opts.random,
+      isFar: () => fleet.rows.has(node) && !isNear(node),
       hello: () => ({ type: "hello", row: ownRow(fleet) }),
       ping,
       onReport: (report, route) =>
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -9,6 +9,7 @@
 import polka from "polka";
 import { createBudgetState } from "../budget/state.ts";
 import { createCallerServer } from "../callers/create_caller_server.ts";
+import { createCallerPatience } from "../callers/estimate_age.ts";
 import type { CallContext } from "../callers/state.ts";
 import { createControlLoop } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
@@ -180,6 +181,7 @@
     placement,
     budget: createBudgetState(),
     budgetTerms: () => settings.budget,
+    patience: createCallerPatience(),
     answerBytes: new Map(),
     homes: gossip,
     ownReport: home.report,
@@ -224,6 +226,7 @@
     home,
     report: home.report,
     onGossip: gossip.take,
+    isFar: (domain) => domain !== settings.domain,
     onError: (reason, peer) =>
       log.write("fleet", LogLevel.Warn, "link refused", { reason, peer }),
   });
