fix(queue): expect a cold endpoint to be slow once, and guess by the aim

Cause: runs of a cold endpoint were learnt as they were and doubled again while it was cold, so after a restart of everything all calls looked late. A route without any answer was guessed at the mean of all routes.

Change: times are learnt as those of a warm endpoint; waits count the cold too; the first guess of a route is 0.3 of its aim.

Three tests of late calls relied on the old first guess of 60 ms; they now teach the queue that time, and check the same as before.

--- a/src/placement/choose_candidate.ts
+++ b/src/placement/choose_candidate.ts
@@ -122,8 +122,12 @@
 ): number {
   // A home that has not run the route yet counts as a fast one, so that it is
   // tried: its mean over other routes would keep it from ever being so.
-  const mean = view.routeMs.get(opts.route) ?? unknownRunMs;
-  return opts.now < candidate.coldUntil ? mean * coldFactor : mean;
+  const meanMs = view.routeMs.get(opts.route) ?? unknownRunMs;
+  return meanMs * slowdownOf(candidate, opts.now);
+}
+
+function slowdownOf(candidate: Candidate, now: MonotonicMs): number {
+  return now < candidate.coldUntil ? coldFactor : 1;
 }
 
 /** Calls at a home: those it reported, and those sent from here since. */
@@ -143,5 +147,6 @@
   const { slots } = candidate;
   const over = outstandingOf(view, now) - slots + 1;
   const meanMs = view.report.meanMs > 0 ? view.report.meanMs : firstGuessMs;
-  return over <= 0 ? 0 : over * meanMs / slots;
+  const runMs = meanMs * slowdownOf(candidate, now);
+  return over <= 0 ? 0 : over * runMs / slots;
 }
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -12,6 +12,7 @@
   isWaitSafe,
   learnRun,
   meanRunMs,
+  slowdownAt,
 } from "./estimate.ts";
 import {
   type CallKey,
@@ -71,7 +72,9 @@
     case "gated":
       state.gate = event.gate;
       state.coldUntil = event.coldUntil;
-      return event.gate.type === "open" ? pump(state, event.now) : flush(state);
+      return event.gate.type === "open"
+        ? pump(state, event.now)
+        : flush(state, event.now);
     case "ticked":
       return [...expire(state, event.now), ...findOverdue(state, event.now)];
     default:
@@ -104,21 +107,21 @@
   const { call, now, mayBeLate } = event;
   const { gate } = state;
   if (gate.type === "closed") {
-    return [refuse(state, call.key, RefusalReason.Closed)];
+    return [refuse(state, call.key, RefusalReason.Closed, now)];
   }
   const ahead = countAhead(state, call, now);
-  const startAt = now + expectedWaitMs(state, ahead);
+  const startAt = now + expectedWaitMs(state, ahead, now);
   if (!canMeetDeadline(state, call, startAt, now)) {
-    return [refuse(state, call.key, RefusalReason.NoTime)];
+    return [refuse(state, call.key, RefusalReason.NoTime, now)];
   }
   if (!isWaitSafe(state, call, startAt - now, now)) {
-    if (!mayBeLate) return [refuse(state, call.key, RefusalReason.Late)];
+    if (!mayBeLate) return [refuse(state, call.key, RefusalReason.Late, now)];
     if (!call.isInner && ahead > aheadShare * gate.slots) {
-      return [refuse(state, call.key, RefusalReason.Crowded)];
+      return [refuse(state, call.key, RefusalReason.Crowded, now)];
     }
   }
   if (state.waiting.size >= maxWaiting) {
-    return [refuse(state, call.key, RefusalReason.Crowded)];
+    return [refuse(state, call.key, RefusalReason.Crowded, now)];
   }
   state.waiting.set(call.key, call);
   return [...crowdOut(state, gate.slots, now), ...pump(state, now)];
@@ -140,7 +143,7 @@
     .toSorted((a, b) => compareCalls(state, a, b, now));
   return late.slice(lateShare * slots).map(({ key }) => {
     state.waiting.delete(key);
-    return refuse(state, key, RefusalReason.Crowded);
+    return refuse(state, key, RefusalReason.Crowded, now);
   });
 }
 
@@ -164,7 +167,10 @@
   if (call === undefined) return;
   state.running.delete(event.key);
   if (!event.isAnswered) return;
-  const tookMs = event.now - call.startedAt;
+  // Times are learnt as those of a warm endpoint, so that the slow ones of its
+  // first seconds are not counted twice.
+  const tookMs = (event.now - call.startedAt) /
+    slowdownAt(state, call.startedAt);
   learnRun(state.times, tookMs);
   let times = state.timesOf.get(call.route);
   if (times === undefined) {
@@ -185,7 +191,7 @@
     if (next === undefined) break;
     waiting.delete(next.key);
     if (!canMeetDeadline(state, next, now, now)) {
-      effects.push(refuse(state, next.key, RefusalReason.NoTime));
+      effects.push(refuse(state, next.key, RefusalReason.NoTime, now));
       continue;
     }
     running.set(next.key, { ...next, startedAt: now, isOverdue: false });
@@ -211,7 +217,7 @@
     const reason = whyExpired(state, call, now);
     if (reason === undefined) continue;
     state.waiting.delete(call.key);
-    effects.push(refuse(state, call.key, reason));
+    effects.push(refuse(state, call.key, reason, now));
   }
   return effects;
 }
@@ -247,22 +253,24 @@
   const times = state.timesOf.get(call.route);
   if (call.isOverdue || times === undefined) return false;
   if (times.samples < overdueSamples) return false;
-  const limitMs = Math.max(minOverdueMs, times.mean * overdueFactor);
+  const meanMs = times.mean * slowdownAt(state, call.startedAt);
+  const limitMs = Math.max(minOverdueMs, meanMs * overdueFactor);
   return now - call.startedAt > limitMs;
 }
 
 /** Turns away all that wait, when the endpoint takes no more calls. */
-function flush(state: QueueState): readonly QueueEffect[] {
+function flush(state: QueueState, now: MonotonicMs): readonly QueueEffect[] {
   const keys = [...state.waiting.keys()];
   state.waiting.clear();
-  return keys.map((key) => refuse(state, key, RefusalReason.Closed));
+  return keys.map((key) => refuse(state, key, RefusalReason.Closed, now));
 }
 
 function refuse(
   state: QueueState,
   key: CallKey,
   reason: RefusalReason,
+  now: MonotonicMs,
 ): QueueEffect {
-  const waitMs = Math.round(expectedWaitMs(state, state.waiting.size));
+  const waitMs = Math.round(expectedWaitMs(state, state.waiting.size, now));
   return { type: "refuse", key, reason, waitMs };
 }
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -11,6 +11,12 @@
 /** Run time that is assumed before the first answer, in milliseconds. */
 export const firstGuessMs = 60;
 
+/**
+ * Run time that is assumed of a route before its first answer, as a part of the
+ * aim. Operators set aims to a few times what a call takes.
+ */
+const guessedAimShare = 0.3;
+
 /** Endpoints that have just started take about twice as long. */
 export const coldFactor = 2;
 
@@ -35,27 +41,40 @@
   times.mean += (tookMs - times.mean) * weight;
 }
 
-/** Expected time of one run of a call's route, in milliseconds. */
+/** How many times longer than usual a run takes that starts now. */
+export function slowdownAt(state: QueueState, now: MonotonicMs): number {
+  return now < state.coldUntil ? coldFactor : 1;
+}
+
+/** Expected time of a run of the call, in milliseconds. */
 export function expectedRunMs(
   state: QueueState,
-  route: string,
+  call: QueuedCall,
   now: MonotonicMs,
 ): number {
-  const own = state.timesOf.get(route)?.mean ?? meanRunMs(state);
-  return now < state.coldUntil ? own * coldFactor : own;
+  const guessMs = Math.max(0, call.aimAt - call.offeredAt) * guessedAimShare;
+  const ownMs = state.timesOf.get(call.route)?.mean ?? guessMs;
+  return ownMs * slowdownAt(state, now);
 }
 
-/** Mean time of all recent runs, in milliseconds. */
+/**
+ * Mean time of all recent runs, in milliseconds, for an endpoint that is warm.
+ */
 export function meanRunMs(state: QueueState): number {
   return state.times.samples === 0 ? firstGuessMs : state.times.mean;
 }
 
 /** Expected wait with `ahead` calls before, in milliseconds. */
-export function expectedWaitMs(state: QueueState, ahead: number): number {
+export function expectedWaitMs(
+  state: QueueState,
+  ahead: number,
+  now: MonotonicMs,
+): number {
   const slots = state.gate.type === "open" ? state.gate.slots : 1;
   const free = slots - state.running.size;
   if (ahead < free) return 0;
-  return (ahead - Math.max(0, free) + 1) * meanRunMs(state) / slots;
+  const runMs = meanRunMs(state) * slowdownAt(state, now);
+  return (ahead - Math.max(0, free) + 1) * runMs / slots;
 }
 
 /** Whether a call that starts at `startAt` is expected to meet its aim. */
@@ -64,7 +83,7 @@
   call: QueuedCall,
   startAt: MonotonicMs,
 ): boolean {
-  const runMs = expectedRunMs(state, call.route, startAt);
+  const runMs = expectedRunMs(state, call, startAt);
   return startAt + runMs * timelyRuns <= call.aimAt;
 }
 
@@ -75,7 +94,7 @@
   waitMs: number,
   now: MonotonicMs,
 ): boolean {
-  const spareMs = call.aimAt - now - expectedRunMs(state, call.route, now);
+  const spareMs = call.aimAt - now - expectedRunMs(state, call, now);
   return waitMs <= Math.max(0, spareMs) * waitShare;
 }
 
@@ -92,6 +111,6 @@
   startAt: MonotonicMs,
   now: MonotonicMs,
 ): boolean {
-  const runMs = expectedRunMs(state, call.route, now);
+  const runMs = expectedRunMs(state, call, now);
   return startAt + runMs * leastRunShare <= call.deadlineAt;
 }
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import fc from "fast-check";
 import { checkProperty } from "../testing/check_property.ts";
-import { decideQueue } from "./decide_queue.ts";
+import { decideQueue, reportQueue } from "./decide_queue.ts";
 import {
   createQueueState,
   type QueuedCall,
@@ -91,6 +91,7 @@
 
 test("a call past its aim waits for those that can still meet theirs", () => {
   const state = openQueue(1);
+  learnRuns(state);
   const first = callOf();
   offer(state, first);
   const late = callOf({ aimAt: 60, urgency: 0 });
@@ -145,6 +146,7 @@
 
 test("late calls wait in a bounded number, the newest first", () => {
   const state = openQueue(2);
+  learnRuns(state);
   const running = [callOf(), callOf()];
   for (const call of running) offer(state, call);
   const late = Array.from(
@@ -167,6 +169,7 @@
 
 test("late calls of running calls are crowded out like others", () => {
   const state = openQueue(1);
+  learnRuns(state);
   offer(state, callOf());
   const inner = Array.from(
     { length: 5 },
@@ -217,6 +220,29 @@
   assert.deepEqual(refusedAt(260), [late.key]);
 });
 
+test("a cold endpoint is expected to be slow once, not twice", () => {
+  const state = createQueueState();
+  const gate = { type: "open", slots: 1 } as const;
+  decideQueue(state, { type: "gated", gate, coldUntil: 3_000, now: 0 });
+  const call = callOf();
+  offer(state, call);
+  end(state, call.key, 100);
+  assert.equal(reportQueue(state, "a").routeMs, 50);
+  offer(state, callOf({ aimAt: 500 }), 100);
+  const next = callOf({ offeredAt: 100, aimAt: 600 });
+  assert.deepEqual(offer(state, next, 100, false), []);
+});
+
+test("an endpoint without any answer is judged by the aim of its calls", () => {
+  const state = openQueue(1);
+  offer(state, callOf({ aimAt: 40 }));
+  // The wait of one run is taken from the first guess of all runs.
+  const short = callOf({ aimAt: 2_000, route: "long" });
+  const [effect] = offer(state, callOf({ aimAt: 60 }), 0, false);
+  assert.equal(effect?.type === "refuse" && effect.reason, "late");
+  assert.deepEqual(offer(state, short, 0, false), []);
+});
+
 test("an overload starves neither long aims nor low urgency", () => {
   const state = openQueue(1);
   let running = callOf();
