fix(callers): add up the lag of two turns, offer once where all is full

What is read at the end of a long turn of the loop may have come at the start of the turn before, so the lag of both adds up; the larger of the two was taken.

Offers: under an overload a call was offered three times before it was turned away, at homes whose reports said that they were full. It is now offered once, to the cheapest.

Aim: 12 ms of it pass outside of the node's sight.

Also: archives leave their domain only where it can't serve them; a changed settings file is noticed without a signal.

--- a/src/bin/lagoon_sidecar.ts
+++ b/src/bin/lagoon_sidecar.ts
@@ -10,6 +10,7 @@
   settingsVariable,
 } from "../../platform/read_sidecar_settings.ts";
 import { formatError } from "../core/errors.ts";
+import { followFile } from "../sidecar/follow_file.ts";
 import { runSidecar } from "../sidecar/run_sidecar.ts";
 
 const exitUsage = 2;
@@ -26,9 +27,11 @@
 const stop = () => void sidecar.close().then(() => process.exit(0));
 process.once("SIGTERM", stop);
 process.once("SIGINT", stop);
-process.on("SIGHUP", () => {
+const reload = () =>
   readSidecarSettings(path).match(
     (next) => sidecar.reload(next),
     (err) => sidecar.rejectReload(formatError(err)),
   );
-});
+process.on("SIGHUP", reload);
+// The file may change without a signal.
+followFile({ path, onChange: reload });
--- a/src/callers/find_next_home.ts
+++ b/src/callers/find_next_home.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { NodeId } from "../core/types.ts";
-import { chooseCandidate } from "../placement/choose_candidate.ts";
+import { type Choice, chooseCandidate } from "../placement/choose_candidate.ts";
 import { noteReport } from "../placement/note_home.ts";
 import type { Route } from "../routes/state.ts";
 import { chooseVersions } from "../takeover/choose_version.ts";
@@ -39,7 +39,7 @@
 }
 
 /** Returns the untried home with the least expected cost. */
-export function findNextHome(opts: FindNextHomeOptions): NodeId | undefined {
+export function findNextHome(opts: FindNextHomeOptions): Choice | undefined {
   const { ctx, service, versions, route } = opts;
   const present = ctx.fleet.byService.get(service);
   if (present === undefined) return undefined;
@@ -63,7 +63,7 @@
     aimLeftMs: opts.aimLeftMs,
     now: ctx.now(),
     random: ctx.random,
-  })?.home;
+  });
 }
 
 /** Learns the size of a route's answers. */
--- a/src/callers/find_next_home_test.ts
+++ b/src/callers/find_next_home_test.ts
@@ -53,5 +53,5 @@
       bodyBytes: 0,
       aimLeftMs: 200,
     });
-  assert.equal(find(8), "other");
+  assert.equal(find(8)?.home, "other");
 });
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -20,6 +20,7 @@
 import type { NodeId } from "../core/types.ts";
 import { LogLevel } from "../logs/create_log.ts";
 import { CallResult } from "../metrics/create_metrics.ts";
+import type { Choice } from "../placement/choose_candidate.ts";
 import { noteEnd, noteOffer, shunHome } from "../placement/note_home.ts";
 import { RefusalReason } from "../queue/state.ts";
 import { pickPart } from "../routes/pick_part.ts";
@@ -44,6 +45,12 @@
 /** A home that refused as closed, or was not reached, is left alone so long. */
 const shunMs = 250;
 
+/**
+ * Part of the aim that passes outside of the node's sight, in milliseconds: the
+ * request's way here, the answer's way back, and their sockets' queues.
+ */
+const deliveryMs = 12;
+
 /** Time after which a caller without any candidate may come back. */
 const noHomeWaitMs = 300;
 
@@ -88,7 +95,7 @@
   const { ctx, req, res, id, route, isInner } = opts;
   const startedAt = ctx.now();
   const deadlineAt = startedAt + opts.waitMs;
-  const aimAt = startedAt + route.aimMs - opts.ageMs;
+  const aimAt = startedAt + route.aimMs - opts.ageMs - deliveryMs;
   const service = pickPart(ctx.routes, route);
   const headers = ctx.dialect.sentHeaders(req.rawHeaders);
   const tried = new Set<NodeId>();
@@ -125,7 +132,10 @@
     // A home that refused a late answer may still be the best for one.
     if (mayBeLate) welcomeLate();
     const found = findHome();
-    if (found !== undefined) return offerTo(found, mayBeLate);
+    // The cheapest home is full, so strict offers would be refused in turn.
+    if (found !== undefined) {
+      return offerTo(found.home, mayBeLate || found.isFull);
+    }
     if (refusedLate.size > 0 && !mayBeLate) return offer(true);
     if (attempts.size > 0) return;
     const reason = offers === 0
@@ -135,7 +145,7 @@
     giveUp(mayHaveRun ? 502 : 503, reason);
   }
 
-  function findHome(): NodeId | undefined {
+  function findHome(): Choice | undefined {
     const aimLeftMs = aimAt - ctx.now();
     const bodyBytes = bytesOf(body);
     if (versions.length === 0) versions = allowedVersions(ctx, service);
--- a/src/control/create_lag_meter.ts
+++ b/src/control/create_lag_meter.ts
@@ -28,8 +28,9 @@
     dueAt = now() + intervalMs;
   }, intervalMs);
   return {
-    // Within one long turn of the loop the clock tells more than the last look.
-    lagMs: () => Math.max(lastLagMs, now() - dueAt),
+    // What is read at the end of a long turn may have come at the start of the
+    // turn before.
+    lagMs: () => lastLagMs + Math.max(0, now() - dueAt),
     close: () => clearInterval(timer),
   };
 }
--- a/src/control/create_lag_meter_test.ts
+++ b/src/control/create_lag_meter_test.ts
@@ -11,3 +11,15 @@
   assert.equal(meter.lagMs(), 500);
   meter.close();
 });
+
+test("lag of the last turn and of this one add up", (t) => {
+  t.mock.timers.enable({ apis: ["setInterval"] });
+  let now = 0;
+  const meter = createLagMeter({ now: () => now });
+  now = 850;
+  t.mock.timers.tick(50);
+  assert.equal(meter.lagMs(), 800);
+  now = 1_600;
+  assert.equal(meter.lagMs(), 1_500);
+  meter.close();
+});
--- a/src/placement/choose_candidate.ts
+++ b/src/placement/choose_candidate.ts
@@ -3,7 +3,11 @@
  * @module
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
-import { coldFactor, firstGuessMs } from "../queue/estimate.ts";
+import {
+  coldFactor,
+  firstGuessMs,
+  waitShare as safeWaitShare,
+} from "../queue/estimate.ts";
 import { failingOf } from "./note_home.ts";
 import {
   type Candidate,
@@ -28,6 +32,14 @@
  */
 const msPerKilobyte = 4;
 
+/**
+ * Bytes of a call above which each kilobyte costs more, and how much more: one
+ * archive takes the bandwidth between domains from some hundred small calls, so
+ * it leaves only where its own domain could not serve it at all.
+ */
+const largeBytes = 16_384;
+const msPerLargeKilobyte = 8;
+
 /**
  * Part of the time left to the aim that an answer may take before it is at
  * risk: runs differ by about a factor of two.
@@ -68,6 +80,8 @@
   readonly home: NodeId;
   /** Expected wait for a slot, in milliseconds. */
   readonly waitMs: number;
+  /** Whether the wait there leaves no margin to the end of the aim. */
+  readonly isFull: boolean;
 }
 
 /**
@@ -101,7 +115,9 @@
       (isShunned ? 1e6 : 0);
     if (cost >= bestCost) continue;
     bestCost = cost;
-    best = { home: candidate.home, waitMs };
+    const isFull = waitMs > 0 &&
+      waitMs > (opts.aimLeftMs - runMs) * safeWaitShare;
+    best = { home: candidate.home, waitMs, isFull };
   }
   return best;
 }
@@ -112,7 +128,9 @@
 }
 
 function priceOfLeaving(bytes: number): number {
-  return leaveMs + bytes / 1_024 * msPerKilobyte;
+  const largeKilobytes = Math.max(0, bytes - largeBytes) / 1_024;
+  return leaveMs + bytes / 1_024 * msPerKilobyte +
+    largeKilobytes * msPerLargeKilobyte;
 }
 
 function runMsOf(
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -62,6 +62,13 @@
   assert.equal(choose(state, { bytes: 60_000 }), "near");
 });
 
+test("an archive stays in its domain though its answer may be late", () => {
+  const state = createPlacementState();
+  report(state, "near", [4, 12, 60]);
+  assert.equal(choose(state, { bytes: 60_000 }), "near");
+  assert.equal(choose(state, { bytes: 60_000, tried: ["near"] }), "far");
+});
+
 test("calls sent since the report count", () => {
   const state = createPlacementState();
   report(state, "near", [3, 0, 50]);
@@ -116,3 +123,22 @@
   assert.equal(choose(state), "far");
   assert.equal(choose(state, { now: 1_000, bytes: 20_000 }), "near");
 });
+
+test("the cheapest home is full when waiting there leaves no margin", () => {
+  const state = createPlacementState();
+  const isFull = (waiting: number) => {
+    report(state, "near", [4, waiting, 40]);
+    return chooseCandidate(state, {
+      route: "a",
+      candidates: [near],
+      tried: new Set(),
+      ownDomain: "d1",
+      bytes: 0,
+      aimLeftMs: 150,
+      now: 0,
+      random: () => 0,
+    })?.isFull;
+  };
+  assert.equal(isFull(2), false);
+  assert.equal(isFull(8), true);
+});
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -32,7 +32,7 @@
  * that is allowed all of it starts each call at the last moment for as long as
  * the load is at the capacity.
  */
-const waitShare = 0.5;
+export const waitShare = 0.5;
 
 /** Adds one run to the recent times. */
 export function learnRun(times: RunTimes, tookMs: number) {
--- /dev/null
+++ b/src/sidecar/follow_file_test.ts
@@ -0,0 +1,23 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { followFile } from "./follow_file.ts";
+
+test("a file that changes silently is noticed", async (t) => {
+  const dir = mkdtempSync(join(tmpdir(), "lagoon-"));
+  t.after(() => rmSync(dir, { recursive: true }));
+  const path = join(dir, "settings.json");
+  writeFileSync(path, "1");
+  let text = "1";
+  const changed = new Promise<void>((resolve) => {
+    const follower = followFile({ path, pollMs: 20, onChange: resolve });
+    t.after(() => follower.close());
+  });
+  // Written until it is noticed: the first look may come after a write.
+  const writer = setInterval(() => writeFileSync(path, text += "1"), 30);
+  t.after(() => clearInterval(writer));
+  await changed;
+  assert.ok(text.length > 1);
+});
