fix(homes): send nothing whose time passed while it connected

The requests reached their endpoint 1.6 s after their client had left and were cut a millisecond later: on a home that can't keep up, the connection to the endpoint is made some turns of the loop after the call was started, and the call was written then without another look at its time.

Change: the time is checked when the connection is there, before anything is written; what is over is refused as not run. The time left that the endpoint is told is taken at the same point.

--- /dev/null
+++ b/src/callers/describe_call.ts
@@ -0,0 +1,56 @@
+/**
+ * Describes a caller's request to the home that it is offered to.
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import type { HeaderList, OfferedCall } from "../calls/state.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { Route } from "../routes/state.ts";
+import type { RequestBody } from "./request_body.ts";
+import type { CallContext } from "./state.ts";
+
+/** Bodies up to this size travel with the offer instead of after it. */
+export const inlineBytes = 4_096;
+
+/** Options of `describeCall`. */
+export interface DescribeCallOptions {
+  readonly ctx: CallContext;
+  readonly req: IncomingMessage;
+  readonly id: string;
+  /** End-to-end headers of the request. */
+  readonly headers: HeaderList;
+  readonly service: string;
+  readonly route: Route;
+  readonly isInner: boolean;
+  readonly body: RequestBody | undefined;
+  readonly node: NodeId;
+  readonly deadlineAt: MonotonicMs;
+  readonly aimAt: MonotonicMs;
+  readonly mayBeLate: boolean;
+}
+
+/** A small body goes along; a large one follows after the admission. */
+export function describeCall(opts: DescribeCallOptions): OfferedCall {
+  const { ctx, req, route, body } = opts;
+  const whole = body === undefined ? Buffer.alloc(0) : body.whole();
+  const isInline = whole !== undefined && whole.length <= inlineBytes;
+  const now = ctx.now();
+  return {
+    id: opts.id,
+    method: req.method ?? "GET",
+    target: req.url ?? "/",
+    headers: opts.headers,
+    service: opts.service,
+    version: ctx.fleet.rows.get(opts.node)?.row.endpoint?.version ?? "",
+    route: route.name,
+    urgency: route.urgency,
+    isInner: opts.isInner,
+    callerService: ctx.service,
+    leftMs: opts.deadlineAt - now,
+    aimLeftMs: opts.aimAt - now,
+    mayBeLate: opts.mayBeLate,
+    body: isInline ? whole : undefined,
+    bodyBytes: body?.announcedBytes,
+  };
+}
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -12,7 +12,6 @@
   type AttemptEvent,
   type HeaderList,
   lowestServerError,
-  type OfferedCall,
   type Refusal,
   RefusedBy,
 } from "../calls/state.ts";
@@ -26,11 +25,9 @@
 import { pickPart } from "../routes/pick_part.ts";
 import type { Route } from "../routes/state.ts";
 import { answerItself, passOnAnswer } from "./answer_caller.ts";
-import {
-  allowedVersions,
-  findNextHome,
-  noteAnswerBytes,
-} from "./find_next_home.ts";
+import { createHomeSearch } from "./create_home_search.ts";
+import { describeCall, inlineBytes } from "./describe_call.ts";
+import { noteAnswerBytes } from "./find_next_home.ts";
 import {
   type BodySink,
   hasBody,
@@ -39,9 +36,6 @@
 } from "./request_body.ts";
 import type { CallContext } from "./state.ts";
 
-/** Bodies up to this size travel with the offer instead of after it. */
-const inlineBytes = 4_096;
-
 /** A home that refused as closed, or was not reached, is left alone so long. */
 const shunMs = 250;
 
@@ -98,10 +92,8 @@
   const aimAt = startedAt + route.aimMs - opts.ageMs - deliveryMs;
   const service = pickPart(ctx.routes, route);
   const headers = ctx.dialect.sentHeaders(req.rawHeaders);
-  const tried = new Set<NodeId>();
-  const refusedLate = new Set<NodeId>();
+  const search = createHomeSearch({ ctx, service, route });
   const attempts = new Set<OpenAttempt>();
-  let versions: readonly string[] = [];
   let offers = 0;
   let arrivals = 0;
   let mayHaveRun = false;
@@ -130,13 +122,13 @@
   function offer(mayBeLate: boolean): void {
     if (isDone) return;
     // A home that refused a late answer may still be the best for one.
-    if (mayBeLate) welcomeLate();
+    if (mayBeLate) search.welcomeLate();
     const found = findHome();
     // The cheapest home is full, so strict offers would be refused in turn.
     if (found !== undefined) {
       return offerTo(found.home, mayBeLate || found.isFull);
     }
-    if (refusedLate.size > 0 && !mayBeLate) return offer(true);
+    if (!mayBeLate && search.welcomeLate()) return offer(true);
     if (attempts.size > 0) return;
     const reason = offers === 0
       ? "no endpoint is known"
@@ -147,38 +139,29 @@
 
   function findHome(): Choice | undefined {
     const aimLeftMs = aimAt - ctx.now();
-    const bodyBytes = bytesOf(body);
-    if (versions.length === 0) versions = allowedVersions(ctx, service);
-    const search = { ctx, service, versions, route, tried };
-    return findNextHome({ ...search, bodyBytes, aimLeftMs });
+    return search.find({ bodyBytes: bytesOf(body), aimLeftMs });
   }
 
   function offerTo(node: NodeId, mayBeLate: boolean): void {
-    tried.add(node);
+    search.noteTried(node);
     const home = ctx.homes.homeOf(node);
     if (home === undefined) return offer(mayBeLate);
     offers++;
     noteOffer(ctx.placement, node);
-    const whole = body === undefined ? Buffer.alloc(0) : body.whole();
-    const isInline = whole !== undefined && whole.length <= inlineBytes;
-    const now = ctx.now();
-    const call: OfferedCall = {
+    const call = describeCall({
+      ctx,
+      req,
       id,
-      method: req.method ?? "GET",
-      target: req.url ?? "/",
       headers,
       service,
-      version: ctx.fleet.rows.get(node)?.row.endpoint?.version ?? "",
-      route: route.name,
-      urgency: route.urgency,
+      route,
       isInner,
-      callerService: ctx.service,
-      leftMs: deadlineAt - now,
-      aimLeftMs: aimAt - now,
+      body,
+      node,
+      deadlineAt,
+      aimAt,
       mayBeLate,
-      body: isInline ? whole : undefined,
-      bodyBytes: body?.announcedBytes,
-    };
+    });
     const attempt = home.offer(call, (event) => take(open, event));
     const sink = {
       send: (chunk: Buffer) => attempt.send(chunk),
@@ -188,7 +171,7 @@
       home: node,
       attempt,
       sink,
-      hasLaterBody: !isInline,
+      hasLaterBody: call.body === undefined,
       hasArrived: false,
     };
     attempts.add(open);
@@ -238,7 +221,7 @@
   function takeRefusal(open: OpenAttempt, refusal: Refusal) {
     ctx.metrics.countRefusal(refusal.reason);
     leastWaitMs = Math.min(leastWaitMs, refusal.waitMs);
-    if (refusal.reason === RefusalReason.Late) refusedLate.add(open.home);
+    if (refusal.reason === RefusalReason.Late) search.noteLate(open.home);
     const isAway = refusal.reason === RefusalReason.Closed ||
       refusal.by === RefusedBy.Link;
     if (isAway) shunHome(ctx.placement, open.home, ctx.now() + shunMs);
@@ -313,11 +296,6 @@
     return isSpent;
   }
 
-  function welcomeLate() {
-    for (const home of refusedLate) tried.delete(home);
-    refusedLate.clear();
-  }
-
   /** A second attempt beside one that hangs, for a call that may run twice. */
   function hedge() {
     const mayHedge = route.isIdempotent && !isHedged &&
@@ -397,7 +375,7 @@
       id,
       route: route.name,
       service,
-      homes: [...tried],
+      homes: search.tried(),
       offers,
       arrivals,
       tookMs: Math.round(ctx.now() - startedAt),
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -20,6 +20,7 @@
   type Gate,
   type QueueEffect,
   type QueueReport,
+  RefusalReason,
 } from "../queue/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { Run } from "../takeover/count_run.ts";
@@ -139,7 +140,8 @@
       dialect,
       call: entry.call,
       instanceId: instance.id,
-      leftMs,
+      deadlineAt: entry.deadlineAt,
+      now,
       isReset: connector.isReset,
       onEvent: (event) => takeRun(key, entry, runningOn, event),
     });
@@ -181,6 +183,17 @@
           },
         });
         return;
+      case "expired":
+        end(key, entry, false);
+        entry.onEvent({
+          type: "refused",
+          refusal: {
+            by: RefusedBy.Home,
+            reason: RefusalReason.NoTime,
+            waitMs: reportQueue(queue).meanMs,
+          },
+        });
+        return;
       case "failed":
         noteRun(entry, runningOn, true);
         end(key, entry, false);
--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -5,6 +5,7 @@
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
 import type Pool from "undici/lib/dispatcher/pool.js";
+import type { MonotonicMs } from "../core/types.ts";
 import type { AnswerHead, OfferedCall } from "../calls/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 
@@ -13,7 +14,7 @@
 
 const framingHeaders = new Set(["content-length", "transfer-encoding"]);
 
-/** How a run ends or goes on. One of the last three comes last. */
+/** How a run ends or goes on. One of the last four comes last. */
 export type RunEvent =
   | {
     readonly type: "answered";
@@ -29,6 +30,8 @@
     readonly isReached: boolean;
     readonly isWrongInstance: boolean;
   }
+  /** Its time was over before a connection was there. Nothing was sent. */
+  | { readonly type: "expired" }
   | { readonly type: "failed"; readonly reason: string };
 
 /** Options of `runCall`. */
@@ -37,7 +40,8 @@
   readonly dialect: CallDialect;
   readonly call: OfferedCall;
   readonly instanceId: string;
-  readonly leftMs: number;
+  readonly deadlineAt: MonotonicMs;
+  readonly now: () => MonotonicMs;
   /** Whether the connection that is just ending was reset. */
   readonly isReset: () => boolean;
   readonly onEvent: (event: RunEvent) => void;
@@ -131,6 +135,9 @@
     }, {
       onRequestStart(given) {
         controller = given;
+        // Nothing is written yet. A node that can't keep up gets here long
+        // after the start, when the connection is made in a later turn.
+        if (opts.now() >= opts.deadlineAt) emit({ type: "expired" });
         if (isOver) given.abort(new Error("call withdrawn"));
         else isSent = true;
       },
@@ -160,13 +167,13 @@
 }
 
 function headersOf(opts: RunCallOptions): string[] {
-  const { call, dialect, instanceId, leftMs } = opts;
+  const { call, dialect, instanceId } = opts;
   const headers = dialect.endpointHeaders({
     headers: call.headers,
     callId: call.id,
     callerService: call.callerService,
     instanceId,
-    leftMs,
+    leftMs: opts.deadlineAt - opts.now(),
   });
   if (call.body === undefined && call.bodyBytes !== undefined) {
     headers.push("content-length", String(call.bodyBytes));
--- /dev/null
+++ b/src/homes/run_call_test.ts
@@ -0,0 +1,46 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import type { Dispatcher } from "undici";
+import type Pool from "undici/lib/dispatcher/pool.js";
+import type { OfferedCall } from "../calls/state.ts";
+import { testDialect } from "../testing/test_dialect.ts";
+import { runCall, type RunEvent } from "./run_call.ts";
+
+/** A pool whose connection is there at once. Tells whether a call was sent. */
+function runAt(now: number) {
+  const events: RunEvent[] = [];
+  let isSent = true;
+  const controller = { abort: () => isSent = false };
+  const pool = {
+    dispatch(_: unknown, handler: Dispatcher.DispatchHandler) {
+      handler.onRequestStart?.(
+        controller as unknown as Dispatcher.DispatchController,
+        {},
+      );
+      return true;
+    },
+  };
+  runCall({
+    pool: pool as unknown as Pool,
+    dialect: testDialect,
+    call: {
+      id: "r-1",
+      headers: [],
+      body: Buffer.alloc(0),
+    } as unknown as OfferedCall,
+    instanceId: "i-1",
+    deadlineAt: 100,
+    now: () => now,
+    isReset: () => false,
+    onEvent: (event) => events.push(event),
+  });
+  return { events, isSent };
+}
+
+test("a call whose time passed while it connected is not sent", () => {
+  assert.deepEqual(runAt(99), { events: [], isSent: true });
+  assert.deepEqual(runAt(100), {
+    events: [{ type: "expired" }],
+    isSent: false,
+  });
+});
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -56,7 +56,7 @@
  * Time after SIGTERM in which the endpoint still takes calls from other nodes,
  * in milliseconds. Their calls end before callers have left.
  */
-const servingMs = 1_200;
+const servingMs = 1_700;
 
 /**
  * Time after SIGTERM in which callers still come: two readiness checks have to
