perf(calls): make one strict offer where the best home is full

Cause: under an overload each refused call is offered at three homes. Where the cheapest home is expected to leave no margin, the second strict offer is refused as well.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -97,6 +97,7 @@
   let offers = 0;
   let arrivals = 0;
   let mayHaveRun = false;
+  let wasFull = false;
   let isHedged = false;
   let leastWaitMs = Infinity;
   let isDone = false;
@@ -124,9 +125,9 @@
     // A home that refused a late answer may still be the best for one.
     if (mayBeLate) search.welcomeLate();
     const found = findHome();
-    // The cheapest home is full, so strict offers would be refused in turn.
     if (found !== undefined) {
-      return offerTo(found.home, mayBeLate || found.isFull);
+      if (offers === 0) wasFull = found.isFull;
+      return offerTo(found.home, mayBeLate);
     }
     if (!mayBeLate && search.welcomeLate()) return offer(true);
     if (attempts.size > 0) return;
@@ -278,6 +279,7 @@
       arrivals,
       maxArrivals: route.maxAttempts,
       mayHaveRun,
+      wasFull,
       leftMs: deadlineAt - ctx.now(),
       canResend: body?.canResend() ?? true,
       spend,
--- a/src/calls/calls_test.ts
+++ b/src/calls/calls_test.ts
@@ -25,6 +25,7 @@
     arrivals: 1,
     maxArrivals: 2,
     mayHaveRun: false,
+    wasFull: false,
     leftMs: 500,
     canResend: true,
     spend: () => true,
@@ -61,6 +62,16 @@
   assert.deepEqual(step, { type: "offer", mayBeLate: true });
 });
 
+test("where the best home was full, one strict refusal is enough", () => {
+  const end = refusedBy(RefusedBy.Home);
+  const mayBeLate = (wasFull: boolean) => {
+    const step = next(end, { arrivals: 0, offers: 1, wasFull });
+    return step.type === "offer" && step.mayBeLate;
+  };
+  assert.equal(mayBeLate(false), false);
+  assert.equal(mayBeLate(true), true);
+});
+
 test("an endpoint's refusal is followed within budget and attempts", () => {
   const end = refusedBy(RefusedBy.Endpoint, "full");
   assert.equal(next(end, { isIdempotent: false }).type, "offer");
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -22,6 +22,9 @@
  */
 const strictOffers = 2;
 
+/** The same where the first home was expected to be full. */
+const strictOffersWhenFull = 1;
+
 /** An idempotent call is not tried again with less time left, in ms. */
 const leastRetryMs = 20;
 
@@ -43,6 +46,8 @@
   /** Some attempt may have run the call, or is still running it. */
   readonly mayHaveRun: boolean;
   readonly leftMs: number;
+  /** The first home was the cheapest and expected to be full. */
+  readonly wasFull: boolean;
   /** Every byte of the body is still here. */
   readonly canResend: boolean;
   /** Takes a repeat out of the retry budget. Asked last. */
@@ -86,7 +91,8 @@
   const mayOffer = !isFull(opts, refusal) && opts.canResend &&
     opts.leftMs > 0 &&
     opts.offers < maxOffers && mayArriveAgain(opts, refusal);
-  const mayBeLate = !isLate || opts.offers >= strictOffers;
+  const strict = opts.wasFull ? strictOffersWhenFull : strictOffers;
+  const mayBeLate = !isLate || opts.offers >= strict;
   if (mayOffer) return { type: "offer", mayBeLate };
   return { type: "give-up", status: opts.mayHaveRun ? 502 : 503 };
 }
