test(whole-path): send no burst after a stall of the machine

Cause of the flaky test: the load tool sends all calls that fell due while the process was stalled at once.

The tool can bound the calls in flight, as callers that wait for answers do; the test bounds them at 8, below the slots of a cold upstream. Its checks stay: no call may fail or be refused, at the same rate.

--- a/tools/load.ts
+++ b/tools/load.ts
@@ -19,6 +19,11 @@
   readonly path: string;
   /** Calls a second. */
   readonly rate: number;
+  /**
+   * Calls in flight at most. What is due beyond it is left out, as callers do
+   * that wait for their answers: a tool that stalled sends no burst after it.
+   */
+  readonly maxInFlight?: number;
   /** Ends the load early. */
   readonly signal: AbortSignal;
   /** Length of the load, in milliseconds. */
@@ -63,11 +68,17 @@
   };
   const running = new Set<Promise<void>>();
   const startedAt = performance.now();
-  const dueBy = (at: number) => Math.floor((at - startedAt) * opts.rate / 1000);
+  let leftOut = 0;
+  const dueBy = (at: number) =>
+    Math.floor((at - startedAt) * opts.rate / 1000) - leftOut;
   while (!opts.signal.aborted) {
     const elapsedMs = performance.now() - startedAt;
     if (elapsedMs >= opts.durationMs) break;
     while (report.sent < dueBy(performance.now())) {
+      if (running.size >= (opts.maxInFlight ?? Infinity)) {
+        leftOut++;
+        continue;
+      }
       const isSettled = elapsedMs >= (opts.settleMs ?? 0);
       const call = sendCall(opts, agent, report, isSettled);
       running.add(call);
--- a/tools/whole_path_test.ts
+++ b/tools/whole_path_test.ts
@@ -117,6 +117,10 @@
     method: "GET",
     path: "/portaal/accounts",
     rate: 200,
+    // Fewer than a cold upstream's slots. All share one process here, and a
+    // stall of a busy machine would be followed by a second's calls at once,
+    // which the upstream rightly sheds.
+    maxInFlight: 8,
     signal: stopped.signal,
     durationMs: limitMs,
   });
