fix(callers): take time in the accept queue off a first request

Requests reached their endpoint 0.6 to 1.8 s after their client had left, though the lag of the loop was taken off at both nodes. The runtime accepts one connection in a turn of the loop: callers that come back on new connections wait in the kernel's queue, where no lag shows.

Change: a turn without a connection shows that the queue was empty; the time since then is taken off the first request of a connection.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -9,6 +9,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import type { MonotonicMs } from "../core/types.ts";
 import { LogLevel } from "../logs/create_log.ts";
 import { CallResult } from "../metrics/create_metrics.ts";
 import { findRoute } from "../routes/find_route.ts";
@@ -16,6 +17,7 @@
 import { retryAfterMs } from "../calls/retry_after.ts";
 import { admitRequest, type StopTimes } from "./admit_request.ts";
 import { answerItself } from "./answer_caller.ts";
+import { createAcceptMeter } from "./create_accept_meter.ts";
 import { estimateAgeMs } from "./estimate_age.ts";
 import { isInnerCall } from "./is_inner_call.ts";
 import { serveCall, type ServedCall } from "./serve_call.ts";
@@ -33,6 +35,12 @@
 /** A connection is kept a little longer than its idle limit says. */
 const idleSlackMs = 500;
 
+/**
+ * A first request that is read within this time of its connection was sent with
+ * it, in milliseconds. A turn of the loop is added where turns are long.
+ */
+const promptMs = 50;
+
 /** Options of `createCallerServer`. */
 export interface CreateCallerServerOptions {
   readonly ctx: CallContext;
@@ -49,6 +57,13 @@
   close(): void;
 }
 
+/** How a connection came. */
+interface Arrival {
+  readonly acceptedAt: MonotonicMs;
+  /** Longest time that it may have waited to be accepted. */
+  readonly queuedMs: number;
+}
+
 /** Requests of one connection. */
 interface Connection {
   readonly calls: Set<ServedCall>;
@@ -62,6 +77,9 @@
 ): CallerServer {
   const { ctx } = opts;
   const connections = new Map<Socket, Connection>();
+  const accepts = createAcceptMeter(ctx);
+  /** Connections whose first request has not been read. */
+  const arrivals = new WeakMap<Socket, Arrival>();
   let stop: StopTimes | undefined;
   let count = 0;
 
@@ -83,7 +101,7 @@
       return refuse(req, res, 404, "no route matches");
     }
     const isInner = isInnerCall(caller, ctx.runsHere);
-    const lagMs = ctx.lagMs();
+    const lagMs = unreadMs(req.socket);
     const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs) - lagMs;
     const ageMs = isInner || caller.waitMs === undefined
       ? 0
@@ -164,7 +182,24 @@
     });
   }
 
+  /** How long a request that is read now may have waited before. */
+  function unreadMs(socket: Socket): number {
+    const lagMs = ctx.lagMs();
+    const arrival = arrivals.get(socket);
+    arrivals.delete(socket);
+    if (arrival === undefined) return lagMs;
+    const sinceMs = ctx.now() - arrival.acceptedAt;
+    // A request that came later did not wait with its connection.
+    return sinceMs <= lagMs + promptMs ? arrival.queuedMs + sinceMs : lagMs;
+  }
+
   const server = createServer({ maxHeaderSize: maxHeadBytes }, take);
+  server.on("connection", (socket: Socket) => {
+    arrivals.set(socket, {
+      acceptedAt: ctx.now(),
+      queuedMs: accepts.accepted(),
+    });
+  });
   return {
     server,
     setLimits(limits) {
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -37,6 +37,8 @@
   countRefusal(reason: string): void;
   countRepeat(service: string): void;
   setTableVersion(version: number): void;
+  /** Replaces the counts of all services. */
+  setReadyEndpoints(byService: ReadonlyMap<string, number>): void;
   /** All metrics in the text format of Prometheus. */
   text(): Promise<string>;
 }
@@ -69,12 +71,22 @@
     help: "Version of the route table in force.",
     registers,
   });
+  const ready = new Gauge({
+    name: "lagoon_ready_endpoints",
+    help: "Endpoints that this node may offer calls to, by service.",
+    labelNames: ["service"],
+    registers,
+  });
   return {
     countCall: (route, result, tookMs) =>
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
     countRepeat: (service) => repeats.inc({ service }),
     setTableVersion: (version) => table.set(version),
+    setReadyEndpoints(byService) {
+      ready.reset();
+      for (const [service, count] of byService) ready.set({ service }, count);
+    },
     text: () => registry.metrics(),
   };
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -14,6 +14,7 @@
 import { createLagMeter } from "../control/create_lag_meter.ts";
 import { createControlLoop } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
+import { countReady } from "../fleet/count_ready.ts";
 import { createFleetState } from "../fleet/state.ts";
 import { createHome } from "../homes/create_home.ts";
 import { acceptLinks } from "../links/accept_links.ts";
@@ -241,6 +242,7 @@
     onLeave: instance.leave,
   });
   const scrape = polka().get("/metrics", async (_req, res) => {
+    metrics.setReadyEndpoints(countReady(fleet));
     res.end(await metrics.text());
   });
 
