--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -3,26 +3,11 @@
 import assert from "node:assert/strict";
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import { InstancePhase } from "../instance/state.ts";
+import { offeredCall } from "../testing/offered_call.ts";
 import { testDialect } from "../testing/test_dialect.ts";
 import { createHome } from "./create_home.ts";
 
-const call: OfferedCall = {
-  id: "r-1",
-  method: "GET",
-  target: "/a",
-  headers: ["host", "shop.example", "call-id", "r-1"],
-  service: "one",
-  version: "v1",
-  route: "a",
-  urgency: 1,
-  isInner: false,
-  callerService: "two",
-  leftMs: 5_000,
-  aimLeftMs: 5_000,
-  mayBeLate: true,
-  body: Buffer.alloc(0),
-  bodyBytes: undefined,
-};
+const call = offeredCall({ mayBeLate: true });
 
 /** A home of an endpoint that answers each request as `serve` does. */
 async function homeOf(t: TestContext, serve: (socket: Socket) => void) {
--- a/src/homes/run_call_test.ts
+++ b/src/homes/run_call_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import type { Dispatcher } from "undici";
 import type Pool from "undici/lib/dispatcher/pool.js";
-import type { OfferedCall } from "../calls/state.ts";
+import { offeredCall } from "../testing/offered_call.ts";
 import { testDialect } from "../testing/test_dialect.ts";
 import { runCall, type RunEvent } from "./run_call.ts";
 
--- a/src/links/create_packer_test.ts
+++ b/src/links/create_packer_test.ts
@@ -1,5 +1,6 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
+import { offeredCall } from "../testing/offered_call.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
 import { encodeMessage } from "./encode_message.ts";
 import type { LinkMessage } from "./messages.ts";
@@ -8,23 +9,12 @@
   return {
     type: "offer",
     key,
-    call: {
+    call: offeredCall({
       id: `id-${key * 7_919}`,
-      method: "GET",
       target: `/a/${key}`,
       headers: ["Host", "shop.example", "User-Agent", "client/1.0"],
-      service: "one",
-      version: "v1",
-      route: "a",
-      urgency: 1,
-      isInner: false,
-      callerService: "two",
       leftMs: 800 - key,
-      aimLeftMs: 200,
-      mayBeLate: false,
-      body: Buffer.alloc(0),
-      bodyBytes: undefined,
-    },
+    }),
   };
 }
 
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -1,27 +1,18 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
-import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
+import type { AttemptEvent } from "../calls/state.ts";
+import { offeredCall } from "../testing/offered_call.ts";
 import { checkLink } from "./check_link.ts";
 import { decodeMessage, encodeMessage } from "./encode_message.ts";
 import type { LinkMessage } from "./messages.ts";
 
-const call: OfferedCall = {
-  id: "r-1",
+const call = offeredCall({
   method: "POST",
   target: "/a/x?y=1",
-  headers: ["Host", "shop.example"],
-  service: "one",
-  version: "v1",
-  route: "a",
-  urgency: 1,
-  isInner: false,
-  callerService: "two",
-  leftMs: 800,
   aimLeftMs: -5,
   mayBeLate: true,
   body: Buffer.from("body"),
-  bodyBytes: undefined,
-};
+});
 const report = { running: 1, waiting: 2, meanMs: 3.5, routeMs: 4.5 };
 const events: AttemptEvent[] = [
   { type: "admitted" },
--- a/src/links/serve_link_test.ts
+++ b/src/links/serve_link_test.ts
@@ -1,6 +1,7 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import type { OfferedCall } from "../calls/state.ts";
+import { offeredCall } from "../testing/offered_call.ts";
 import { serveLink } from "./serve_link.ts";
 
 test("time that an offer waited unread is taken off its time", () => {
@@ -16,7 +17,7 @@
     lagMs: () => 1_900,
     send() {},
   });
-  const call = { leftMs: 200, aimLeftMs: 60 } as OfferedCall;
+  const call = offeredCall({ leftMs: 200, aimLeftMs: 60 });
   link.take({ type: "offer", key: 1, call });
   assert.equal(offered[0]?.leftMs, -1_700);
   assert.equal(offered[0]?.aimLeftMs, -1_840);
--- /dev/null
+++ b/src/testing/offered_call.ts
@@ -0,0 +1,28 @@
+/**
+ * A call as it is offered to a home, for tests.
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { OfferedCall } from "../calls/state.ts";
+
+/** A small idempotent call with the given changes. */
+export function offeredCall(change: Partial<OfferedCall> = {}): OfferedCall {
+  return {
+    id: "r-1",
+    method: "GET",
+    target: "/a",
+    headers: ["host", "shop.example", "call-id", "r-1"],
+    service: "one",
+    version: "v1",
+    route: "a",
+    urgency: 1,
+    isInner: false,
+    callerService: "two",
+    leftMs: 5_000,
+    aimLeftMs: 5_000,
+    mayBeLate: false,
+    body: Buffer.alloc(0),
+    bodyBytes: undefined,
+    ...change,
+  };
+}
