--- a/src/callers/admit_request.ts
+++ b/src/callers/admit_request.ts
@@ -5,10 +5,11 @@
 import type { MonotonicMs } from "../core/types.ts";
 
 /**
- * Lag of the event loop above which requests are turned away, in milliseconds.
+ * Time unread above which requests are turned away, in milliseconds. The lag of
+ * the event loop, or the time in the queue of connections.
  * A processor allowance that is used up stops a process for 100 ms at most.
  */
-const maxLagMs = 150;
+const maxUnreadMs = 150;
 
 /** Time in which a stopping node takes every request, in milliseconds. */
 const takeAllMs = 3_000;
@@ -21,7 +22,8 @@
 
 /** Options of `admitRequest`. */
 export interface AdmitRequestOptions {
-  readonly lagMs: number;
+  /** Longest time that the request may have waited unread, in milliseconds. */
+  readonly waitedMs: number;
   /** Made by the endpoint on this VM, for a call that holds a slot. */
   readonly isInner: boolean;
   /** Time that the request still has, less what it may have waited unread. */
@@ -45,6 +47,8 @@
     if (now + opts.waitMs > stop.endAt) return "the node is stopping";
   }
   if (opts.waitMs <= 0) return "its time went by unread";
-  if (opts.lagMs > maxLagMs && !opts.isInner) return "the node is overloaded";
+  if (opts.waitedMs > maxUnreadMs && !opts.isInner) {
+    return "the node is overloaded";
+  }
   return undefined;
 }
--- a/src/callers/admit_request_test.ts
+++ b/src/callers/admit_request_test.ts
@@ -4,7 +4,7 @@
 
 function admit(change: object) {
   return admitRequest({
-    lagMs: 0,
+    waitedMs: 0,
     isInner: false,
     waitMs: 1_000,
     stop: undefined,
@@ -15,10 +15,10 @@
 
 test("a node that can't keep up turns clients away, not inner calls", () => {
   assert.equal(admit({}), undefined);
-  assert.equal(admit({ lagMs: 100 }), undefined);
-  assert.ok(admit({ lagMs: 400 }));
-  assert.equal(admit({ lagMs: 400, isInner: true }), undefined);
-  assert.ok(admit({ lagMs: 400, isInner: true, waitMs: -1 }));
+  assert.equal(admit({ waitedMs: 100 }), undefined);
+  assert.ok(admit({ waitedMs: 400 }));
+  assert.equal(admit({ waitedMs: 400, isInner: true }), undefined);
+  assert.ok(admit({ waitedMs: 400, isInner: true, waitMs: -1 }));
 });
 
 test("a stopping node takes what it can finish", () => {
--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -101,16 +101,17 @@
       return refuse(req, res, 404, "no route matches");
     }
     const isInner = isInnerCall(caller, ctx.runsHere);
-    const lagMs = unreadMs(req.socket);
-    const waitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs) - lagMs;
+    const waitedMs = unreadMs(req.socket);
+    const mayWaitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
+    const waitMs = mayWaitMs - waitedMs;
     const ageMs = isInner || caller.waitMs === undefined
       ? 0
       : estimateAgeMs(ctx.patience, route.name, caller.waitMs);
     const now = ctx.now();
-    const reason = admitRequest({ lagMs, isInner, waitMs, stop, now });
+    const reason = admitRequest({ waitedMs, isInner, waitMs, stop, now });
     if (reason !== undefined) {
       const retryMs = retryAfterMs({
-        waitMs: lagMs,
+        waitMs: waitedMs,
         leftMs: waitMs,
         random: ctx.random(),
       });
--- a/src/homes/run_call_test.ts
+++ b/src/homes/run_call_test.ts
@@ -23,11 +23,7 @@
   runCall({
     pool: pool as unknown as Pool,
     dialect: testDialect,
-    call: {
-      id: "r-1",
-      headers: [],
-      body: Buffer.alloc(0),
-    } as unknown as OfferedCall,
+    call: offeredCall(),
     instanceId: "i-1",
     deadlineAt: 100,
     now: () => now,
