refactor(placement): one rule for a safe wait, no unread wait in a choice

Placement wrote the queue's rule for a wait that leaves a margin again, and carried an expected wait that nobody reads. The search's options are picked from those of the function that it calls. Behaviour stays as it is.

--- a/src/callers/create_home_search.ts
+++ b/src/callers/create_home_search.ts
@@ -5,7 +5,11 @@
 import type { NodeId } from "../core/types.ts";
 import type { Choice } from "../placement/choose_candidate.ts";
 import type { Route } from "../routes/state.ts";
-import { allowedVersions, findNextHome } from "./find_next_home.ts";
+import {
+  allowedVersions,
+  findNextHome,
+  type FindNextHomeOptions,
+} from "./find_next_home.ts";
 import type { CallContext } from "./state.ts";
 
 /** Options of `createHomeSearch`. */
@@ -15,13 +19,8 @@
   readonly route: Route;
 }
 
-/** Options of `HomeSearch.find`. */
-export interface FindOptions {
-  /** Size of the request's body, as far as it is known. */
-  readonly bodyBytes: number;
-  /** Time left to the end of the latency objective, in milliseconds. */
-  readonly aimLeftMs: number;
-}
+/** What a search depends on besides the call's service and route. */
+export type FindOptions = Pick<FindNextHomeOptions, "bodyBytes" | "aimLeftMs">;
 
 export interface HomeSearch {
   /** The cheapest home that was not tried. */
--- a/src/placement/choose_candidate.ts
+++ b/src/placement/choose_candidate.ts
@@ -3,11 +3,7 @@
  * @module
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
-import {
-  coldFactor,
-  firstGuessMs,
-  waitShare as safeWaitShare,
-} from "../queue/estimate.ts";
+import { coldFactor, firstGuessMs, isSafeWait } from "../queue/estimate.ts";
 import { failingOf } from "./note_home.ts";
 import {
   type Candidate,
@@ -75,11 +71,9 @@
   readonly random: () => number;
 }
 
-/** The cheapest home and what the call is expected to take there. */
+/** The cheapest home, and whether it is expected to have room. */
 export interface Choice {
   readonly home: NodeId;
-  /** Expected wait for a slot, in milliseconds. */
-  readonly waitMs: number;
   /** Whether the wait there leaves no margin to the end of the aim. */
   readonly isFull: boolean;
 }
@@ -115,9 +109,8 @@
       (isShunned ? 1e6 : 0);
     if (cost >= bestCost) continue;
     bestCost = cost;
-    const isFull = waitMs > 0 &&
-      waitMs > (opts.aimLeftMs - runMs) * safeWaitShare;
-    best = { home: candidate.home, waitMs, isFull };
+    const isFull = !isSafeWait(waitMs, opts.aimLeftMs - runMs);
+    best = { home: candidate.home, isFull };
   }
   return best;
 }
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -32,7 +32,7 @@
  * that is allowed all of it starts each call at the last moment for as long as
  * the load is at the capacity.
  */
-export const waitShare = 0.5;
+const waitShare = 0.5;
 
 /** Adds one run to the recent times. */
 export function learnRun(times: RunTimes, tookMs: number) {
@@ -95,6 +95,11 @@
   now: MonotonicMs,
 ): boolean {
   const spareMs = call.aimAt - now - expectedRunMs(state, call, now);
+  return isSafeWait(waitMs, spareMs);
+}
+
+/** Whether a wait leaves a margin of the spare time, both in milliseconds. */
+export function isSafeWait(waitMs: number, spareMs: number): boolean {
   return waitMs <= Math.max(0, spareMs) * waitShare;
 }
 
