feat(takeover): log and count the runs of each version

Whether the fault came after the move had ended, or before and its evidence was lost, could not be told from the nodes: no line said how many runs of each version had failed.

Each step and status now carries the runs of both sides and their failures, and lagoon_version_runs_total goes on counting once the move has ended.

--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Run } from "../takeover/count_run.ts";
 
 /** Bounds in seconds, from a short inner call to the longest time-outs. */
 const latencyBounds = [
@@ -36,6 +37,8 @@
   countCall(route: string, result: CallResult, tookMs: number): void;
   countRefusal(reason: string): void;
   countRepeat(service: string): void;
+  /** Counts a run at the endpoint beside this node. */
+  countVersionRun(run: Run): void;
   setTableVersion(version: number): void;
   /** Replaces the counts of all services. */
   setReadyEndpoints(byService: ReadonlyMap<string, number>): void;
@@ -66,6 +69,12 @@
     labelNames: ["service"],
     registers,
   });
+  const versionRuns = new Counter({
+    name: "lagoon_version_runs_total",
+    help: "Runs at this node's endpoint, by its version and their result.",
+    labelNames: ["service", "version", "result"],
+    registers,
+  });
   const table = new Gauge({
     name: "lagoon_route_table_version",
     help: "Version of the route table in force.",
@@ -82,6 +91,10 @@
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
     countRepeat: (service) => repeats.inc({ service }),
+    countVersionRun({ service, version, isFailed }) {
+      const result = isFailed ? "failed" : "served";
+      versionRuns.inc({ service, version, result });
+    },
     setTableVersion: (version) => table.set(version),
     setReadyEndpoints(byService) {
       ready.reset();
--- a/src/sidecar/drive_moves.ts
+++ b/src/sidecar/drive_moves.ts
@@ -32,9 +32,16 @@
     case "lease":
       return recorder.lease();
     case "record":
+      log.write("move", LogLevel.Info, "status decided", {
+        ...effect.status,
+        ...effect.runs,
+      });
       return recorder.record(effect.epoch, effect.status);
     case "tell":
-      log.write("move", LogLevel.Info, "move step", { ...effect.step });
+      log.write("move", LogLevel.Info, "move step", {
+        ...effect.step,
+        ...effect.runs,
+      });
       return gossip.tellAll({ type: "move-step", step: effect.step });
     case "report":
       return gossip.tellNearAndLeader({
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -118,7 +118,10 @@
     endpointAddress: settings.endpointAddress,
     dialect: platform.dialect,
     now,
-    onRun: (run) => countRun(takeover, run),
+    onRun(run) {
+      countRun(takeover, run);
+      metrics.countVersionRun(run);
+    },
     onTrouble: (reason) =>
       log.write("endpoint", LogLevel.Warn, "endpoint shut", { reason }),
   });
--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -15,6 +15,7 @@
 import type { MonotonicMs } from "../core/types.ts";
 import { reportOf } from "./describe_moves.ts";
 import { isSettled, planShare } from "./plan_share.ts";
+import { sumRuns } from "./sum_runs.ts";
 import {
   type Move,
   type MoveFault,
@@ -263,7 +264,8 @@
   move.recording = phase;
   const { service, target } = move.order;
   const status = { service, target, phase };
-  return [{ type: "record", epoch: state.epoch, status }];
+  const runs = sumRuns(move.inbox.total);
+  return [{ type: "record", epoch: state.epoch, status, runs }];
 }
 
 function setStep(
@@ -282,5 +284,5 @@
   };
   move.step = step;
   move.stepAt = now;
-  return { type: "tell", step };
+  return { type: "tell", step, runs: sumRuns(move.inbox.total) };
 }
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -5,6 +5,7 @@
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { Finding, RouteCounts } from "../rollout/messages.ts";
 import type { Evidence, Inbox, Judge } from "../rollout/state.ts";
+import type { RunSums } from "./sum_runs.ts";
 
 export const MovePhase = {
   Running: "running",
@@ -143,8 +144,14 @@
     readonly type: "record";
     readonly epoch: number;
     readonly status: MoveStatus;
+    /** Runs that this node knows of, for the audit trail. */
+    readonly runs: RunSums;
+  }
+  | {
+    readonly type: "tell";
+    readonly step: MoveStep;
+    readonly runs: RunSums;
   }
-  | { readonly type: "tell"; readonly step: MoveStep }
   | { readonly type: "report"; readonly report: MoveReport }
   | { readonly type: "faulty"; readonly fault: MoveFault };
 
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -213,3 +213,24 @@
   assert.equal(record?.status.phase, MovePhase.RolledBack);
   assert.equal(state.moves.get("one")?.orderedAt, 94_000);
 });
+
+test("each step and status carries the runs behind it", () => {
+  const state = leader();
+  const run = { service: "one", route: "a", tookMs: 60 };
+  countRun(state, { ...run, version: "v1", isFailed: false });
+  countRun(state, { ...run, version: "v2", isFailed: true });
+  const effects = decideTakeover(state, {
+    type: "ticked",
+    now: 0,
+    mayLead: true,
+    loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
+  });
+  const runs = effects.flatMap((effect) => "runs" in effect ? effect.runs : []);
+  const sums = {
+    targetRuns: 1,
+    targetFailures: 1,
+    otherRuns: 1,
+    otherFailures: 0,
+  };
+  assert.deepEqual(runs, [sums, sums]);
+});
