--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -234,3 +234,21 @@
   };
   assert.deepEqual(runs, [sums, sums]);
 });
+
+/** Most requests that a bad version may get: a tenth, and 50. */
+const exposeShare = 0.1;
+const exposeSlack = 50;
+
+for (const onsetMs of [4_000, 8_000, 10_000, 12_000, 13_000]) {
+  test(`a fault from ${onsetMs} ms of 14000 on reaches few requests`, () => {
+    const { counts, records } = play(leader(), {
+      untilMs: order.durationMs,
+      isFailed: (version, now, n) =>
+        version === "v2" && now >= onsetMs && n % 2 === 0,
+    });
+    const bad = counts.get("v2") ?? 0;
+    const total = bad + (counts.get("v1") ?? 0);
+    assert.ok(bad <= exposeShare * total + exposeSlack, `${bad} of ${total}`);
+    assert.equal(records.at(-1)?.phase, MovePhase.RolledBack);
+  });
+}
