fix(takeover): plan a new version's share by what a bad one may get

Cause: the plan asked only whether the version had shown a fault so far. Its stages took about half of the ordered time, and the rest of it was spent with the whole service on a version that could still turn bad.

Now the share follows the terms of the settings (part of the requests, slack): a trial that uses a fifth of what is allowed lasts until the remaining time at the measured rate of requests fits into the rest of it; then the version carries everything, is judged under its full load, and the end is recorded half a second before the deadline. In the trial there is time to be surer of a fault than under full load.

'a good version is completed before its time is over' asked for completion within nine tenths of the time, which no plan can do that keeps the bound; it is replaced by one that asks for completion 300 to 600 ms before the deadline, and by moves of 2 to 600 requests a second within 6 to 30 s, each within the bound.

--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -10,6 +10,7 @@
 import type { InstancePing } from "../instance/state.ts";
 import type { RouteTable } from "../routes/state.ts";
 import type { KeyedRecord, KeyedStore } from "../store/state.ts";
+import type { ExposureTerms } from "../takeover/plan_share.ts";
 import type { MoveOrder, MoveStatus } from "../takeover/state.ts";
 
 /** Settings of the process beside an endpoint. Addresses are `host:port`. */
@@ -28,6 +29,7 @@
   readonly metricsAddress: string;
   readonly storeAddress: string;
   readonly budget: BudgetTerms;
+  readonly exposure: ExposureTerms;
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly graceMs: number;
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -42,7 +42,7 @@
 const maxControlEvents = 1_000;
 
 /** Time between looks at moves, in milliseconds. */
-const moveTickMs = 250;
+const moveTickMs = 100;
 
 /**
  * Time after the start in which a node leads no moves, in milliseconds. Until
@@ -258,6 +258,7 @@
       type: "ticked",
       now: now(),
       mayLead: isFirst && follower.isHealthy() && !isStopping,
+      exposure: settings.exposure,
       loadOf: (service, version) =>
         loadOfVersion({ fleet, placement, home, service, version }),
     });
@@ -291,10 +292,11 @@
 
   return {
     reload(next) {
-      const { budget, graceMs } = next;
-      settings = { ...settings, budget, graceMs };
+      const { budget, exposure, graceMs } = next;
+      settings = { ...settings, budget, exposure, graceMs };
       log.write("process", LogLevel.Info, "settings reloaded", {
-        ...budget,
+        budget,
+        exposure,
         graceMs,
       });
     },
--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -14,7 +14,8 @@
 import type { Judgement } from "../rollout/state.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import { reportOf } from "./describe_moves.ts";
-import { isSettled, planShare } from "./plan_share.ts";
+import { fullShare, mayComplete, planShare } from "./plan_share.ts";
+import { measureRate } from "./measure_rate.ts";
 import { sumRuns } from "./sum_runs.ts";
 import {
   type Move,
@@ -31,19 +32,16 @@
 } from "./state.ts";
 
 /**
- * Log-likelihood ratio above which a version is faulty. One good version in a
- * thousand would reach it by chance.
+ * Log-likelihood ratio above which a version is faulty. Under a small share
+ * there is time to be surer than under full load.
  */
-const faultyAbove = Math.log(1_000);
+const faultyAbove = { trial: Math.log(1e5), full: Math.log(1e3) } as const;
 
 /** Rise of the failure rate that a stage has to rule out. */
 const ruleOut = 0.2;
 
-/**
- * Time for which the old version's last calls are waited for, in milliseconds.
- * Its endpoints stop without draining once the move is completed.
- */
-const emptyWithinMs = 3_000;
+/** Time between reports of a small share's evidence, in milliseconds. */
+const trialReportMs = 400;
 
 type Ticked = Extract<TakeoverEvent, { type: "ticked" }>;
 
@@ -106,6 +104,8 @@
     orderedAt: now,
     step,
     stepAt: now,
+    runsAtStep: 0,
+    rate: { since: now, runs: 0, perMs: 0 },
     targetReadyAt: undefined,
     fault: undefined,
     recorded: isOver ? status.phase : undefined,
@@ -113,6 +113,7 @@
     credit: 0,
     local: new Map(),
     localSeq: 0,
+    reportedAt: -Infinity,
     inbox: createInbox(),
     judge: createJudge(now),
   });
@@ -138,7 +139,7 @@
   const isNewer = step.epoch > move.step.epoch ||
     (step.epoch === move.step.epoch && step.seq > move.step.seq);
   if (!isNewer || move.step.phase !== MovePhase.Running) return;
-  if (step.share !== move.step.share) move.stepAt = now;
+  if (step.share !== move.step.share) beginStage(move, now);
   move.step = step;
 }
 
@@ -191,11 +192,12 @@
   const { service, target } = move.order;
   const load = event.loadOf(service, target);
   if (load.ready > 0) move.targetReadyAt ??= now;
-  const effects: TakeoverEffect[] = reportLocal(state, move);
+  const isFull = move.step.share === fullShare;
+  const effects: TakeoverEffect[] = reportLocal(state, move, now);
   const judgement = judgeEvidence({
     judge: move.judge,
     evidence: move.inbox.total,
-    faultyAbove,
+    faultyAbove: isFull ? faultyAbove.full : faultyAbove.trial,
     ruleOut,
     now,
   });
@@ -206,27 +208,38 @@
   }
   if (!event.mayLead) return effects;
   if (state.epoch === undefined) return [...effects, { type: "lease" }];
-  return [...effects, ...lead(state, move, load, judgement, now)];
+  return [...effects, ...lead({ state, move, load, judgement, event })];
 }
 
 /** Sums of this node, when they have grown. */
-function reportLocal(state: TakeoverState, move: Move): TakeoverEffect[] {
+function reportLocal(
+  state: TakeoverState,
+  move: Move,
+  now: MonotonicMs,
+): TakeoverEffect[] {
+  const isFull = move.step.share === fullShare;
+  if (!isFull && now - move.reportedAt < trialReportMs) return [];
   let calls = 0;
   for (const counts of move.local.values()) calls += counts.calls;
   if (calls === move.localSeq) return [];
   move.localSeq = calls;
+  move.reportedAt = now;
   const report = reportOf(state, move);
   takeReport(state, report);
   return [{ type: "report", report }];
 }
 
-function lead(
-  state: TakeoverState,
-  move: Move,
-  load: VersionLoad,
-  judgement: Judgement,
-  now: MonotonicMs,
-): readonly TakeoverEffect[] {
+interface LeadOptions {
+  readonly state: TakeoverState;
+  readonly move: Move;
+  readonly load: VersionLoad;
+  readonly judgement: Judgement;
+  readonly event: Ticked;
+}
+
+function lead(opts: LeadOptions): readonly TakeoverEffect[] {
+  const { state, move, load, judgement, event } = opts;
+  const { now, exposure } = event;
   const { step, order } = move;
   if (move.fault !== undefined) {
     const stop = step.share === 0 ? [] : [setStep(state, move, {
@@ -238,22 +251,33 @@
     ? record(state, move, MovePhase.Running)
     : [];
   if (load.ready === 0) return effects;
-  const stageMs = now - move.stepAt;
-  const share = planShare({
+  const runs = sumRuns(move.inbox.total);
+  const elapsedMs = now - move.orderedAt;
+  const plan = {
     share: step.share,
-    elapsedMs: now - move.orderedAt,
+    elapsedMs,
     durationMs: order.durationMs,
-    stageMs,
+    stageMs: now - move.stepAt,
     judgement,
-  });
+    runs,
+    ratePerMs: measureRate({ rate: move.rate, runs, elapsedMs, now }),
+    exposure,
+  };
+  const share = planShare(plan);
   if (share !== step.share) {
     return [...effects, setStep(state, move, { share }, now)];
   }
-  const isEmpty = load.otherCalls === 0 || stageMs >= emptyWithinMs;
-  if (!isSettled(share, stageMs) || !isEmpty) return effects;
+  const stageRuns = runs.targetRuns - move.runsAtStep;
+  const { otherCalls } = load;
+  if (!mayComplete({ ...plan, stageRuns, otherCalls })) return effects;
   return [...effects, ...record(state, move, MovePhase.Completed)];
 }
 
+function beginStage(move: Move, now: MonotonicMs) {
+  move.stepAt = now;
+  move.runsAtStep = sumRuns(move.inbox.total).targetRuns;
+}
+
 function record(
   state: TakeoverState,
   move: Move,
@@ -283,6 +307,6 @@
     elapsedMs: now - move.orderedAt,
   };
   move.step = step;
-  move.stepAt = now;
+  beginStage(move, now);
   return { type: "tell", step, runs: sumRuns(move.inbox.total) };
 }
--- a/src/takeover/plan_share.ts
+++ b/src/takeover/plan_share.ts
@@ -1,35 +1,68 @@
 /**
  * Plans the share of a new version.
+ *
+ * A version may turn bad at any moment until its deadline, and what it got
+ * before counts as much as what it gets afterwards. So it carries a small share
+ * for most of the ordered time, and everything only as late as leaves the time
+ * to judge it under its full load and to put the end on record.
  * @module
  */
 import type { Judgement } from "../rollout/state.ts";
+import type { RunSums } from "./sum_runs.ts";
 
-/** One stage of a move. */
-interface Stage {
-  /** Share of the service's requests, 0 to 1. */
+/** Most requests that a bad version may get until its deadline. */
+export interface ExposureTerms {
+  /** Part of all requests of the service, 0 to 1. */
   readonly share: number;
-  /** Shortest time of the stage. */
-  readonly leastMs: number;
+  /** Requests besides that part. */
+  readonly slack: number;
 }
 
+/** Share of a version that carries everything. */
+export const fullShare = 1;
+
+/** Part of what a bad version may get that the trial uses. */
+const trialPart = 0.2;
+
+/** Largest share of the trial, for services with few requests. */
+const longestTrialShare = 0.1;
+
+/** Shortest time of the trial, in milliseconds. */
+const leastTrialMs = 1_500;
+
+/** Part of the slack that is planned with. Requests are counted with a lag. */
+const slackPart = 0.5;
+
+/** Room for requests that come faster than they did, as a factor. */
+const rateMargin = 1.25;
+
+/** Longest time under full load before the deadline, in milliseconds. */
+const longestFullMs = 2_000;
+
+/** A version that carries everything as late as this is done after its time. */
+const lateMs = 300;
+
+/** Time under full load when the deadline can't be met, in milliseconds. */
+const lateFullMs = 1_000;
+
+/** Time before the deadline at which the end is recorded, in milliseconds. */
+const recordLeadMs = 500;
+
+/** The same as a part of a shorter time under full load. */
+const recordPart = 0.45;
+
 /**
- * Stages of a move. The first is long and small: a fault that shows at once or
- * after a few seconds is found there. The others are short, for faults that
- * show under load alone.
+ * Time before the deadline until which the old version's last calls are waited
+ * for, in milliseconds. Its endpoints stop without draining at the end.
  */
-const stages: readonly Stage[] = [
-  { share: 0.06, leastMs: 3_000 },
-  { share: 0.2, leastMs: 1_000 },
-  { share: 0.5, leastMs: 1_000 },
-  { share: 1, leastMs: 1_500 },
-];
-
-/** Part of the ordered time after which the first stage may end. */
-const firstStageShare = 0.35;
+const emptyLeadMs = 350;
 
-/** Answers of the target that a stage needs before it may end. */
+/** Answers under full load before the end, unless fewer requests come. */
 const leastAnswers = 20;
 
+/** Part of the expected answers that suffices where requests are few. */
+const answeredPart = 0.5;
+
 /** Options of `planShare`. */
 export interface PlanShareOptions {
   readonly share: number;
@@ -39,30 +72,72 @@
   /** Time since the present share was set. */
   readonly stageMs: number;
   readonly judgement: Judgement;
+  readonly runs: RunSums;
+  /** Requests of the service in a millisecond. */
+  readonly ratePerMs: number;
+  readonly exposure: ExposureTerms;
+}
+
+/** Returns the share that the target should have now. */
+export function planShare(opts: PlanShareOptions): number {
+  const { share, judgement } = opts;
+  if (share === 0) return trialShare(opts);
+  if (share === fullShare || judgement.type === "faulty") return share;
+  if (isSuspect(judgement) || opts.stageMs < leastTrialMs) return share;
+  const leftMs = opts.durationMs - opts.elapsedMs;
+  return leftMs <= fullLeadMs(opts) ? fullShare : share;
+}
+
+function trialShare({ exposure, ratePerMs, durationMs }: PlanShareOptions) {
+  const requests = Math.max(1, ratePerMs * durationMs);
+  const allowed = exposure.share + exposure.slack / requests;
+  return Math.min(longestTrialShare, trialPart * allowed);
 }
 
 /**
- * Returns the share that the target should have now. It grows by one stage at
- * a time, and only while its answers show no sign of a fault.
+ * Longest time before the deadline for which a version may carry everything,
+ * should it turn out to be bad just then.
  */
-export function planShare(opts: PlanShareOptions): number {
-  const { share, judgement, stageMs } = opts;
-  const index = stages.findIndex((stage) => stage.share >= share);
-  const stage = stages[index] ?? stages[0];
-  const next = stages[index + 1];
-  if (share === 0) return stages[0]?.share ?? 0;
-  if (stage === undefined || next === undefined) return share;
-  if (judgement.type === "faulty") return share;
-  const isSuspect = judgement.type === "unclear" && judgement.isSuspect;
-  const isFirst = index === 0;
-  const isLong = stageMs >= stage.leastMs &&
-    (!isFirst || opts.elapsedMs >= opts.durationMs * firstStageShare);
-  const isSeen = judgement.calls >= leastAnswers;
-  return isLong && isSeen && !isSuspect ? next.share : share;
+function fullLeadMs({ runs, ratePerMs, exposure }: PlanShareOptions): number {
+  const { targetRuns, otherRuns } = runs;
+  const spare = exposure.share * (targetRuns + otherRuns) +
+    slackPart * exposure.slack - targetRuns;
+  // Each request of the target also raises what it may get.
+  const spentPerMs = (rateMargin - exposure.share) * ratePerMs;
+  if (spare <= 0) return 0;
+  return spentPerMs > 0
+    ? Math.min(longestFullMs, spare / spentPerMs)
+    : longestFullMs;
+}
+
+/** Options of `mayComplete`. */
+export interface MayCompleteOptions extends PlanShareOptions {
+  /** Runs of the target since the present share was set. */
+  readonly stageRuns: number;
+  /** Calls that run or wait at the old version. */
+  readonly otherCalls: number;
+}
+
+/** Whether the end of a move may be recorded now. */
+export function mayComplete(opts: MayCompleteOptions): boolean {
+  const { judgement, stageMs, otherCalls } = opts;
+  if (opts.share !== fullShare || isSuspect(judgement)) return false;
+  const expected = answeredPart * opts.ratePerMs * stageMs;
+  if (opts.stageRuns < Math.min(leastAnswers, expected)) return false;
+  const leftMs = opts.durationMs - opts.elapsedMs;
+  const plannedMs = leftMs + stageMs;
+  if (plannedMs < lateMs) return stageMs >= lateFullMs;
+  const isDue = leftMs <= Math.min(recordLeadMs, recordPart * plannedMs);
+  return isDue && (otherCalls === 0 || leftMs <= emptyLeadMs);
 }
 
-/** Whether the target has carried everything for long enough. */
-export function isSettled(share: number, stageMs: number): boolean {
-  const last = stages.at(-1);
-  return last !== undefined && share === last.share && stageMs >= last.leastMs;
+function isSuspect(judgement: Judgement): boolean {
+  switch (judgement.type) {
+    case "faulty":
+      return true;
+    case "unclear":
+      return judgement.isSuspect;
+    case "clear":
+      return false;
+  }
 }
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -5,6 +5,7 @@
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { Finding, RouteCounts } from "../rollout/messages.ts";
 import type { Evidence, Inbox, Judge } from "../rollout/state.ts";
+import type { ExposureTerms } from "./plan_share.ts";
 import type { RunSums } from "./sum_runs.ts";
 
 export const MovePhase = {
@@ -60,12 +61,25 @@
   readonly phase: MovePhase;
 }
 
+/** How fast the requests of a service come. */
+export interface RequestRate {
+  /** Start of the present window. */
+  since: MonotonicMs;
+  /** Runs at the start of the window. */
+  runs: number;
+  /** Runs in a millisecond of the last whole window. */
+  perMs: number;
+}
+
 export interface Move {
   readonly order: MoveOrder;
   /** When the order was given, on this node's clock. */
   orderedAt: MonotonicMs;
   step: MoveStep;
   stepAt: MonotonicMs;
+  /** Runs of the target when the present share was set. */
+  runsAtStep: number;
+  readonly rate: RequestRate;
   /** When the target first had a ready endpoint. */
   targetReadyAt: MonotonicMs | undefined;
   /** Fault seen here. This node sends the target nothing from then on. */
@@ -78,6 +92,8 @@
   credit: number;
   readonly local: Evidence;
   localSeq: number;
+  /** When the local counts were last reported. */
+  reportedAt: MonotonicMs;
   readonly inbox: Inbox;
   readonly judge: Judge;
 }
@@ -125,6 +141,7 @@
     readonly now: MonotonicMs;
     /** This node leads moves, if it gets the lease. */
     readonly mayLead: boolean;
+    readonly exposure: ExposureTerms;
     /** Ready endpoints of a version, and calls that run or wait there. */
     readonly loadOf: (service: string, version: string) => VersionLoad;
   };
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -14,10 +14,13 @@
 const order = { service: "one", target: "v2", durationMs: 14_000 };
 const present = ["v1", "v2"];
 
-function leader(): TakeoverState {
+/** Most requests that a bad version may get. */
+const exposure = { share: 0.1, slack: 50 };
+
+function leader(ordered = order): TakeoverState {
   const state = createTakeoverState({ self: "a", source: "a 1" });
   decideTakeover(state, { type: "leased", epoch: 1 });
-  decideTakeover(state, { type: "ordered", order, now: 0 });
+  decideTakeover(state, { type: "ordered", order: ordered, now: 0 });
   return state;
 }
 
@@ -26,15 +29,17 @@
   /** Whether a run of the version at that time fails. */
   readonly isFailed?: (version: string, now: number, n: number) => boolean;
   readonly tookMs?: (version: string, now: number, n: number) => number;
-  readonly perTick?: number;
+  /** Requests in the next 100 ms. */
+  readonly perTick?: () => number;
 }
 
-/** Plays requests in ticks of 250 ms; the store confirms at once. */
+/** Plays 200 requests a second; the store confirms at once. */
 function play(state: TakeoverState, opts: PlayOptions) {
   const counts = new Map<string, number>();
   const records: { phase: MovePhase; at: number }[] = [];
-  for (let now = 0; now <= opts.untilMs; now += 250) {
-    for (let n = 0; n < (opts.perTick ?? 50); n++) {
+  for (let now = 0; now <= opts.untilMs; now += 100) {
+    const requests = opts.perTick?.() ?? 20;
+    for (let n = 0; n < requests; n++) {
       const [version] = chooseVersions(state, "one", present);
       assert.ok(version);
       counts.set(version, (counts.get(version) ?? 0) + 1);
@@ -50,6 +55,7 @@
       type: "ticked",
       now,
       mayLead: true,
+      exposure,
       loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
     });
     for (const effect of effects) {
@@ -62,18 +68,41 @@
   return { counts, records };
 }
 
-test("a good version is completed before its time is over", () => {
+test("a good version is completed shortly before its time is over", () => {
   const { records } = play(leader(), { untilMs: 14_000 });
   assert.equal(records[0]?.phase, MovePhase.Running);
   assert.equal(records[1]?.phase, MovePhase.Completed);
-  assert.ok((records[1]?.at ?? Infinity) < 0.9 * order.durationMs);
+  const leftMs = order.durationMs - (records[1]?.at ?? Infinity);
+  assert.ok(leftMs >= 300 && leftMs <= 600, `${leftMs} ms before`);
 });
 
+for (const perSecond of [2, 20, 100, 600]) {
+  for (const durationMs of [6_000, 8_000, 16_000, 30_000]) {
+    test(`${perSecond} requests a second move within ${durationMs} ms`, () => {
+      const state = leader({ ...order, durationMs });
+      let due = 0;
+      const { counts, records } = play(state, {
+        untilMs: durationMs,
+        perTick: () => {
+          due += perSecond / 10;
+          const whole = Math.floor(due);
+          due -= whole;
+          return whole;
+        },
+      });
+      assert.equal(records.at(-1)?.phase, MovePhase.Completed);
+      const moved = counts.get("v2") ?? 0;
+      const total = moved + (counts.get("v1") ?? 0);
+      assert.ok(moved <= exposure.share * total + exposure.slack);
+    });
+  }
+}
+
 for (
   const [name, isFailed] of [
     ["at once", () => true],
     ["late", (_: string, now: number) => now > 3_000],
-    ["at a fifth of its runs", (_: string, __: number, n: number) => n < 10],
+    ["at a fifth of its runs", (_: string, __: number, n: number) => n < 4],
   ] as const
 ) {
   test(`a version that fails ${name} is taken back`, () => {
@@ -146,6 +175,7 @@
       type: "ticked",
       now: 1_000,
       mayLead,
+      exposure,
       loadOf: () => load,
     });
   assert.deepEqual(tick(false), []);
@@ -207,6 +237,7 @@
     type: "ticked",
     now: 100_000,
     mayLead: true,
+    exposure,
     loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
   });
   const record = effects.find((effect) => effect.type === "record");
@@ -223,6 +254,7 @@
     type: "ticked",
     now: 0,
     mayLead: true,
+    exposure,
     loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
   });
   const runs = effects.flatMap((effect) => "runs" in effect ? effect.runs : []);
@@ -235,10 +267,6 @@
   assert.deepEqual(runs, [sums, sums]);
 });
 
-/** Most requests that a bad version may get: a tenth, and 50. */
-const exposeShare = 0.1;
-const exposeSlack = 50;
-
 for (const onsetMs of [4_000, 8_000, 10_000, 12_000, 13_000]) {
   test(`a fault from ${onsetMs} ms of 14000 on reaches few requests`, () => {
     const { counts, records } = play(leader(), {
@@ -248,7 +276,10 @@
     });
     const bad = counts.get("v2") ?? 0;
     const total = bad + (counts.get("v1") ?? 0);
-    assert.ok(bad <= exposeShare * total + exposeSlack, `${bad} of ${total}`);
+    assert.ok(
+      bad <= exposure.share * total + exposure.slack,
+      `${bad} of ${total}`,
+    );
     assert.equal(records.at(-1)?.phase, MovePhase.RolledBack);
   });
 }
