fix(takeover): judge a version for a while after it has taken over

Cause: judging ended with the record of the end. Evidence after it was neither counted nor told, and neither a step nor a status could follow 'completed'.

Ruled out: going back to the old version. So the choice is between a version that fails half of what it runs and refusals that are true. The promise is that a bad version gets nothing soon after its fault shows, so calls are refused as not run and the status says rolled_back, from which the operator knows that the service needs an order.

Since nothing is left to compare with, only a fault that lasts three windows of a second, at three quarters of the endpoints (two at least), in a quarter of the runs above what the old version failed, counts, and only until 6 s after the deadline. A fault of one endpoint, or later than that, stops nothing.

Evidence: 'a version that turns bad once it has taken over gets nothing more' fails with the judgement switched off ([running, completed]).

--- a/src/takeover/choose_version.ts
+++ b/src/takeover/choose_version.ts
@@ -22,6 +22,7 @@
   const others = present.filter((version) => version !== target);
   switch (move.step.phase) {
     case MovePhase.Completed:
+      if (move.fault !== undefined) return others;
       return present.includes(target) ? [target] : others;
     case MovePhase.RolledBack:
       return others;
--- a/src/takeover/count_run.ts
+++ b/src/takeover/count_run.ts
@@ -15,10 +15,10 @@
   readonly tookMs: number;
 }
 
-/** Counts a run, when its service is being moved. */
+/** Counts a run, unless its service's move was taken back. */
 export function countRun(state: TakeoverState, run: Run) {
   const move = state.moves.get(run.service);
-  if (move === undefined || move.step.phase !== MovePhase.Running) return;
+  if (move === undefined || move.step.phase === MovePhase.RolledBack) return;
   const side = run.version === move.order.target ? Side.New : Side.Old;
   const counts = countsOf(move.local, side, run.route);
   counts.calls++;
--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -10,10 +10,11 @@
 import { createInbox, createJudge } from "../rollout/create_track.ts";
 import { judgeEvidence } from "../rollout/judge_evidence.ts";
 import { mergeReport } from "../rollout/merge_report.ts";
-import { ReportLevel } from "../rollout/messages.ts";
+import { type Finding, ReportLevel } from "../rollout/messages.ts";
 import type { Judgement } from "../rollout/state.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import { reportOf } from "./describe_moves.ts";
+import { judgeBake } from "./judge_bake.ts";
 import { fullShare, mayComplete, planShare } from "./plan_share.ts";
 import { measureRate } from "./measure_rate.ts";
 import { sumRuns } from "./sum_runs.ts";
@@ -40,6 +41,12 @@
 /** Rise of the failure rate that a stage has to rule out. */
 const ruleOut = 0.2;
 
+/**
+ * Time after the deadline in which a version that took over is still judged, in
+ * milliseconds.
+ */
+const bakeMs = 6_000;
+
 /** Time between reports of a small share's evidence, in milliseconds. */
 const trialReportMs = 400;
 
@@ -78,7 +85,6 @@
       return [];
     case "ticked":
       return [...state.moves.values()]
-        .filter((move) => move.step.phase === MovePhase.Running)
         .flatMap((move) => tick(state, move, event));
     default:
       return exhausted(event);
@@ -116,6 +122,7 @@
     reportedAt: -Infinity,
     inbox: createInbox(),
     judge: createJudge(now),
+    bake: { windowAt: undefined, runs: new Map(), badWindows: 0 },
   });
 }
 
@@ -127,8 +134,27 @@
   const move = state.moves.get(status.service);
   if (move === undefined || move.order.target !== status.target) return;
   move.recorded = status.phase;
-  if (move.step.phase !== MovePhase.Running) return;
-  move.step = { ...move.step, phase: status.phase };
+  if (!mayFollow(move.step.phase, status.phase)) return;
+  enterPhase(move, { ...move.step, phase: status.phase });
+}
+
+/** Moves only go forward: a version may still be taken back once it is done. */
+function mayFollow(before: MovePhase, next: MovePhase): boolean {
+  switch (before) {
+    case MovePhase.Running:
+      return true;
+    case MovePhase.Completed:
+      return next === MovePhase.RolledBack;
+    case MovePhase.RolledBack:
+      return false;
+  }
+}
+
+/** Once a version has taken over, only a fault that is found then counts. */
+function enterPhase(move: Move, step: MoveStep) {
+  const isNew = step.phase !== move.step.phase;
+  if (isNew && step.phase === MovePhase.Completed) move.fault = undefined;
+  move.step = step;
 }
 
 function takeStep(state: TakeoverState, step: MoveStep, now: MonotonicMs) {
@@ -138,9 +164,9 @@
   move.orderedAt = Math.min(move.orderedAt, now - step.elapsedMs);
   const isNewer = step.epoch > move.step.epoch ||
     (step.epoch === move.step.epoch && step.seq > move.step.seq);
-  if (!isNewer || move.step.phase !== MovePhase.Running) return;
+  if (!isNewer || !mayFollow(move.step.phase, step.phase)) return;
   if (step.share !== move.step.share) beginStage(move, now);
-  move.step = step;
+  enterPhase(move, step);
 }
 
 function takeReport(state: TakeoverState, report: MoveReport) {
@@ -162,7 +188,7 @@
 function takeFault(state: TakeoverState, fault: MoveFault) {
   const move = state.moves.get(fault.service);
   if (move === undefined || move.order.target !== fault.target) return;
-  move.fault ??= fault.finding;
+  if (move.step.phase === fault.phase) move.fault ??= fault.finding;
 }
 
 function confirm(
@@ -187,6 +213,21 @@
   state: TakeoverState,
   move: Move,
   event: Ticked,
+): readonly TakeoverEffect[] {
+  switch (move.step.phase) {
+    case MovePhase.Running:
+      return tickRunning(state, move, event);
+    case MovePhase.Completed:
+      return tickCompleted(state, move, event);
+    case MovePhase.RolledBack:
+      return [];
+  }
+}
+
+function tickRunning(
+  state: TakeoverState,
+  move: Move,
+  event: Ticked,
 ): readonly TakeoverEffect[] {
   const { now } = event;
   const { service, target } = move.order;
@@ -202,15 +243,47 @@
     now,
   });
   if (judgement.type === "faulty" && move.fault === undefined) {
-    const { finding } = judgement;
-    move.fault = finding;
-    effects.push({ type: "faulty", fault: { service, target, finding } });
+    effects.push(blame(move, judgement.finding));
   }
   if (!event.mayLead) return effects;
   if (state.epoch === undefined) return [...effects, { type: "lease" }];
   return [...effects, ...lead({ state, move, load, judgement, event })];
 }
 
+/** The version has everything, and may still turn out to be bad. */
+function tickCompleted(
+  state: TakeoverState,
+  move: Move,
+  event: Ticked,
+): readonly TakeoverEffect[] {
+  const { now } = event;
+  const { durationMs } = move.order;
+  const isBaked = now - move.orderedAt > durationMs + bakeMs;
+  if (isBaked && move.fault === undefined) return [];
+  const effects: TakeoverEffect[] = reportLocal(state, move, now);
+  if (!event.mayLead) return effects;
+  const finding = judgeBake({
+    bake: move.bake,
+    sources: move.inbox.sources,
+    runs: sumRuns(move.inbox.total),
+    now,
+  });
+  if (finding !== undefined && move.fault === undefined) {
+    effects.push(blame(move, finding));
+  }
+  if (move.fault === undefined) return effects;
+  if (state.epoch === undefined) return [...effects, { type: "lease" }];
+  return [...effects, ...record(state, move, MovePhase.RolledBack)];
+}
+
+/** This node sends the target nothing from now on, and tells others why. */
+function blame(move: Move, finding: Finding): TakeoverEffect {
+  const { service, target } = move.order;
+  const { phase } = move.step;
+  move.fault = finding;
+  return { type: "faulty", fault: { service, target, phase, finding } };
+}
+
 /** Sums of this node, when they have grown. */
 function reportLocal(
   state: TakeoverState,
@@ -306,7 +379,7 @@
     seq: move.step.seq + 1,
     elapsedMs: now - move.orderedAt,
   };
-  move.step = step;
+  enterPhase(move, step);
   beginStage(move, now);
   return { type: "tell", step, runs: sumRuns(move.inbox.total) };
 }
--- a/src/takeover/describe_moves.ts
+++ b/src/takeover/describe_moves.ts
@@ -30,10 +30,13 @@
     if (move.step.phase !== MovePhase.Running) return [];
     const { service, target } = move.order;
     const finding = move.fault;
+    const { phase } = move.step;
     return [{
       step: { ...move.step, elapsedMs: now - move.orderedAt },
       report: reportOf(state, move),
-      fault: finding === undefined ? undefined : { service, target, finding },
+      fault: finding === undefined
+        ? undefined
+        : { service, target, phase, finding },
     }];
   });
 }
--- /dev/null
+++ b/src/takeover/judge_bake.ts
@@ -0,0 +1,123 @@
+/**
+ * Judges a version for a while after it has taken over.
+ *
+ * Nothing is left to compare it with, so its failures have to be many, at all of
+ * its endpoints, and last: a fault of single endpoints must not stop a service.
+ * @module
+ */
+import type { MonotonicMs } from "../core/types.ts";
+import { allRoutes } from "../rollout/judge_evidence.ts";
+import {
+  type EvidenceReport,
+  type Finding,
+  Measure,
+  Side,
+} from "../rollout/messages.ts";
+import type { Bake, SourceRuns } from "./state.ts";
+import type { RunSums } from "./sum_runs.ts";
+
+/** Shortest time of a window, in milliseconds. */
+const windowMs = 1_000;
+
+/** Runs that a window needs. */
+const leastRuns = 40;
+
+/** Windows in a row that have to be bad. */
+const badWindows = 3;
+
+/** Part of a window's runs that fail, besides what failed before the move. */
+const badPart = 0.25;
+
+/** Room for failures that the old version had too, as a factor. */
+const toleratedRatio = 1.5;
+
+/** Endpoints with fewer runs in a window are left out. */
+const leastEndpointRuns = 5;
+
+/** Part of an endpoint's runs that fail when it has the fault. */
+const badEndpointPart = 0.1;
+
+/** Part of the endpoints that have to have the fault. */
+const badEndpoints = 0.75;
+
+/** One endpoint alone does not tell a fault of its own from the version's. */
+const leastEndpoints = 2;
+
+/** Options of `judgeBake`. */
+export interface JudgeBakeOptions {
+  readonly bake: Bake;
+  /** Latest report of each source. */
+  readonly sources: ReadonlyMap<string, EvidenceReport>;
+  readonly runs: RunSums;
+  readonly now: MonotonicMs;
+}
+
+/** Adds what is new, and returns the fault once it has lasted. */
+export function judgeBake(opts: JudgeBakeOptions): Finding | undefined {
+  const { bake, runs, now } = opts;
+  const sums = sumSources(opts.sources);
+  if (bake.windowAt === undefined) {
+    openWindow(bake, sums, now);
+    return undefined;
+  }
+  const rises = [...sums].map(([source, sum]) => {
+    const before = bake.runs.get(source);
+    return {
+      runs: sum.runs - (before?.runs ?? 0),
+      failures: sum.failures - (before?.failures ?? 0),
+    };
+  });
+  const calls = rises.reduce((sum, rise) => sum + rise.runs, 0);
+  if (now - bake.windowAt < windowMs || calls < leastRuns) return undefined;
+  const bad = rises.reduce((sum, rise) => sum + rise.failures, 0);
+  const usual = runs.otherFailures / Math.max(1, runs.otherRuns);
+  const isBad = bad > (badPart + toleratedRatio * usual) * calls &&
+    isEverywhere(rises);
+  bake.badWindows = isBad ? bake.badWindows + 1 : 0;
+  openWindow(bake, sums, now);
+  if (bake.badWindows < badWindows) return undefined;
+  return {
+    route: allRoutes,
+    measure: Measure.Errors,
+    calls,
+    bad,
+    oldCalls: runs.otherRuns,
+    oldBad: runs.otherFailures,
+    score: bake.badWindows,
+  };
+}
+
+function isEverywhere(rises: readonly SourceRuns[]): boolean {
+  const seen = rises.filter((rise) => rise.runs >= leastEndpointRuns);
+  const bad = seen.filter((rise) =>
+    rise.failures >= badEndpointPart * rise.runs
+  );
+  return seen.length >= leastEndpoints &&
+    bad.length >= badEndpoints * seen.length;
+}
+
+function openWindow(
+  bake: Bake,
+  sums: ReadonlyMap<string, SourceRuns>,
+  now: MonotonicMs,
+) {
+  bake.windowAt = now;
+  bake.runs = sums;
+}
+
+/** Runs of the target at each source. */
+function sumSources(
+  sources: ReadonlyMap<string, EvidenceReport>,
+): Map<string, SourceRuns> {
+  const sums = new Map<string, SourceRuns>();
+  for (const [source, { counts }] of sources) {
+    let [runs, failures] = [0, 0];
+    for (const one of counts) {
+      if (one.side !== Side.New) continue;
+      runs += one.calls;
+      failures += one.failures;
+    }
+    sums.set(source, { runs, failures });
+  }
+  return sums;
+}
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -51,6 +51,8 @@
 export interface MoveFault {
   readonly service: string;
   readonly target: string;
+  /** Phase in which it was found. It says nothing of a later one. */
+  readonly phase: MovePhase;
   readonly finding: Finding;
 }
 
@@ -71,6 +73,22 @@
   perMs: number;
 }
 
+/** Runs at one source, and those of them that failed. */
+export interface SourceRuns {
+  readonly runs: number;
+  readonly failures: number;
+}
+
+/** How a version does after it has taken over. */
+export interface Bake {
+  /** Start of the present window. */
+  windowAt: MonotonicMs | undefined;
+  /** Runs of each source at the start of the window. */
+  runs: ReadonlyMap<string, SourceRuns>;
+  /** Windows in a row that were bad. */
+  badWindows: number;
+}
+
 export interface Move {
   readonly order: MoveOrder;
   /** When the order was given, on this node's clock. */
@@ -96,6 +114,7 @@
   reportedAt: MonotonicMs;
   readonly inbox: Inbox;
   readonly judge: Judge;
+  readonly bake: Bake;
 }
 
 export interface TakeoverState {
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -283,3 +283,122 @@
     assert.equal(records.at(-1)?.phase, MovePhase.RolledBack);
   });
 }
+
+/** Plays nodes of two endpoints each on; returns when v2 got its last request. */
+function playFleet(opts: {
+  readonly untilMs: number;
+  readonly isFailed: (home: number, now: number, n: number) => boolean;
+}) {
+  const homes = [0, 1, 2, 3].map((n) => {
+    const state = createTakeoverState({ self: `${n}`, source: `${n} 1` });
+    decideTakeover(state, { type: "ordered", order, now: 0 });
+    return state;
+  });
+  const [first] = homes;
+  assert.ok(first);
+  decideTakeover(first, { type: "leased", epoch: 1 });
+  let lastAt = 0;
+  const phases: MovePhase[] = [];
+  for (let now = 0; now <= opts.untilMs; now += 100) {
+    for (let n = 0; n < 40; n++) {
+      const at = n % homes.length;
+      const state = homes[at];
+      assert.ok(state);
+      const hasOld = phases.at(-1) !== MovePhase.Completed &&
+        phases.at(-1) !== MovePhase.RolledBack;
+      const [version] = chooseVersions(
+        state,
+        "one",
+        hasOld ? present : ["v2"],
+      );
+      if (version === undefined) continue;
+      if (version === "v2") lastAt = now;
+      countRun(state, {
+        service: "one",
+        version,
+        route: "a",
+        isFailed: version === "v2" && opts.isFailed(at, now, n),
+        tookMs: 60,
+      });
+    }
+    for (const [at, state] of homes.entries()) {
+      const effects = decideTakeover(state, {
+        type: "ticked",
+        now,
+        mayLead: at === 0,
+        exposure,
+        loadOf: () => ({ ready: 4, calls: 0, otherReady: 4, otherCalls: 0 }),
+      });
+      for (const effect of effects) {
+        switch (effect.type) {
+          case "record": {
+            const { service, phase } = effect.status;
+            phases.push(phase);
+            const told = decideTakeover(state, {
+              type: "recorded",
+              service,
+              phase,
+              now,
+            });
+            for (const one of told) tellOthers(homes, state, one, now);
+            break;
+          }
+          default:
+            tellOthers(homes, state, effect, now);
+        }
+      }
+    }
+  }
+  return { phases, lastAt };
+}
+
+function tellOthers(
+  homes: readonly TakeoverState[],
+  from: TakeoverState,
+  effect: TakeoverEffect,
+  now: number,
+) {
+  for (const to of homes) {
+    if (to === from) continue;
+    if (effect.type === "tell") {
+      decideTakeover(to, { type: "step-heard", step: effect.step, now });
+    }
+    if (effect.type === "report") {
+      decideTakeover(to, { type: "report-heard", report: effect.report });
+    }
+    if (effect.type === "faulty") {
+      decideTakeover(to, { type: "fault-heard", fault: effect.fault });
+    }
+  }
+}
+
+test("a version that turns bad once it has taken over gets nothing more", () => {
+  const onsetMs = 14_200;
+  const { phases, lastAt } = playFleet({
+    untilMs: 25_000,
+    isFailed: (_, now, n) => now >= onsetMs && n % 8 < 4,
+  });
+  assert.deepEqual(phases, [
+    MovePhase.Running,
+    MovePhase.Completed,
+    MovePhase.RolledBack,
+  ]);
+  assert.ok(lastAt < onsetMs + 5_000, `last at ${lastAt}`);
+});
+
+test("one bad endpoint does not stop a version that has taken over", () => {
+  const { phases, lastAt } = playFleet({
+    untilMs: 25_000,
+    isFailed: (home, now) => now >= 14_200 && home === 1,
+  });
+  assert.equal(phases.at(-1), MovePhase.Completed);
+  assert.equal(lastAt, 25_000);
+});
+
+test("a fault long after the takeover is the endpoints' own", () => {
+  const { phases } = playFleet({
+    untilMs: 40_000,
+    isFailed: (_, now, n) => now >= 24_000 && n % 8 < 4,
+  });
+  assert.equal(phases.at(-1), MovePhase.Completed);
+});
