fix(takeover): let the next node act where the leader of a move is stuck

What callers would see: a move that stands still at its trial, or under its full load without an end, because the one node that leads is frozen, turned away by the store, or stops with its old endpoint at the end of another move. Since the last step comes a second before the deadline there is no time to wait until the node is noted as gone (some seconds).

Cause: only the first node looked at a move's plan, only it got all evidence, and its word on the end was lost with it: - every node that may lead now works out the same wish; the first acts at once, each next one 300 ms later (2 s for what can wait). The lease decides, and who hears of a newer one yields for 2 s; - evidence goes to the first two nodes; - the leader writes once more shortly before the last step, so that one that can't write is replaced before it matters; - a new leader reads the statuses with the lease, so it does not repeat a move whose end was recorded and never told; - ended moves are told to nodes that come back; one that was cut off kept to a trial of a version whose old endpoints were gone, and refused everything; - reports carry the time since the order, and the store keeps it beside the status: nodes that were frozen, or all nodes after they died, would move late. decide_takeover.ts is split by these duties.

Tests, each failing without its part: 'the next node records the end while the leader is stuck', 'a leader that hears of a newer lease leads nothing for a while', 'a node that was cut off hears that a move has ended', 'the time of an order outlives all nodes'.

--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -41,6 +41,9 @@
 /** A peer's word on the health of its store reads counts this long. */
 const healthMs = 6_000;
 
+/** Nodes that keep all evidence: the one that leads, and the next. */
+const leaderCount = 2;
+
 /** Options of `createGossip`. */
 export interface CreateGossipOptions {
   readonly self: NodeId;
@@ -75,10 +78,10 @@
   ): void;
   tellAll(message: Gossip): void;
   /**
-   * Tells the own failure domain and the node that leads. Counts change all the
-   * time, and bytes between domains are dear.
+   * Tells the own failure domain, the node that leads and the one that would
+   * follow it. Counts change all the time, and bytes between domains are dear.
    */
-  tellNearAndLeader(message: Gossip): void;
+  tellNearAndLeaders(message: Gossip): void;
   /** Applies an event of the fleet and its effects. */
   change(event: FleetEvent): void;
   /** Linked nodes whose reads of the store succeed. */
@@ -227,7 +230,11 @@
           now: now(),
         });
       case "move-report":
-        return opts.onMove({ type: "report-heard", report: message.report });
+        return opts.onMove({
+          type: "report-heard",
+          report: message.report,
+          now: now(),
+        });
       case "move-fault":
         return opts.onMove({ type: "fault-heard", fault: message.fault });
       default:
@@ -270,10 +277,10 @@
     homeOf: (node) => node === self ? opts.home : links.get(node),
     take,
     tellAll,
-    tellNearAndLeader(message) {
-      const [leader] = healthyNodes().toSorted();
+    tellNearAndLeaders(message) {
+      const leaders = healthyNodes().toSorted().slice(0, leaderCount);
       for (const [node, link] of links) {
-        if (node === leader || isNear(node)) link.send(message);
+        if (leaders.includes(node) || isNear(node)) link.send(message);
       }
     },
     change,
--- a/src/sidecar/drive_moves.ts
+++ b/src/sidecar/drive_moves.ts
@@ -36,7 +36,7 @@
         ...effect.status,
         ...effect.runs,
       });
-      return recorder.record(effect.epoch, effect.status);
+      return recorder.record(effect);
     case "tell":
       log.write("move", LogLevel.Info, "move step", {
         ...effect.step,
@@ -44,7 +44,7 @@
       });
       return gossip.tellAll({ type: "move-step", step: effect.step });
     case "report":
-      return gossip.tellNearAndLeader({
+      return gossip.tellNearAndLeaders({
         type: "move-report",
         report: effect.report,
       });
--- a/src/sidecar/record_moves.ts
+++ b/src/sidecar/record_moves.ts
@@ -2,35 +2,40 @@
  * Writes the statuses of moves to the store, under the lease.
  * @module
  */
-import type { NodeId } from "../core/types.ts";
+import type { MonotonicMs, NodeId, WallMs } from "../core/types.ts";
 import { formatError } from "../core/errors.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import { takeLease } from "../store/hold_lease.ts";
 import type { KeyedStore } from "../store/state.ts";
-import type { MoveStatus, TakeoverEvent } from "../takeover/state.ts";
+import { encodeOrderTime } from "../takeover/order_time.ts";
+import type { TakeoverEffect, TakeoverEvent } from "../takeover/state.ts";
 import type { Platform } from "./platform_port.ts";
 
 /** Name under which the store fences writers of statuses. */
 const producer = "moves";
 
 /** Pause after a lease that was not granted, in milliseconds. */
-const leasePauseMs = 1_000;
+const leasePauseMs = 250;
 
 /** Options of `createMoveRecorder`. */
 export interface CreateMoveRecorderOptions {
   readonly self: NodeId;
   readonly store: KeyedStore;
   readonly topic: string;
-  readonly encodeStatus: Platform["encodeStatus"];
+  readonly platform: Pick<Platform, "encodeStatus" | "decodeStatus">;
   readonly log: Log;
-  readonly now: () => number;
+  readonly now: () => MonotonicMs;
+  /** Time of day. */
+  readonly wall: () => WallMs;
   readonly onEvent: (event: TakeoverEvent) => void;
 }
 
+type RecordEffect = Extract<TakeoverEffect, { type: "record" }>;
+
 export interface MoveRecorder {
   /** Asks for the lease, unless it was asked for a moment ago. */
   lease(): void;
-  record(epoch: number, status: MoveStatus): void;
+  record(effect: RecordEffect): void;
   close(): void;
 }
 
@@ -56,17 +61,27 @@
       opts.log.write("move", LogLevel.Warn, "lease not granted", { reason });
       return;
     }
-    const epoch = taken.value;
+    const { epoch, records } = taken.value;
     seq = 0;
+    // An earlier leader may have ended a move without living to tell.
+    for (const one of records) {
+      const status = opts.platform.decodeStatus(one);
+      if (status === undefined) continue;
+      opts.onEvent({ type: "status-read", status, now: opts.now() });
+    }
     opts.log.write("move", LogLevel.Info, "lease granted", { epoch });
     opts.onEvent({ type: "leased", epoch });
   }
 
-  async function record(epoch: number, status: MoveStatus) {
+  async function record({ epoch, status, elapsedMs }: RecordEffect) {
     const { service, target, phase } = status;
+    const orderedAt = opts.wall() - elapsedMs;
     const appended = await opts.store.append({
       topic: opts.topic,
-      records: [opts.encodeStatus(status)],
+      records: [
+        opts.platform.encodeStatus(status),
+        encodeOrderTime({ service, target, orderedAt }),
+      ],
       condition: { type: "fenced", producer, epoch, seq: seq++ },
     });
     const fields = { service, target, phase, epoch };
@@ -88,7 +103,7 @@
 
   return {
     lease: () => void lease(),
-    record: (epoch, status) => void record(epoch, status),
+    record: (effect) => void record(effect),
     close: () => closing.abort(),
   };
 }
--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -7,6 +7,7 @@
 import { pauseAfter } from "../core/pause_after.ts";
 import type { NodeId } from "../core/types.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
+import { decodeOrderTime, type OrderTime } from "../takeover/order_time.ts";
 import type { MoveStatus } from "../takeover/state.ts";
 import type { Platform, SidecarSettings } from "./platform_port.ts";
 
@@ -21,6 +22,7 @@
   readonly random: () => number;
   readonly onNodes: (nodes: readonly NodeId[]) => void;
   readonly onStatus: (status: MoveStatus) => void;
+  readonly onOrderTime: (time: OrderTime) => void;
 }
 
 export interface Registration {
@@ -80,6 +82,8 @@
     for (const record of records ?? []) {
       const status = platform.decodeStatus(record);
       if (status !== undefined) opts.onStatus(status);
+      const time = decodeOrderTime(record);
+      if (time !== undefined) opts.onOrderTime(time);
     }
   }
 
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -48,7 +48,7 @@
  * Time after the start in which a node leads no moves, in milliseconds. Until
  * then it may not have heard of the nodes that go before it.
  */
-const leadAfterMs = 4_000;
+const leadAfterMs = 1_500;
 
 /** Time between looks for nodes that are gone, in milliseconds. */
 const fleetTickMs = 5_000;
@@ -205,9 +205,10 @@
     self: settings.node,
     store: platform.store,
     topic: platform.topics.status,
-    encodeStatus: platform.encodeStatus,
+    platform,
     log,
     now,
+    wall: Date.now,
     onEvent: move,
   });
 
@@ -251,13 +252,13 @@
 
   const moveTimer = setInterval(() => {
     if (takeover.moves.size === 0) return;
-    const peers = gossip.healthyNodes();
-    const isFirst = now() - startedAt >= leadAfterMs &&
-      peers.every((peer) => settings.node < peer);
+    const mayLead = now() - startedAt >= leadAfterMs &&
+      follower.isHealthy() && !isStopping;
+    const before = gossip.healthyNodes().filter((peer) => peer < settings.node);
     move({
       type: "ticked",
       now: now(),
-      mayLead: isFirst && follower.isHealthy() && !isStopping,
+      rank: mayLead ? before.length : undefined,
       exposure: settings.exposure,
       loadOf: (service, version) =>
         loadOfVersion({ fleet, placement, home, service, version }),
@@ -283,7 +284,13 @@
     random,
     onNodes: (nodes) =>
       gossip.change({ type: "nodes-found", nodes, now: now() }),
-    onStatus: (status) => move({ type: "status-read", status }),
+    onStatus: (status) => move({ type: "status-read", status, now: now() }),
+    onOrderTime({ service, target, orderedAt }) {
+      // Times of day differ between nodes.
+      const elapsedMs = Math.max(0, Date.now() - orderedAt);
+      const time = { service, target, elapsedMs };
+      move({ type: "order-time-read", ...time, now: now() });
+    },
   });
   log.write("process", LogLevel.Info, "started", {
     pid: process.pid,
--- a/src/store/hold_lease.ts
+++ b/src/store/hold_lease.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import * as v from "valibot";
 import type { NodeId } from "../core/types.ts";
-import type { KeyedStore, StoreError } from "./state.ts";
+import type { KeyedRecord, KeyedStore, StoreError } from "./state.ts";
 
 /** Key of the lease beside the records that it protects. */
 export const leaseKey = "lease";
@@ -23,17 +23,25 @@
   readonly signal: AbortSignal;
 }
 
+/** A lease that was granted. */
+export interface TakenLease {
+  readonly epoch: number;
+  /** What earlier holders have written beside it. */
+  readonly records: readonly KeyedRecord[];
+}
+
 /**
- * Takes the lease over with the next epoch and returns the epoch. Two nodes
- * that try at once are parted by the topic's end: one of them conflicts.
+ * Takes the lease over with the next epoch. Two nodes that try at once are
+ * parted by the topic's end: one of them conflicts.
  */
 export async function takeLease(
   opts: TakeLeaseOptions,
-): Promise<Result<number, StoreError>> {
+): Promise<Result<TakenLease, StoreError>> {
   const { store, topic, holder } = opts;
   const page = await store.newest(topic, opts.signal);
   if (page.isErr()) return err(page.error);
-  const known = page.value.records.find((record) => record.key === leaseKey);
+  const { records } = page.value;
+  const known = records.find((record) => record.key === leaseKey);
   const epoch = epochOf(known?.value) + 1;
   const value = Buffer.from(JSON.stringify({ epoch, holder }));
   const appended = await store.append({
@@ -41,7 +49,7 @@
     records: [{ key: leaseKey, value }],
     condition: { type: "at-end", end: page.value.next },
   });
-  return appended.isErr() ? err(appended.error) : ok(epoch);
+  return appended.isErr() ? err(appended.error) : ok({ epoch, records });
 }
 
 /** A lease that can't be read counts as none; the fence still holds. */
--- a/src/takeover/describe_moves.ts
+++ b/src/takeover/describe_moves.ts
@@ -1,11 +1,11 @@
 /**
- * What a node that has just started has to hear of running moves.
+ * What a node that has just started or was cut off has to hear of moves.
  * @module
  */
+import type { MonotonicMs } from "../core/types.ts";
 import {
   type Move,
   type MoveFault,
-  MovePhase,
   type MoveReport,
   type MoveStep,
   type TakeoverState,
@@ -19,35 +19,40 @@
 }
 
 /**
- * Describes the moves that run. A restarted node would otherwise judge the
- * target anew, and as the leader start the move from its first stage.
+ * Describes all moves. A node that has restarted would otherwise judge the
+ * target anew, and as the leader start the move from its trial; one that was cut
+ * off would never hear how a move has ended.
  */
 export function describeMoves(
   state: TakeoverState,
-  now: number,
+  now: MonotonicMs,
 ): readonly MoveDescription[] {
-  return [...state.moves.values()].flatMap((move) => {
-    if (move.step.phase !== MovePhase.Running) return [];
+  return [...state.moves.values()].map((move) => {
     const { service, target } = move.order;
     const finding = move.fault;
     const { phase } = move.step;
-    return [{
+    return {
       step: { ...move.step, elapsedMs: now - move.orderedAt },
-      report: reportOf(state, move),
+      report: reportOf(state, move, now),
       fault: finding === undefined
         ? undefined
         : { service, target, phase, finding },
-    }];
+    };
   });
 }
 
 /** This node's own counts of a move. */
-export function reportOf(state: TakeoverState, move: Move): MoveReport {
+export function reportOf(
+  state: TakeoverState,
+  move: Move,
+  now: MonotonicMs,
+): MoveReport {
   return {
     service: move.order.service,
     target: move.order.target,
     source: state.source,
     seq: move.localSeq,
+    elapsedMs: now - move.orderedAt,
     counts: [...move.local.values()].map((counts) => ({
       ...counts,
       buckets: [...counts.buckets],
--- /dev/null
+++ b/src/takeover/lead_move.ts
@@ -0,0 +1,138 @@
+/**
+ * Decides what the leader of a move does next, and who acts for it.
+ *
+ * Every node that may lead works out the same wish. The first of them acts at
+ * once; the next ones act when the wish has not come true for a while, because
+ * the first one is stuck and nobody has noticed yet.
+ * @module
+ */
+import type { MonotonicMs } from "../core/types.ts";
+import type { Judgement } from "../rollout/state.ts";
+import { measureRate } from "./measure_rate.ts";
+import {
+  fullShare,
+  isRenewalDue,
+  mayComplete,
+  planShare,
+} from "./plan_share.ts";
+import {
+  type Move,
+  MovePhase,
+  type TakeoverEffect,
+  type TakeoverState,
+  type Ticked,
+  type VersionLoad,
+  type Wish,
+} from "./state.ts";
+import { stepMove } from "./step_move.ts";
+import { sumRuns } from "./sum_runs.ts";
+
+/** Time that each further node waits for a wish that can't wait. */
+const urgentDelayMs = 300;
+
+/** The same for other wishes, in milliseconds. */
+const delayMs = 2_000;
+
+/** Options of `leadMove`. */
+export interface LeadMoveOptions {
+  readonly state: TakeoverState;
+  readonly move: Move;
+  readonly wish: Wish | undefined;
+  readonly event: Ticked;
+}
+
+/** Makes a wish come true, if it is this node's turn. */
+export function leadMove(opts: LeadMoveOptions): readonly TakeoverEffect[] {
+  const { state, move, wish, event } = opts;
+  const { now, rank } = event;
+  if (wish === undefined) {
+    move.wish = undefined;
+    return [];
+  }
+  if (move.wish === undefined || !isSameWish(move.wish, wish)) {
+    move.wish = { ...wish, since: now };
+  }
+  if (rank === undefined || now < state.yieldUntil) return [];
+  if (state.epoch === undefined) {
+    const patienceMs = rank * (isUrgent(wish) ? urgentDelayMs : delayMs);
+    const isPatient = now - move.wish.since < patienceMs;
+    return isPatient ? [] : [{ type: "lease" }];
+  }
+  const { share, phase } = wish;
+  return [
+    ...(share === undefined ? [] : [stepMove(state, move, { share }, now)]),
+    ...(phase === undefined ? [] : record(state, move, phase, now)),
+  ];
+}
+
+/** Options of `wishOf`. */
+export interface WishOfOptions {
+  readonly move: Move;
+  readonly load: VersionLoad;
+  readonly judgement: Judgement;
+  readonly event: Ticked;
+}
+
+/** What the leader of a running move should do now. */
+export function wishOf(opts: WishOfOptions): Wish | undefined {
+  const { move, load, judgement, event } = opts;
+  const { now, exposure } = event;
+  const { step, order } = move;
+  if (move.fault !== undefined) {
+    return {
+      share: step.share === 0 ? undefined : 0,
+      phase: MovePhase.RolledBack,
+    };
+  }
+  const elapsedMs = now - move.orderedAt;
+  const leftMs = order.durationMs - elapsedMs;
+  const isDue = move.recorded === undefined ||
+    (!move.isRenewed && isRenewalDue(leftMs));
+  const phase = isDue ? MovePhase.Running : undefined;
+  const runs = sumRuns(move.inbox.total);
+  const plan = {
+    share: step.share,
+    elapsedMs,
+    durationMs: order.durationMs,
+    stageMs: now - move.stepAt,
+    judgement,
+    runs,
+    ratePerMs: measureRate({ rate: move.rate, runs, elapsedMs, now }),
+    exposure,
+  };
+  const planned = load.ready === 0 ? step.share : planShare(plan);
+  const share = planned === step.share ? undefined : planned;
+  if (share !== undefined || phase !== undefined) return { share, phase };
+  const stageRuns = runs.targetRuns - move.runsAtStep;
+  const { otherCalls } = load;
+  return mayComplete({ ...plan, stageRuns, otherCalls })
+    ? { share, phase: MovePhase.Completed }
+    : undefined;
+}
+
+function isSameWish(a: Wish, b: Wish): boolean {
+  return a.share === b.share && a.phase === b.phase;
+}
+
+function isUrgent({ share, phase }: Wish): boolean {
+  return share === fullShare || share === 0 ||
+    phase === MovePhase.Completed || phase === MovePhase.RolledBack;
+}
+
+function record(
+  state: TakeoverState,
+  move: Move,
+  phase: MovePhase,
+  now: MonotonicMs,
+): TakeoverEffect[] {
+  if (move.recording !== undefined || state.epoch === undefined) return [];
+  move.recording = phase;
+  const { service, target } = move.order;
+  return [{
+    type: "record",
+    epoch: state.epoch,
+    status: { service, target, phase },
+    elapsedMs: now - move.orderedAt,
+    runs: sumRuns(move.inbox.total),
+  }];
+}
--- a/src/takeover/plan_share.ts
+++ b/src/takeover/plan_share.ts
@@ -46,20 +46,23 @@
 const lateFullMs = 1_000;
 
 /** Time before the deadline at which the end is recorded, in milliseconds. */
-const recordLeadMs = 500;
+const recordLeadMs = 550;
 
 /** The same as a part of a shorter time under full load. */
-const recordPart = 0.45;
+const recordPart = 0.6;
 
 /**
  * Time before the deadline until which the old version's last calls are waited
  * for, in milliseconds. Its endpoints stop without draining at the end.
  */
-const emptyLeadMs = 350;
+const emptyLeadMs = 450;
 
 /** Answers under full load before the end, unless fewer requests come. */
 const leastAnswers = 20;
 
+/** Time before the last step at which the lease is renewed, in milliseconds. */
+const renewalLeadMs = 1_000;
+
 /** Part of the expected answers that suffices where requests are few. */
 const answeredPart = 0.5;
 
@@ -110,6 +113,14 @@
     : longestFullMs;
 }
 
+/**
+ * Whether the leader has to show that it can still write, so that another node
+ * takes over in time if it can't.
+ */
+export function isRenewalDue(leftMs: number): boolean {
+  return leftMs <= longestFullMs + renewalLeadMs;
+}
+
 /** Options of `mayComplete`. */
 export interface MayCompleteOptions extends PlanShareOptions {
   /** Runs of the target since the present share was set. */
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -44,6 +44,8 @@
   /** Unique for each start of a process. */
   readonly source: string;
   readonly seq: number;
+  /** Time since the order, in milliseconds. */
+  readonly elapsedMs: number;
   readonly counts: readonly RouteCounts[];
 }
 
@@ -63,6 +65,14 @@
   readonly phase: MovePhase;
 }
 
+/** What the leader of a move should do. */
+export interface Wish {
+  /** Share to set. */
+  readonly share: number | undefined;
+  /** Phase to put on record. */
+  readonly phase: MovePhase | undefined;
+}
+
 /** How fast the requests of a service come. */
 export interface RequestRate {
   /** Start of the present window. */
@@ -98,14 +108,16 @@
   /** Runs of the target when the present share was set. */
   runsAtStep: number;
   readonly rate: RequestRate;
-  /** When the target first had a ready endpoint. */
-  targetReadyAt: MonotonicMs | undefined;
   /** Fault seen here. This node sends the target nothing from then on. */
   fault: Finding | undefined;
   /** Phase that the store has confirmed. */
   recorded: MovePhase | undefined;
   /** Phase that is on its way to the store. */
   recording: MovePhase | undefined;
+  /** The leader has written to the store shortly before the last step. */
+  isRenewed: boolean;
+  /** What the leader should do, and since when. */
+  wish: (Wish & { readonly since: MonotonicMs }) | undefined;
   /** Carry of the share, so that few requests are shared exactly. */
   credit: number;
   readonly local: Evidence;
@@ -123,11 +135,18 @@
   readonly source: string;
   /** Epoch of the lease that this node holds. */
   epoch: number | undefined;
+  /** Until when this node leads nothing, since another has replaced it. */
+  yieldUntil: MonotonicMs;
   readonly moves: Map<string, Move>;
   /** Version that carries a service while no move is ordered. */
   readonly base: Map<string, string>;
   /** Statuses read from the store at start, by service. */
   readonly statuses: Map<string, MoveStatus>;
+  /** When orders were given, as read from the store, by service. */
+  readonly orderTimes: Map<
+    string,
+    { readonly target: string; readonly orderedAt: MonotonicMs }
+  >;
 }
 
 export type TakeoverEvent =
@@ -136,13 +155,29 @@
     readonly order: MoveOrder;
     readonly now: MonotonicMs;
   }
-  | { readonly type: "status-read"; readonly status: MoveStatus }
+  | {
+    readonly type: "status-read";
+    readonly status: MoveStatus;
+    readonly now: MonotonicMs;
+  }
+  | {
+    readonly type: "order-time-read";
+    readonly service: string;
+    readonly target: string;
+    /** Time since the order, in milliseconds. */
+    readonly elapsedMs: number;
+    readonly now: MonotonicMs;
+  }
   | {
     readonly type: "step-heard";
     readonly step: MoveStep;
     readonly now: MonotonicMs;
   }
-  | { readonly type: "report-heard"; readonly report: MoveReport }
+  | {
+    readonly type: "report-heard";
+    readonly report: MoveReport;
+    readonly now: MonotonicMs;
+  }
   /** Another node has found the target faulty. */
   | { readonly type: "fault-heard"; readonly fault: MoveFault }
   /** The store confirmed a status. */
@@ -158,13 +193,18 @@
   | {
     readonly type: "ticked";
     readonly now: MonotonicMs;
-    /** This node leads moves, if it gets the lease. */
-    readonly mayLead: boolean;
+    /**
+     * Nodes that go before this one as the leader of moves. Undefined when it
+     * can't lead.
+     */
+    readonly rank: number | undefined;
     readonly exposure: ExposureTerms;
     /** Ready endpoints of a version, and calls that run or wait there. */
     readonly loadOf: (service: string, version: string) => VersionLoad;
   };
 
+export type Ticked = Extract<TakeoverEvent, { type: "ticked" }>;
+
 /** Endpoints of a version and their calls. */
 export interface VersionLoad {
   readonly ready: number;
@@ -180,6 +220,8 @@
     readonly type: "record";
     readonly epoch: number;
     readonly status: MoveStatus;
+    /** Time since the order, in milliseconds. */
+    readonly elapsedMs: number;
     /** Runs that this node knows of, for the audit trail. */
     readonly runs: RunSums;
   }
@@ -203,8 +245,10 @@
   return {
     ...opts,
     epoch: undefined,
+    yieldUntil: -Infinity,
     moves: new Map(),
     base: new Map(),
     statuses: new Map(),
+    orderTimes: new Map(),
   };
 }
--- /dev/null
+++ b/src/takeover/step_move.ts
@@ -0,0 +1,62 @@
+/**
+ * Takes a move from one step to the next.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs } from "../core/types.ts";
+import {
+  type Move,
+  MovePhase,
+  type MoveStep,
+  type TakeoverEffect,
+  type TakeoverState,
+} from "./state.ts";
+import { sumRuns } from "./sum_runs.ts";
+
+/** What a step changes. */
+export type StepChange = Partial<Pick<MoveStep, "share" | "phase">>;
+
+/** Takes the next step as the leader, and tells the others of it. */
+export function stepMove(
+  state: TakeoverState,
+  move: Move,
+  change: StepChange,
+  now: MonotonicMs,
+): TakeoverEffect {
+  const step = {
+    ...move.step,
+    ...change,
+    epoch: Math.max(state.epoch ?? 0, move.step.epoch),
+    seq: move.step.seq + 1,
+    elapsedMs: now - move.orderedAt,
+  };
+  enterStep(move, step, now);
+  return { type: "tell", step, runs: sumRuns(move.inbox.total) };
+}
+
+/** Applies a step, whoever took it. */
+export function enterStep(move: Move, step: MoveStep, now: MonotonicMs) {
+  const before = move.step;
+  move.step = step;
+  if (step.share !== before.share) {
+    move.stepAt = now;
+    move.runsAtStep = sumRuns(move.inbox.total).targetRuns;
+  }
+  // Once a version has taken over, only a fault that is found then counts.
+  const isNew = step.phase !== before.phase;
+  if (isNew && step.phase === MovePhase.Completed) move.fault = undefined;
+}
+
+/** Moves only go forward: a version may still be taken back once it is done. */
+export function mayFollow(before: MovePhase, next: MovePhase): boolean {
+  switch (before) {
+    case MovePhase.Running:
+      return true;
+    case MovePhase.Completed:
+      return next === MovePhase.RolledBack;
+    case MovePhase.RolledBack:
+      return false;
+    default:
+      return exhausted(before);
+  }
+}
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -4,10 +4,12 @@
 import { countRun } from "./count_run.ts";
 import { decideTakeover } from "./decide_takeover.ts";
 import { describeMoves } from "./describe_moves.ts";
+import { decodeOrderTime, encodeOrderTime } from "./order_time.ts";
 import {
   createTakeoverState,
   MovePhase,
   type TakeoverEffect,
+  type TakeoverEvent,
   type TakeoverState,
 } from "./state.ts";
 
@@ -54,14 +56,14 @@
     const effects: readonly TakeoverEffect[] = decideTakeover(state, {
       type: "ticked",
       now,
-      mayLead: true,
+      rank: 0,
       exposure,
       loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
     });
     for (const effect of effects) {
       if (effect.type !== "record") continue;
       const { service, phase } = effect.status;
-      records.push({ phase, at: now });
+      if (phase !== records.at(-1)?.phase) records.push({ phase, at: now });
       decideTakeover(state, { type: "recorded", service, phase, now });
     }
   }
@@ -170,16 +172,16 @@
   const state = createTakeoverState({ self: "a", source: "a 1" });
   decideTakeover(state, { type: "ordered", order, now: 0 });
   const load = { ready: 2, calls: 0, otherReady: 2, otherCalls: 0 };
-  const tick = (mayLead: boolean) =>
+  const tick = (rank: number | undefined) =>
     decideTakeover(state, {
       type: "ticked",
       now: 1_000,
-      mayLead,
+      rank,
       exposure,
       loadOf: () => load,
     });
-  assert.deepEqual(tick(false), []);
-  assert.deepEqual(tick(true), [{ type: "lease" }]);
+  assert.deepEqual(tick(undefined), []);
+  assert.deepEqual(tick(0), [{ type: "lease" }]);
 });
 
 test("steps of an older lease are ignored", () => {
@@ -209,7 +211,7 @@
 test("a status read at start ends the move", () => {
   const state = createTakeoverState({ self: "a", source: "a 2" });
   const status = { service: "one", target: "v2", phase: MovePhase.RolledBack };
-  decideTakeover(state, { type: "status-read", status });
+  decideTakeover(state, { type: "status-read", status, now: 0 });
   decideTakeover(state, { type: "ordered", order, now: 0 });
   assert.deepEqual(chooseVersions(state, "one", present), ["v1"]);
 });
@@ -230,13 +232,13 @@
   decideTakeover(state, { type: "ordered", order, now: 100_000 });
   const { step, fault, report } = told;
   decideTakeover(state, { type: "step-heard", step, now: 100_000 });
-  decideTakeover(state, { type: "report-heard", report });
+  decideTakeover(state, { type: "report-heard", report, now: 100_000 });
   decideTakeover(state, { type: "fault-heard", fault });
   decideTakeover(state, { type: "leased", epoch: 2 });
   const effects = decideTakeover(state, {
     type: "ticked",
     now: 100_000,
-    mayLead: true,
+    rank: 0,
     exposure,
     loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
   });
@@ -253,7 +255,7 @@
   const effects = decideTakeover(state, {
     type: "ticked",
     now: 0,
-    mayLead: true,
+    rank: 0,
     exposure,
     loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
   });
@@ -325,7 +327,7 @@
       const effects = decideTakeover(state, {
         type: "ticked",
         now,
-        mayLead: at === 0,
+        rank: at,
         exposure,
         loadOf: () => ({ ready: 4, calls: 0, otherReady: 4, otherCalls: 0 }),
       });
@@ -333,7 +335,7 @@
         switch (effect.type) {
           case "record": {
             const { service, phase } = effect.status;
-            phases.push(phase);
+            if (phase !== phases.at(-1)) phases.push(phase);
             const told = decideTakeover(state, {
               type: "recorded",
               service,
@@ -364,7 +366,7 @@
       decideTakeover(to, { type: "step-heard", step: effect.step, now });
     }
     if (effect.type === "report") {
-      decideTakeover(to, { type: "report-heard", report: effect.report });
+      decideTakeover(to, { type: "report-heard", report: effect.report, now });
     }
     if (effect.type === "faulty") {
       decideTakeover(to, { type: "fault-heard", fault: effect.fault });
@@ -402,3 +404,118 @@
   });
   assert.equal(phases.at(-1), MovePhase.Completed);
 });
+
+test("the next node records the end while the leader is stuck", () => {
+  const [first, second] = ["a", "b"].map((self) => {
+    const state = createTakeoverState({ self, source: `${self} 1` });
+    decideTakeover(state, { type: "ordered", order, now: 0 });
+    return state;
+  });
+  assert.ok(first && second);
+  decideTakeover(first, { type: "leased", epoch: 1 });
+  const tick = (state: TakeoverState, rank: number, now: number) =>
+    decideTakeover(state, {
+      type: "ticked",
+      now,
+      rank,
+      exposure,
+      loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
+    });
+  let endedAt: number | undefined;
+  for (let now = 0; now <= order.durationMs; now += 100) {
+    for (const state of [first, second]) {
+      const [version] = chooseVersions(state, "one", present);
+      assert.ok(version);
+      for (let n = 0; n < 10; n++) {
+        countRun(state, {
+          service: "one",
+          version,
+          route: "a",
+          isFailed: false,
+          tookMs: 60,
+        });
+      }
+    }
+    // The first node freezes three seconds before the deadline.
+    const isStuck = now >= order.durationMs - 3_000;
+    for (const [rank, state] of [first, second].entries()) {
+      if (rank === 0 && isStuck) continue;
+      for (const effect of tick(state, rank, now)) {
+        if (effect.type === "lease") {
+          decideTakeover(state, { type: "leased", epoch: 2 });
+        } else if (effect.type === "record") {
+          const { service, phase } = effect.status;
+          if (phase === MovePhase.Completed) endedAt ??= now;
+          const told = decideTakeover(state, {
+            type: "recorded",
+            service,
+            phase,
+            now,
+          });
+          for (const one of told) tellOthers([first, second], state, one, now);
+        } else tellOthers([first, second], state, effect, now);
+      }
+    }
+  }
+  assert.ok(endedAt !== undefined && endedAt < order.durationMs, `${endedAt}`);
+});
+
+test("a leader that hears of a newer lease leads nothing for a while", () => {
+  const state = leader();
+  const tick = (now: number) =>
+    decideTakeover(state, {
+      type: "ticked",
+      now,
+      rank: 0,
+      exposure,
+      loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
+    });
+  const [record] = tick(0);
+  assert.equal(record?.type, "tell");
+  const move = state.moves.get("one");
+  assert.ok(move);
+  const step = { ...move.step, epoch: 2, seq: 1, elapsedMs: 100 };
+  decideTakeover(state, { type: "step-heard", step, now: 100 });
+  assert.equal(state.epoch, undefined);
+  move.fault = undefined;
+  assert.deepEqual(tick(200), []);
+});
+
+test("a node that was cut off hears that a move has ended", () => {
+  const before = leader();
+  play(before, { untilMs: 14_000 });
+  const [told] = describeMoves(before, 20_000);
+  assert.equal(told?.step.phase, MovePhase.Completed);
+  const state = createTakeoverState({ self: "b", source: "b 1" });
+  decideTakeover(state, { type: "ordered", order, now: 0 });
+  decideTakeover(state, { type: "step-heard", step: told.step, now: 20_000 });
+  assert.deepEqual(chooseVersions(state, "one", ["v2"]), ["v2"]);
+});
+
+for (const isOrderFirst of [true, false]) {
+  const first = isOrderFirst ? "an order" : "its time";
+  test(`the time of an order outlives all nodes, ${first} read first`, () => {
+    const time = encodeOrderTime({
+      service: "one",
+      target: "v2",
+      orderedAt: 50_000,
+    });
+    const read = decodeOrderTime(time);
+    assert.deepEqual(read, { service: "one", target: "v2", orderedAt: 50_000 });
+    const state = createTakeoverState({ self: "a", source: "a 2" });
+    const events: TakeoverEvent[] = [
+      { type: "ordered", order, now: 1_000 },
+      {
+        type: "order-time-read",
+        service: "one",
+        target: "v2",
+        elapsedMs: 9_000,
+        now: 1_000,
+      },
+    ];
+    for (const event of isOrderFirst ? events : events.toReversed()) {
+      decideTakeover(state, event);
+    }
+    assert.equal(state.moves.get("one")?.orderedAt, -8_000);
+  });
+}
--- /dev/null
+++ b/src/takeover/tick_move.ts
@@ -0,0 +1,132 @@
+/**
+ * Judges a move at regular times, and leads it where it is this node's turn.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs } from "../core/types.ts";
+import { judgeEvidence } from "../rollout/judge_evidence.ts";
+import type { Finding } from "../rollout/messages.ts";
+import { reportOf } from "./describe_moves.ts";
+import { judgeBake } from "./judge_bake.ts";
+import { leadMove, wishOf } from "./lead_move.ts";
+import { fullShare } from "./plan_share.ts";
+import {
+  type Move,
+  MovePhase,
+  type TakeoverEffect,
+  type TakeoverState,
+  type Ticked,
+} from "./state.ts";
+import { sumRuns } from "./sum_runs.ts";
+import { takeReport } from "./take_report.ts";
+
+/**
+ * Log-likelihood ratio above which a version is faulty. Under a small share
+ * there is time to be surer than under full load.
+ */
+const faultyAbove = { trial: Math.log(1e5), full: Math.log(1e3) } as const;
+
+/** Rise of the failure rate that a stage has to rule out. */
+const ruleOut = 0.2;
+
+/**
+ * Time after the deadline in which a version that took over is still judged, in
+ * milliseconds.
+ */
+const bakeMs = 6_000;
+
+/** Time between reports of a small share's evidence, in milliseconds. */
+const trialReportMs = 400;
+
+export function tickMove(
+  state: TakeoverState,
+  move: Move,
+  event: Ticked,
+): readonly TakeoverEffect[] {
+  switch (move.step.phase) {
+    case MovePhase.Running:
+      return tickRunning(state, move, event);
+    case MovePhase.Completed:
+      return tickCompleted(state, move, event);
+    case MovePhase.RolledBack:
+      return [];
+    default:
+      return exhausted(move.step.phase);
+  }
+}
+
+function tickRunning(
+  state: TakeoverState,
+  move: Move,
+  event: Ticked,
+): readonly TakeoverEffect[] {
+  const { now } = event;
+  const { service, target } = move.order;
+  const load = event.loadOf(service, target);
+  const isFull = move.step.share === fullShare;
+  const effects: TakeoverEffect[] = reportLocal(state, move, now);
+  const judgement = judgeEvidence({
+    judge: move.judge,
+    evidence: move.inbox.total,
+    faultyAbove: isFull ? faultyAbove.full : faultyAbove.trial,
+    ruleOut,
+    now,
+  });
+  if (judgement.type === "faulty" && move.fault === undefined) {
+    effects.push(blame(move, judgement.finding));
+  }
+  const wish = wishOf({ move, load, judgement, event });
+  return [...effects, ...leadMove({ state, move, wish, event })];
+}
+
+/** The version has everything, and may still turn out to be bad. */
+function tickCompleted(
+  state: TakeoverState,
+  move: Move,
+  event: Ticked,
+): readonly TakeoverEffect[] {
+  const { now } = event;
+  const { durationMs } = move.order;
+  const isBaked = now - move.orderedAt > durationMs + bakeMs;
+  if (isBaked && move.fault === undefined) return [];
+  const effects: TakeoverEffect[] = reportLocal(state, move, now);
+  const finding = judgeBake({
+    bake: move.bake,
+    sources: move.inbox.sources,
+    runs: sumRuns(move.inbox.total),
+    now,
+  });
+  if (finding !== undefined && move.fault === undefined) {
+    effects.push(blame(move, finding));
+  }
+  const wish = move.fault === undefined
+    ? undefined
+    : { share: undefined, phase: MovePhase.RolledBack };
+  return [...effects, ...leadMove({ state, move, wish, event })];
+}
+
+/** This node sends the target nothing from now on, and tells others why. */
+function blame(move: Move, finding: Finding): TakeoverEffect {
+  const { service, target } = move.order;
+  const { phase } = move.step;
+  move.fault = finding;
+  return { type: "faulty", fault: { service, target, phase, finding } };
+}
+
+/** Sums of this node, when they have grown. */
+function reportLocal(
+  state: TakeoverState,
+  move: Move,
+  now: MonotonicMs,
+): TakeoverEffect[] {
+  const isFull = move.step.share === fullShare;
+  if (!isFull && now - move.reportedAt < trialReportMs) return [];
+  let calls = 0;
+  for (const counts of move.local.values()) calls += counts.calls;
+  if (calls === move.localSeq) return [];
+  move.localSeq = calls;
+  move.reportedAt = now;
+  const report = reportOf(state, move, now);
+  takeReport(state, report, now);
+  return [{ type: "report", report }];
+}
