fix(homes): blame no version for the failures of those that it calls

What callers would see: a good version that is taken back, or stopped after it has taken over, because another service was in trouble meanwhile.

Cause: a home counted every 5xx as the version's own. Now the node that serves a running call's own calls notes when one of them failed or was refused, and a failed run that is excused so is left out of the evidence (the metric still counts it). A caller that left says nothing and excuses nothing.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -110,6 +110,7 @@
     const now = ctx.now();
     const reason = admitRequest({ waitedMs, isInner, waitMs, stop, now });
     if (reason !== undefined) {
+      if (isInner && caller.parentId) ctx.excuseRun(caller.parentId);
       const retryMs = retryAfterMs({
         waitMs: waitedMs,
         leftMs: waitMs,
@@ -133,7 +134,7 @@
       res,
       id: caller.id,
       route,
-      isInner,
+      parentId: isInner ? caller.parentId : undefined,
       waitMs,
       ageMs,
       maxBodyBytes: bodyBytes,
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -55,8 +55,8 @@
   readonly res: ServerResponse;
   readonly id: string;
   readonly route: Route;
-  /** Made by the endpoint on this VM. */
-  readonly isInner: boolean;
+  /** Call that made this one, when the endpoint on this VM runs it. */
+  readonly parentId: string | undefined;
   /** Time until the caller's deadline or the route's time-out. */
   readonly waitMs: number;
   /** Time that the caller has waited before, in milliseconds. */
@@ -86,7 +86,8 @@
 
 /** Starts serving. */
 export function serveCall(opts: ServeCallOptions): ServedCall {
-  const { ctx, req, res, id, route, isInner } = opts;
+  const { ctx, req, res, id, route, parentId } = opts;
+  const isInner = parentId !== undefined;
   const startedAt = ctx.now();
   const deadlineAt = startedAt + opts.waitMs;
   const aimAt = startedAt + route.aimMs - opts.ageMs - deliveryMs;
@@ -354,6 +355,7 @@
     isDone = true;
     clearTimeout(deadline);
     const isLost = result === CallResult.Unknown;
+    if (isInner && isFailure(result)) ctx.excuseRun(parentId);
     for (const open of attempts) {
       open.attempt.cancel();
       close(open, isLost);
@@ -391,6 +393,22 @@
   };
 }
 
+/** Whether the caller was left without what it asked for. */
+function isFailure(result: CallResult): boolean {
+  switch (result) {
+    case CallResult.EndpointFailed:
+    case CallResult.NotRun:
+    case CallResult.Unknown:
+    case CallResult.NoRoute:
+      return true;
+    case CallResult.Served:
+    case CallResult.Left:
+      return false;
+    default:
+      return exhausted(result);
+  }
+}
+
 function bytesOf(body: RequestBody | undefined): number {
   return body?.announcedBytes ?? body?.size() ?? 0;
 }
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -33,6 +33,8 @@
   readonly homes: Homes;
   /** Whether the endpoint on this VM runs the call with this id. */
   readonly runsHere: (callId: string) => boolean;
+  /** A call that the run with this id has made failed. */
+  readonly excuseRun: (callId: string) => void;
   /** Queue of the endpoint on this VM, for a route. */
   readonly ownReport: (route: string) => QueueReport;
   readonly dialect: CallDialect;
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -66,6 +66,8 @@
   report(route?: string): QueueReport;
   /** Whether the endpoint runs the call with this id. */
   runs(callId: string): boolean;
+  /** A call that this one has made failed, so it may fail through no fault. */
+  excuse(callId: string): void;
   close(): Promise<void>;
 }
 
@@ -76,6 +78,7 @@
   run?: RunningAttempt;
   timer?: NodeJS.Timeout;
   startedAt?: MonotonicMs;
+  isExcused?: boolean;
 }
 
 /** Creates the home. Its gate is closed until an instance is set. */
@@ -84,7 +87,7 @@
   const connector = createEndpointConnector({ connectMs });
   const queue = createQueueState();
   const open = new Map<number, OpenCall>();
-  const runningIds = new Set<string>();
+  const running = new Map<string, OpenCall>();
   let lastKey = 0;
   let instance: Instance | undefined;
   let pool: Pool | undefined;
@@ -130,7 +133,7 @@
     const runningOn = instance;
     const leftMs = entry.deadlineAt - now();
     entry.startedAt = now();
-    runningIds.add(entry.call.id);
+    running.set(entry.call.id, entry);
     entry.timer = setTimeout(
       () => expire(key, entry),
       Math.max(0, leftMs) + graceMs,
@@ -218,7 +221,7 @@
   function end(key: number, entry: OpenCall, isAnswered: boolean) {
     clearTimeout(entry.timer);
     open.delete(key);
-    runningIds.delete(entry.call.id);
+    running.delete(entry.call.id);
     apply(decideQueue(queue, { type: "ended", key, isAnswered, now: now() }));
   }
 
@@ -228,6 +231,7 @@
       version: runningOn.version,
       route: entry.call.route,
       isFailed,
+      isExcused: entry.isExcused ?? false,
       tookMs: now() - (entry.startedAt ?? now()),
     });
   }
@@ -303,7 +307,11 @@
       }
       openGate();
     },
-    runs: (callId) => runningIds.has(callId),
+    runs: (callId) => running.has(callId),
+    excuse(callId) {
+      const entry = running.get(callId);
+      if (entry !== undefined) entry.isExcused = true;
+    },
     report: (route) => reportQueue(queue, route),
     async close() {
       clearTimeout(ticker);
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -192,6 +192,7 @@
     homes: gossip,
     ownReport: home.report,
     runsHere: home.runs,
+    excuseRun: home.excuse,
     dialect: platform.dialect,
     log,
     metrics,
--- a/src/takeover/count_run.ts
+++ b/src/takeover/count_run.ts
@@ -12,6 +12,8 @@
   readonly version: string;
   readonly route: string;
   readonly isFailed: boolean;
+  /** A call that the run has made failed. */
+  readonly isExcused: boolean;
   readonly tookMs: number;
 }
 
@@ -19,6 +21,8 @@
 export function countRun(state: TakeoverState, run: Run) {
   const move = state.moves.get(run.service);
   if (move === undefined || move.step.phase === MovePhase.RolledBack) return;
+  // Whoever was called may have failed it: it says nothing of this version.
+  if (run.isFailed && run.isExcused) return;
   const side = run.version === move.order.target ? Side.New : Side.Old;
   const counts = countsOf(move.local, side, run.route);
   counts.calls++;
