fix(store): notice at once that the store is back

What callers would see: a move whose end is not recorded for up to 5 s after an outage of the store, since no node takes itself for fit to lead.

Cause: after a failed read the follower went on with a read that waits 5 s for a record. Nothing was written, so the first answer of a sound store came 5 s late. The first read after a failure now asks without waiting.

'a store that is back is not waited on for a long read' fails without it.

--- a/src/store/follow_topic.ts
+++ b/src/store/follow_topic.ts
@@ -78,9 +78,11 @@
   ): ResultAsync<RecordPage, StoreError> {
     const signal = AbortSignal.any([closing.signal, reading.signal]);
     const { store, topic } = opts;
+    // A store that is back says so at once, not at the end of a long wait.
+    const waitMs = failures > 0 ? 0 : readWaitMs;
     return next === undefined
       ? store.newest(topic, signal)
-      : store.read({ topic, from: next, waitMs: readWaitMs, signal });
+      : store.read({ topic, from: next, waitMs, signal });
   }
 
   async function backOff(err: StoreError) {
