fix(sidecar): ask for the lease once at a time, and not before peers are known

Now one request runs at a time, a call is given up after a second, failures are followed by growing pauses with jitter, and a node leads only 3 s after its start, when the pings of all others have come. A new leader says at once which moves have ended; nodes that merely start keep it to themselves.

--- a/src/sidecar/record_moves.ts
+++ b/src/sidecar/record_moves.ts
@@ -4,6 +4,7 @@
  */
 import type { MonotonicMs, NodeId, WallMs } from "../core/types.ts";
 import { formatError } from "../core/errors.ts";
+import { pauseAfter } from "../core/pause_after.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import { takeLease } from "../store/hold_lease.ts";
 import type { KeyedStore } from "../store/state.ts";
@@ -14,8 +15,14 @@
 /** Name under which the store fences writers of statuses. */
 const producer = "moves";
 
-/** Pause after a lease that was not granted, in milliseconds. */
-const leasePauseMs = 250;
+/** Pauses after leases that were not granted, in milliseconds. */
+const leasePauses = { firstMs: 100, longestMs: 2_000 };
+
+/**
+ * Time for one call to the store, in milliseconds. A move has a second at its
+ * end, and an answer that is later than this has been lost.
+ */
+const callMs = 1_000;
 
 /** Options of `createMoveRecorder`. */
 export interface CreateMoveRecorderOptions {
@@ -25,6 +32,7 @@
   readonly platform: Pick<Platform, "encodeStatus" | "decodeStatus">;
   readonly log: Log;
   readonly now: () => MonotonicMs;
+  readonly random: () => number;
   /** Time of day. */
   readonly wall: () => WallMs;
   readonly onEvent: (event: TakeoverEvent) => void;
@@ -44,33 +52,44 @@
   opts: CreateMoveRecorderOptions,
 ): MoveRecorder {
   const closing = new AbortController();
-  let leaseAskedAt = -Infinity;
+  let isAsking = false;
+  let failures = 0;
+  let askAgainAt = -Infinity;
   let seq = 0;
 
+  /** Ends with the recorder, or when a call has taken too long. */
+  function limit(): AbortSignal {
+    return AbortSignal.any([closing.signal, AbortSignal.timeout(callMs)]);
+  }
+
   async function lease() {
-    if (opts.now() - leaseAskedAt < leasePauseMs) return;
-    leaseAskedAt = opts.now();
+    if (isAsking || opts.now() < askAgainAt) return;
+    isAsking = true;
     const taken = await takeLease({
       store: opts.store,
       topic: opts.topic,
       holder: opts.self,
-      signal: closing.signal,
+      signal: limit(),
     });
+    isAsking = false;
+    failures = taken.isOk() ? 0 : failures + 1;
     if (taken.isErr()) {
+      askAgainAt = opts.now() +
+        pauseAfter(leasePauses, failures - 1, opts.random());
       const reason = formatError(taken.error);
       opts.log.write("move", LogLevel.Warn, "lease not granted", { reason });
       return;
     }
     const { epoch, records } = taken.value;
     seq = 0;
+    opts.log.write("move", LogLevel.Info, "lease granted", { epoch });
+    opts.onEvent({ type: "leased", epoch });
     // An earlier leader may have ended a move without living to tell.
     for (const one of records) {
       const status = opts.platform.decodeStatus(one);
       if (status === undefined) continue;
       opts.onEvent({ type: "status-read", status, now: opts.now() });
     }
-    opts.log.write("move", LogLevel.Info, "lease granted", { epoch });
-    opts.onEvent({ type: "leased", epoch });
   }
 
   async function record({ epoch, status, elapsedMs }: RecordEffect) {
@@ -83,6 +102,7 @@
         encodeOrderTime({ service, target, orderedAt }),
       ],
       condition: { type: "fenced", producer, epoch, seq: seq++ },
+      signal: limit(),
     });
     const fields = { service, target, phase, epoch };
     if (appended.isOk()) {
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -46,9 +46,9 @@
 
 /**
  * Time after the start in which a node leads no moves, in milliseconds. Until
- * then it may not have heard of the nodes that go before it.
+ * then it may not have heard the pings of the nodes that go before it.
  */
-const leadAfterMs = 1_500;
+const leadAfterMs = 3_000;
 
 /** Time between looks for nodes that are gone, in milliseconds. */
 const fleetTickMs = 5_000;
@@ -209,6 +209,7 @@
     platform,
     log,
     now,
+    random,
     wall: Date.now,
     onEvent: move,
   });
--- a/src/store/hold_lease.ts
+++ b/src/store/hold_lease.ts
@@ -48,6 +48,7 @@
     topic,
     records: [{ key: leaseKey, value }],
     condition: { type: "at-end", end: page.value.next },
+    signal: opts.signal,
   });
   return appended.isErr() ? err(appended.error) : ok({ epoch, records });
 }
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -53,6 +53,8 @@
   readonly topic: string;
   readonly records: readonly KeyedRecord[];
   readonly condition: AppendCondition;
+  /** Gives the call up. It may still be done. */
+  readonly signal?: AbortSignal | undefined;
 }
 
 /** Options of `KeyedStore.read`. */
--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -126,7 +126,9 @@
   if (phase === move.step.phase || !mayFollow(move.step.phase, phase)) {
     return [];
   }
-  return [stepMove(state, move, { phase, share: shareAt(phase) }, now)];
+  const step = stepMove(state, move, { phase, share: shareAt(phase) }, now);
+  // Every node that starts reads statuses; the leader's word is enough.
+  return state.epoch === undefined ? [] : [step];
 }
 
 function takeOrderTime(
