fix(takeover): let a version and its nodes warm up before its full load

Cause: the step from 0.02 to everything is ten times the former ones. The nodes beside the new endpoints have hardly run any code, and the senders know nothing of the new homes, so the first tenths of a second are slow; nine runs of one domain were enough to convict.

Before the full load a quarter of the requests go to the version for a moment, slow answers have to be as sure as in the trial, and they count only after 60 runs under the new share. Failures count as before. A leader that knows of no requests yet begins with the small share instead of the largest.

'nodes that warm up under their full load are no fault' fails without (rolled back).

--- a/src/takeover/lead_move.ts
+++ b/src/takeover/lead_move.ts
@@ -14,6 +14,7 @@
   isRenewalDue,
   mayComplete,
   planShare,
+  rampShare,
 } from "./plan_share.ts";
 import {
   type Move,
@@ -115,7 +116,7 @@
 }
 
 function isUrgent({ share, phase }: Wish): boolean {
-  return share === fullShare || share === 0 ||
+  return share === fullShare || share === rampShare || share === 0 ||
     phase === MovePhase.Completed || phase === MovePhase.RolledBack;
 }
 
--- a/src/takeover/plan_share.ts
+++ b/src/takeover/plan_share.ts
@@ -36,6 +36,12 @@
 /** Room for requests that come faster than they did, as a factor. */
 const rateMargin = 1.25;
 
+/** Share under which a version and its nodes warm up for the full load. */
+export const rampShare = 0.25;
+
+/** Time of the ramp, in milliseconds. */
+const rampMs = 300;
+
 /** Longest time under full load before the deadline, in milliseconds. */
 const longestFullMs = 2_000;
 
@@ -86,25 +92,35 @@
   const { share, judgement } = opts;
   if (share === 0) return trialShare(opts);
   if (share === fullShare || judgement.type === "faulty") return share;
-  if (isSuspect(judgement) || opts.stageMs < leastTrialMs) return share;
+  if (isSuspect(judgement)) return share;
   const leftMs = opts.durationMs - opts.elapsedMs;
-  return leftMs <= fullLeadMs(opts) ? fullShare : share;
+  if (share === rampShare) {
+    const isWarm = opts.stageMs >= rampMs;
+    return isWarm && leftMs <= fullLeadMs(opts, 0) ? fullShare : share;
+  }
+  const isSeen = opts.stageMs >= leastTrialMs;
+  return isSeen && leftMs <= rampMs + fullLeadMs(opts, rampMs)
+    ? rampShare
+    : share;
 }
 
 function trialShare({ exposure, ratePerMs, durationMs }: PlanShareOptions) {
-  const requests = Math.max(1, ratePerMs * durationMs);
+  // A leader that has just started knows of no requests yet.
+  const requests = ratePerMs * durationMs || Infinity;
   const allowed = exposure.share + exposure.slack / requests;
   return Math.min(longestTrialShare, trialPart * allowed);
 }
 
 /**
- * Longest time before the deadline for which a version may carry everything,
- * should it turn out to be bad just then.
+ * Longest time before the deadline for which a version may carry everything
+ * after a ramp, should it turn out to be bad just then.
  */
-function fullLeadMs({ runs, ratePerMs, exposure }: PlanShareOptions): number {
+function fullLeadMs(opts: PlanShareOptions, aheadMs: number): number {
+  const { runs, ratePerMs, exposure } = opts;
   const { targetRuns, otherRuns } = runs;
   const spare = exposure.share * (targetRuns + otherRuns) +
-    slackPart * exposure.slack - targetRuns;
+    slackPart * exposure.slack - targetRuns -
+    rampShare * aheadMs * ratePerMs;
   // Each request of the target also raises what it may get.
   const spentPerMs = (rateMargin - exposure.share) * ratePerMs;
   if (spare <= 0) return 0;
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -532,3 +532,29 @@
   });
   assert.equal(records.at(-1)?.phase, MovePhase.Completed);
 });
+
+test("nodes that warm up under their full load are no fault", () => {
+  const state = leader();
+  const move = state.moves.get("one");
+  assert.ok(move);
+  const isWarming = (now: number) =>
+    (move.step.share ?? 0) >= 0.25 && now - move.stepAt < 200;
+  const { records } = play(state, {
+    untilMs: 14_000,
+    tookMs: (version, now) => version === "v2" && isWarming(now) ? 300 : 60,
+  });
+  assert.equal(records.at(-1)?.phase, MovePhase.Completed);
+});
+
+test("a leader that has just started begins with a small share", () => {
+  const state = leader();
+  const effects = decideTakeover(state, {
+    type: "ticked",
+    now: 100,
+    rank: 0,
+    exposure,
+    loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
+  });
+  const step = effects.find((effect) => effect.type === "tell");
+  assert.ok(Math.abs((step?.step.share ?? 0) - 0.02) < 1e-9);
+});
--- a/src/takeover/tick_move.ts
+++ b/src/takeover/tick_move.ts
@@ -5,11 +5,11 @@
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import { judgeEvidence } from "../rollout/judge_evidence.ts";
-import type { Finding } from "../rollout/messages.ts";
+import { type Finding, Measure } from "../rollout/messages.ts";
 import { reportOf } from "./describe_moves.ts";
 import { judgeBake } from "./judge_bake.ts";
 import { leadMove, wishOf } from "./lead_move.ts";
-import { fullShare } from "./plan_share.ts";
+import { fullShare, rampShare } from "./plan_share.ts";
 import {
   type Move,
   MovePhase,
@@ -26,6 +26,12 @@
  */
 const faultyAbove = { trial: Math.log(1e5), full: Math.log(1e3) } as const;
 
+/**
+ * Runs under full load before slow ones count. A node that takes on its load is
+ * slow itself for a moment.
+ */
+const leastWarmRuns = 60;
+
 /** Rise of the failure rate that a stage has to rule out. */
 const ruleOut = 0.2;
 
@@ -69,16 +75,27 @@
     judge: move.judge,
     evidence: move.inbox.total,
     faultyAbove: isFull ? faultyAbove.full : faultyAbove.trial,
+    slowAbove: faultyAbove.trial,
     ruleOut,
     now,
   });
-  if (judgement.type === "faulty" && move.fault === undefined) {
+  if (
+    judgement.type === "faulty" && move.fault === undefined &&
+    isWarm(move, judgement.finding)
+  ) {
     effects.push(blame(move, judgement.finding));
   }
   const wish = wishOf({ move, load, judgement, event });
   return [...effects, ...leadMove({ state, move, wish, event })];
 }
 
+function isWarm(move: Move, finding: Finding): boolean {
+  if (finding.measure !== Measure.Slowness) return true;
+  if (move.step.share < rampShare) return true;
+  const { targetRuns } = sumRuns(move.inbox.total);
+  return targetRuns - move.runsAtStep >= leastWarmRuns;
+}
+
 /** The version has everything, and may still turn out to be bad. */
 function tickCompleted(
   state: TakeoverState,
@@ -119,8 +136,8 @@
   move: Move,
   now: MonotonicMs,
 ): TakeoverEffect[] {
-  const isFull = move.step.share === fullShare;
-  if (!isFull && now - move.reportedAt < trialReportMs) return [];
+  const isTrial = move.step.share < rampShare;
+  if (isTrial && now - move.reportedAt < trialReportMs) return [];
   let calls = 0;
   for (const counts of move.local.values()) calls += counts.calls;
   if (calls === move.localSeq) return [];
