fix(takeover): never go back to a version that was taken back

What callers would see: a next order for the same service while the endpoints of a withdrawn version still drain sends them most requests, since everything but the target counted as the version to go back to.

Versions whose move ended badly, or was replaced before its end, are left out until an order names them again. 'a version that was taken back is not what the next move goes back to' failed with [v1, v2].

--- a/src/takeover/choose_version.ts
+++ b/src/takeover/choose_version.ts
@@ -19,7 +19,10 @@
   const move = state.moves.get(service);
   if (move === undefined) return chooseBase(state, service, present);
   const { target } = move.order;
-  const others = present.filter((version) => version !== target);
+  const withdrawn = state.withdrawn.get(service);
+  const others = present.filter((version) =>
+    version !== target && withdrawn?.has(version) !== true
+  );
   switch (move.step.phase) {
     case MovePhase.Completed:
       if (move.fault !== undefined) return others;
--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -75,6 +75,10 @@
 function takeOrder(state: TakeoverState, order: MoveOrder, now: MonotonicMs) {
   const known = state.moves.get(order.service);
   if (known?.order.target === order.target) return;
+  if (known !== undefined && known.step.phase !== MovePhase.Completed) {
+    withdrawnOf(state, order.service).add(known.order.target);
+  }
+  withdrawnOf(state, order.service).delete(order.target);
   const status = state.statuses.get(order.service);
   const isOver = status?.target === order.target;
   const step: MoveStep = {
@@ -112,6 +116,14 @@
   });
 }
 
+function withdrawnOf(state: TakeoverState, service: string): Set<string> {
+  const known = state.withdrawn.get(service);
+  if (known !== undefined) return known;
+  const versions = new Set<string>();
+  state.withdrawn.set(service, versions);
+  return versions;
+}
+
 function takeStatus(
   state: TakeoverState,
   status: MoveStatus,
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -140,6 +140,11 @@
   readonly moves: Map<string, Move>;
   /** Version that carries a service while no move is ordered. */
   readonly base: Map<string, string>;
+  /**
+   * Versions whose move did not end well, by service. While their endpoints
+   * drain, a next move must not take them for the version to go back to.
+   */
+  readonly withdrawn: Map<string, Set<string>>;
   /** Statuses read from the store at start, by service. */
   readonly statuses: Map<string, MoveStatus>;
   /** When orders were given, as read from the store, by service. */
@@ -248,6 +253,7 @@
     yieldUntil: -Infinity,
     moves: new Map(),
     base: new Map(),
+    withdrawn: new Map(),
     statuses: new Map(),
     orderTimes: new Map(),
   };
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -533,6 +533,14 @@
   assert.equal(records.at(-1)?.phase, MovePhase.Completed);
 });
 
+test("a version that was taken back is not what the next move goes back to", () => {
+  const state = leader();
+  play(state, { untilMs: 6_000, isFailed: (version) => version === "v2" });
+  const next = { ...order, target: "v3" };
+  decideTakeover(state, { type: "ordered", order: next, now: 6_000 });
+  assert.deepEqual(chooseVersions(state, "one", ["v1", "v2", "v3"]), ["v1"]);
+});
+
 test("nodes that warm up under their full load are no fault", () => {
   const state = leader();
   const move = state.moves.get("one");
