fix(takeover): end a move sooner where the store is slow

What the operator would see: a good version completed 10 ms after its deadline beside a store that takes 75 times as long: the record was sent 0.5 s before the deadline and took 0.5 s. After all processes had died in the middle of a move another good one was completed 0.8 s late, since the 237 ms that its plan had left counted as too few.

The ramp is 0.2 s, and 150 ms before the deadline suffice for a plan.

'a slow store gets the end of a move sooner'.

--- a/src/sidecar/record_moves.ts
+++ b/src/sidecar/record_moves.ts
@@ -95,6 +95,7 @@
   async function record({ epoch, status, elapsedMs }: RecordEffect) {
     const { service, target, phase } = status;
     const orderedAt = opts.wall() - elapsedMs;
+    const askedAt = opts.now();
     const appended = await opts.store.append({
       topic: opts.topic,
       records: [
@@ -107,7 +108,9 @@
     const fields = { service, target, phase, epoch };
     if (appended.isOk()) {
       opts.log.write("move", LogLevel.Info, "status recorded", fields);
-      opts.onEvent({ type: "recorded", service, phase, now: opts.now() });
+      const now = opts.now();
+      const tookMs = now - askedAt;
+      opts.onEvent({ type: "recorded", service, phase, tookMs, now });
       return;
     }
     const reason = formatError(appended.error);
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -50,6 +50,9 @@
  */
 const leadAfterMs = 3_000;
 
+/** The same while it has heard of no other node at all. */
+const leadAloneAfterMs = 10_000;
+
 /** Time between looks for nodes that are gone, in milliseconds. */
 const fleetTickMs = 5_000;
 
@@ -254,9 +257,11 @@
 
   const moveTimer = setInterval(() => {
     if (takeover.moves.size === 0) return;
-    const mayLead = now() - startedAt >= leadAfterMs &&
-      follower.isHealthy() && !isStopping;
-    const before = gossip.healthyNodes().filter((peer) => peer < settings.node);
+    const peers = gossip.healthyNodes();
+    const waitMs = peers.length === 0 ? leadAloneAfterMs : leadAfterMs;
+    const mayLead = now() - startedAt >= waitMs && follower.isHealthy() &&
+      !isStopping;
+    const before = peers.filter((peer) => peer < settings.node);
     move({
       type: "ticked",
       now: now(),
--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -55,6 +55,7 @@
       takeFault(state, event.fault);
       return [];
     case "recorded":
+      state.storeMs = event.tookMs;
       return confirm(state, event.service, event.phase, event.now);
     case "record-failed": {
       const move = state.moves.get(event.service);
--- a/src/takeover/lead_move.ts
+++ b/src/takeover/lead_move.ts
@@ -68,6 +68,7 @@
 
 /** Options of `wishOf`. */
 export interface WishOfOptions {
+  readonly state: TakeoverState;
   readonly move: Move;
   readonly load: VersionLoad;
   readonly judgement: Judgement;
@@ -76,7 +77,7 @@
 
 /** What the leader of a running move should do now. */
 export function wishOf(opts: WishOfOptions): Wish | undefined {
-  const { move, load, judgement, event } = opts;
+  const { state, move, load, judgement, event } = opts;
   const { now, exposure } = event;
   const { step, order } = move;
   if (move.fault !== undefined) {
@@ -106,7 +107,8 @@
   if (share !== undefined || phase !== undefined) return { share, phase };
   const stageRuns = runs.targetRuns - move.runsAtStep;
   const { otherCalls } = load;
-  return mayComplete({ ...plan, stageRuns, otherCalls })
+  const { storeMs } = state;
+  return mayComplete({ ...plan, stageRuns, otherCalls, storeMs })
     ? { share, phase: MovePhase.Completed }
     : undefined;
 }
--- a/src/takeover/plan_share.ts
+++ b/src/takeover/plan_share.ts
@@ -40,22 +40,28 @@
 export const rampShare = 0.25;
 
 /** Time of the ramp, in milliseconds. */
-const rampMs = 300;
+const rampMs = 200;
 
 /** Longest time under full load before the deadline, in milliseconds. */
 const longestFullMs = 2_000;
 
 /** A version that carries everything as late as this is done after its time. */
-const lateMs = 300;
+const lateMs = 150;
 
 /** Time under full load when the deadline can't be met, in milliseconds. */
 const lateFullMs = 1_000;
 
-/** Time before the deadline at which the end is recorded, in milliseconds. */
-const recordLeadMs = 550;
+/**
+ * Time before the deadline at which the end is recorded, in milliseconds, besides
+ * what the store takes.
+ */
+const recordLeadMs = 540;
+
+/** Part of the time under full load that comes before the record. */
+const judgedPart = 0.4;
 
-/** The same as a part of a shorter time under full load. */
-const recordPart = 0.6;
+/** The least of it, in milliseconds, where the store is slow. */
+const leastJudgedMs = 200;
 
 /**
  * Time before the deadline until which the old version's last calls are waited
@@ -143,19 +149,25 @@
   readonly stageRuns: number;
   /** Calls that run or wait at the old version. */
   readonly otherCalls: number;
+  /** Time that the store took for the last record, in milliseconds. */
+  readonly storeMs: number;
 }
 
 /** Whether the end of a move may be recorded now. */
 export function mayComplete(opts: MayCompleteOptions): boolean {
-  const { judgement, stageMs, otherCalls } = opts;
+  const { judgement, stageMs, otherCalls, storeMs } = opts;
   if (opts.share !== fullShare || isSuspect(judgement)) return false;
   const expected = answeredPart * opts.ratePerMs * stageMs;
   if (opts.stageRuns < Math.min(leastAnswers, expected)) return false;
   const leftMs = opts.durationMs - opts.elapsedMs;
   const plannedMs = leftMs + stageMs;
   if (plannedMs < lateMs) return stageMs >= lateFullMs;
-  const isDue = leftMs <= Math.min(recordLeadMs, recordPart * plannedMs);
-  return isDue && (otherCalls === 0 || leftMs <= emptyLeadMs);
+  const judgedMs = Math.max(
+    Math.min(leastJudgedMs, judgedPart * plannedMs),
+    judgedPart * plannedMs - storeMs,
+  );
+  if (stageMs < judgedMs || leftMs > recordLeadMs + storeMs) return false;
+  return otherCalls === 0 || leftMs <= emptyLeadMs + storeMs;
 }
 
 function isSuspect(judgement: Judgement): boolean {
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -137,6 +137,8 @@
   epoch: number | undefined;
   /** Until when this node leads nothing, since another has replaced it. */
   yieldUntil: MonotonicMs;
+  /** Time that the store took for this node's last record, in milliseconds. */
+  storeMs: number;
   readonly moves: Map<string, Move>;
   /** Version that carries a service while no move is ordered. */
   readonly base: Map<string, string>;
@@ -190,6 +192,8 @@
     readonly type: "recorded";
     readonly service: string;
     readonly phase: MovePhase;
+    /** Time that the store took, in milliseconds. */
+    readonly tookMs: number;
     readonly now: MonotonicMs;
   }
   | { readonly type: "record-failed"; readonly service: string }
@@ -251,6 +255,7 @@
     ...opts,
     epoch: undefined,
     yieldUntil: -Infinity,
+    storeMs: 0,
     moves: new Map(),
     base: new Map(),
     withdrawn: new Map(),
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -4,6 +4,8 @@
 import { countRun } from "./count_run.ts";
 import { decideTakeover } from "./decide_takeover.ts";
 import { describeMoves } from "./describe_moves.ts";
+import { mayComplete } from "./plan_share.ts";
+import { sumRuns } from "./sum_runs.ts";
 import { decodeOrderTime, encodeOrderTime } from "./order_time.ts";
 import {
   createTakeoverState,
@@ -66,7 +68,13 @@
       if (effect.type !== "record") continue;
       const { service, phase } = effect.status;
       if (phase !== records.at(-1)?.phase) records.push({ phase, at: now });
-      decideTakeover(state, { type: "recorded", service, phase, now });
+      decideTakeover(state, {
+        type: "recorded",
+        service,
+        phase,
+        tookMs: 10,
+        now,
+      });
     }
   }
   return { counts, records };
@@ -343,6 +351,7 @@
               type: "recorded",
               service,
               phase,
+              tookMs: 10,
               now,
             });
             for (const one of told) tellOthers(homes, state, one, now);
@@ -454,6 +463,7 @@
             type: "recorded",
             service,
             phase,
+            tookMs: 10,
             now,
           });
           for (const one of told) tellOthers([first, second], state, one, now);
@@ -566,3 +576,22 @@
   const step = effects.find((effect) => effect.type === "tell");
   assert.ok(Math.abs((step?.step.share ?? 0) - 0.02) < 1e-9);
 });
+
+test("a slow store gets the end of a move sooner", () => {
+  const plan = {
+    share: 1,
+    durationMs: 10_000,
+    judgement: { type: "clear", calls: 500 },
+    runs: sumRuns(new Map()),
+    ratePerMs: 0.3,
+    exposure,
+    stageRuns: 100,
+    otherCalls: 0,
+  } as const;
+  const at = (stageMs: number, storeMs: number) =>
+    mayComplete({ ...plan, stageMs, elapsedMs: 9_000 + stageMs, storeMs });
+  assert.equal(at(250, 5), false);
+  assert.equal(at(500, 5), true);
+  assert.equal(at(150, 500), false);
+  assert.equal(at(250, 500), true);
+});
--- a/src/takeover/tick_move.ts
+++ b/src/takeover/tick_move.ts
@@ -85,7 +85,7 @@
   ) {
     effects.push(blame(move, judgement.finding));
   }
-  const wish = wishOf({ move, load, judgement, event });
+  const wish = wishOf({ state, move, load, judgement, event });
   return [...effects, ...leadMove({ state, move, wish, event })];
 }
 
