fix(takeover): take a record for the move that it ends

What callers would see: all traffic on a version that has hardly been tried. A record on its way while the operator orders the next version was confirmed by the service's name alone, so 'completed' of v2 ended the move to v3.

Found by reading while looking for the incident's class of fault (a version trusted on evidence that is not its own). 'the record of one move does not end the next' ended completed before.

--- a/src/sidecar/record_moves.ts
+++ b/src/sidecar/record_moves.ts
@@ -110,7 +110,7 @@
       opts.log.write("move", LogLevel.Info, "status recorded", fields);
       const now = opts.now();
       const tookMs = now - askedAt;
-      opts.onEvent({ type: "recorded", service, phase, tookMs, now });
+      opts.onEvent({ type: "recorded", status, tookMs, now });
       return;
     }
     const reason = formatError(appended.error);
@@ -121,7 +121,7 @@
     // Any failure leaves the order of this epoch's writes unknown, and a fence
     // means that another node leads. Either way a new lease comes first.
     opts.onEvent({ type: "leased", epoch: undefined });
-    opts.onEvent({ type: "record-failed", service });
+    opts.onEvent({ type: "record-failed", status });
   }
 
   return {
--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -56,9 +56,9 @@
       return [];
     case "recorded":
       state.storeMs = event.tookMs;
-      return confirm(state, event.service, event.phase, event.now);
+      return confirm(state, event.status, event.now);
     case "record-failed": {
-      const move = state.moves.get(event.service);
+      const move = moveOf(state, event.status);
       if (move !== undefined) move.recording = undefined;
       return [];
     }
@@ -133,8 +133,8 @@
   const { service, target, phase } = status;
   state.statuses.set(service, status);
   if (phase === MovePhase.Completed) state.base.set(service, target);
-  const move = state.moves.get(service);
-  if (move === undefined || move.order.target !== target) return [];
+  const move = moveOf(state, status);
+  if (move === undefined) return [];
   move.recorded = phase;
   if (phase === move.step.phase || !mayFollow(move.step.phase, phase)) {
     return [];
@@ -184,21 +184,26 @@
 
 function confirm(
   state: TakeoverState,
-  service: string,
-  phase: MovePhase,
+  status: MoveStatus,
   now: MonotonicMs,
 ): readonly TakeoverEffect[] {
-  const move = state.moves.get(service);
+  const { service, target, phase } = status;
+  state.statuses.set(service, status);
+  const move = moveOf(state, status);
   if (move === undefined) return [];
   move.recording = undefined;
   noteRecorded(move, phase, now);
-  const { target } = move.order;
-  state.statuses.set(service, { service, target, phase });
   if (phase === MovePhase.Completed) state.base.set(service, target);
   const share = phase === MovePhase.Running ? move.step.share : shareAt(phase);
   return [stepMove(state, move, { phase, share }, now)];
 }
 
+/** The move of a status, unless a later order has taken its place. */
+function moveOf(state: TakeoverState, status: MoveStatus): Move | undefined {
+  const move = state.moves.get(status.service);
+  return move?.order.target === status.target ? move : undefined;
+}
+
 /** Share of the target once a move has ended, or before it begins. */
 function shareAt(phase: MovePhase): number {
   return phase === MovePhase.Completed ? 1 : 0;
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -190,13 +190,12 @@
   /** The store confirmed a status. */
   | {
     readonly type: "recorded";
-    readonly service: string;
-    readonly phase: MovePhase;
+    readonly status: MoveStatus;
     /** Time that the store took, in milliseconds. */
     readonly tookMs: number;
     readonly now: MonotonicMs;
   }
-  | { readonly type: "record-failed"; readonly service: string }
+  | { readonly type: "record-failed"; readonly status: MoveStatus }
   /** The lease was granted or lost. */
   | { readonly type: "leased"; readonly epoch: number | undefined }
   | {
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -66,12 +66,11 @@
     });
     for (const effect of effects) {
       if (effect.type !== "record") continue;
-      const { service, phase } = effect.status;
+      const { phase } = effect.status;
       if (phase !== records.at(-1)?.phase) records.push({ phase, at: now });
       decideTakeover(state, {
         type: "recorded",
-        service,
-        phase,
+        status: effect.status,
         tookMs: 10,
         now,
       });
@@ -345,12 +344,11 @@
       for (const effect of effects) {
         switch (effect.type) {
           case "record": {
-            const { service, phase } = effect.status;
+            const { phase } = effect.status;
             if (phase !== phases.at(-1)) phases.push(phase);
             const told = decideTakeover(state, {
               type: "recorded",
-              service,
-              phase,
+              status: effect.status,
               tookMs: 10,
               now,
             });
@@ -457,12 +455,11 @@
         if (effect.type === "lease") {
           decideTakeover(state, { type: "leased", epoch: 2 });
         } else if (effect.type === "record") {
-          const { service, phase } = effect.status;
+          const { phase } = effect.status;
           if (phase === MovePhase.Completed) endedAt ??= now;
           const told = decideTakeover(state, {
             type: "recorded",
-            service,
-            phase,
+            status: effect.status,
             tookMs: 10,
             now,
           });
@@ -595,3 +592,17 @@
   assert.equal(at(150, 500), false);
   assert.equal(at(250, 500), true);
 });
+
+test("the record of one move does not end the next", () => {
+  const state = leader();
+  play(state, { untilMs: 4_000 });
+  const next = { ...order, target: "v3" };
+  decideTakeover(state, { type: "ordered", order: next, now: 4_000 });
+  decideTakeover(state, {
+    type: "recorded",
+    status: { service: "one", target: "v2", phase: MovePhase.Completed },
+    tookMs: 10,
+    now: 4_100,
+  });
+  assert.equal(state.moves.get("one")?.step.phase, MovePhase.Running);
+});
