fix(takeover): trust no time of day over a node that saw the order

What callers would see: too many requests on a bad version where a node restarts beside a time of day that jumps: the time of an order that the store keeps is a time of day, the earliest time won, and reports passed it on to all nodes. Two seconds early is three seconds under full load, with room for one.

Now a node knows whether it saw the order arrive, or was told by one that did. Only such times are passed on and compared; the store's time serves a node just until it hears one, which is when all nodes have died.

'a guess by the time of day moves no other node's time' and 'what a node guesses gives way to what another has seen' fail without it (the guess moved the time of the order from 0 to -7000 ms).

--- a/src/sidecar/drive_moves.ts
+++ b/src/sidecar/drive_moves.ts
@@ -37,12 +37,15 @@
         ...effect.runs,
       });
       return recorder.record(effect);
-    case "tell":
+    case "tell": {
+      const { elapsed, ...step } = effect.step;
       log.write("move", LogLevel.Info, "move step", {
-        ...effect.step,
+        ...step,
+        elapsedMs: Math.round(elapsed.ms),
         ...effect.runs,
       });
       return gossip.tellAll({ type: "move-step", step: effect.step });
+    }
     case "report":
       return gossip.tellNearAndLeaders({
         type: "move-report",
--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -15,7 +15,8 @@
   readonly platform: Pick<Platform, "decodeOperatorRecord">;
   readonly log: Log;
   readonly onTable: (table: RouteTable) => void;
-  readonly onOrder: (order: MoveOrder) => void;
+  /** `isNew` is false for what was there before this node first read. */
+  readonly onOrder: (order: MoveOrder, isNew: boolean) => void;
 }
 
 export interface OperatorReader {
@@ -34,7 +35,7 @@
   let readEnd: Offset = -1;
 
   /** False when the record can't be used, and an earlier one counts. */
-  function decode(record: KeyedRecord): boolean {
+  function decode(record: KeyedRecord, isNew: boolean): boolean {
     const decoded = opts.platform.decodeOperatorRecord(record);
     if (decoded.isErr()) {
       const reason = formatError(decoded.error);
@@ -47,7 +48,7 @@
         opts.onTable(decoded.value.table);
         return true;
       case "order":
-        opts.onOrder(decoded.value.order);
+        opts.onOrder(decoded.value.order, isNew);
         return true;
       case "other":
         return true;
@@ -58,11 +59,13 @@
     take(records, end) {
       // Peers and the store may both bring what was read before.
       if (end <= readEnd) return;
+      const isNew = readEnd >= 0;
       readEnd = end;
       // A storm of changes is decoded once for each key, at its end.
       const decoded = new Set<string>();
       for (const record of records.toReversed()) {
-        if (!decoded.has(record.key) && decode(record)) decoded.add(record.key);
+        if (decoded.has(record.key) || !decode(record, isNew)) continue;
+        decoded.add(record.key);
       }
     },
     records: () => [...newest.values()],
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -133,9 +133,9 @@
     platform,
     log,
     onTable: takeTable,
-    onOrder(order) {
-      log.write("move", LogLevel.Info, "move ordered", { ...order });
-      decideTakeover(takeover, { type: "ordered", order, now: now() });
+    onOrder(order, isNew) {
+      log.write("move", LogLevel.Info, "move ordered", { ...order, isNew });
+      decideTakeover(takeover, { type: "ordered", order, isNew, now: now() });
     },
   });
 
--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -12,7 +12,6 @@
 import {
   type Move,
   type MoveFault,
-  type MoveOrder,
   MovePhase,
   type MoveStatus,
   type MoveStep,
@@ -22,7 +21,8 @@
 } from "./state.ts";
 import { isRenewalDue } from "./plan_share.ts";
 import { enterStep, mayFollow, stepMove } from "./step_move.ts";
-import { noteElapsed, takeReport } from "./take_report.ts";
+import { noteElapsed } from "./note_elapsed.ts";
+import { takeReport } from "./take_report.ts";
 import { tickMove } from "./tick_move.ts";
 
 /**
@@ -38,7 +38,7 @@
 ): readonly TakeoverEffect[] {
   switch (event.type) {
     case "ordered":
-      takeOrder(state, event.order, event.now);
+      takeOrder(state, event);
       return [];
     case "status-read":
       return takeStatus(state, event.status, event.now);
@@ -73,7 +73,11 @@
   }
 }
 
-function takeOrder(state: TakeoverState, order: MoveOrder, now: MonotonicMs) {
+function takeOrder(
+  state: TakeoverState,
+  event: Extract<TakeoverEvent, { type: "ordered" }>,
+) {
+  const { order, isNew, now } = event;
   const known = state.moves.get(order.service);
   if (known?.order.target === order.target) return;
   if (known !== undefined && known.step.phase !== MovePhase.Completed) {
@@ -89,15 +93,16 @@
     seq: 0,
     phase: isOver ? status.phase : MovePhase.Running,
     share: 0,
-    elapsedMs: 0,
+    elapsed: { ms: 0, isKnown: isNew },
   };
   const time = state.orderTimes.get(order.service);
-  const orderedAt = time?.target === order.target
+  const orderedAt = !isNew && time?.target === order.target
     ? Math.min(now, time.orderedAt)
     : now;
   state.moves.set(order.service, {
     order,
     orderedAt,
+    isTimeKnown: isNew,
     step,
     stepAt: now,
     runsAtStep: 0,
@@ -151,13 +156,14 @@
   const { service, target, elapsedMs, now } = event;
   state.orderTimes.set(service, { target, orderedAt: now - elapsedMs });
   const move = state.moves.get(service);
-  if (move?.order.target === target) noteElapsed(move, elapsedMs, now);
+  if (move?.order.target !== target || move.isTimeKnown) return;
+  move.orderedAt = now - elapsedMs;
 }
 
 function takeStep(state: TakeoverState, step: MoveStep, now: MonotonicMs) {
   const move = state.moves.get(step.service);
   if (move === undefined || move.order.target !== step.target) return;
-  noteElapsed(move, step.elapsedMs, now);
+  noteElapsed(move, step.elapsed, now);
   const isNewer = step.epoch > move.step.epoch ||
     (step.epoch === move.step.epoch && step.seq > move.step.seq);
   if (!isNewer || !mayFollow(move.step.phase, step.phase)) return;
--- a/src/takeover/describe_moves.ts
+++ b/src/takeover/describe_moves.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
+import { elapsedOf } from "./note_elapsed.ts";
 import {
   type Move,
   type MoveFault,
@@ -32,7 +33,7 @@
     const finding = move.fault;
     const { phase } = move.step;
     return {
-      step: { ...move.step, elapsedMs: now - move.orderedAt },
+      step: { ...move.step, elapsed: elapsedOf(move, now) },
       report: reportOf(state, move, now),
       fault: finding === undefined
         ? undefined
@@ -52,7 +53,7 @@
     target: move.order.target,
     source: state.source,
     seq: move.localSeq,
-    elapsedMs: now - move.orderedAt,
+    elapsed: elapsedOf(move, now),
     counts: [...move.local.values()].map((counts) => ({
       ...counts,
       buckets: [...counts.buckets],
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -23,6 +23,13 @@
   readonly durationMs: number;
 }
 
+/** Time since an order. */
+export interface Elapsed {
+  readonly ms: number;
+  /** Someone saw the order arrive. Else it is a guess, by the time of day. */
+  readonly isKnown: boolean;
+}
+
 /** How far a move is. A higher (epoch, seq) replaces a lower one. */
 export interface MoveStep {
   readonly service: string;
@@ -33,8 +40,7 @@
   readonly phase: MovePhase;
   /** Share of the service's requests that the target gets, 0 to 1. */
   readonly share: number;
-  /** Time since the order, in milliseconds. */
-  readonly elapsedMs: number;
+  readonly elapsed: Elapsed;
 }
 
 /** A node's counts of both versions since its process began. */
@@ -44,8 +50,7 @@
   /** Unique for each start of a process. */
   readonly source: string;
   readonly seq: number;
-  /** Time since the order, in milliseconds. */
-  readonly elapsedMs: number;
+  readonly elapsed: Elapsed;
   readonly counts: readonly RouteCounts[];
 }
 
@@ -103,6 +108,8 @@
   readonly order: MoveOrder;
   /** When the order was given, on this node's clock. */
   orderedAt: MonotonicMs;
+  /** This node, or one that told it, saw the order arrive. */
+  isTimeKnown: boolean;
   step: MoveStep;
   stepAt: MonotonicMs;
   /** Runs of the target when the present share was set. */
@@ -160,6 +167,8 @@
   | {
     readonly type: "ordered";
     readonly order: MoveOrder;
+    /** It has just been written. Else it was there when this node started. */
+    readonly isNew: boolean;
     readonly now: MonotonicMs;
   }
   | {
--- a/src/takeover/step_move.ts
+++ b/src/takeover/step_move.ts
@@ -4,6 +4,7 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
+import { elapsedOf } from "./note_elapsed.ts";
 import {
   type Move,
   MovePhase,
@@ -28,7 +29,7 @@
     ...change,
     epoch: Math.max(state.epoch ?? 0, move.step.epoch),
     seq: move.step.seq + 1,
-    elapsedMs: now - move.orderedAt,
+    elapsed: elapsedOf(move, now),
   };
   enterStep(move, step, now);
   return { type: "tell", step, runs: sumRuns(move.inbox.total) };
--- a/src/takeover/take_report.ts
+++ b/src/takeover/take_report.ts
@@ -5,7 +5,8 @@
 import type { MonotonicMs } from "../core/types.ts";
 import { mergeReport } from "../rollout/merge_report.ts";
 import { ReportLevel } from "../rollout/messages.ts";
-import type { Move, MoveReport, TakeoverState } from "./state.ts";
+import { noteElapsed } from "./note_elapsed.ts";
+import type { MoveReport, TakeoverState } from "./state.ts";
 
 export function takeReport(
   state: TakeoverState,
@@ -15,7 +16,7 @@
   const move = state.moves.get(report.service);
   if (move === undefined || move.order.target !== report.target) return;
   const { target, source, seq, counts } = report;
-  noteElapsed(move, report.elapsedMs, now);
+  noteElapsed(move, report.elapsed, now);
   mergeReport(move.inbox, {
     rollout: target,
     level: ReportLevel.Node,
@@ -26,11 +27,3 @@
     counts,
   });
 }
-
-/**
- * Learns from another node how long ago the order was given. A node that has
- * restarted, was frozen or could not read the store knows a later time.
- */
-export function noteElapsed(move: Move, elapsedMs: number, now: MonotonicMs) {
-  move.orderedAt = Math.min(move.orderedAt, now - elapsedMs);
-}
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -24,7 +24,12 @@
 function leader(ordered = order): TakeoverState {
   const state = createTakeoverState({ self: "a", source: "a 1" });
   decideTakeover(state, { type: "leased", epoch: 1 });
-  decideTakeover(state, { type: "ordered", order: ordered, now: 0 });
+  decideTakeover(state, {
+    type: "ordered",
+    order: ordered,
+    isNew: true,
+    now: 0,
+  });
   return state;
 }
 
@@ -179,7 +184,7 @@
 
 test("only the holder of the lease plans", () => {
   const state = createTakeoverState({ self: "a", source: "a 1" });
-  decideTakeover(state, { type: "ordered", order, now: 0 });
+  decideTakeover(state, { type: "ordered", order, isNew: true, now: 0 });
   const load = { ready: 2, calls: 0, otherReady: 2, otherCalls: 0 };
   const tick = (rank: number | undefined) =>
     decideTakeover(state, {
@@ -195,7 +200,7 @@
 
 test("steps of an older lease are ignored", () => {
   const state = createTakeoverState({ self: "a", source: "a 1" });
-  decideTakeover(state, { type: "ordered", order, now: 0 });
+  decideTakeover(state, { type: "ordered", order, isNew: true, now: 0 });
   const hear = (epoch: number, seq: number, share: number) =>
     decideTakeover(state, {
       type: "step-heard",
@@ -206,7 +211,7 @@
         seq,
         phase: MovePhase.Running,
         share,
-        elapsedMs: 0,
+        elapsed: { ms: 0, isKnown: true },
       },
       now: 0,
     });
@@ -221,7 +226,7 @@
   const state = createTakeoverState({ self: "a", source: "a 2" });
   const status = { service: "one", target: "v2", phase: MovePhase.RolledBack };
   decideTakeover(state, { type: "status-read", status, now: 0 });
-  decideTakeover(state, { type: "ordered", order, now: 0 });
+  decideTakeover(state, { type: "ordered", order, isNew: true, now: 0 });
   assert.deepEqual(chooseVersions(state, "one", present), ["v1"]);
 });
 
@@ -238,7 +243,7 @@
   const [told] = describeMoves(before, 6_000);
   assert.ok(told?.fault);
   const state = createTakeoverState({ self: "b", source: "b 1" });
-  decideTakeover(state, { type: "ordered", order, now: 100_000 });
+  decideTakeover(state, { type: "ordered", order, isNew: true, now: 100_000 });
   const { step, fault, report } = told;
   decideTakeover(state, { type: "step-heard", step, now: 100_000 });
   decideTakeover(state, { type: "report-heard", report, now: 100_000 });
@@ -302,7 +307,7 @@
 }) {
   const homes = [0, 1, 2, 3].map((n) => {
     const state = createTakeoverState({ self: `${n}`, source: `${n} 1` });
-    decideTakeover(state, { type: "ordered", order, now: 0 });
+    decideTakeover(state, { type: "ordered", order, isNew: true, now: 0 });
     return state;
   });
   const [first] = homes;
@@ -418,7 +423,7 @@
 test("the next node records the end while the leader is stuck", () => {
   const [first, second] = ["a", "b"].map((self) => {
     const state = createTakeoverState({ self, source: `${self} 1` });
-    decideTakeover(state, { type: "ordered", order, now: 0 });
+    decideTakeover(state, { type: "ordered", order, isNew: true, now: 0 });
     return state;
   });
   assert.ok(first && second);
@@ -485,7 +490,12 @@
   assert.equal(record?.type, "tell");
   const move = state.moves.get("one");
   assert.ok(move);
-  const step = { ...move.step, epoch: 2, seq: 1, elapsedMs: 100 };
+  const step = {
+    ...move.step,
+    epoch: 2,
+    seq: 1,
+    elapsed: { ms: 100, isKnown: true },
+  };
   decideTakeover(state, { type: "step-heard", step, now: 100 });
   assert.equal(state.epoch, undefined);
   move.fault = undefined;
@@ -498,7 +508,7 @@
   const [told] = describeMoves(before, 20_000);
   assert.equal(told?.step.phase, MovePhase.Completed);
   const state = createTakeoverState({ self: "b", source: "b 1" });
-  decideTakeover(state, { type: "ordered", order, now: 0 });
+  decideTakeover(state, { type: "ordered", order, isNew: true, now: 0 });
   decideTakeover(state, { type: "step-heard", step: told.step, now: 20_000 });
   assert.deepEqual(chooseVersions(state, "one", ["v2"]), ["v2"]);
 });
@@ -515,7 +525,7 @@
     assert.deepEqual(read, { service: "one", target: "v2", orderedAt: 50_000 });
     const state = createTakeoverState({ self: "a", source: "a 2" });
     const events: TakeoverEvent[] = [
-      { type: "ordered", order, now: 1_000 },
+      { type: "ordered", order, isNew: false, now: 1_000 },
       {
         type: "order-time-read",
         service: "one",
@@ -544,7 +554,12 @@
   const state = leader();
   play(state, { untilMs: 6_000, isFailed: (version) => version === "v2" });
   const next = { ...order, target: "v3" };
-  decideTakeover(state, { type: "ordered", order: next, now: 6_000 });
+  decideTakeover(state, {
+    type: "ordered",
+    order: next,
+    isNew: true,
+    now: 6_000,
+  });
   assert.deepEqual(chooseVersions(state, "one", ["v1", "v2", "v3"]), ["v1"]);
 });
 
@@ -593,11 +608,52 @@
   assert.equal(at(250, 500), true);
 });
 
+test("a guess by the time of day moves no other node's time", () => {
+  const state = leader();
+  play(state, { untilMs: 2_000 });
+  const move = state.moves.get("one");
+  assert.ok(move);
+  const guess = { ms: 9_000, isKnown: false };
+  const step = { ...move.step, epoch: 2, elapsed: guess };
+  decideTakeover(state, { type: "step-heard", step, now: 2_000 });
+  decideTakeover(state, {
+    type: "order-time-read",
+    service: "one",
+    target: "v2",
+    elapsedMs: 9_000,
+    now: 2_000,
+  });
+  assert.equal(move.orderedAt, 0);
+});
+
+test("what a node guesses gives way to what another has seen", () => {
+  const state = createTakeoverState({ self: "b", source: "b 1" });
+  decideTakeover(state, { type: "ordered", order, isNew: false, now: 5_000 });
+  decideTakeover(state, {
+    type: "order-time-read",
+    service: "one",
+    target: "v2",
+    elapsedMs: 9_000,
+    now: 5_000,
+  });
+  const move = state.moves.get("one");
+  assert.ok(move);
+  const elapsed = { ms: 4_000, isKnown: true };
+  const step = { ...move.step, elapsed };
+  decideTakeover(state, { type: "step-heard", step, now: 5_000 });
+  assert.equal(move.orderedAt, 1_000);
+});
+
 test("the record of one move does not end the next", () => {
   const state = leader();
   play(state, { untilMs: 4_000 });
   const next = { ...order, target: "v3" };
-  decideTakeover(state, { type: "ordered", order: next, now: 4_000 });
+  decideTakeover(state, {
+    type: "ordered",
+    order: next,
+    isNew: true,
+    now: 4_000,
+  });
   decideTakeover(state, {
     type: "recorded",
     status: { service: "one", target: "v2", phase: MovePhase.Completed },
