fix(takeover): hold short moves and services with few requests to both bounds

Found by a property: moves of 4 to 40 s at 1 to 900 requests a second, with a fault at any moment or none.

The few answers that are expected are rounded down, each step is taken a tick sooner, since it takes one to be heard, and judging goes on while a window is open or was bad.

--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -118,7 +118,12 @@
     reportedAt: -Infinity,
     inbox: createInbox(),
     judge: createJudge(now),
-    bake: { windowAt: undefined, runs: new Map(), badWindows: 0 },
+    bake: {
+      windowAt: undefined,
+      runs: new Map(),
+      windows: 0,
+      badWindows: 0,
+    },
   });
 }
 
--- a/src/takeover/judge_bake.ts
+++ b/src/takeover/judge_bake.ts
@@ -73,6 +73,7 @@
   const usual = runs.otherFailures / Math.max(1, runs.otherRuns);
   const isBad = bad > (badPart + toleratedRatio * usual) * calls &&
     isEverywhere(rises);
+  bake.windows++;
   bake.badWindows = isBad ? bake.badWindows + 1 : 0;
   openWindow(bake, sums, now);
   if (bake.badWindows < badWindows) return undefined;
--- a/src/takeover/plan_share.ts
+++ b/src/takeover/plan_share.ts
@@ -42,6 +42,9 @@
 /** Time of the ramp, in milliseconds. */
 const rampMs = 200;
 
+/** Time until all nodes act on a step, in milliseconds. */
+const noticeMs = 100;
+
 /** Longest time under full load before the deadline, in milliseconds. */
 const longestFullMs = 2_000;
 
@@ -102,12 +105,12 @@
   const leftMs = opts.durationMs - opts.elapsedMs;
   if (share === rampShare) {
     const isWarm = opts.stageMs >= rampMs;
-    return isWarm && leftMs <= fullLeadMs(opts, 0) ? fullShare : share;
+    const leadMs = fullLeadMs(opts, 0) + noticeMs;
+    return isWarm && leftMs <= leadMs ? fullShare : share;
   }
   const isSeen = opts.stageMs >= leastTrialMs;
-  return isSeen && leftMs <= rampMs + fullLeadMs(opts, rampMs)
-    ? rampShare
-    : share;
+  const leadMs = rampMs + fullLeadMs(opts, rampMs) + noticeMs;
+  return isSeen && leftMs <= leadMs ? rampShare : share;
 }
 
 function trialShare({ exposure, ratePerMs, durationMs }: PlanShareOptions) {
@@ -157,7 +160,7 @@
 export function mayComplete(opts: MayCompleteOptions): boolean {
   const { judgement, stageMs, otherCalls, storeMs } = opts;
   if (opts.share !== fullShare || isSuspect(judgement)) return false;
-  const expected = answeredPart * opts.ratePerMs * stageMs;
+  const expected = Math.floor(answeredPart * opts.ratePerMs * stageMs);
   if (opts.stageRuns < Math.min(leastAnswers, expected)) return false;
   const leftMs = opts.durationMs - opts.elapsedMs;
   const plannedMs = leftMs + stageMs;
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -100,6 +100,8 @@
   windowAt: MonotonicMs | undefined;
   /** Runs of each source at the start of the window. */
   runs: ReadonlyMap<string, SourceRuns>;
+  /** Windows that were judged. */
+  windows: number;
   /** Windows in a row that were bad. */
   badWindows: number;
 }
--- a/src/takeover/tick_move.ts
+++ b/src/takeover/tick_move.ts
@@ -103,9 +103,7 @@
   event: Ticked,
 ): readonly TakeoverEffect[] {
   const { now } = event;
-  const { durationMs } = move.order;
-  const isBaked = now - move.orderedAt > durationMs + bakeMs;
-  if (isBaked && move.fault === undefined) return [];
+  if (isBaked(move, now) && move.fault === undefined) return [];
   const effects: TakeoverEffect[] = reportLocal(state, move, now);
   const finding = judgeBake({
     bake: move.bake,
@@ -122,6 +120,12 @@
   return [...effects, ...leadMove({ state, move, wish, event })];
 }
 
+/** Where requests are few, a window may take longer than the bake. */
+function isBaked({ order, orderedAt, bake }: Move, now: MonotonicMs): boolean {
+  return now - orderedAt > order.durationMs + bakeMs && bake.windows > 0 &&
+    bake.badWindows === 0;
+}
+
 /** This node sends the target nothing from now on, and tells others why. */
 function blame(move: Move, finding: Finding): TakeoverEffect {
   const { service, target } = move.order;
