fix(homes): cut off an answer that never ends

What callers would see: a node that dies of its memory limit, since an endpoint in trouble may send bytes without end in a body. They were passed on until the call's time was over, as fast as the endpoint wrote, and waited in the memory of a caller's node where the caller read more slowly.

Cause: nothing bounded an answer's size. Ruled out by tests that passed before: endless heads, endless informational heads and bytes that are no answer, which the HTTP client bounds. 'a body without a length without end is cut off' and 'a body in chunks without end is cut off' timed out before; they end after 16 MiB now, the call fails and the endpoint's connection is closed.

--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -166,3 +166,51 @@
     [{ isFailed: true, isExcused: true }],
   );
 });
+
+/** Writes for as long as the other side reads. */
+function flood(socket: Socket, first: string, next: Buffer) {
+  let isOpen = true;
+  socket.on("close", () => isOpen = false);
+  const write = () => {
+    while (isOpen && socket.write(next));
+    if (isOpen) socket.once("drain", write);
+  };
+  socket.write(first, write);
+}
+
+for (
+  const [name, first, next] of [
+    ["bytes that are no answer", "", Buffer.alloc(65_536, "x")],
+    ["a head", "HTTP/1.1 200 OK\r\n", Buffer.from("a: b\r\n".repeat(10_000))],
+    ["first heads", "", Buffer.from("HTTP/1.1 103 Hint\r\n\r\n".repeat(3_000))],
+    [
+      "a body without a length",
+      head("call-id: r-1"),
+      Buffer.alloc(65_536, "x"),
+    ],
+    [
+      "a body in chunks",
+      head("call-id: r-1\r\ntransfer-encoding: chunked"),
+      Buffer.from(`ffff\r\n${"x".repeat(65_535)}\r\n`),
+    ],
+  ] as const
+) {
+  test(`${name} without end is cut off`, async (t) => {
+    let closed: () => void;
+    const isClosed = new Promise<void>((resolve) => closed = resolve);
+    const { home } = await homeOf(t, (socket) => {
+      socket.on("close", () => closed());
+      flood(socket, first, next);
+    });
+    let bytes = 0;
+    const failed = new Promise<string>((resolve) => {
+      home.offer({ ...call, leftMs: 60_000 }, (event) => {
+        if (event.type === "chunk") bytes += event.chunk.length;
+        if (event.type === "failed") resolve(event.failure.reason);
+      });
+    });
+    assert.ok(await failed);
+    await isClosed;
+    assert.ok(bytes <= 16 * 1024 * 1024, `${bytes} bytes`);
+  });
+}
--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -12,6 +12,12 @@
 /** Answers up to this size are read whole before any byte is passed on. */
 const maxWholeBytes = 65_536;
 
+/**
+ * Longest answer, in bytes. An endpoint in trouble may send without end, and what
+ * a slow caller has not read yet waits in memory.
+ */
+const maxAnswerBytes = 16 * 1024 * 1024;
+
 const framingHeaders = new Set(["content-length", "transfer-encoding"]);
 
 /** How a run ends or goes on. One of the last four comes last. */
@@ -98,9 +104,14 @@
 
   function takeData(chunk: Buffer) {
     if (head === undefined || isOver) return;
+    size += chunk.length;
+    if (size > maxAnswerBytes) {
+      emit({ type: "failed", reason: "the answer is too long" });
+      controller?.abort(new Error("endless answer"));
+      return;
+    }
     if (isStreaming) return emit({ type: "chunk", chunk });
     parts.push(chunk);
-    size += chunk.length;
     if (size <= maxWholeBytes) return;
     isStreaming = true;
     emit({ type: "answered", head, body: undefined });
