fix(takeover): judge a completed version only where its move was seen

What callers would see: a service that is refused as a whole after all nodes have restarted, hours after its last move. A node that starts reads 'completed' and, since judging lasts until its first window is over, looked for a fault in the seconds in which endpoints and nodes come back, with nothing to compare.

Found by reading the change as a whole. A move that had ended before the node started is not judged; one that ended under its eyes is, until the bake is over. 'a node that restarts long after a move does not judge it anew' fails without it (the version is withdrawn). Statuses are kept in one place.

--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -20,6 +20,7 @@
   type TakeoverState,
 } from "./state.ts";
 import { isRenewalDue } from "./plan_share.ts";
+import { createBake } from "./judge_bake.ts";
 import { enterStep, mayFollow, stepMove } from "./step_move.ts";
 import { noteElapsed } from "./note_elapsed.ts";
 import { takeReport } from "./take_report.ts";
@@ -118,12 +119,9 @@
     reportedAt: -Infinity,
     inbox: createInbox(),
     judge: createJudge(now),
-    bake: {
-      windowAt: undefined,
-      runs: new Map(),
-      windows: 0,
-      badWindows: 0,
-    },
+    bake: isOver && status.phase !== MovePhase.Running
+      ? undefined
+      : createBake(),
   });
 }
 
@@ -140,18 +138,19 @@
   status: MoveStatus,
   now: MonotonicMs,
 ): readonly TakeoverEffect[] {
-  const { service, target, phase } = status;
-  state.statuses.set(service, status);
-  if (phase === MovePhase.Completed) state.base.set(service, target);
-  const move = moveOf(state, status);
+  const { phase } = status;
+  const move = noteStatus(state, status);
   if (move === undefined) return [];
   move.recorded = phase;
   if (phase === move.step.phase || !mayFollow(move.step.phase, phase)) {
     return [];
   }
   const step = stepMove(state, move, { phase, share: shareAt(phase) }, now);
-  // Every node that starts reads statuses; the leader's word is enough.
-  return state.epoch === undefined ? [] : [step];
+  if (state.epoch !== undefined) return [step];
+  // This node has just started: the leader's word is enough for others, and
+  // those that saw the move judge how it goes on.
+  move.bake = undefined;
+  return [];
 }
 
 function takeOrderTime(
@@ -198,17 +197,23 @@
   status: MoveStatus,
   now: MonotonicMs,
 ): readonly TakeoverEffect[] {
-  const { service, target, phase } = status;
-  state.statuses.set(service, status);
-  const move = moveOf(state, status);
+  const { phase } = status;
+  const move = noteStatus(state, status);
   if (move === undefined) return [];
   move.recording = undefined;
   noteRecorded(move, phase, now);
-  if (phase === MovePhase.Completed) state.base.set(service, target);
   const share = phase === MovePhase.Running ? move.step.share : shareAt(phase);
   return [stepMove(state, move, { phase, share }, now)];
 }
 
+/** Keeps a status of the store, and returns its move. */
+function noteStatus(state: TakeoverState, status: MoveStatus) {
+  const { service, target, phase } = status;
+  state.statuses.set(service, status);
+  if (phase === MovePhase.Completed) state.base.set(service, target);
+  return moveOf(state, status);
+}
+
 /** The move of a status, unless a later order has taken its place. */
 function moveOf(state: TakeoverState, status: MoveStatus): Move | undefined {
   const move = state.moves.get(status.service);
--- a/src/takeover/judge_bake.ts
+++ b/src/takeover/judge_bake.ts
@@ -43,6 +43,15 @@
 /** One endpoint alone does not tell a fault of its own from the version's. */
 const leastEndpoints = 2;
 
+export function createBake(): Bake {
+  return {
+    windowAt: undefined,
+    runs: new Map(),
+    windows: 0,
+    badWindows: 0,
+  };
+}
+
 /** Options of `judgeBake`. */
 export interface JudgeBakeOptions {
   readonly bake: Bake;
--- a/src/takeover/lead_move.ts
+++ b/src/takeover/lead_move.ts
@@ -28,10 +28,10 @@
 import { stepMove } from "./step_move.ts";
 import { sumRuns } from "./sum_runs.ts";
 
-/** Time that each further node waits for a wish that can't wait. */
+/** Time that each further node waits with what can't wait, in milliseconds. */
 const urgentDelayMs = 300;
 
-/** The same for other wishes, in milliseconds. */
+/** The same for everything else, in milliseconds. */
 const delayMs = 2_000;
 
 /** Options of `leadMove`. */
@@ -105,6 +105,7 @@
   const planned = load.ready === 0 ? step.share : planShare(plan);
   const share = planned === step.share ? undefined : planned;
   if (share !== undefined || phase !== undefined) return { share, phase };
+
   const stageRuns = runs.targetRuns - move.runsAtStep;
   const { otherCalls } = load;
   const { storeMs } = state;
--- a/src/takeover/plan_share.ts
+++ b/src/takeover/plan_share.ts
@@ -25,7 +25,7 @@
 const trialPart = 0.2;
 
 /** Largest share of the trial, for services with few requests. */
-const longestTrialShare = 0.1;
+const largestTrialShare = 0.1;
 
 /** Shortest time of the trial, in milliseconds. */
 const leastTrialMs = 1_500;
@@ -48,10 +48,10 @@
 /** Longest time under full load before the deadline, in milliseconds. */
 const longestFullMs = 2_000;
 
-/** A version that carries everything as late as this is done after its time. */
+/** A full load that begins this late is judged past the deadline, in ms. */
 const lateMs = 150;
 
-/** Time under full load when the deadline can't be met, in milliseconds. */
+/** Time for which it is judged then, in milliseconds. */
 const lateFullMs = 1_000;
 
 /**
@@ -63,7 +63,7 @@
 /** Part of the time under full load that comes before the record. */
 const judgedPart = 0.4;
 
-/** The least of it, in milliseconds, where the store is slow. */
+/** The same in milliseconds where the store is slow. */
 const leastJudgedMs = 200;
 
 /**
@@ -117,7 +117,7 @@
   // A leader that has just started knows of no requests yet.
   const requests = ratePerMs * durationMs || Infinity;
   const allowed = exposure.share + exposure.slack / requests;
-  return Math.min(longestTrialShare, trialPart * allowed);
+  return Math.min(largestTrialShare, trialPart * allowed);
 }
 
 /**
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -135,7 +135,8 @@
   reportedAt: MonotonicMs;
   readonly inbox: Inbox;
   readonly judge: Judge;
-  readonly bake: Bake;
+  /** Undefined where the move had ended before this node started. */
+  bake: Bake | undefined;
 }
 
 export interface TakeoverState {
--- a/src/takeover/tick_move.ts
+++ b/src/takeover/tick_move.ts
@@ -11,6 +11,7 @@
 import { leadMove, wishOf } from "./lead_move.ts";
 import { fullShare, rampShare } from "./plan_share.ts";
 import {
+  type Bake,
   type Move,
   MovePhase,
   type TakeoverEffect,
@@ -103,14 +104,18 @@
   event: Ticked,
 ): readonly TakeoverEffect[] {
   const { now } = event;
-  if (isBaked(move, now) && move.fault === undefined) return [];
+  const { bake } = move;
+  const isJudged = bake !== undefined && !isBaked(move, bake, now);
+  if (!isJudged && move.fault === undefined) return [];
   const effects: TakeoverEffect[] = reportLocal(state, move, now);
-  const finding = judgeBake({
-    bake: move.bake,
-    sources: move.inbox.sources,
-    runs: sumRuns(move.inbox.total),
-    now,
-  });
+  const finding = isJudged
+    ? judgeBake({
+      bake,
+      sources: move.inbox.sources,
+      runs: sumRuns(move.inbox.total),
+      now,
+    })
+    : undefined;
   if (finding !== undefined && move.fault === undefined) {
     effects.push(blame(move, finding));
   }
@@ -121,9 +126,10 @@
 }
 
 /** Where requests are few, a window may take longer than the bake. */
-function isBaked({ order, orderedAt, bake }: Move, now: MonotonicMs): boolean {
-  return now - orderedAt > order.durationMs + bakeMs && bake.windows > 0 &&
-    bake.badWindows === 0;
+function isBaked(move: Move, bake: Bake, now: MonotonicMs): boolean {
+  if (now - move.orderedAt <= move.order.durationMs + bakeMs) return false;
+  if (bake.windowAt === undefined) return true;
+  return bake.windows > 0 && bake.badWindows === 0;
 }
 
 /** This node sends the target nothing from now on, and tells others why. */
