fix(takeover): end no move on a version without an endpoint

What callers would see: nothing served, since the old endpoints stop at the end of a move whose new endpoints have just crashed. The end looked at the runs of the stage, not at who is there now. 'a move is not ended on a version without an endpoint' fails without it.

--- a/src/takeover/lead_move.ts
+++ b/src/takeover/lead_move.ts
@@ -105,7 +105,7 @@
   const planned = load.ready === 0 ? step.share : planShare(plan);
   const share = planned === step.share ? undefined : planned;
   if (share !== undefined || phase !== undefined) return { share, phase };
-
+  if (load.ready === 0) return undefined;
   const stageRuns = runs.targetRuns - move.runsAtStep;
   const { otherCalls } = load;
   const { storeMs } = state;
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -702,3 +702,16 @@
   }
   assert.deepEqual(chooseVersions(state, "one", ["v2"]), ["v2"]);
 });
+
+test("a move is not ended on a version without an endpoint", () => {
+  const state = leader();
+  play(state, { untilMs: 13_200 });
+  const effects = decideTakeover(state, {
+    type: "ticked",
+    now: 13_900,
+    rank: 0,
+    exposure,
+    loadOf: () => ({ ready: 0, calls: 0, otherReady: 2, otherCalls: 0 }),
+  });
+  assert.ok(effects.every((effect) => effect.type !== "record"));
+});
