--- /dev/null
+++ b/src/takeover/judge_bake_test.ts
@@ -0,0 +1,78 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { latencyEdgesMs, Side } from "../rollout/messages.ts";
+import { exposure, order, playFleet } from "../testing/play_moves.ts";
+import { chooseVersions } from "./choose_version.ts";
+import { countRun } from "./count_run.ts";
+import { decideTakeover } from "./decide_takeover.ts";
+import { createTakeoverState, MovePhase } from "./state.ts";
+
+test("a version that turns bad once it has taken over gets nothing more", () => {
+  const onsetMs = 14_200;
+  const { phases, lastAt } = playFleet({
+    untilMs: 25_000,
+    isFailed: (_, now, n) => now >= onsetMs && n % 8 < 4,
+  });
+  assert.deepEqual(phases, [
+    MovePhase.Running,
+    MovePhase.Completed,
+    MovePhase.RolledBack,
+  ]);
+  assert.ok(lastAt < onsetMs + 5_000, `last at ${lastAt}`);
+});
+
+test("one bad endpoint does not stop a version that has taken over", () => {
+  const { phases, lastAt } = playFleet({
+    untilMs: 25_000,
+    isFailed: (home, now) => now >= 14_200 && home === 1,
+  });
+  assert.equal(phases.at(-1), MovePhase.Completed);
+  assert.equal(lastAt, 25_000);
+});
+
+test("a fault long after the takeover is the endpoints' own", () => {
+  const { phases } = playFleet({
+    untilMs: 40_000,
+    isFailed: (_, now, n) => now >= 24_000 && n % 8 < 4,
+  });
+  assert.equal(phases.at(-1), MovePhase.Completed);
+});
+
+test("a node that restarts long after a move does not judge it anew", () => {
+  const state = createTakeoverState({ self: "a", source: "a 2" });
+  const status = { service: "one", target: "v2", phase: MovePhase.Completed };
+  decideTakeover(state, { type: "ordered", order, isNew: false, now: 0 });
+  decideTakeover(state, { type: "status-read", status, now: 50 });
+  decideTakeover(state, { type: "leased", epoch: 9 });
+  const run = { service: "one", version: "v2", route: "a", tookMs: 60 };
+  for (let now = 100; now <= 10_000; now += 100) {
+    for (let n = 0; n < 10; n++) {
+      countRun(state, { ...run, isFailed: true, isExcused: false });
+    }
+    const report = {
+      service: "one",
+      target: "v2",
+      source: "b 2",
+      seq: now,
+      elapsed: { ms: 0, isKnown: false },
+      counts: [{
+        side: Side.New,
+        route: "a",
+        calls: now / 10,
+        failures: now / 10,
+        overdue: 0,
+        buckets: new Array<number>(latencyEdgesMs.length + 1).fill(0),
+      }],
+    };
+    decideTakeover(state, { type: "report-heard", report, now });
+    const effects = decideTakeover(state, {
+      type: "ticked",
+      now,
+      rank: 0,
+      exposure,
+      loadOf: () => ({ ready: 2, calls: 0, otherReady: 0, otherCalls: 0 }),
+    });
+    assert.deepEqual(effects, []);
+  }
+  assert.deepEqual(chooseVersions(state, "one", ["v2"]), ["v2"]);
+});
--- /dev/null
+++ b/src/takeover/plan_share_test.ts
@@ -0,0 +1,24 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { exposure } from "../testing/play_moves.ts";
+import { mayComplete } from "./plan_share.ts";
+import { sumRuns } from "./sum_runs.ts";
+
+test("a slow store gets the end of a move sooner", () => {
+  const plan = {
+    share: 1,
+    durationMs: 10_000,
+    judgement: { type: "clear", calls: 500 },
+    runs: sumRuns(new Map()),
+    ratePerMs: 0.3,
+    exposure,
+    stageRuns: 100,
+    otherCalls: 0,
+  } as const;
+  const at = (stageMs: number, storeMs: number) =>
+    mayComplete({ ...plan, stageMs, elapsedMs: 9_000 + stageMs, storeMs });
+  assert.equal(at(250, 5), false);
+  assert.equal(at(500, 5), true);
+  assert.equal(at(150, 500), false);
+  assert.equal(at(250, 500), true);
+});
--- /dev/null
+++ b/src/testing/play_moves.ts
@@ -0,0 +1,177 @@
+/**
+ * Plays moves of one service against the decisions of `src/takeover`.
+ * @module
+ */
+import assert from "node:assert/strict";
+import { chooseVersions } from "../takeover/choose_version.ts";
+import { countRun } from "../takeover/count_run.ts";
+import { decideTakeover } from "../takeover/decide_takeover.ts";
+import {
+  createTakeoverState,
+  MovePhase,
+  type TakeoverEffect,
+  type TakeoverState,
+  type Ticked,
+} from "../takeover/state.ts";
+
+export const order = { service: "one", target: "v2", durationMs: 14_000 };
+export const present = ["v1", "v2"];
+
+/** Most requests that a bad version may get. */
+export const exposure = { share: 0.1, slack: 50 };
+
+/** A look at the moves of a node, with endpoints of both versions. */
+export function tickOf(now: number, rank: number | undefined): Ticked {
+  return {
+    type: "ticked",
+    now,
+    rank,
+    exposure,
+    loadOf: () => ({ ready: 2, calls: 0, otherReady: 2, otherCalls: 0 }),
+  };
+}
+
+/** A node that leads a move ordered at 0. */
+export function leader(ordered = order): TakeoverState {
+  const state = createTakeoverState({ self: "a", source: "a 1" });
+  decideTakeover(state, { type: "leased", epoch: 1 });
+  decideTakeover(state, {
+    type: "ordered",
+    order: ordered,
+    isNew: true,
+    now: 0,
+  });
+  return state;
+}
+
+export interface PlayOptions {
+  readonly untilMs: number;
+  /** Whether a run of the version at that time fails. */
+  readonly isFailed?: (version: string, now: number, n: number) => boolean;
+  readonly isExcused?: boolean;
+  readonly tookMs?: (version: string, now: number, n: number) => number;
+  /** Requests in the next 100 ms. */
+  readonly perTick?: () => number;
+}
+
+/** Plays 200 requests a second; the store confirms at once. */
+export function play(state: TakeoverState, opts: PlayOptions) {
+  const counts = new Map<string, number>();
+  const records: { phase: MovePhase; at: number }[] = [];
+  for (let now = 0; now <= opts.untilMs; now += 100) {
+    const requests = opts.perTick?.() ?? 20;
+    for (let n = 0; n < requests; n++) {
+      const [version] = chooseVersions(state, "one", present);
+      assert.ok(version);
+      counts.set(version, (counts.get(version) ?? 0) + 1);
+      countRun(state, {
+        service: "one",
+        version,
+        route: "a",
+        isFailed: opts.isFailed?.(version, now, n) ?? false,
+        isExcused: opts.isExcused ?? false,
+        tookMs: opts.tookMs?.(version, now, n) ?? 60,
+      });
+    }
+    const effects: readonly TakeoverEffect[] = decideTakeover(
+      state,
+      tickOf(now, 0),
+    );
+    for (const effect of effects) {
+      if (effect.type !== "record") continue;
+      const { phase } = effect.status;
+      if (phase !== records.at(-1)?.phase) records.push({ phase, at: now });
+      decideTakeover(state, {
+        type: "recorded",
+        status: effect.status,
+        tookMs: 10,
+        now,
+      });
+    }
+  }
+  return { counts, records };
+}
+
+/** Plays four nodes, each beside an endpoint, until v2 got its last request. */
+export function playFleet(opts: {
+  readonly untilMs: number;
+  readonly isFailed: (home: number, now: number, n: number) => boolean;
+}) {
+  const homes = [0, 1, 2, 3].map((n) => {
+    const state = createTakeoverState({ self: `${n}`, source: `${n} 1` });
+    decideTakeover(state, { type: "ordered", order, isNew: true, now: 0 });
+    return state;
+  });
+  const [first] = homes;
+  assert.ok(first);
+  decideTakeover(first, { type: "leased", epoch: 1 });
+  let lastAt = 0;
+  const phases: MovePhase[] = [];
+  for (let now = 0; now <= opts.untilMs; now += 100) {
+    for (let n = 0; n < 40; n++) {
+      const at = n % homes.length;
+      const state = homes[at];
+      assert.ok(state);
+      const hasOld = phases.at(-1) !== MovePhase.Completed &&
+        phases.at(-1) !== MovePhase.RolledBack;
+      const [version] = chooseVersions(
+        state,
+        "one",
+        hasOld ? present : ["v2"],
+      );
+      if (version === undefined) continue;
+      if (version === "v2") lastAt = now;
+      countRun(state, {
+        service: "one",
+        version,
+        route: "a",
+        isFailed: version === "v2" && opts.isFailed(at, now, n),
+        isExcused: false,
+        tookMs: 60,
+      });
+    }
+    for (const [at, state] of homes.entries()) {
+      const effects = decideTakeover(state, tickOf(now, at));
+      for (const effect of effects) {
+        switch (effect.type) {
+          case "record": {
+            const { phase } = effect.status;
+            if (phase !== phases.at(-1)) phases.push(phase);
+            const told = decideTakeover(state, {
+              type: "recorded",
+              status: effect.status,
+              tookMs: 10,
+              now,
+            });
+            for (const one of told) tellOthers(homes, state, one, now);
+            break;
+          }
+          default:
+            tellOthers(homes, state, effect, now);
+        }
+      }
+    }
+  }
+  return { phases, lastAt };
+}
+
+/** Carries what a node tells to the others. */
+export function tellOthers(
+  homes: readonly TakeoverState[],
+  from: TakeoverState,
+  effect: TakeoverEffect,
+  now: number,
+) {
+  for (const to of homes) {
+    if (to === from) continue;
+    if (effect.type === "tell") {
+      decideTakeover(to, { type: "step-heard", step: effect.step, now });
+    }
+    if (effect.type === "report") {
+      decideTakeover(to, { type: "report-heard", report: effect.report, now });
+    }
+    if (effect.type === "faulty") {
+      decideTakeover(to, { type: "fault-heard", fault: effect.fault });
+    }
+  }
+}
