--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -91,8 +91,9 @@
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
     countRepeat: (service) => repeats.inc({ service }),
-    countVersionRun({ service, version, isFailed }) {
-      const result = isFailed ? "failed" : "served";
+    countVersionRun(run) {
+      const { service, version } = run;
+      const result = resultOf(run);
       versionRuns.inc({ service, version, result });
     },
     setTableVersion: (version) => table.set(version),
@@ -103,3 +104,9 @@
     text: () => registry.metrics(),
   };
 }
+
+/** A run whose own call failed may have failed through no fault of its own. */
+function resultOf({ isFailed, isExcused }: Run): string {
+  if (!isFailed) return "served";
+  return isExcused ? "excused" : "failed";
+}
