--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -112,7 +112,7 @@
     recorded: isOver ? status.phase : undefined,
     recording: undefined,
     isRenewed: false,
-    wish: undefined,
+    pendingAction: undefined,
     credit: 0,
     local: new Map(),
     localSeq: 0,
--- a/src/takeover/lead_move.ts
+++ b/src/takeover/lead_move.ts
@@ -1,9 +1,9 @@
 /**
  * Decides what the leader of a move does next, and who acts for it.
  *
- * Every node that may lead works out the same wish. The first of them acts at
- * once; the next ones act when the wish has not come true for a while, because
- * the first one is stuck and nobody has noticed yet.
+ * Every node that may lead works out the same action. The first of them takes it
+ * at once; the next ones take it when it has been due for a while, because the
+ * first one is stuck and nobody has noticed yet.
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
@@ -17,13 +17,13 @@
   rampShare,
 } from "./plan_share.ts";
 import {
+  type LeaderAction,
   type Move,
   MovePhase,
   type TakeoverEffect,
   type TakeoverState,
   type Ticked,
   type VersionLoad,
-  type Wish,
 } from "./state.ts";
 import { stepMove } from "./step_move.ts";
 import { sumRuns } from "./sum_runs.ts";
@@ -38,36 +38,39 @@
 export interface LeadMoveOptions {
   readonly state: TakeoverState;
   readonly move: Move;
-  readonly wish: Wish | undefined;
+  readonly action: LeaderAction | undefined;
   readonly event: Ticked;
 }
 
-/** Makes a wish come true, if it is this node's turn. */
+/** Takes an action that is due, if it is this node's turn. */
 export function leadMove(opts: LeadMoveOptions): readonly TakeoverEffect[] {
-  const { state, move, wish, event } = opts;
+  const { state, move, action, event } = opts;
   const { now, rank } = event;
-  if (wish === undefined) {
-    move.wish = undefined;
+  if (action === undefined) {
+    move.pendingAction = undefined;
     return [];
   }
-  if (move.wish === undefined || !isSameWish(move.wish, wish)) {
-    move.wish = { ...wish, since: now };
+  if (
+    move.pendingAction === undefined ||
+    !isSameAction(move.pendingAction, action)
+  ) {
+    move.pendingAction = { ...action, since: now };
   }
   if (rank === undefined || now < state.yieldUntil) return [];
   if (state.epoch === undefined) {
-    const patienceMs = rank * (isUrgent(wish) ? urgentDelayMs : delayMs);
-    const isPatient = now - move.wish.since < patienceMs;
-    return isPatient ? [] : [{ type: "lease" }];
+    const waitMs = rank * (isUrgent(action) ? urgentDelayMs : delayMs);
+    const isEarly = now - move.pendingAction.since < waitMs;
+    return isEarly ? [] : [{ type: "lease" }];
   }
-  const { share, phase } = wish;
+  const { share, phase } = action;
   return [
     ...(share === undefined ? [] : [stepMove(state, move, { share }, now)]),
     ...(phase === undefined ? [] : record(state, move, phase, now)),
   ];
 }
 
-/** Options of `wishOf`. */
-export interface WishOfOptions {
+/** Options of `nextAction`. */
+export interface NextActionOptions {
   readonly state: TakeoverState;
   readonly move: Move;
   readonly load: VersionLoad;
@@ -76,7 +79,7 @@
 }
 
 /** What the leader of a running move should do now. */
-export function wishOf(opts: WishOfOptions): Wish | undefined {
+export function nextAction(opts: NextActionOptions): LeaderAction | undefined {
   const { state, move, load, judgement, event } = opts;
   const { now, exposure } = event;
   const { step, order } = move;
@@ -114,11 +117,11 @@
     : undefined;
 }
 
-function isSameWish(a: Wish, b: Wish): boolean {
+function isSameAction(a: LeaderAction, b: LeaderAction): boolean {
   return a.share === b.share && a.phase === b.phase;
 }
 
-function isUrgent({ share, phase }: Wish): boolean {
+function isUrgent({ share, phase }: LeaderAction): boolean {
   return share === fullShare || share === rampShare || share === 0 ||
     phase === MovePhase.Completed || phase === MovePhase.RolledBack;
 }
--- a/src/takeover/state.ts
+++ b/src/takeover/state.ts
@@ -71,7 +71,7 @@
 }
 
 /** What the leader of a move should do. */
-export interface Wish {
+export interface LeaderAction {
   /** Share to set. */
   readonly share: number | undefined;
   /** Phase to put on record. */
@@ -126,7 +126,7 @@
   /** The leader has written to the store shortly before the last step. */
   isRenewed: boolean;
   /** What the leader should do, and since when. */
-  wish: (Wish & { readonly since: MonotonicMs }) | undefined;
+  pendingAction: (LeaderAction & { readonly since: MonotonicMs }) | undefined;
   /** Carry of the share, so that few requests are shared exactly. */
   credit: number;
   readonly local: Evidence;
--- a/src/takeover/tick_move.ts
+++ b/src/takeover/tick_move.ts
@@ -8,7 +8,7 @@
 import { type Finding, Measure } from "../rollout/messages.ts";
 import { reportOf } from "./describe_moves.ts";
 import { judgeBake } from "./judge_bake.ts";
-import { leadMove, wishOf } from "./lead_move.ts";
+import { leadMove, nextAction } from "./lead_move.ts";
 import { fullShare, rampShare } from "./plan_share.ts";
 import {
   type Bake,
@@ -86,8 +86,8 @@
   ) {
     effects.push(blame(move, judgement.finding));
   }
-  const wish = wishOf({ state, move, load, judgement, event });
-  return [...effects, ...leadMove({ state, move, wish, event })];
+  const action = nextAction({ state, move, load, judgement, event });
+  return [...effects, ...leadMove({ state, move, action, event })];
 }
 
 function isWarm(move: Move, finding: Finding): boolean {
@@ -119,10 +119,10 @@
   if (finding !== undefined && move.fault === undefined) {
     effects.push(blame(move, finding));
   }
-  const wish = move.fault === undefined
+  const action = move.fault === undefined
     ? undefined
     : { share: undefined, phase: MovePhase.RolledBack };
-  return [...effects, ...leadMove({ state, move, wish, event })];
+  return [...effects, ...leadMove({ state, move, action, event })];
 }
 
 /** Where requests are few, a window may take longer than the bake. */
