--- a/src/takeover/decide_takeover.ts
+++ b/src/takeover/decide_takeover.ts
@@ -19,6 +19,7 @@
   type TakeoverEvent,
   type TakeoverState,
 } from "./state.ts";
+import { moveOf } from "./move_of.ts";
 import { isRenewalDue } from "./plan_share.ts";
 import { createBake } from "./judge_bake.ts";
 import { enterStep, mayFollow, stepMove } from "./step_move.ts";
@@ -159,14 +160,14 @@
 ) {
   const { service, target, elapsedMs, now } = event;
   state.orderTimes.set(service, { target, orderedAt: now - elapsedMs });
-  const move = state.moves.get(service);
-  if (move?.order.target !== target || move.isTimeKnown) return;
+  const move = moveOf(state, event);
+  if (move === undefined || move.isTimeKnown) return;
   move.orderedAt = now - elapsedMs;
 }
 
 function takeStep(state: TakeoverState, step: MoveStep, now: MonotonicMs) {
-  const move = state.moves.get(step.service);
-  if (move === undefined || move.order.target !== step.target) return;
+  const move = moveOf(state, step);
+  if (move === undefined) return;
   noteElapsed(move, step.elapsed, now);
   const isNewer = step.epoch > move.step.epoch ||
     (step.epoch === move.step.epoch && step.seq > move.step.seq);
@@ -187,9 +188,8 @@
 
 /** A node that has just started has no evidence, and takes others' word. */
 function takeFault(state: TakeoverState, fault: MoveFault) {
-  const move = state.moves.get(fault.service);
-  if (move === undefined || move.order.target !== fault.target) return;
-  if (move.step.phase === fault.phase) move.fault ??= fault.finding;
+  const move = moveOf(state, fault);
+  if (move?.step.phase === fault.phase) move.fault ??= fault.finding;
 }
 
 function confirm(
@@ -214,12 +214,6 @@
   return moveOf(state, status);
 }
 
-/** The move of a status, unless a later order has taken its place. */
-function moveOf(state: TakeoverState, status: MoveStatus): Move | undefined {
-  const move = state.moves.get(status.service);
-  return move?.order.target === status.target ? move : undefined;
-}
-
 /** Share of the target once a move has ended, or before it begins. */
 function shareAt(phase: MovePhase): number {
   return phase === MovePhase.Completed ? 1 : 0;
--- a/src/takeover/take_report.ts
+++ b/src/takeover/take_report.ts
@@ -5,6 +5,7 @@
 import type { MonotonicMs } from "../core/types.ts";
 import { mergeReport } from "../rollout/merge_report.ts";
 import { ReportLevel } from "../rollout/messages.ts";
+import { moveOf } from "./move_of.ts";
 import { noteElapsed } from "./note_elapsed.ts";
 import type { MoveReport, TakeoverState } from "./state.ts";
 
@@ -13,8 +14,8 @@
   report: MoveReport,
   now: MonotonicMs,
 ) {
-  const move = state.moves.get(report.service);
-  if (move === undefined || move.order.target !== report.target) return;
+  const move = moveOf(state, report);
+  if (move === undefined) return;
   const { target, source, seq, counts } = report;
   noteElapsed(move, report.elapsed, now);
   mergeReport(move.inbox, {
--- a/src/takeover/tick_move.ts
+++ b/src/takeover/tick_move.ts
@@ -105,19 +105,17 @@
 ): readonly TakeoverEffect[] {
   const { now } = event;
   const { bake } = move;
-  const isJudged = bake !== undefined && !isBaked(move, bake, now);
-  if (!isJudged && move.fault === undefined) return [];
+  const isOver = bake === undefined || isBaked(move, bake, now);
+  if (isOver && move.fault === undefined) return [];
   const effects: TakeoverEffect[] = reportLocal(state, move, now);
-  const finding = isJudged
-    ? judgeBake({
+  if (move.fault === undefined && bake !== undefined) {
+    const finding = judgeBake({
       bake,
       sources: move.inbox.sources,
       runs: sumRuns(move.inbox.total),
       now,
-    })
-    : undefined;
-  if (finding !== undefined && move.fault === undefined) {
-    effects.push(blame(move, finding));
+    });
+    if (finding !== undefined) effects.push(blame(move, finding));
   }
   const action = move.fault === undefined
     ? undefined
