--- a/src/adapters/admin_client.ts
+++ b/src/adapters/admin_client.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { request } from "undici";
 import type { LagoonError } from "../core/errors.ts";
+import { parseJson } from "../core/parse_json.ts";
 
 /** Options of `callAdmin`. */
 export interface CallAdminOptions {
@@ -59,15 +60,6 @@
   }
 }
 
-/** Text that is not JSON is no node's answer, and fails the caller's check. */
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 const connectFailures: ReadonlySet<string> = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
--- a/src/store/hold_lease.ts
+++ b/src/store/hold_lease.ts
@@ -4,6 +4,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import * as v from "valibot";
+import { parseJson } from "../core/parse_json.ts";
 import type { NodeId } from "../core/types.ts";
 import type { KeyedRecord, KeyedStore, StoreError } from "./state.ts";
 
@@ -56,10 +57,6 @@
 /** A lease that can't be read counts as none; the fence still holds. */
 function epochOf(value: Buffer | undefined): number {
   if (value === undefined) return 0;
-  try {
-    const parsed = v.safeParse(leaseSchema, JSON.parse(value.toString()));
-    return parsed.success ? parsed.output.epoch : 0;
-  } catch {
-    return 0;
-  }
+  const parsed = v.safeParse(leaseSchema, parseJson(value.toString()));
+  return parsed.success ? parsed.output.epoch : 0;
 }
--- a/src/takeover/order_time.ts
+++ b/src/takeover/order_time.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import * as v from "valibot";
+import { parseJson } from "../core/parse_json.ts";
 import type { WallMs } from "../core/types.ts";
 import type { KeyedRecord } from "../store/state.ts";
 
@@ -33,14 +34,8 @@
 export function decodeOrderTime(record: KeyedRecord): OrderTime | undefined {
   const { key, value } = record;
   if (!key.startsWith(keyPrefix) || value === undefined) return undefined;
-  let parsed: unknown;
-  try {
-    parsed = JSON.parse(value.toString());
-  } catch {
-    // Only nodes write here; a record of another writer is none of ours.
-    return undefined;
-  }
-  const read = v.safeParse(orderTimeSchema, parsed);
+  // Only nodes write here; a record of another writer is none of ours.
+  const read = v.safeParse(orderTimeSchema, parseJson(value.toString()));
   if (!read.success) return undefined;
   return { service: key.slice(keyPrefix.length), ...read.output };
 }
