feat(logs): tell where the time of late calls went

A call that was answered past its aim left no line, so a shortage could not be told from slow runs, queues at homes, links or a node that can't keep up. The caller's node now writes 'call late' with the times of its offers and its lag, the home 'run late' with wait and run. Both join by the call's id.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -101,6 +101,8 @@
   let wasFull = false;
   let isHedged = false;
   let leastWaitMs = Infinity;
+  let firstOfferAt = startedAt;
+  let lastOfferAt = startedAt;
   let isDone = false;
   let streaming: OpenAttempt | undefined;
   const deadline = setTimeout(expire, Math.max(0, deadlineAt - startedAt));
@@ -149,6 +151,8 @@
     const home = ctx.homes.homeOf(node);
     if (home === undefined) return offer(mayBeLate);
     offers++;
+    lastOfferAt = ctx.now();
+    if (offers === 1) firstOfferAt = lastOfferAt;
     noteOffer(ctx.placement, node);
     const call = describeCall({
       ctx,
@@ -364,6 +368,15 @@
     else streaming?.attempt.cancel();
     const tookMs = ctx.now() - startedAt;
     ctx.metrics.countCall(route.name, result, tookMs);
+    if (result === CallResult.Served && tookMs > route.aimMs - opts.ageMs) {
+      log(LogLevel.Info, "call late", {
+        aimMs: route.aimMs,
+        ageMs: Math.round(opts.ageMs),
+        firstOfferMs: Math.round(firstOfferAt - startedAt),
+        lastOfferMs: Math.round(lastOfferAt - startedAt),
+        lagMs: Math.round(ctx.lagMs()),
+      });
+    }
     if (result === CallResult.EndpointFailed) {
       log(LogLevel.Warn, "endpoint failed the call", { status });
     }
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -28,6 +28,7 @@
   createEndpointConnector,
   type EndpointConnector,
 } from "./connect_endpoint.ts";
+import { type LateRun, lateRunOf } from "./late_run_of.ts";
 import { runCall, type RunEvent, type RunningAttempt } from "./run_call.ts";
 
 /** Connections besides the slots, for those that are just being closed. */
@@ -55,6 +56,8 @@
   readonly now: () => MonotonicMs;
   /** Told of each run that was answered or failed. */
   readonly onRun: (run: Run) => void;
+  /** Told of each answer that came past the aim of its call. */
+  readonly onLate: (run: LateRun) => void;
   /** Told when the endpoint can't be used as announced. */
   readonly onTrouble: (reason: string) => void;
 }
@@ -73,6 +76,7 @@
 
 interface OpenCall {
   readonly call: OfferedCall;
+  readonly offeredAt: MonotonicMs;
   readonly deadlineAt: MonotonicMs;
   readonly onEvent: (event: AttemptEvent) => void;
   run?: RunningAttempt;
@@ -163,12 +167,14 @@
         entry.onEvent(event);
         if (event.body === undefined) return;
         noteRun(entry, isFailed);
+        noteLate(entry);
         end(key, entry, !isFailed);
         return;
       }
       case "ended":
         entry.onEvent(event);
         noteRun(entry, false);
+        noteLate(entry);
         return end(key, entry, true);
       case "not-run":
         end(key, entry, false);
@@ -235,6 +241,12 @@
     });
   }
 
+  function noteLate({ call, offeredAt, startedAt }: OpenCall) {
+    if (startedAt === undefined) return;
+    const late = lateRunOf({ call, offeredAt, startedAt, now: now() });
+    if (late !== undefined) opts.onLate(late);
+  }
+
   /** Takes no calls for a while, or until the endpoint's next ping. */
   function shut(reason: string) {
     opts.onTrouble(reason);
@@ -271,7 +283,7 @@
       const key = ++lastKey;
       const at = now();
       const deadlineAt = at + call.leftMs;
-      const entry: OpenCall = { call, deadlineAt, onEvent };
+      const entry: OpenCall = { call, offeredAt: at, deadlineAt, onEvent };
       open.set(key, entry);
       const { route, urgency, isInner, mayBeLate } = call;
       const aimAt = at + call.aimLeftMs;
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -41,6 +41,7 @@
     dialect: testDialect,
     now: () => performance.now(),
     onRun,
+    onLate: () => {},
     onTrouble: () => {},
   });
   home.setInstance(announced, "");
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -125,6 +125,8 @@
       countRun(takeover, run);
       metrics.countVersionRun(run);
     },
+    onLate: ({ callId, ...times }) =>
+      log.write("call", LogLevel.Info, "run late", { id: callId, ...times }),
     onTrouble: (reason) =>
       log.write("endpoint", LogLevel.Warn, "endpoint shut", { reason }),
   });
