feat(homes): tell of calls that reach the endpoint of another service

A home sends each call to the endpoint beside it and never looks at the service and version that the call was routed to.

The home now writes a line and counts a metric when a call starts at an endpoint of another service or version, with the call's id, what it expected and what is there. What happens to the call is unchanged.

--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -28,6 +28,7 @@
   createEndpointConnector,
   type EndpointConnector,
 } from "./connect_endpoint.ts";
+import { isMeantFor } from "./is_meant_for.ts";
 import { runCall, type RunEvent, type RunningAttempt } from "./run_call.ts";
 
 /** Connections besides the slots, for those that are just being closed. */
@@ -57,6 +58,8 @@
   readonly onRun: (run: Run) => void;
   /** Told when the endpoint can't be used as announced. */
   readonly onTrouble: (reason: string) => void;
+  /** Told of a call that was routed to another endpoint than the present one. */
+  readonly onMisdirected: (call: OfferedCall, present: Instance) => void;
 }
 
 export interface LocalHome extends Home {
@@ -132,6 +135,9 @@
     if (instance === undefined || pool === undefined) {
       throw new TypeError("a call started behind a closed gate");
     }
+    if (!isMeantFor(entry.call, instance)) {
+      opts.onMisdirected(entry.call, instance);
+    }
     entry.runningOn = instance;
     const leftMs = entry.deadlineAt - now();
     entry.startedAt = now();
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -42,6 +42,7 @@
     now: () => performance.now(),
     onRun,
     onTrouble: () => {},
+    onMisdirected: () => {},
   });
   home.setInstance(announced, "");
   t.after(async () => {
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -37,6 +37,8 @@
   countCall(route: string, result: CallResult, tookMs: number): void;
   countRefusal(reason: string): void;
   countRepeat(service: string): void;
+  /** Counts a call that reached the home of another service or version. */
+  countMisdirected(expected: string, present: string): void;
   /** Counts a run at the endpoint beside this node. */
   countVersionRun(run: Run): void;
   setTableVersion(version: number): void;
@@ -69,6 +71,12 @@
     labelNames: ["service"],
     registers,
   });
+  const misdirected = new Counter({
+    name: "lagoon_misdirected_calls_total",
+    help: "Calls that reached an endpoint of another service or version.",
+    labelNames: ["expected", "present"],
+    registers,
+  });
   const versionRuns = new Counter({
     name: "lagoon_version_runs_total",
     help: "Runs at this node's endpoint, by its version and their result.",
@@ -91,6 +99,8 @@
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
     countRepeat: (service) => repeats.inc({ service }),
+    countMisdirected: (expected, present) =>
+      misdirected.inc({ expected, present }),
     countVersionRun(run) {
       const { service, version } = run;
       const result = resultOf(run);
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -127,6 +127,19 @@
     },
     onTrouble: (reason) =>
       log.write("endpoint", LogLevel.Warn, "endpoint shut", { reason }),
+    onMisdirected(call, present) {
+      metrics.countMisdirected(call.service, present.service);
+      log.write("endpoint", LogLevel.Warn, "call for another endpoint", {
+        id: call.id,
+        route: call.route,
+        expected: { service: call.service, version: call.version },
+        present: {
+          id: present.id,
+          service: present.service,
+          version: present.version,
+        },
+      });
+    },
   });
 
   const operator = createOperatorReader({
