fix(homes): run a call only at the service and version it was routed to

What callers saw: requests ran at a service that their route never had, in the first moments after an address had gone to another service's endpoint.

Cause: an offer names the service and version that its sender chose by its row of the home's node, but the home sent the call to whatever endpoint was beside it by then, under that endpoint's own id. So the endpoint's check of the id could never find the mistake. The same held for calls that waited in the home's queue while its endpoint was replaced.

Why it works: the home is the only one that knows the present endpoint, so it compares when the offer comes, and gives back all that waits when the endpoint's software changes. No call can start whose service or version differs from the instance that the endpoint is then asked to be. The refusal is the home's own, before any byte was sent: not run, free of the retry budget, and offered elsewhere; the sender leaves the home alone for a moment.

The service and version are compared, not the instance: a restarted endpoint of the same software may run what was meant for its predecessor, and refusing it would cost callers a try.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -225,6 +225,7 @@
     leastWaitMs = Math.min(leastWaitMs, refusal.waitMs);
     if (refusal.reason === RefusalReason.Late) search.noteLate(open.home);
     const isAway = refusal.reason === RefusalReason.Closed ||
+      refusal.reason === RefusalReason.Misdirected ||
       refusal.by === RefusedBy.Link;
     if (isAway) shunHome(ctx.placement, open.home, ctx.now() + shunMs);
     if (attempts.size > 0) return;
--- a/src/calls/calls_test.ts
+++ b/src/calls/calls_test.ts
@@ -56,6 +56,17 @@
   assert.deepEqual(step, { type: "offer", mayBeLate: false });
 });
 
+test("a misdirected call goes elsewhere and costs no budget", () => {
+  const spend = () => assert.fail("spent");
+  const change = { arrivals: 0, spend, isIdempotent: false };
+  const end = refusedBy(RefusedBy.Home, "misdirected");
+  assert.equal(next(end, change).type, "offer");
+  assert.deepEqual(next(end, { ...change, offers: 99 }), {
+    type: "give-up",
+    status: 503,
+  });
+});
+
 test("a late answer is asked for after two strict refusals", () => {
   const end = refusedBy(RefusedBy.Home);
   const step = next(end, { arrivals: 0, offers: 2 });
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -28,7 +28,7 @@
   createEndpointConnector,
   type EndpointConnector,
 } from "./connect_endpoint.ts";
-import { isMeantFor } from "./is_meant_for.ts";
+import { isSameSoftware } from "./is_same_software.ts";
 import { runCall, type RunEvent, type RunningAttempt } from "./run_call.ts";
 
 /** Connections besides the slots, for those that are just being closed. */
@@ -135,9 +135,6 @@
     if (instance === undefined || pool === undefined) {
       throw new TypeError("a call started behind a closed gate");
     }
-    if (!isMeantFor(entry.call, instance)) {
-      opts.onMisdirected(entry.call, instance);
-    }
     entry.runningOn = instance;
     const leftMs = entry.deadlineAt - now();
     entry.startedAt = now();
@@ -264,6 +261,20 @@
     }));
   }
 
+  /** The sender's row of this node is older than the endpoint. */
+  function refuseMisdirected(key: number, entry: OpenCall, present: Instance) {
+    opts.onMisdirected(entry.call, present);
+    open.delete(key);
+    entry.onEvent({
+      type: "refused",
+      refusal: {
+        by: RefusedBy.Home,
+        reason: RefusalReason.Misdirected,
+        waitMs: 0,
+      },
+    });
+  }
+
   function withdraw(key: number, entry: OpenCall) {
     if (open.get(key) !== entry) return;
     entry.run?.cancel();
@@ -287,6 +298,9 @@
       // node can't keep up withdraws its call before the endpoint gets it.
       setImmediate(() => {
         if (open.get(key) !== entry) return;
+        if (instance !== undefined && !isSameSoftware(call, instance)) {
+          return refuseMisdirected(key, entry, instance);
+        }
         apply(decideQueue(queue, {
           type: "offered",
           call: queued,
@@ -303,6 +317,10 @@
     setInstance(next, reason) {
       clearTimeout(reopener);
       const isSame = next?.id === instance?.id && next !== undefined;
+      const isReplaced = instance !== undefined && next !== undefined &&
+        !isSameSoftware(instance, next);
+      // What waits was routed to the software that is gone.
+      if (isReplaced) gate({ type: "closed", reason: "its software changed" });
       instance = next;
       if (next === undefined) return gate({ type: "closed", reason });
       if (!isSame || pool === undefined) {
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -1,8 +1,13 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import assert from "node:assert/strict";
-import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
+import {
+  type AttemptEvent,
+  type OfferedCall,
+  RefusedBy,
+} from "../calls/state.ts";
 import { type Instance, InstancePhase } from "../instance/state.ts";
+import { RefusalReason } from "../queue/state.ts";
 import { offeredCall } from "../testing/offered_call.ts";
 import { testDialect } from "../testing/test_dialect.ts";
 import type { Run } from "../takeover/count_run.ts";
@@ -229,3 +234,40 @@
     assert.ok(bytes <= 16 * 1024 * 1024, `${bytes} bytes`);
   });
 }
+
+test("a call for another service is not run", async (t) => {
+  let requests = 0;
+  const { home } = await homeOf(t, (socket) => {
+    requests++;
+    socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
+  });
+  for (const change of [{ service: "two" }, { version: "v2" }]) {
+    const event = await offer(home, change);
+    assert.equal(event.type, "refused");
+    if (event.type === "refused") {
+      assert.deepEqual(event.refusal.by, RefusedBy.Home);
+      assert.equal(event.refusal.reason, RefusalReason.Misdirected);
+    }
+  }
+  assert.equal(requests, 0);
+  assert.equal((await offer(home)).type, "answered");
+});
+
+test("a call that waits is not run by the endpoint of another service", async (t) => {
+  const asked: string[] = [];
+  const { home } = await homeOf(t, (socket) => {
+    asked.push("run");
+    setTimeout(() => socket.destroy(), 100);
+  });
+  home.setInstance({ ...announced, slots: 1 }, "");
+  const running = offer(home);
+  const waiting = offer(home, { id: "r-2" });
+  while (asked.length === 0) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  home.setInstance({ ...announced, id: "i-2", service: "two", bornAt: 1 }, "");
+  const event = await waiting;
+  assert.equal(event.type, "refused");
+  assert.equal((await running).type, "failed");
+  assert.equal(asked.length, 1);
+});
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -87,6 +87,8 @@
   Crowded: "crowded",
   /** It can't be answered before its deadline. */
   NoTime: "no-time",
+  /** It was routed to another service or version than the endpoint runs. */
+  Misdirected: "misdirected",
 } as const;
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason];
 
