fix(fleet): use a node's row only once the process at its link has told it

The home now refuses what was routed to another service; this change ends the reason for such offers.

Cause: a node kept the row of a peer without a link, and used it again in the moment in which a link to the address opened, whoever answered there. Rows were ordered by a revision that began as the time of day, so the row of a process whose clock was behind that of its predecessor at the address was not believed at all until it chanced to hear of the old row and outbid it. A process that asked a peer without that row never did. The class: a statement of one process taken as one of whichever process has its address, and order between processes taken from clocks that are not the same.

'an address that is linked again has no home before its row', 'the next process at an address is asked before it gets calls' and a property over any order of hearsay, greetings, links and losses are new.

Why it works: each process has a name of its own, its life. A node's row counts only after the process at the other end of an open link has told it, and only rows of that life change it from then on; what others say of an address tells that it exists, and no more. Rows from a link are taken in the order of the link's own events. A greeting of another life, or a refusal as misdirected, keeps the node from calls until it has told its row again. Wall clocks have no part in it, so nothing needs to be outbid: the test 'a row of an earlier life is outbid' is replaced by 'a row of an earlier life never hides the present one', which asks for the same at the node and at its peers.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -224,8 +224,8 @@
     ctx.metrics.countRefusal(refusal.reason);
     leastWaitMs = Math.min(leastWaitMs, refusal.waitMs);
     if (refusal.reason === RefusalReason.Late) search.noteLate(open.home);
+    if (refusal.reason === RefusalReason.Misdirected) ctx.doubtHome(open.home);
     const isAway = refusal.reason === RefusalReason.Closed ||
-      refusal.reason === RefusalReason.Misdirected ||
       refusal.by === RefusedBy.Link;
     if (isAway) shunHome(ctx.placement, open.home, ctx.now() + shunMs);
     if (attempts.size > 0) return;
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -31,6 +31,8 @@
   /** Mean size of the answers of each route, in bytes. */
   readonly answerBytes: Map<string, number>;
   readonly homes: Homes;
+  /** A home runs something else than its row says. */
+  readonly doubtHome: (home: NodeId) => void;
   /** Whether the endpoint on this VM runs the call with this id. */
   readonly runsHere: (callId: string) => boolean;
   /** A call that the run with this id has made failed. */
--- a/src/fleet/decide_fleet.ts
+++ b/src/fleet/decide_fleet.ts
@@ -32,11 +32,12 @@
       return takeRows(state, event.rows, event.now);
     case "nodes-found":
       return event.nodes.flatMap((node) => meet(state, node, event.now));
-    case "linked":
-      state.linked.add(event.node);
-      state.seenAt.set(event.node, event.now);
-      indexCandidates(state);
-      return [];
+    case "confirmed":
+      return confirm(state, event.row, event.now);
+    case "greeted":
+      return takeGreeting(state, event.row, event.now);
+    case "doubted":
+      return doubt(state, event.node, event.now);
     case "unlinked":
       state.linked.delete(event.node);
       state.seenAt.set(event.node, event.now);
@@ -69,13 +70,10 @@
   const effects: FleetEffect[] = [];
   let isChanged = false;
   for (const row of rows) {
-    if (row.node === state.self) {
-      effects.push(...outbid(state, row, now));
-      continue;
-    }
-    const known = state.rows.get(row.node);
+    // Only this process knows its own row.
+    if (row.node === state.self) continue;
     effects.push(...meet(state, row.node, now));
-    if (known !== undefined && row.revision <= known.row.revision) continue;
+    if (!isNews(state, row)) continue;
     state.rows.set(row.node, { row, takenAt: now });
     isChanged = true;
   }
@@ -83,22 +81,56 @@
   return effects;
 }
 
-/** A row of this node's earlier life must not hide its present one. */
-function outbid(
+/**
+ * Whether a row replaces the one that is known. Clocks can't order the
+ * processes at one address, so only the open link tells which one is there.
+ */
+function isNews(state: FleetState, row: NodeRow): boolean {
+  const known = state.rows.get(row.node)?.row;
+  if (known === undefined) return true;
+  if (known.life === row.life) return row.revision > known.revision;
+  return !state.linked.has(row.node);
+}
+
+function confirm(
   state: FleetState,
   row: NodeRow,
   now: MonotonicMs,
 ): readonly FleetEffect[] {
-  const own = ownRow(state);
-  if (row.revision < own.revision) return [];
-  if (row.revision === own.revision && isSameEndpoint(row, own)) return [];
-  const fresh = { ...own, revision: row.revision + 1 };
-  state.rows.set(state.self, { row: fresh, takenAt: now });
-  return [{ type: "tell", row: fresh }];
+  const { node } = row;
+  if (node === state.self) return [];
+  const known = state.rows.get(node)?.row;
+  if (known?.life !== row.life || row.revision > known.revision) {
+    state.rows.set(node, { row, takenAt: now });
+  }
+  const effects = meet(state, node, now);
+  state.linked.add(node);
+  state.seenAt.set(node, now);
+  indexCandidates(state);
+  return effects;
 }
 
-function isSameEndpoint(a: NodeRow, b: NodeRow): boolean {
-  return a.endpoint?.id === b.endpoint?.id;
+/** Another process at the address than the one that was linked is its heir. */
+function takeGreeting(
+  state: FleetState,
+  row: NodeRow,
+  now: MonotonicMs,
+): readonly FleetEffect[] {
+  const known = state.rows.get(row.node)?.row;
+  const effects = known?.life === row.life ? [] : doubt(state, row.node, now);
+  return [...effects, ...takeRows(state, [row], now)];
+}
+
+/** Keeps a node from calls until it has told its row once more. */
+function doubt(
+  state: FleetState,
+  node: NodeId,
+  now: MonotonicMs,
+): readonly FleetEffect[] {
+  if (!state.linked.delete(node)) return [];
+  state.seenAt.set(node, now);
+  indexCandidates(state);
+  return [{ type: "greet", node }];
 }
 
 function meet(
--- a/src/fleet/fleet_test.ts
+++ b/src/fleet/fleet_test.ts
@@ -13,51 +13,114 @@
   coldMs: 0,
 };
 
-function rowOf(node: string, revision: number, id?: string): NodeRow {
-  const fields = id === undefined ? undefined : { ...endpoint, id };
-  return { node, domain: "d1", revision, endpoint: fields };
+function rowOf(
+  node: string,
+  revision: number,
+  id?: string,
+  change: { readonly life?: string; readonly service?: string } = {},
+): NodeRow {
+  const { life = "first", service = "one" } = change;
+  const fields = id === undefined ? undefined : { ...endpoint, id, service };
+  return { node, domain: "d1", life, revision, endpoint: fields };
 }
 
 function fleetOf() {
-  return createFleetState({ self: "a", domain: "d1", revision: 1 });
+  return createFleetState({ self: "a", domain: "d1", life: "own" });
 }
 
-function homesOf(state: ReturnType<typeof fleetOf>) {
-  return (state.byService.get("one")?.get("v1") ?? []).map((one) => one.home);
+type Fleet = ReturnType<typeof fleetOf>;
+
+function homesOf(state: Fleet, service = "one") {
+  return (state.byService.get(service)?.get("v1") ?? []).map((one) => one.home);
+}
+
+function hear(state: Fleet, row: NodeRow) {
+  return decideFleet(state, { type: "rows-heard", rows: [row], now: 0 });
+}
+
+function confirm(state: Fleet, row: NodeRow) {
+  return decideFleet(state, { type: "confirmed", row, now: 1 });
+}
+
+function lose(state: Fleet, node: string) {
+  return decideFleet(state, { type: "unlinked", node, now: 2 });
 }
 
 test("a node that is heard of is dialled once", () => {
   const state = fleetOf();
-  const rows = [rowOf("b", 1)];
-  const hear = () => decideFleet(state, { type: "rows-heard", rows, now: 0 });
-  assert.deepEqual(hear(), [{ type: "dial", node: "b" }]);
-  assert.deepEqual(hear(), []);
+  assert.deepEqual(hear(state, rowOf("b", 1)), [{ type: "dial", node: "b" }]);
+  assert.deepEqual(hear(state, rowOf("b", 1)), []);
 });
 
 test("only linked homes are candidates", () => {
   const state = fleetOf();
-  const rows = [rowOf("b", 1, "i-2")];
-  decideFleet(state, { type: "rows-heard", rows, now: 0 });
+  hear(state, rowOf("b", 1, "i-2"));
+  assert.deepEqual(homesOf(state), []);
+  confirm(state, rowOf("b", 1, "i-2"));
+  assert.deepEqual(homesOf(state), ["b"]);
+  lose(state, "b");
+  assert.deepEqual(homesOf(state), []);
+});
+
+test("an address that is linked again has no home before its row", () => {
+  const state = fleetOf();
+  confirm(state, rowOf("b", 7, "i-2"));
+  lose(state, "b");
+  // Others still tell of the process that was there.
+  hear(state, rowOf("b", 9, "i-2"));
+  assert.deepEqual(homesOf(state), []);
+  confirm(state, rowOf("b", 0, undefined, { life: "second" }));
+  assert.deepEqual(homesOf(state), []);
+  hear(state, rowOf("b", 9, "i-2"));
+  assert.deepEqual(homesOf(state), []);
+  const next = { life: "second", service: "two" };
+  hear(state, rowOf("b", 1, "i-3", next));
+  assert.deepEqual(homesOf(state), []);
+  assert.deepEqual(homesOf(state, "two"), ["b"]);
+});
+
+test("the next process at an address is asked before it gets calls", () => {
+  const state = fleetOf();
+  confirm(state, rowOf("b", 7, "i-2"));
+  const row = rowOf("b", 0, undefined, { life: "second" });
+  const effects = decideFleet(state, { type: "greeted", row, now: 2 });
+  assert.deepEqual(effects, [{ type: "greet", node: "b" }]);
   assert.deepEqual(homesOf(state), []);
-  decideFleet(state, { type: "linked", node: "b", now: 1 });
+  // The greeting was old, and the link is that of the later process.
+  confirm(state, rowOf("b", 7, "i-2"));
   assert.deepEqual(homesOf(state), ["b"]);
-  decideFleet(state, { type: "unlinked", node: "b", now: 2 });
+});
+
+test("a home that refused a call as misdirected is asked for its row", () => {
+  const state = fleetOf();
+  confirm(state, rowOf("b", 7, "i-2"));
+  const doubt = () =>
+    decideFleet(state, { type: "doubted", node: "b", now: 2 });
+  assert.deepEqual(doubt(), [{ type: "greet", node: "b" }]);
+  assert.deepEqual(doubt(), []);
   assert.deepEqual(homesOf(state), []);
+  confirm(state, rowOf("b", 8, "i-3", { service: "two" }));
+  assert.deepEqual(homesOf(state, "two"), ["b"]);
 });
 
-test("a row of an earlier life is outbid", () => {
+test("a row of an earlier life never hides the present one", () => {
   const state = fleetOf();
-  const rows = [rowOf("a", 50, "i-old")];
-  const effects = decideFleet(state, { type: "rows-heard", rows, now: 0 });
-  assert.equal(ownRow(state).revision, 51);
+  assert.deepEqual(hear(state, rowOf("a", 50, "i-old")), []);
   assert.equal(ownRow(state).endpoint, undefined);
-  assert.equal(effects[0]?.type, "tell");
+  assert.equal(ownRow(state).life, "own");
+  const peer = createFleetState({ self: "b", domain: "d1", life: "peer" });
+  hear(peer, rowOf("a", 50, "i-old"));
+  confirm(peer, ownRow(state));
+  assert.deepEqual(homesOf(peer), []);
+  const told = decideFleet(state, { type: "row-changed", endpoint, now: 3 });
+  assert.equal(told[0]?.type, "tell");
+  hear(peer, ownRow(state));
+  assert.deepEqual(homesOf(peer), ["a"]);
 });
 
 test("a node without a link for long is forgotten", () => {
   const state = fleetOf();
-  const rows = [rowOf("b", 1, "i-2")];
-  decideFleet(state, { type: "rows-heard", rows, now: 0 });
+  hear(state, rowOf("b", 1, "i-2"));
   const at = (now: number) => decideFleet(state, { type: "ticked", now });
   assert.deepEqual(at(60_000), []);
   assert.deepEqual(at(130_000), [{ type: "forget", node: "b" }]);
@@ -69,8 +132,7 @@
     fc.property(revisions, (all) => {
       const state = fleetOf();
       for (const revision of all) {
-        const rows = [rowOf("b", revision, `i-${revision}`)];
-        decideFleet(state, { type: "rows-heard", rows, now: 0 });
+        hear(state, rowOf("b", revision, `i-${revision}`));
       }
       const highest = Math.max(...all);
       assert.equal(state.rows.get("b")?.row.endpoint?.id, `i-${highest}`);
@@ -78,3 +140,35 @@
     { runs: 100 },
   );
 });
+
+test("whatever is heard, a linked node is what its link said last", () => {
+  const heard = fc.record({
+    kind: fc.constantFrom("hear", "greet", "confirm", "lose", "doubt"),
+    life: fc.constantFrom("first", "second", "third"),
+    revision: fc.integer({ min: 0, max: 5 }),
+  });
+  checkProperty(
+    fc.property(fc.array(heard, { maxLength: 30 }), (all) => {
+      const state = fleetOf();
+      let confirmed: string | undefined;
+      for (const { kind, life, revision } of all) {
+        const row = rowOf("b", revision, "i-2", { life, service: life });
+        if (kind === "hear") hear(state, row);
+        if (kind === "greet") {
+          decideFleet(state, { type: "greeted", row, now: 0 });
+        }
+        if (kind === "doubt") {
+          decideFleet(state, { type: "doubted", node: "b", now: 0 });
+        }
+        if (kind === "confirm") confirm(state, row);
+        if (kind === "lose") lose(state, "b");
+        if (kind === "confirm") confirmed = life;
+        if (kind === "lose") confirmed = undefined;
+        for (const service of state.byService.keys()) {
+          assert.equal(service, confirmed);
+        }
+      }
+    }),
+    { runs: 200 },
+  );
+});
--- a/src/fleet/index_candidates.ts
+++ b/src/fleet/index_candidates.ts
@@ -5,7 +5,10 @@
 import type { Candidate } from "../placement/state.ts";
 import type { FleetState } from "./state.ts";
 
-/** Rebuilds the index from the rows of this node and of linked nodes. */
+/**
+ * Rebuilds the index from the rows of this node and of linked nodes. The row of
+ * a node without a link may be that of an earlier process at its address.
+ */
 export function indexCandidates(state: FleetState) {
   const byService = new Map<string, Map<string, Candidate[]>>();
   for (const [node, { row, takenAt }] of state.rows) {
--- a/src/fleet/state.ts
+++ b/src/fleet/state.ts
@@ -19,7 +19,9 @@
 export interface NodeRow {
   readonly node: NodeId;
   readonly domain: string;
-  /** Grows with each change, also over restarts. */
+  /** Names the process. New at each start. */
+  readonly life: string;
+  /** Grows with each change within a life. */
   readonly revision: number;
   /** Absent while the endpoint takes no new calls. */
   readonly endpoint?: RowEndpoint | undefined;
@@ -34,7 +36,10 @@
 export interface FleetState {
   readonly self: NodeId;
   readonly rows: Map<NodeId, KnownRow>;
-  /** Nodes with a link that answers. */
+  /**
+   * Nodes whose process at the other end of an open link has told its own row.
+   * That row is the one kept.
+   */
   readonly linked: Set<NodeId>;
   /** When a node was last linked, or first heard of. */
   readonly seenAt: Map<NodeId, MonotonicMs>;
@@ -59,8 +64,21 @@
     readonly nodes: readonly NodeId[];
     readonly now: MonotonicMs;
   }
+  /** The process at the other end of a link from here told its own row. */
   | {
-    readonly type: "linked";
+    readonly type: "confirmed";
+    readonly row: NodeRow;
+    readonly now: MonotonicMs;
+  }
+  /** A process opened a link to this node. */
+  | {
+    readonly type: "greeted";
+    readonly row: NodeRow;
+    readonly now: MonotonicMs;
+  }
+  /** A home refused a call that fits its row. */
+  | {
+    readonly type: "doubted";
     readonly node: NodeId;
     readonly now: MonotonicMs;
   }
@@ -75,6 +93,8 @@
   /** Keep a link to a node that was not known. */
   | { readonly type: "dial"; readonly node: NodeId }
   | { readonly type: "forget"; readonly node: NodeId }
+  /** Ask the process at the other end of the link for its row. */
+  | { readonly type: "greet"; readonly node: NodeId }
   /** Tell all linked nodes. */
   | { readonly type: "tell"; readonly row: NodeRow };
 
@@ -82,15 +102,16 @@
 export interface CreateFleetStateOptions {
   readonly self: NodeId;
   readonly domain: string;
-  /** Revision of the first row. The wall clock serves well enough. */
-  readonly revision: number;
+  /** Differs from that of every other process at this address. */
+  readonly life: string;
 }
 
 export function createFleetState(opts: CreateFleetStateOptions): FleetState {
   const row = {
     node: opts.self,
     domain: opts.domain,
-    revision: opts.revision,
+    life: opts.life,
+    revision: 0,
   };
   return {
     self: opts.self,
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -118,6 +118,9 @@
       case "tell":
         tellAll({ type: "rows", rows: [effect.row] });
         return;
+      case "greet":
+        send(effect.node, hello());
+        return;
       default:
         exhausted(effect);
     }
@@ -130,14 +133,13 @@
       now,
       random: opts.random,
       isFar: () => fleet.rows.has(node) && !isNear(node),
-      hello: () => ({ type: "hello", row: ownRow(fleet) }),
+      hello,
       ping,
       onReport: (report, route) =>
         noteReport(opts.placement, { home: node, report, route, now: now() }),
-      onGossip: (message) => take(node, message, (reply) => send(node, reply)),
+      onGossip: (message) => takeFromHome(node, message),
       onOpen() {
         opts.log.write("fleet", LogLevel.Info, "link opened", { peer: node });
-        change({ type: "linked", node, now: now() });
         askRows(node);
       },
       onClose(reason) {
@@ -160,6 +162,10 @@
     return fleet.rows.get(node)?.row.domain === opts.domain;
   }
 
+  function hello(): Gossip {
+    return { type: "hello", row: ownRow(fleet) };
+  }
+
   function ping(): Gossip {
     return {
       type: "ping",
@@ -177,6 +183,20 @@
     for (const link of links.values()) link.send(message);
   }
 
+  /**
+   * Rows that come over a link are taken at once: one that waited while the link
+   * was lost and opened again would speak for a process that is gone.
+   */
+  function takeFromHome(node: NodeId, message: Gossip) {
+    if (message.type !== "rows") {
+      return take(node, message, (reply) => send(node, reply));
+    }
+    const { rows } = message;
+    change({ type: "rows-heard", rows, now: now() });
+    const own = rows.find((row) => row.node === node);
+    if (own !== undefined) change({ type: "confirmed", row: own, now: now() });
+  }
+
   /** Messages wait their turn, those that take a version back before others. */
   function take(
     from: NodeId | undefined,
@@ -196,7 +216,7 @@
   ) {
     switch (message.type) {
       case "hello":
-        change({ type: "rows-heard", rows: [message.row], now: now() });
+        change({ type: "greeted", row: message.row, now: now() });
         // A node that has just started is reached without a pause.
         links.get(message.row.node)?.hurry();
         reply({ type: "rows", rows: [ownRow(fleet)] });
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -2,7 +2,7 @@
  * Runs the process beside an endpoint.
  * @module
  */
-import { randomInt } from "node:crypto";
+import { randomBytes, randomInt } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -41,6 +41,9 @@
 /** Messages of peers that wait. More gossip is dropped; it comes again. */
 const maxControlEvents = 1_000;
 
+/** Length of the name of a process, in bytes. */
+const lifeBytes = 8;
+
 /** Time between looks at moves, in milliseconds. */
 const moveTickMs = 100;
 
@@ -103,7 +106,7 @@
   const fleet = createFleetState({
     self: settings.node,
     domain: settings.domain,
-    revision: Date.now(),
+    life: randomBytes(lifeBytes).toString("hex"),
   });
   const source = `${settings.node} ${Date.now()}`;
   const takeover = createTakeoverState({ self: settings.node, source });
@@ -206,6 +209,7 @@
     patience: createCallerPatience(),
     answerBytes: new Map(),
     homes: gossip,
+    doubtHome: (node) => gossip.change({ type: "doubted", node, now: now() }),
     ownReport: home.report,
     runsHere: home.runs,
     excuseRun: home.excuse,
