--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -29,6 +29,7 @@
   type EndpointConnector,
 } from "./connect_endpoint.ts";
 import { type LateRun, lateRunOf } from "./late_run_of.ts";
+import { isSameSoftware } from "./is_same_software.ts";
 import { runCall, type RunEvent, type RunningAttempt } from "./run_call.ts";
 
 /** Connections besides the slots, for those that are just being closed. */
@@ -60,6 +61,8 @@
   readonly onLate: (run: LateRun) => void;
   /** Told when the endpoint can't be used as announced. */
   readonly onTrouble: (reason: string) => void;
+  /** Told of a call that was routed to another endpoint than the present one. */
+  readonly onMisdirected: (call: OfferedCall, present: Instance) => void;
 }
 
 export interface LocalHome extends Home {
@@ -270,6 +273,20 @@
     }));
   }
 
+  /** The sender's row of this node is older than the endpoint. */
+  function refuseMisdirected(key: number, entry: OpenCall, present: Instance) {
+    opts.onMisdirected(entry.call, present);
+    open.delete(key);
+    entry.onEvent({
+      type: "refused",
+      refusal: {
+        by: RefusedBy.Home,
+        reason: RefusalReason.Misdirected,
+        waitMs: 0,
+      },
+    });
+  }
+
   function withdraw(key: number, entry: OpenCall) {
     if (open.get(key) !== entry) return;
     entry.run?.cancel();
@@ -293,6 +310,9 @@
       // node can't keep up withdraws its call before the endpoint gets it.
       setImmediate(() => {
         if (open.get(key) !== entry) return;
+        if (instance !== undefined && !isSameSoftware(call, instance)) {
+          return refuseMisdirected(key, entry, instance);
+        }
         apply(decideQueue(queue, {
           type: "offered",
           call: queued,
@@ -309,6 +329,10 @@
     setInstance(next, reason) {
       clearTimeout(reopener);
       const isSame = next?.id === instance?.id && next !== undefined;
+      const isReplaced = instance !== undefined && next !== undefined &&
+        !isSameSoftware(instance, next);
+      // What waits was routed to the software that is gone.
+      if (isReplaced) gate({ type: "closed", reason: "its software changed" });
       instance = next;
       if (next === undefined) return gate({ type: "closed", reason });
       if (!isSame || pool === undefined) {
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -2,7 +2,7 @@
  * Runs the process beside an endpoint.
  * @module
  */
-import { randomInt } from "node:crypto";
+import { randomBytes, randomInt } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -41,6 +41,9 @@
 /** Messages of peers that wait. More gossip is dropped; it comes again. */
 const maxControlEvents = 1_000;
 
+/** Length of the name of a process, in bytes. */
+const lifeBytes = 8;
+
 /** Time between looks at moves, in milliseconds. */
 const moveTickMs = 100;
 
@@ -103,7 +106,7 @@
   const fleet = createFleetState({
     self: settings.node,
     domain: settings.domain,
-    revision: Date.now(),
+    life: randomBytes(lifeBytes).toString("hex"),
   });
   const source = `${settings.node} ${Date.now()}`;
   const takeover = createTakeoverState({ self: settings.node, source });
@@ -129,6 +132,19 @@
       log.write("call", LogLevel.Info, "run late", { id: callId, ...times }),
     onTrouble: (reason) =>
       log.write("endpoint", LogLevel.Warn, "endpoint shut", { reason }),
+    onMisdirected(call, present) {
+      metrics.countMisdirected(call.service, present.service);
+      log.write("endpoint", LogLevel.Warn, "call for another endpoint", {
+        id: call.id,
+        route: call.route,
+        expected: { service: call.service, version: call.version },
+        present: {
+          id: present.id,
+          service: present.service,
+          version: present.version,
+        },
+      });
+    },
   });
 
   const operator = createOperatorReader({
@@ -195,6 +211,7 @@
     patience: createCallerPatience(),
     answerBytes: new Map(),
     homes: gossip,
+    doubtHome: (node) => gossip.change({ type: "doubted", node, now: now() }),
     ownReport: home.report,
     runsHere: home.runs,
     excuseRun: home.excuse,
