fix(homes): an answer that names no single call proves nothing

Seen before the change: 'an answer without an id proves nothing' (a 400, 404, 429, 500 or 503 without an id was passed on or believed as a refusal) and 'an answer with two ids proves nothing' (the last one counted).

What callers saw: the refusal of an earlier call that comes late, without its id, was taken for the next call's on that connection. A call that the endpoint was running was answered 503, or offered to a second endpoint.

Cause: ids were compared for successes only.

Now the head is judged in one place: an answer counts if it names the call and no other. Any other fails the call (502, not repeated unless it is idempotent), closes the connection, and is logged and counted by the node whose endpoint it is (answer not taken, lagoon_doubtful_answers_total).

Test changed: 'what the endpoint did not run is refused' wrote a 503 without an id and so asked for the fault. It now names its call; the old bytes are asserted to fail in stale_answers_test.ts. The further tests there (copies on an idle connection, in one segment, behind the next head, during a body) passed before.

--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -28,7 +28,12 @@
   createEndpointConnector,
   type EndpointConnector,
 } from "./connect_endpoint.ts";
-import { runCall, type RunEvent, type RunningAttempt } from "./run_call.ts";
+import {
+  type DoubtfulAnswer,
+  runCall,
+  type RunEvent,
+  type RunningAttempt,
+} from "./run_call.ts";
 
 /** Connections besides the slots, for those that are just being closed. */
 const spareConnections = 4;
@@ -55,6 +60,8 @@
   readonly now: () => MonotonicMs;
   /** Told of each run that was answered or failed. */
   readonly onRun: (run: Run) => void;
+  /** Told of each answer that was not taken for its call's. */
+  readonly onDoubt: (call: OfferedCall, answer: DoubtfulAnswer) => void;
   /** Told when the endpoint can't be used as announced. */
   readonly onTrouble: (reason: string) => void;
 }
@@ -195,6 +202,7 @@
         });
         return;
       case "failed":
+        if (event.doubtful) opts.onDoubt(entry.call, event.doubtful);
         noteRun(entry, true);
         end(key, entry, false);
         entry.onEvent({
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -41,6 +41,7 @@
     dialect: testDialect,
     now: () => performance.now(),
     onRun,
+    onDoubt: () => {},
     onTrouble: () => {},
   });
   home.setInstance(announced, "");
@@ -127,7 +128,8 @@
 test("what the endpoint did not run is refused", async (t) => {
   const { home } = await homeOf(t, (socket) => {
     socket.write(
-      "HTTP/1.1 503 Full\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+      "HTTP/1.1 503 Full\r\ncall-id: r-1\r\nnot-run: 1\r\n" +
+        "content-length: 0\r\n\r\n",
     );
   });
   const event = await offer(home);
--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -7,7 +7,9 @@
 import type Pool from "undici/lib/dispatcher/pool.js";
 import type { MonotonicMs } from "../core/types.ts";
 import type { AnswerHead, OfferedCall } from "../calls/state.ts";
+import { exhausted } from "../core/exhausted.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
+import { type AnswerDoubt, judgeAnswer } from "./judge_answer.ts";
 
 /** Answers up to this size are read whole before any byte is passed on. */
 const maxWholeBytes = 65_536;
@@ -38,7 +40,18 @@
   }
   /** Its time was over before a connection was there. Nothing was sent. */
   | { readonly type: "expired" }
-  | { readonly type: "failed"; readonly reason: string };
+  | {
+    readonly type: "failed";
+    readonly reason: string;
+    /** Answer that was not passed on. */
+    readonly doubtful?: DoubtfulAnswer;
+  };
+
+/** An answer that may not be the call's. */
+export interface DoubtfulAnswer {
+  readonly status: number;
+  readonly doubt: AnswerDoubt;
+}
 
 /** Options of `runCall`. */
 export interface RunCallOptions {
@@ -84,22 +97,29 @@
 
   function takeHead(status: number, headers: string[]) {
     const marks = dialect.readAnswer(status, headers);
-    // An answer to another call may come late, where this one's is due.
-    const isForeign = marks.callId !== call.id &&
-      (marks.callId !== undefined || status < 300);
-    if (isForeign) {
-      emit({ type: "failed", reason: "the answer belongs to another call" });
-      controller?.abort(new Error("foreign answer"));
-      return;
+    const verdict = judgeAnswer(marks, call.id);
+    switch (verdict.type) {
+      case "answer":
+        head = { status, headers };
+        return;
+      case "refusal":
+        head = { status, headers };
+        return emit({
+          type: "not-run",
+          reason: `the endpoint refused it with ${status}`,
+          isReached: true,
+          isWrongInstance: marks.isWrongInstance,
+        });
+      case "doubt": {
+        const { doubt } = verdict;
+        const reason = `the endpoint's answer proves nothing: ${doubt}`;
+        emit({ type: "failed", reason, doubtful: { status, doubt } });
+        controller?.abort(new Error(reason));
+        return;
+      }
+      default:
+        exhausted(verdict);
     }
-    head = { status, headers };
-    if (!marks.isNotRun) return;
-    emit({
-      type: "not-run",
-      reason: `the endpoint refused it with ${status}`,
-      isReached: true,
-      isWrongInstance: marks.isWrongInstance,
-    });
   }
 
   function takeData(chunk: Buffer) {
--- /dev/null
+++ b/src/homes/stale_answers_test.ts
@@ -0,0 +1,210 @@
+import { test, type TestContext } from "node:test";
+import assert from "node:assert/strict";
+import {
+  type AttemptEvent,
+  type OfferedCall,
+  RefusedBy,
+} from "../calls/state.ts";
+import { type Instance, InstancePhase } from "../instance/state.ts";
+import {
+  createRawEndpoint,
+  type RawRequest,
+} from "../testing/create_raw_endpoint.ts";
+import { offeredCall } from "../testing/offered_call.ts";
+import { testDialect } from "../testing/test_dialect.ts";
+import { createHome, type LocalHome } from "./create_home.ts";
+
+const instance: Instance = {
+  id: "i-1",
+  bornAt: 0,
+  seq: 1,
+  service: "one",
+  version: "v1",
+  slots: 2,
+  phase: InstancePhase.Ready,
+  coldUntil: -Infinity,
+  heardAt: 0,
+};
+
+async function homeOf(t: TestContext, onRequest: (req: RawRequest) => void) {
+  const endpoint = await createRawEndpoint(t, onRequest);
+  const home = createHome({
+    endpointAddress: endpoint.address,
+    dialect: testDialect,
+    now: () => performance.now(),
+    onRun: () => {},
+    onDoubt: () => {},
+    onTrouble: () => {},
+  });
+  home.setInstance(instance, "");
+  t.after(() => home.close());
+  return { home, endpoint };
+}
+
+function callOf(id: string, change: Partial<OfferedCall> = {}): OfferedCall {
+  const headers = ["host", "shop.example", "call-id", id];
+  return offeredCall({ id, headers, mayBeLate: true, ...change });
+}
+
+/** Resolves with the event that ends the attempt. */
+function offer(
+  home: LocalHome,
+  id: string,
+  change: Partial<OfferedCall> = {},
+): Promise<AttemptEvent> {
+  return new Promise((resolve) => {
+    home.offer(callOf(id, change), (event) => {
+      const isLast = event.type === "refused" || event.type === "failed" ||
+        event.type === "answered";
+      if (isLast) resolve(event);
+    });
+  });
+}
+
+const refusal = (id: string, status = 503) =>
+  `HTTP/1.1 ${status} Full\r\ncall-id: ${id}\r\nnot-run: 1\r\n` +
+  "content-length: 0\r\n\r\n";
+const success = (id: string) =>
+  `HTTP/1.1 200 OK\r\ncall-id: ${id}\r\ncontent-length: 2\r\n\r\nok`;
+
+/** What the endpoint said of the call, for assertions. */
+function wordOf(event: AttemptEvent): string {
+  switch (event.type) {
+    case "refused":
+      return event.refusal.by === RefusedBy.Endpoint ? "not run" : "not sent";
+    case "answered":
+      return String(event.head.status);
+    default:
+      return event.type;
+  }
+}
+
+async function sayTo(t: TestContext, answer: string): Promise<string> {
+  const { home } = await homeOf(t, ({ socket }) => socket.write(answer));
+  return wordOf(await offer(home, "r-1"));
+}
+
+test("a refusal of the call is believed", async (t) => {
+  for (const status of [400, 408, 421, 429, 503]) {
+    assert.equal(await sayTo(t, refusal("r-1", status)), "not run");
+  }
+});
+
+test("an answer without an id proves nothing", async (t) => {
+  for (const status of [200, 400, 404, 421, 429, 500, 503]) {
+    for (const mark of ["", "not-run: 1\r\n"]) {
+      const answer =
+        `HTTP/1.1 ${status} No\r\n${mark}content-length: 0\r\n\r\n`;
+      assert.equal(await sayTo(t, answer), "failed", answer);
+    }
+  }
+});
+
+test("an answer with two ids proves nothing", async (t) => {
+  for (const ids of [["r-0", "r-1"], ["r-1", "r-0"]]) {
+    const fields = ids.map((id) => `call-id: ${id}\r\n`).join("");
+    const answer =
+      `HTTP/1.1 503 Full\r\n${fields}not-run: 1\r\ncontent-length: 0\r\n\r\n`;
+    assert.equal(await sayTo(t, answer), "failed", answer);
+  }
+});
+
+test("calls with other ids share a connection", async (t) => {
+  const { home, endpoint } = await homeOf(
+    t,
+    ({ socket, callId }) => socket.write(success(callId)),
+  );
+  for (let round = 0; round < 20; round++) {
+    assert.equal(wordOf(await offer(home, `r-${round}`)), "200");
+  }
+  assert.equal(endpoint.connections(), 1);
+});
+
+test("a refusal behind the next call's head is not the call's", async (t) => {
+  const { home } = await homeOf(t, ({ socket, turn }) => {
+    socket.write(refusal("r-1"));
+    // Twice, so that one waits in the connection where the next is due.
+    if (turn === 1) setImmediate(() => socket.write(refusal("r-1")));
+  });
+  assert.equal(wordOf(await offer(home, "r-1")), "not run");
+  for (const id of ["r-2", "r-3", "r-4"]) {
+    assert.equal(wordOf(await offer(home, id)), "failed");
+  }
+});
+
+test("a refusal written twice at once is not the next call's", async (t) => {
+  const { home } = await homeOf(t, ({ socket, callId }) => {
+    socket.write(
+      callId === "r-1" ? refusal("r-1") + refusal("r-1") : success(callId),
+    );
+  });
+  const next = new Promise<AttemptEvent>((resolve) => {
+    home.offer(callOf("r-1"), (event) => {
+      // In the same turn, before the bytes behind the refusal are read.
+      if (event.type === "refused") resolve(offer(home, "r-2"));
+    });
+  });
+  assert.equal(wordOf(await next), "200");
+});
+
+test("a refusal on an idle connection is nobody's", async (t) => {
+  let copied = () => {};
+  const isCopied = new Promise<void>((resolve) => copied = resolve);
+  const { home, endpoint } = await homeOf(t, ({ socket, callId }) => {
+    if (callId !== "r-1") return void socket.write(success(callId));
+    socket.write(refusal("r-1"));
+    socket.on("close", copied);
+    setTimeout(() => socket.write(refusal("r-1")), 20);
+  });
+  assert.equal(wordOf(await offer(home, "r-1")), "not run");
+  await isCopied;
+  assert.equal(wordOf(await offer(home, "r-2")), "200");
+  assert.equal(endpoint.connections(), 2);
+});
+
+test("a success behind a refusal reaches nobody", async (t) => {
+  for (const pauseMs of [0, 20]) {
+    let isClosed = () => {};
+    const closed = new Promise<void>((resolve) => isClosed = resolve);
+    const { home } = await homeOf(t, ({ socket, callId }) => {
+      if (callId !== "r-1") return void socket.write(success(callId));
+      socket.on("close", isClosed);
+      if (pauseMs === 0) {
+        return void socket.write(refusal("r-1") + success("r-1"));
+      }
+      socket.write(refusal("r-1"));
+      setTimeout(() => socket.write(success("r-1")), pauseMs);
+    });
+    assert.equal(wordOf(await offer(home, "r-1")), "not run");
+    await closed;
+    assert.equal(wordOf(await offer(home, "r-2")), "200");
+  }
+});
+
+/** Offers a call whose body of 1 MB never comes to its end. */
+function offerLong(home: LocalHome, id: string): Promise<AttemptEvent> {
+  const change = { method: "POST", body: undefined, bodyBytes: 2_000_000 };
+  return new Promise((resolve) => {
+    const attempt = home.offer(callOf(id, change), (event) => {
+      if (event.type === "admitted") {
+        setImmediate(() => attempt.send(Buffer.alloc(1_000_000, "x")));
+        return;
+      }
+      if (event.type !== "overdue") resolve(event);
+    });
+  });
+}
+
+test("a refusal while a body is sent counts for its call alone", async (t) => {
+  for (const [id, word] of [["r-1", "not run"], ["r-0", "failed"]] as const) {
+    let isClosed = () => {};
+    const closed = new Promise<void>((resolve) => isClosed = resolve);
+    const { home } = await homeOf(t, ({ socket }) => {
+      socket.on("close", isClosed);
+      socket.write(refusal(id));
+    });
+    assert.equal(wordOf(await offerLong(home, "r-1")), word);
+    // What is left of the body must not be taken for the next call.
+    await closed;
+  }
+});
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -37,6 +37,8 @@
   countCall(route: string, result: CallResult, tookMs: number): void;
   countRefusal(reason: string): void;
   countRepeat(service: string): void;
+  /** Counts an answer of the endpoint that was not taken for its call's. */
+  countDoubt(doubt: string): void;
   /** Counts a run at the endpoint beside this node. */
   countVersionRun(run: Run): void;
   setTableVersion(version: number): void;
@@ -69,6 +71,12 @@
     labelNames: ["service"],
     registers,
   });
+  const doubts = new Counter({
+    name: "lagoon_doubtful_answers_total",
+    help: "Endpoint's answers that were not taken for their call's, by reason.",
+    labelNames: ["doubt"],
+    registers,
+  });
   const versionRuns = new Counter({
     name: "lagoon_version_runs_total",
     help: "Runs at this node's endpoint, by its version and their result.",
@@ -91,6 +99,7 @@
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
     countRepeat: (service) => repeats.inc({ service }),
+    countDoubt: (doubt) => doubts.inc({ doubt }),
     countVersionRun(run) {
       const { service, version } = run;
       const result = resultOf(run);
--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -55,7 +55,7 @@
   readonly isNotRun: boolean;
   /** Another endpoint has the address. */
   readonly isWrongInstance: boolean;
-  /** Id of the call that the answer belongs to. */
+  /** Call that the answer names. Undefined when it names none, or several. */
   readonly callId: string | undefined;
 }
 
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -125,6 +125,11 @@
       countRun(takeover, run);
       metrics.countVersionRun(run);
     },
+    onDoubt({ id, route }, { status, doubt }) {
+      metrics.countDoubt(doubt);
+      const fields = { id, route, status, doubt };
+      log.write("endpoint", LogLevel.Warn, "answer not taken", fields);
+    },
     onTrouble: (reason) =>
       log.write("endpoint", LogLevel.Warn, "endpoint shut", { reason }),
   });
--- a/src/testing/test_dialect.ts
+++ b/src/testing/test_dialect.ts
@@ -24,12 +24,17 @@
   },
   endpointHeaders: (opts) => [...opts.headers, "instance", opts.instanceId],
   readAnswer(_status, headers) {
-    const at = headers.findIndex((name) => name.toLowerCase() === "call-id");
+    const ids = new Set(
+      headers.filter((_, index) =>
+        headers[index - 1]?.toLowerCase() === "call-id"
+      ),
+    );
+    const [first] = ids;
     const isNotRun = headers.some((name) => name.toLowerCase() === "not-run");
     return {
       isNotRun,
       isWrongInstance: false,
-      callId: at < 0 ? undefined : headers[at + 1],
+      callId: ids.size === 1 ? first : undefined,
     };
   },
   refusalHeaders: (callId, retryMs) => ({
