fix(homes): only the endpoint's own word makes a call not run

Seen before the change: 'a success that says not run proves nothing' (it was believed as a refusal) and 'a status that promises not run needs the mark' (a 408, 429 or 503 without the mark was passed on).

What callers saw: 408, 429 and 503 tell a caller that its call has not run and never will. Endpoints say so by a mark; without it they promise nothing, and such an answer went to the caller with the promise that its status makes there.

Now a status that callers read as not run needs the mark, and the mark needs a failure. Anything else fails the call as one that may have run.

--- a/src/homes/judge_answer.ts
+++ b/src/homes/judge_answer.ts
@@ -4,12 +4,18 @@
  */
 import type { AnswerMarks } from "../sidecar/platform_port.ts";
 
+const lowestFailure = 400;
+
 /** Why an answer says nothing of the call that it came for. */
 export const AnswerDoubt = {
   /** It names no call, or several. */
   Unnamed: "unnamed",
   /** It names another call. */
   Foreign: "foreign",
+  /** It is no failure and says that the call did not run. */
+  Contradictory: "contradictory",
+  /** Callers would read it as not run, and the endpoint does not say so. */
+  Unmarked: "unmarked",
 } as const;
 export type AnswerDoubt = typeof AnswerDoubt[keyof typeof AnswerDoubt];
 
@@ -20,19 +26,30 @@
   /** The call may have run, and its connection can't be trusted any more. */
   | { readonly type: "doubt"; readonly doubt: AnswerDoubt };
 
+/** Options of `judgeAnswer`. */
+export interface JudgeAnswerOptions {
+  readonly status: number;
+  readonly marks: AnswerMarks;
+  /** Call that was sent last on the answer's connection. */
+  readonly callId: string;
+}
+
 /**
  * Judges an answer by its head. Endpoints in trouble write answers twice, so
  * one that does not name its call may be another call's.
  */
-export function judgeAnswer(
-  marks: AnswerMarks,
-  callId: string,
-): AnswerVerdict {
-  if (marks.callId === undefined) {
-    return { type: "doubt", doubt: AnswerDoubt.Unnamed };
-  }
-  if (marks.callId !== callId) {
-    return { type: "doubt", doubt: AnswerDoubt.Foreign };
-  }
-  return { type: marks.isNotRun ? "refusal" : "answer" };
+export function judgeAnswer(opts: JudgeAnswerOptions): AnswerVerdict {
+  const doubt = findDoubt(opts);
+  if (doubt !== undefined) return { type: "doubt", doubt };
+  return { type: opts.marks.isNotRun ? "refusal" : "answer" };
+}
+
+function findDoubt(opts: JudgeAnswerOptions): AnswerDoubt | undefined {
+  const { status, marks, callId } = opts;
+  if (marks.callId === undefined) return AnswerDoubt.Unnamed;
+  if (marks.callId !== callId) return AnswerDoubt.Foreign;
+  const isFailure = status >= lowestFailure;
+  if (marks.isNotRun && !isFailure) return AnswerDoubt.Contradictory;
+  if (marks.readsAsNotRun && !marks.isNotRun) return AnswerDoubt.Unmarked;
+  return undefined;
 }
--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -97,7 +97,7 @@
 
   function takeHead(status: number, headers: string[]) {
     const marks = dialect.readAnswer(status, headers);
-    const verdict = judgeAnswer(marks, call.id);
+    const verdict = judgeAnswer({ status, marks, callId: call.id });
     switch (verdict.type) {
       case "answer":
         head = { status, headers };
--- a/src/homes/stale_answers_test.ts
+++ b/src/homes/stale_answers_test.ts
@@ -109,6 +109,20 @@
   }
 });
 
+test("a success that says not run proves nothing", async (t) => {
+  const answer = "HTTP/1.1 200 OK\r\ncall-id: r-1\r\nnot-run: 1\r\n" +
+    "content-length: 2\r\n\r\nok";
+  assert.equal(await sayTo(t, answer), "failed");
+});
+
+test("a status that promises not run needs the mark", async (t) => {
+  for (const status of [408, 429, 503]) {
+    const answer =
+      `HTTP/1.1 ${status} No\r\ncall-id: r-1\r\ncontent-length: 0\r\n\r\n`;
+    assert.equal(await sayTo(t, answer), "failed", answer);
+  }
+});
+
 test("calls with other ids share a connection", async (t) => {
   const { home, endpoint } = await homeOf(
     t,
--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -53,6 +53,8 @@
 export interface AnswerMarks {
   /** The endpoint states that it did not run the call. */
   readonly isNotRun: boolean;
+  /** Callers take the status as a promise that the call has not run. */
+  readonly readsAsNotRun: boolean;
   /** Another endpoint has the address. */
   readonly isWrongInstance: boolean;
   /** Call that the answer names. Undefined when it names none, or several. */
--- a/src/testing/test_dialect.ts
+++ b/src/testing/test_dialect.ts
@@ -4,6 +4,7 @@
  */
 import type { CallDialect } from "../sidecar/platform_port.ts";
 
+const promises = new Set([408, 421, 429, 503]);
 const connectionHeaders = new Set(["connection", "content-length"]);
 
 export const testDialect: CallDialect = {
@@ -23,7 +24,7 @@
     return sent;
   },
   endpointHeaders: (opts) => [...opts.headers, "instance", opts.instanceId],
-  readAnswer(_status, headers) {
+  readAnswer(status, headers) {
     const ids = new Set(
       headers.filter((_, index) =>
         headers[index - 1]?.toLowerCase() === "call-id"
@@ -33,6 +34,7 @@
     const isNotRun = headers.some((name) => name.toLowerCase() === "not-run");
     return {
       isNotRun,
+      readsAsNotRun: promises.has(status),
       isWrongInstance: false,
       callId: ids.size === 1 ? first : undefined,
     };
