fix(homes): send no id twice on one connection to the endpoint

What callers saw: a caller that uses an id again, through any node, has its call sent on the connection that carried the id before. A refusal that the endpoint writes once more there names the right call, so it was believed while the endpoint ran the second sending: 503 for a call that ran, or a second endpoint.

Cause: the id tells calls apart, not sendings. No look at the answer can; only the connection can.

Now the home keeps its connections itself, each with the ids that its socket has carried, and a call goes to one that never carried its id, or to a new one. So an answer that names the call is the answer to this sending. A connection is replaced after some thousand calls, which bounds what is kept. Connections that are open are chosen before those that would have to be opened.

--- a/src/adapters/undici_pool.d.ts
+++ b/src/adapters/undici_pool.d.ts
@@ -1,11 +1,15 @@
 /**
- * Types of undici's pool module. The whole package takes 9 MB more.
+ * Types of undici's single modules. The whole package takes 9 MB more.
  * @module
  */
 declare module "undici/lib/dispatcher/pool.js" {
   export { Pool as default } from "undici";
 }
 
+declare module "undici/lib/dispatcher/client.js" {
+  export { Client as default } from "undici";
+}
+
 declare module "undici/lib/api/api-request.js" {
   import type { Dispatcher } from "undici";
 
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -2,7 +2,6 @@
  * The home of the endpoint beside this node.
  * @module
  */
-import Pool from "undici/lib/dispatcher/pool.js";
 import {
   type Attempt,
   type AttemptEvent,
@@ -24,10 +23,11 @@
 } from "../queue/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { Run } from "../takeover/count_run.ts";
+import { createEndpointConnector } from "./connect_endpoint.ts";
 import {
-  createEndpointConnector,
-  type EndpointConnector,
-} from "./connect_endpoint.ts";
+  createEndpointPool,
+  type EndpointPool,
+} from "./create_endpoint_pool.ts";
 import {
   type DoubtfulAnswer,
   runCall,
@@ -41,9 +41,6 @@
 /** Time for a connection on the same VM, in milliseconds. */
 const connectMs = 500;
 
-/** Idle time after which a connection is not used again, in milliseconds. */
-const keepAliveMs = 4_000;
-
 /** Time between looks at the queue while calls wait or run. */
 const tickMs = 40;
 
@@ -99,7 +96,7 @@
   const running = new Map<string, OpenCall>();
   let lastKey = 0;
   let instance: Instance | undefined;
-  let pool: Pool | undefined;
+  let pool: EndpointPool | undefined;
   let ticker: NodeJS.Timeout | undefined;
   let reopener: NodeJS.Timeout | undefined;
 
@@ -309,8 +306,12 @@
       if (next === undefined) return gate({ type: "closed", reason });
       if (!isSame || pool === undefined) {
         // Answers of an earlier endpoint must not reach calls to this one.
-        void pool?.destroy();
-        pool = createPool(opts.endpointAddress, next.slots, connector);
+        void pool?.close();
+        pool = createEndpointPool({
+          address: opts.endpointAddress,
+          connections: next.slots + spareConnections,
+          connector,
+        });
       }
       openGate();
     },
@@ -324,22 +325,7 @@
       clearTimeout(ticker);
       clearTimeout(reopener);
       for (const entry of open.values()) clearTimeout(entry.timer);
-      await pool?.destroy();
+      await pool?.close();
     },
   };
 }
-
-function createPool(
-  address: string,
-  slots: number,
-  connector: EndpointConnector,
-): Pool {
-  return new Pool(`http://${address}`, {
-    connections: slots + spareConnections,
-    pipelining: 1,
-    connect: connector.connect,
-    keepAliveTimeout: keepAliveMs,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-}
--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -4,11 +4,11 @@
  */
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
-import type Pool from "undici/lib/dispatcher/pool.js";
 import type { MonotonicMs } from "../core/types.ts";
 import type { AnswerHead, OfferedCall } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
+import type { EndpointPool } from "./create_endpoint_pool.ts";
 import { type AnswerDoubt, judgeAnswer } from "./judge_answer.ts";
 
 /** Answers up to this size are read whole before any byte is passed on. */
@@ -55,7 +55,7 @@
 
 /** Options of `runCall`. */
 export interface RunCallOptions {
-  readonly pool: Pool;
+  readonly pool: EndpointPool;
   readonly dialect: CallDialect;
   readonly call: OfferedCall;
   readonly instanceId: string;
@@ -178,7 +178,7 @@
       onResponseData: (_given, chunk) => takeData(chunk),
       onResponseEnd: takeEnd,
       onResponseError: (_given, err) => takeError(err),
-    });
+    }, call.id);
   } catch (err) {
     // The client refuses a malformed call before anything is sent.
     const reason = err instanceof Error ? err.message : String(err);
--- a/src/homes/run_call_test.ts
+++ b/src/homes/run_call_test.ts
@@ -1,9 +1,9 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import type { Dispatcher } from "undici";
-import type Pool from "undici/lib/dispatcher/pool.js";
 import { offeredCall } from "../testing/offered_call.ts";
 import { testDialect } from "../testing/test_dialect.ts";
+import type { EndpointPool } from "./create_endpoint_pool.ts";
 import { runCall, type RunEvent } from "./run_call.ts";
 
 /** A pool whose connection is there at once. Tells whether a call was sent. */
@@ -11,17 +11,17 @@
   const events: RunEvent[] = [];
   let isSent = true;
   const controller = { abort: () => isSent = false };
-  const pool = {
-    dispatch(_: unknown, handler: Dispatcher.DispatchHandler) {
+  const pool: EndpointPool = {
+    dispatch(_, handler) {
       handler.onRequestStart?.(
         controller as unknown as Dispatcher.DispatchController,
         {},
       );
-      return true;
     },
+    close: () => Promise.resolve(),
   };
   runCall({
-    pool: pool as unknown as Pool,
+    pool,
     dialect: testDialect,
     call: offeredCall(),
     instanceId: "i-1",
--- a/src/homes/stale_answers_test.ts
+++ b/src/homes/stale_answers_test.ts
@@ -123,6 +123,67 @@
   }
 });
 
+test("a call sent again does not get the earlier refusal", async (t) => {
+  const { home, endpoint } = await homeOf(
+    t,
+    ({ socket, callId, connection }) => {
+      const sent = endpoint.requests.filter((one) =>
+        one.callId === callId && one.connection === connection
+      );
+      // The second is running when the first one's refusal comes once more.
+      if (sent.length > 1) return void socket.write(refusal(callId));
+      if (callId === "r-1") return void socket.write(refusal(callId));
+      socket.write(success(callId));
+    },
+  );
+  for (let round = 0; round < 4; round++) {
+    await offer(home, "r-1");
+    await offer(home, `r-${round + 10}`);
+  }
+  const seen = endpoint.requests.map((one) =>
+    `${one.connection} ${one.callId}`
+  );
+  assert.equal(new Set(seen).size, seen.length, seen.join(", "));
+});
+
+test("a call sent again does not get an earlier answer", async (t) => {
+  const { home, endpoint } = await homeOf(
+    t,
+    ({ socket, callId }) => socket.write(success(callId)),
+  );
+  for (let round = 0; round < 4; round++) {
+    assert.equal(wordOf(await offer(home, "r-1")), "200");
+  }
+  assert.equal(endpoint.connections(), 4);
+});
+
+test("repeated calls take the place of idle connections", async (t) => {
+  const open = new Set<unknown>();
+  let most = 0;
+  const { home } = await homeOf(t, ({ socket, callId }) => {
+    open.add(socket);
+    socket.on("close", () => open.delete(socket));
+    most = Math.max(most, open.size);
+    socket.write(success(callId));
+  });
+  for (let round = 0; round < 40; round++) {
+    assert.equal(wordOf(await offer(home, "r-1")), "200");
+  }
+  // Slots, spare connections, and the one that is just being closed.
+  assert.ok(most <= instance.slots + 4 + 1, `${most} open connections`);
+});
+
+test("a connection carries some thousand calls, not more", async (t) => {
+  const { home, endpoint } = await homeOf(
+    t,
+    ({ socket, callId }) => socket.write(success(callId)),
+  );
+  for (let round = 0; round < 1_500; round++) {
+    assert.equal(wordOf(await offer(home, `r-${round}`)), "200");
+  }
+  assert.equal(endpoint.connections(), 2);
+});
+
 test("calls with other ids share a connection", async (t) => {
   const { home, endpoint } = await homeOf(
     t,
