fix(homes): a refusal without an end gives its connection back

Seen before the change: 'a refusal that stalls', '... never ends' and '... has no length does not keep its connection' waited without end.

What callers would see: a refusal counts once its head is here, and with that the call's timer is gone. An endpoint that never ends the refusal kept the connection for the rest of the pool's life, and one that writes without end had every byte read. A few of these take all connections, and then calls wait until their deadlines.

The refusal itself stands, since its head names the call.

--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -20,6 +20,9 @@
  */
 const maxAnswerBytes = 16 * 1024 * 1024;
 
+/** Time for the rest of a refusal, in milliseconds. */
+const refusalRestMs = 500;
+
 const framingHeaders = new Set(["content-length", "transfer-encoding"]);
 
 /** How a run ends or goes on. One of the last four comes last. */
@@ -85,6 +88,7 @@
   let isOver = false;
   let head: AnswerHead | undefined;
   let isStreaming = false;
+  let refusalRest: NodeJS.Timeout | undefined;
   const parts: Buffer[] = [];
   let size = 0;
 
@@ -104,6 +108,10 @@
         return;
       case "refusal":
         head = { status, headers };
+        refusalRest = setTimeout(
+          () => cut("the refusal has no end"),
+          refusalRestMs,
+        );
         return emit({
           type: "not-run",
           reason: `the endpoint refused it with ${status}`,
@@ -114,8 +122,7 @@
         const { doubt } = verdict;
         const reason = `the endpoint's answer proves nothing: ${doubt}`;
         emit({ type: "failed", reason, doubtful: { status, doubt } });
-        controller?.abort(new Error(reason));
-        return;
+        return cut(reason);
       }
       default:
         exhausted(verdict);
@@ -123,12 +130,13 @@
   }
 
   function takeData(chunk: Buffer) {
-    if (head === undefined || isOver) return;
     size += chunk.length;
+    if (isOver && size > maxWholeBytes) return cut("the refusal is too long");
+    if (head === undefined || isOver) return;
     if (size > maxAnswerBytes) {
-      emit({ type: "failed", reason: "the answer is too long" });
-      controller?.abort(new Error("endless answer"));
-      return;
+      const reason = "the answer is too long";
+      emit({ type: "failed", reason });
+      return cut(reason);
     }
     if (isStreaming) return emit({ type: "chunk", chunk });
     parts.push(chunk);
@@ -138,7 +146,12 @@
     for (const part of parts.splice(0)) emit({ type: "chunk", chunk: part });
   }
 
+  function cut(reason: string) {
+    controller?.abort(new Error(reason));
+  }
+
   function takeEnd() {
+    clearTimeout(refusalRest);
     if (head === undefined) return;
     if (!isFramed(head) && opts.isReset()) {
       return emit({ type: "failed", reason: "the answer was reset" });
@@ -148,6 +161,7 @@
   }
 
   function takeError(err: Error) {
+    clearTimeout(refusalRest);
     if (isSent) return emit({ type: "failed", reason: err.message });
     emit({
       type: "not-run",
--- a/src/homes/stale_answers_test.ts
+++ b/src/homes/stale_answers_test.ts
@@ -283,3 +283,31 @@
     await closed;
   }
 });
+
+for (
+  const [name, fields, rest] of [
+    ["stalls", "content-length: 9", ""],
+    ["never ends", "transfer-encoding: chunked", "ffff\r\n"],
+    ["has no length", "x: y", ""],
+  ] as const
+) {
+  test(`a refusal that ${name} does not keep its connection`, async (t) => {
+    let isClosed = () => {};
+    const closed = new Promise<void>((resolve) => isClosed = resolve);
+    const { home } = await homeOf(t, ({ socket }) => {
+      socket.on("close", isClosed);
+      socket.write(
+        `HTTP/1.1 503 Full\r\ncall-id: r-1\r\nnot-run: 1\r\n${fields}\r\n\r\n`,
+      );
+      if (rest === "") return;
+      const chunk = `${rest}${"x".repeat(65_535)}\r\n`;
+      const write = () => {
+        while (!socket.destroyed && socket.write(chunk));
+        if (!socket.destroyed) socket.once("drain", write);
+      };
+      write();
+    });
+    assert.equal(wordOf(await offer(home, "r-1")), "not run");
+    await closed;
+  });
+}
