--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -2,7 +2,6 @@
  * The home of the endpoint beside this node.
  * @module
  */
-import Pool from "undici/lib/dispatcher/pool.js";
 import {
   type Attempt,
   type AttemptEvent,
@@ -24,13 +23,19 @@
 } from "../queue/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { Run } from "../takeover/count_run.ts";
+import { createEndpointConnector } from "./connect_endpoint.ts";
 import {
-  createEndpointConnector,
-  type EndpointConnector,
-} from "./connect_endpoint.ts";
-import { type LateRun, lateRunOf } from "./late_run_of.ts";
+  createEndpointPool,
+  type EndpointPool,
+} from "./create_endpoint_pool.ts";
 import { isSameSoftware } from "./is_same_software.ts";
-import { runCall, type RunEvent, type RunningAttempt } from "./run_call.ts";
+import { type LateRun, lateRunOf } from "./late_run_of.ts";
+import {
+  type DoubtfulAnswer,
+  runCall,
+  type RunEvent,
+  type RunningAttempt,
+} from "./run_call.ts";
 
 /** Connections besides the slots, for those that are just being closed. */
 const spareConnections = 4;
@@ -38,9 +43,6 @@
 /** Time for a connection on the same VM, in milliseconds. */
 const connectMs = 500;
 
-/** Idle time after which a connection is not used again, in milliseconds. */
-const keepAliveMs = 4_000;
-
 /** Time between looks at the queue while calls wait or run. */
 const tickMs = 40;
 
@@ -59,6 +61,8 @@
   readonly onRun: (run: Run) => void;
   /** Told of each answer that came past the aim of its call. */
   readonly onLate: (run: LateRun) => void;
+  /** Told of each answer that was not taken for its call's. */
+  readonly onDoubt: (call: OfferedCall, answer: DoubtfulAnswer) => void;
   /** Told when the endpoint can't be used as announced. */
   readonly onTrouble: (reason: string) => void;
   /** Told of a call that was routed to another endpoint than the present one. */
@@ -99,7 +103,7 @@
   const running = new Map<string, OpenCall>();
   let lastKey = 0;
   let instance: Instance | undefined;
-  let pool: Pool | undefined;
+  let pool: EndpointPool | undefined;
   let ticker: NodeJS.Timeout | undefined;
   let reopener: NodeJS.Timeout | undefined;
 
@@ -204,6 +208,7 @@
         });
         return;
       case "failed":
+        if (event.doubtful) opts.onDoubt(entry.call, event.doubtful);
         noteRun(entry, true);
         end(key, entry, false);
         entry.onEvent({
@@ -337,8 +342,12 @@
       if (next === undefined) return gate({ type: "closed", reason });
       if (!isSame || pool === undefined) {
         // Answers of an earlier endpoint must not reach calls to this one.
-        void pool?.destroy();
-        pool = createPool(opts.endpointAddress, next.slots, connector);
+        void pool?.close();
+        pool = createEndpointPool({
+          address: opts.endpointAddress,
+          connections: next.slots + spareConnections,
+          connector,
+        });
       }
       openGate();
     },
@@ -352,22 +361,7 @@
       clearTimeout(ticker);
       clearTimeout(reopener);
       for (const entry of open.values()) clearTimeout(entry.timer);
-      await pool?.destroy();
+      await pool?.close();
     },
   };
 }
-
-function createPool(
-  address: string,
-  slots: number,
-  connector: EndpointConnector,
-): Pool {
-  return new Pool(`http://${address}`, {
-    connections: slots + spareConnections,
-    pipelining: 1,
-    connect: connector.connect,
-    keepAliveTimeout: keepAliveMs,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
-}
--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -4,10 +4,12 @@
  */
 import { Readable } from "node:stream";
 import type { Dispatcher } from "undici";
-import type Pool from "undici/lib/dispatcher/pool.js";
 import type { MonotonicMs } from "../core/types.ts";
 import type { AnswerHead, OfferedCall } from "../calls/state.ts";
+import { exhausted } from "../core/exhausted.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
+import type { EndpointPool } from "./create_endpoint_pool.ts";
+import { type AnswerDoubt, judgeAnswer } from "./judge_answer.ts";
 
 /** Answers up to this size are read whole before any byte is passed on. */
 const maxWholeBytes = 65_536;
@@ -18,6 +20,9 @@
  */
 const maxAnswerBytes = 16 * 1024 * 1024;
 
+/** Time for the rest of a refusal, in milliseconds. */
+const refusalRestMs = 500;
+
 const framingHeaders = new Set(["content-length", "transfer-encoding"]);
 
 /** How a run ends or goes on. One of the last four comes last. */
@@ -38,11 +43,22 @@
   }
   /** Its time was over before a connection was there. Nothing was sent. */
   | { readonly type: "expired" }
-  | { readonly type: "failed"; readonly reason: string };
+  | {
+    readonly type: "failed";
+    readonly reason: string;
+    /** Answer that was not passed on. */
+    readonly doubtful?: DoubtfulAnswer;
+  };
+
+/** An answer that may not be the call's. */
+export interface DoubtfulAnswer {
+  readonly status: number;
+  readonly doubt: AnswerDoubt;
+}
 
 /** Options of `runCall`. */
 export interface RunCallOptions {
-  readonly pool: Pool;
+  readonly pool: EndpointPool;
   readonly dialect: CallDialect;
   readonly call: OfferedCall;
   readonly instanceId: string;
@@ -72,6 +88,7 @@
   let isOver = false;
   let head: AnswerHead | undefined;
   let isStreaming = false;
+  let refusalRest: NodeJS.Timeout | undefined;
   const parts: Buffer[] = [];
   let size = 0;
 
@@ -84,31 +101,42 @@
 
   function takeHead(status: number, headers: string[]) {
     const marks = dialect.readAnswer(status, headers);
-    // An answer to another call may come late, where this one's is due.
-    const isForeign = marks.callId !== call.id &&
-      (marks.callId !== undefined || status < 300);
-    if (isForeign) {
-      emit({ type: "failed", reason: "the answer belongs to another call" });
-      controller?.abort(new Error("foreign answer"));
-      return;
+    const verdict = judgeAnswer({ status, marks, callId: call.id });
+    switch (verdict.type) {
+      case "answer":
+        head = { status, headers };
+        return;
+      case "refusal":
+        head = { status, headers };
+        refusalRest = setTimeout(
+          () => cut("the refusal has no end"),
+          refusalRestMs,
+        );
+        return emit({
+          type: "not-run",
+          reason: `the endpoint refused it with ${status}`,
+          isReached: true,
+          isWrongInstance: marks.isWrongInstance,
+        });
+      case "doubt": {
+        const { doubt } = verdict;
+        const reason = `the endpoint's answer proves nothing: ${doubt}`;
+        emit({ type: "failed", reason, doubtful: { status, doubt } });
+        return cut(reason);
+      }
+      default:
+        exhausted(verdict);
     }
-    head = { status, headers };
-    if (!marks.isNotRun) return;
-    emit({
-      type: "not-run",
-      reason: `the endpoint refused it with ${status}`,
-      isReached: true,
-      isWrongInstance: marks.isWrongInstance,
-    });
   }
 
   function takeData(chunk: Buffer) {
-    if (head === undefined || isOver) return;
     size += chunk.length;
+    if (isOver && size > maxWholeBytes) return cut("the refusal is too long");
+    if (head === undefined || isOver) return;
     if (size > maxAnswerBytes) {
-      emit({ type: "failed", reason: "the answer is too long" });
-      controller?.abort(new Error("endless answer"));
-      return;
+      const reason = "the answer is too long";
+      emit({ type: "failed", reason });
+      return cut(reason);
     }
     if (isStreaming) return emit({ type: "chunk", chunk });
     parts.push(chunk);
@@ -118,7 +146,12 @@
     for (const part of parts.splice(0)) emit({ type: "chunk", chunk: part });
   }
 
+  function cut(reason: string) {
+    controller?.abort(new Error(reason));
+  }
+
   function takeEnd() {
+    clearTimeout(refusalRest);
     if (head === undefined) return;
     if (!isFramed(head) && opts.isReset()) {
       return emit({ type: "failed", reason: "the answer was reset" });
@@ -128,6 +161,7 @@
   }
 
   function takeError(err: Error) {
+    clearTimeout(refusalRest);
     if (isSent) return emit({ type: "failed", reason: err.message });
     emit({
       type: "not-run",
@@ -158,7 +192,7 @@
       onResponseData: (_given, chunk) => takeData(chunk),
       onResponseEnd: takeEnd,
       onResponseError: (_given, err) => takeError(err),
-    });
+    }, call.id);
   } catch (err) {
     // The client refuses a malformed call before anything is sent.
     const reason = err instanceof Error ? err.message : String(err);
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -39,6 +39,8 @@
   countRepeat(service: string): void;
   /** Counts a call that reached the home of another service or version. */
   countMisdirected(expected: string, present: string): void;
+  /** Counts an answer of the endpoint that was not taken for its call's. */
+  countDoubt(doubt: string): void;
   /** Counts a run at the endpoint beside this node. */
   countVersionRun(run: Run): void;
   setTableVersion(version: number): void;
@@ -77,6 +79,12 @@
     labelNames: ["expected", "present"],
     registers,
   });
+  const doubts = new Counter({
+    name: "lagoon_doubtful_answers_total",
+    help: "Endpoint's answers that were not taken for their call's, by reason.",
+    labelNames: ["doubt"],
+    registers,
+  });
   const versionRuns = new Counter({
     name: "lagoon_version_runs_total",
     help: "Runs at this node's endpoint, by its version and their result.",
@@ -101,6 +109,7 @@
     countRepeat: (service) => repeats.inc({ service }),
     countMisdirected: (expected, present) =>
       misdirected.inc({ expected, present }),
+    countDoubt: (doubt) => doubts.inc({ doubt }),
     countVersionRun(run) {
       const { service, version } = run;
       const result = resultOf(run);
--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -53,9 +53,11 @@
 export interface AnswerMarks {
   /** The endpoint states that it did not run the call. */
   readonly isNotRun: boolean;
+  /** Callers take the status as a promise that the call has not run. */
+  readonly readsAsNotRun: boolean;
   /** Another endpoint has the address. */
   readonly isWrongInstance: boolean;
-  /** Id of the call that the answer belongs to. */
+  /** Call that the answer names. Undefined when it names none, or several. */
   readonly callId: string | undefined;
 }
 
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -130,6 +130,11 @@
     },
     onLate: ({ callId, ...times }) =>
       log.write("call", LogLevel.Info, "run late", { id: callId, ...times }),
+    onDoubt({ id, route }, { status, doubt }) {
+      metrics.countDoubt(doubt);
+      const fields = { id, route, status, doubt };
+      log.write("endpoint", LogLevel.Warn, "answer not taken", fields);
+    },
     onTrouble: (reason) =>
       log.write("endpoint", LogLevel.Warn, "endpoint shut", { reason }),
     onMisdirected(call, present) {
--- a/src/testing/test_dialect.ts
+++ b/src/testing/test_dialect.ts
@@ -4,6 +4,7 @@
  */
 import type { CallDialect } from "../sidecar/platform_port.ts";
 
+const promises = new Set([408, 421, 429, 503]);
 const connectionHeaders = new Set(["connection", "content-length"]);
 
 export const testDialect: CallDialect = {
@@ -23,13 +24,19 @@
     return sent;
   },
   endpointHeaders: (opts) => [...opts.headers, "instance", opts.instanceId],
-  readAnswer(_status, headers) {
-    const at = headers.findIndex((name) => name.toLowerCase() === "call-id");
+  readAnswer(status, headers) {
+    const ids = new Set(
+      headers.filter((_, index) =>
+        headers[index - 1]?.toLowerCase() === "call-id"
+      ),
+    );
+    const [first] = ids;
     const isNotRun = headers.some((name) => name.toLowerCase() === "not-run");
     return {
       isNotRun,
+      readsAsNotRun: promises.has(status),
       isWrongInstance: false,
-      callId: at < 0 ? undefined : headers[at + 1],
+      callId: ids.size === 1 ? first : undefined,
     };
   },
   refusalHeaders: (callId, retryMs) => ({
