feat(logs): a line for all that a stop cuts

Nothing told what was open when a node ended. Each call that is cut now has a line with the time it had left, and one line tells what the end found open: requests, runs, waiting calls, answers that other nodes have not taken.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -213,6 +213,14 @@
     },
     open: () => count,
     close() {
+      for (const [socket, { calls }] of connections) {
+        for (const call of [...calls]) call.cut();
+        const unsentBytes = socket.writableLength;
+        if (unsentBytes === 0) continue;
+        ctx.log.write("call", LogLevel.Error, "answer cut by the stop", {
+          unsentBytes,
+        });
+      }
       server.closeAllConnections();
     },
   };
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -72,6 +72,8 @@
 export interface ServedCall {
   /** The caller's connection is gone. */
   abandon(): void;
+  /** The node ends and closes the connection before the answer. */
+  cut(): void;
 }
 
 interface OpenAttempt {
@@ -390,6 +392,16 @@
 
   return {
     abandon: () => finish(CallResult.Left, 0),
+    cut() {
+      if (isDone) return;
+      log(LogLevel.Error, "call cut by the stop", {
+        idempotent: route.isIdempotent,
+        leftMs: Math.round(deadlineAt - ctx.now()),
+        bodyBytes: body?.size() ?? 0,
+        isStreaming: streaming !== undefined,
+      });
+      finish(CallResult.Unknown, 0);
+    },
   };
 }
 
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -32,6 +32,8 @@
 
 export interface AcceptedLinks {
   readonly server: Server;
+  /** Bytes that other nodes have not taken yet. */
+  unsentBytes(): number;
   close(): void;
 }
 
@@ -51,6 +53,11 @@
   wss.on("connection", (socket) => serve(socket, opts));
   return {
     server,
+    unsentBytes() {
+      let bytes = 0;
+      for (const socket of wss.clients) bytes += socket.bufferedAmount;
+      return bytes;
+    },
     close() {
       for (const socket of wss.clients) socket.terminate();
       wss.close();
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -333,6 +333,13 @@
         callers.server.closeIdleConnections();
         await sleep(flushMs);
       } while (now() < endAt && isBusy());
+      log.write("process", LogLevel.Info, "closing", {
+        afterMs: Math.round(now() - stoppedAt),
+        open: callers.open(),
+        runs: home.report().running,
+        waiting: home.report().waiting,
+        unsentLinkBytes: links.unsentBytes(),
+      });
       clearInterval(moveTimer);
       clearInterval(fleetTimer);
       follower.close();
