fix(sidecar): stop once, however often the node is told to

What callers saw: a second SIGTERM ended the process on the spot, with every open request cut.

Cause: the handlers were taken off with the first signal, so that the second had its default effect, and close resolved at once when it was called again, after which the binary exits. Signals during the start had the default effect too, while the listener for callers was open.

Now the handlers stay, are there before the first listener, and close returns the one promise of the one stop.

--- a/src/bin/lagoon_sidecar.ts
+++ b/src/bin/lagoon_sidecar.ts
@@ -23,10 +23,15 @@
 }
 const settings = read.value;
 const platform = createPlatform({ storeAddress: settings.storeAddress });
-const sidecar = await runSidecar({ settings, platform });
-const stop = () => void sidecar.close().then(() => process.exit(0));
-process.once("SIGTERM", stop);
-process.once("SIGINT", stop);
+const starting = runSidecar({ settings, platform });
+// Signals that come again must not end the process by themselves.
+const stop = () =>
+  void starting
+    .then((sidecar) => sidecar.close())
+    .then(() => process.exit(0));
+process.on("SIGTERM", stop);
+process.on("SIGINT", stop);
+const sidecar = await starting;
 const reload = () =>
   readSidecarSettings(path).match(
     (next) => sidecar.reload(next),
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -116,6 +116,7 @@
   });
   const lag = createLagMeter({ now });
   let isStopping = false;
+  let closed: Promise<void> | undefined;
 
   const home = createHome({
     endpointAddress: settings.endpointAddress,
@@ -316,50 +317,51 @@
     },
     rejectReload: (reason) =>
       log.write("process", LogLevel.Error, "settings kept", { reason }),
-    async close() {
-      if (isStopping) return;
-      isStopping = true;
-      log.write("process", LogLevel.Info, "stopping", { open: callers.open() });
-      const stoppedAt = now();
-      const endAt = stoppedAt + settings.graceMs - spareGraceMs;
-      callers.drain({ stoppedAt, endAt });
-      await sleep(Math.min(servingMs, endAt - now()));
-      instance.withdraw();
-      const calmAt = stoppedAt + drainMs;
-      while (now() < endAt && (now() < calmAt || isBusy())) await sleep(50);
-      callers.server.close();
-      // Requests that were read before their connection closed are finished.
-      do {
-        callers.server.closeIdleConnections();
-        await sleep(flushMs);
-      } while (now() < endAt && isBusy());
-      log.write("process", LogLevel.Info, "closing", {
-        afterMs: Math.round(now() - stoppedAt),
-        open: callers.open(),
-        runs: home.report().running,
-        waiting: home.report().waiting,
-        unsentLinkBytes: links.unsentBytes(),
-      });
-      clearInterval(moveTimer);
-      clearInterval(fleetTimer);
-      follower.close();
-      recorder.close();
-      registration.close();
-      control.close();
-      gossip.close();
-      links.close();
-      for (const server of [...pingServers, scraped]) {
-        server.closeAllConnections();
-        server.close();
-      }
-      callers.close();
-      lag.close();
-      await home.close();
-      await platform.store.close();
-      log.write("process", LogLevel.Info, "stopped");
-      log.close();
-    },
+    close: () => closed ??= shutDown(),
   };
+
+  async function shutDown() {
+    isStopping = true;
+    log.write("process", LogLevel.Info, "stopping", { open: callers.open() });
+    const stoppedAt = now();
+    const endAt = stoppedAt + settings.graceMs - spareGraceMs;
+    callers.drain({ stoppedAt, endAt });
+    await sleep(Math.min(servingMs, endAt - now()));
+    instance.withdraw();
+    const calmAt = stoppedAt + drainMs;
+    while (now() < endAt && (now() < calmAt || isBusy())) await sleep(50);
+    callers.server.close();
+    // Requests that were read before their connection closed are finished.
+    do {
+      callers.server.closeIdleConnections();
+      await sleep(flushMs);
+    } while (now() < endAt && isBusy());
+    log.write("process", LogLevel.Info, "closing", {
+      afterMs: Math.round(now() - stoppedAt),
+      open: callers.open(),
+      runs: home.report().running,
+      waiting: home.report().waiting,
+      unsentLinkBytes: links.unsentBytes(),
+    });
+    clearInterval(moveTimer);
+    clearInterval(fleetTimer);
+    follower.close();
+    recorder.close();
+    registration.close();
+    control.close();
+    gossip.close();
+    links.close();
+    for (const server of [...pingServers, scraped]) {
+      server.closeAllConnections();
+      server.close();
+    }
+    callers.close();
+    lag.close();
+    await home.close();
+    await platform.store.close();
+    log.write("process", LogLevel.Info, "stopped");
+    log.close();
+  }
 }
 
 function listen(server: Server, address: string): Promise<void> {
