fix(callers): read a refused body before its connection ends

What callers saw: a stopping node that refused an upload while its body was on the way closed the connection behind the refusal at once. The rest of the body met a closed socket, which resets the connection, and the reset may overtake the refusal. An upload may be sent again only after a refusal, so it was lost.

The refusal still goes out at once and is whole; only the connection's end waits for the end of the body.

--- a/src/callers/answer_caller.ts
+++ b/src/callers/answer_caller.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from "node:http";
 import type { AnswerHead } from "../calls/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
+import { hasBody } from "./request_body.ts";
 
 const noContent = 204;
 const notModified = 304;
@@ -44,13 +45,24 @@
   readonly reason: string;
 }
 
-/** Writes an answer of the node's own. */
+/**
+ * Writes an answer of the node's own. A connection that ends behind it is closed
+ * once the request is read: closed before, it would be reset, and a reset may
+ * take the answer with it.
+ */
 export function answerItself(res: ServerResponse, opts: AnswerItselfOptions) {
+  const { req } = res;
   const body = `${opts.reason}\n`;
   res.writeHead(opts.status, {
     ...opts.headers,
     "content-type": "text/plain",
     "content-length": String(Buffer.byteLength(body)),
   });
-  res.end(body);
+  if (res.shouldKeepAlive || !hasBody(req) || req.complete) {
+    res.end(body);
+    return;
+  }
+  res.write(body);
+  req.resume();
+  req.once("end", () => res.end());
 }
