fix(callers): pass on nothing behind the answer that ends a connection

What callers saw: a request that was read after the last answer of its connection was written, while that answer was still leaving, was passed on to an endpoint and never answered.

Node goes on parsing until the socket is closed. Callers send again what stands behind an answer with 'Connection: close', whatever it is, so such a request is left alone.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -84,10 +84,18 @@
   let count = 0;
 
   function take(req: IncomingMessage, res: ServerResponse) {
-    const known = connections.get(req.socket);
-    if (known !== undefined) known.latest = res;
-    const { table } = ctx.routes;
+    const connection = connections.get(req.socket) ?? watch(req.socket, res);
     const caller = ctx.dialect.readCaller(req.headers);
+    // The answer before it closes the connection, so its caller sends it again.
+    if (isClosing(connection.latest)) {
+      req.resume();
+      ctx.log.write("call", LogLevel.Info, "request behind the last answer", {
+        id: caller?.id,
+      });
+      return;
+    }
+    connection.latest = res;
+    const { table } = ctx.routes;
     if (caller === undefined) {
       return refuse(req, res, 400, "the request has no id");
     }
@@ -123,8 +131,7 @@
     if (Number(req.headers["content-length"] ?? 0) > bodyBytes) {
       return refuse(req, res, 413, "the body is too large");
     }
-    const { socket } = req;
-    const { calls } = connections.get(socket) ?? watch(socket, res);
+    const { calls } = connection;
     let isDone = false;
     let call: ServedCall | undefined = undefined;
     count++;
@@ -225,3 +232,8 @@
     },
   };
 }
+
+/** Whether the connection ends behind this answer. */
+function isClosing(res: ServerResponse): boolean {
+  return res.headersSent && !res.shouldKeepAlive;
+}
