fix(callers): count a request as open until its answer has left

What callers saw: a node that stopped ended as soon as the last answer was handed to its socket. What the socket still held, of a long answer or for a caller that reads slowly, was cut: the test failed with 'the answer was cut'.

Cause: requests were counted until the call was done. Now they are counted until the answer is with the kernel or the caller is gone, so the node waits for slow callers, until the end of its stop at most.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -51,7 +51,7 @@
   setLimits(limits: ClientLimits): void;
   /** Asks callers to connect elsewhere with their next request. */
   drain(times: StopTimes): void;
-  /** Requests that are not answered yet. */
+  /** Requests whose answers have not left yet. */
   open(): number;
   /** Ends what is left of all connections. */
   close(): void;
@@ -67,6 +67,8 @@
 /** Requests of one connection. */
 interface Connection {
   readonly calls: Set<ServedCall>;
+  /** Answers that are not made, or have not left the socket. */
+  readonly unsent: Set<ServerResponse>;
   /** Answer that goes out last. */
   latest: ServerResponse;
 }
@@ -81,7 +83,7 @@
   /** Connections whose first request has not been read. */
   const arrivals = new WeakMap<Socket, Arrival>();
   let stop: StopTimes | undefined;
-  let count = 0;
+  let unsent = 0;
 
   function take(req: IncomingMessage, res: ServerResponse) {
     const connection = connections.get(req.socket) ?? watch(req.socket, res);
@@ -94,7 +96,7 @@
       });
       return;
     }
-    connection.latest = res;
+    expect(connection, res);
     const { table } = ctx.routes;
     if (caller === undefined) {
       return refuse(req, res, 400, "the request has no id");
@@ -134,7 +136,6 @@
     const { calls } = connection;
     let isDone = false;
     let call: ServedCall | undefined = undefined;
-    count++;
     call = serveCall({
       ctx,
       req,
@@ -148,7 +149,6 @@
       mayClose: () => mayClose(res),
       onDone() {
         isDone = true;
-        count--;
         if (call !== undefined) calls.delete(call);
       },
     });
@@ -162,15 +162,30 @@
   }
 
   function watch(socket: Socket, latest: ServerResponse): Connection {
-    const connection = { calls: new Set<ServedCall>(), latest };
+    const connection: Connection = {
+      calls: new Set(),
+      unsent: new Set(),
+      latest,
+    };
     connections.set(socket, connection);
     socket.once("close", () => {
       connections.delete(socket);
+      unsent -= connection.unsent.size;
+      connection.unsent.clear();
       for (const call of connection.calls) call.abandon();
     });
     return connection;
   }
 
+  function expect(connection: Connection, res: ServerResponse) {
+    connection.latest = res;
+    connection.unsent.add(res);
+    unsent++;
+    res.once("finish", () => {
+      if (connection.unsent.delete(res)) unsent--;
+    });
+  }
+
   function refuse(
     req: IncomingMessage,
     res: ServerResponse,
@@ -218,7 +233,7 @@
     drain(times) {
       stop = times;
     },
-    open: () => count,
+    open: () => unsent,
     close() {
       for (const [socket, { calls }] of connections) {
         for (const call of [...calls]) call.cut();
