fix(stopping): take a late request only if the stop can finish it

What callers saw: where the time between SIGTERM and SIGKILL is 3.7 s or less, every request until the last moment was taken, whatever time it had, and was ended at the end of the stop: with 502 where another node's endpoint ran it (the links were closed before the callers' connections), with no answer where the own one did. With 6 s the same befell requests between 2.2 s and 3 s that had more than 2.3 s left, as those of sites with deadlines of 3 to 5 s have. The node closed its listener 150 ms before it ended.

Cause: constants that were meant for a grace of 6 s. 'Takes every request for 3 s' did not know when the stop ends, and counted from the turn in which the signal was read, which is later than the signal on a busy node.

The stop is a slice of its own now. Its times follow from the grace and from the signal: everything is taken until callers can know that the node is not ready, 2.2 s, or half of a shorter stop; after that only what is sure to be over before the end. Refused callers are told to come back after the end. The listener and kept connections stay until the process ends; in its last 150 ms the node refuses everything, and what no home was offered is refused as not run.

The test of admission asked that a request with 9 s left is taken 2.5 s after the signal. It would have been cut; the test asks for 1.5 s, and for a refusal at 2.5 s.

--- a/src/callers/admit_request.ts
+++ b/src/callers/admit_request.ts
@@ -3,6 +3,8 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
+import { canFinish } from "../stopping/can_finish.ts";
+import type { StopState } from "../stopping/state.ts";
 
 /**
  * Time unread above which requests are turned away, in milliseconds. The lag of
@@ -11,15 +13,6 @@
  */
 const maxUnreadMs = 150;
 
-/** Time in which a stopping node takes every request, in milliseconds. */
-const takeAllMs = 3_000;
-
-/** When a node that stops was told to, and when it has to be gone. */
-export interface StopTimes {
-  readonly stoppedAt: MonotonicMs;
-  readonly endAt: MonotonicMs;
-}
-
 /** Options of `admitRequest`. */
 export interface AdmitRequestOptions {
   /** Longest time that the request may have waited unread, in milliseconds. */
@@ -28,10 +21,18 @@
   readonly isInner: boolean;
   /** Time that the request still has, less what it may have waited unread. */
   readonly waitMs: number;
-  readonly stop: StopTimes | undefined;
+  readonly stop: StopState | undefined;
   readonly now: MonotonicMs;
 }
 
+export const Turned = {
+  /** The node ends before the request is sure to be answered. */
+  Stopping: "the node is stopping",
+  Unread: "its time went by unread",
+  Overloaded: "the node is overloaded",
+} as const;
+export type Turned = typeof Turned[keyof typeof Turned];
+
 /**
  * Returns why a request is turned away before anything is done for it.
  *
@@ -41,14 +42,14 @@
  * for a call of the endpoint that has waited for as long as it had. And clients
  * that come to a stopping node until its end would be cut.
  */
-export function admitRequest(opts: AdmitRequestOptions): string | undefined {
-  const { stop, now } = opts;
-  if (stop !== undefined && now > stop.stoppedAt + takeAllMs) {
-    if (now + opts.waitMs > stop.endAt) return "the node is stopping";
-  }
-  if (opts.waitMs <= 0) return "its time went by unread";
-  if (opts.waitedMs > maxUnreadMs && !opts.isInner) {
-    return "the node is overloaded";
+export function admitRequest(opts: AdmitRequestOptions): Turned | undefined {
+  const { stop, waitedMs, waitMs, now } = opts;
+  if (
+    stop !== undefined && !canFinish(stop, { waitMs, lagMs: waitedMs, now })
+  ) {
+    return Turned.Stopping;
   }
+  if (waitMs <= 0) return Turned.Unread;
+  if (waitedMs > maxUnreadMs && !opts.isInner) return Turned.Overloaded;
   return undefined;
 }
--- a/src/callers/admit_request_test.ts
+++ b/src/callers/admit_request_test.ts
@@ -1,5 +1,6 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
+import { createStop } from "../stopping/create_stop.ts";
 import { admitRequest } from "./admit_request.ts";
 
 function admit(change: object) {
@@ -22,9 +23,15 @@
 });
 
 test("a stopping node takes what it can finish", () => {
-  const stop = { stoppedAt: 7_500, endAt: 13_000 };
-  assert.equal(admit({ stop }), undefined);
-  assert.equal(admit({ stop, waitMs: 9_000 }), undefined);
+  const stop = createStop({ graceMs: 6_200, lagMs: 0, now: 7_500 });
+  assert.equal(admit({ stop, now: 9_000, waitMs: 9_000 }), undefined);
+  assert.ok(admit({ stop, now: 10_000, waitMs: 9_000 }));
+  assert.equal(admit({ stop, now: 10_000 }), undefined);
   assert.equal(admit({ stop, now: 11_500 }), undefined);
   assert.ok(admit({ stop, now: 12_500 }));
 });
+
+test("a call of the endpoint that would be cut is turned away too", () => {
+  const stop = createStop({ graceMs: 6_200, lagMs: 0, now: 7_500 });
+  assert.ok(admit({ stop, now: 12_500, isInner: true }));
+});
--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -15,7 +15,8 @@
 import { findRoute } from "../routes/find_route.ts";
 import type { ClientLimits } from "../routes/state.ts";
 import { retryAfterMs } from "../calls/retry_after.ts";
-import { admitRequest, type StopTimes } from "./admit_request.ts";
+import type { StopState } from "../stopping/state.ts";
+import { admitRequest, Turned } from "./admit_request.ts";
 import { answerItself } from "./answer_caller.ts";
 import { createAcceptMeter } from "./create_accept_meter.ts";
 import { estimateAgeMs } from "./estimate_age.ts";
@@ -50,7 +51,9 @@
   readonly server: Server;
   setLimits(limits: ClientLimits): void;
   /** Asks callers to connect elsewhere with their next request. */
-  drain(times: StopTimes): void;
+  drain(state: StopState): void;
+  /** Refuses the requests that no home has been offered yet. */
+  refuseRest(): void;
   /** Requests whose answers have not left yet. */
   open(): number;
   /** Ends what is left of all connections. */
@@ -82,7 +85,7 @@
   const accepts = createAcceptMeter(ctx);
   /** Connections whose first request has not been read. */
   const arrivals = new WeakMap<Socket, Arrival>();
-  let stop: StopTimes | undefined;
+  let stop: StopState | undefined;
   let unsent = 0;
 
   function take(req: IncomingMessage, res: ServerResponse) {
@@ -122,7 +125,7 @@
     if (reason !== undefined) {
       if (isInner && caller.parentId) ctx.excuseRun(caller.parentId);
       const retryMs = retryAfterMs({
-        waitMs: waitedMs,
+        waitMs: returnMs(reason, waitedMs),
         leftMs: waitMs,
         random: ctx.random(),
       });
@@ -206,6 +209,13 @@
     });
   }
 
+  /** Time after which a caller that was turned away may be taken. */
+  function returnMs(reason: Turned, waitedMs: number): number {
+    if (stop === undefined || reason !== Turned.Stopping) return waitedMs;
+    // Until its end the node would turn the same caller away again.
+    return stop.times.endAt - ctx.now();
+  }
+
   /** How long a request that is read now may have waited before. */
   function unreadMs(socket: Socket): number {
     const lagMs = ctx.lagMs();
@@ -230,8 +240,13 @@
       server.keepAliveTimeout = limits.idleMs + idleSlackMs;
       server.headersTimeout = limits.headerMs;
     },
-    drain(times) {
-      stop = times;
+    drain(state) {
+      stop = state;
+    },
+    refuseRest() {
+      for (const { calls } of connections.values()) {
+        for (const call of [...calls]) call.refuseUnsent();
+      }
     },
     open: () => unsent,
     close() {
@@ -243,6 +258,7 @@
           unsentBytes,
         });
       }
+      server.close();
       server.closeAllConnections();
     },
   };
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -24,6 +24,7 @@
 import { RefusalReason } from "../queue/state.ts";
 import { pickPart } from "../routes/pick_part.ts";
 import type { Route } from "../routes/state.ts";
+import { Turned } from "./admit_request.ts";
 import { answerItself, passOnAnswer } from "./answer_caller.ts";
 import { createHomeSearch } from "./create_home_search.ts";
 import { describeCall, inlineBytes } from "./describe_call.ts";
@@ -72,6 +73,8 @@
 export interface ServedCall {
   /** The caller's connection is gone. */
   abandon(): void;
+  /** The node ends. The call is refused unless a home has been offered it. */
+  refuseUnsent(): void;
   /** The node ends and closes the connection before the answer. */
   cut(): void;
 }
@@ -392,6 +395,9 @@
 
   return {
     abandon: () => finish(CallResult.Left, 0),
+    refuseUnsent() {
+      if (offers === 0) giveUp(503, Turned.Stopping);
+    },
     cut() {
       if (isDone) return;
       log(LogLevel.Error, "call cut by the stop", {
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -14,6 +14,7 @@
 import { createLagMeter } from "../control/create_lag_meter.ts";
 import { createControlLoop } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
+import { exhausted } from "../core/exhausted.ts";
 import { countReady } from "../fleet/count_ready.ts";
 import { createFleetState } from "../fleet/state.ts";
 import { createHome } from "../homes/create_home.ts";
@@ -23,6 +24,13 @@
 import { createPlacementState } from "../placement/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
+import { createStop } from "../stopping/create_stop.ts";
+import { decideStop } from "../stopping/decide_stop.ts";
+import {
+  type StopEffect,
+  StopPhase,
+  type StopState,
+} from "../stopping/state.ts";
 import { followTopic } from "../store/follow_topic.ts";
 import { countRun } from "../takeover/count_run.ts";
 import { decideTakeover } from "../takeover/decide_takeover.ts";
@@ -56,23 +64,8 @@
 /** Time between looks for nodes that are gone, in milliseconds. */
 const fleetTickMs = 5_000;
 
-/**
- * Time after SIGTERM in which the endpoint still takes calls from other nodes,
- * in milliseconds. Their calls end before callers have left.
- */
-const servingMs = 1_700;
-
-/**
- * Time after SIGTERM in which callers still come: two readiness checks have to
- * fail before clients stop, and checks are a second apart.
- */
-const drainMs = 2_200;
-
-/** Part of the grace that is left unused, in milliseconds. */
-const spareGraceMs = 700;
-
-/** Time for the last answers to leave their sockets. */
-const flushMs = 150;
+/** Time between looks at a node that stops, in milliseconds. */
+const stopTickMs = 50;
 
 /** Options of `runSidecar`. */
 export interface RunSidecarOptions {
@@ -115,7 +108,7 @@
       }),
   });
   const lag = createLagMeter({ now });
-  let isStopping = false;
+  let stop: StopState | undefined;
   let closed: Promise<void> | undefined;
 
   const home = createHome({
@@ -247,7 +240,7 @@
   });
   const pings = createPingServer({
     match: platform.matchPingCall,
-    isReady: () => !isStopping && routes.table !== undefined,
+    isReady: () => stop === undefined && routes.table !== undefined,
     onPing: instance.ping,
     onLeave: instance.leave,
   });
@@ -261,7 +254,7 @@
     const peers = gossip.healthyNodes();
     const waitMs = peers.length === 0 ? leadAloneAfterMs : leadAfterMs;
     const mayLead = now() - startedAt >= waitMs && follower.isHealthy() &&
-      !isStopping;
+      stop === undefined;
     const before = peers.filter((peer) => peer < settings.node);
     move({
       type: "ticked",
@@ -321,28 +314,33 @@
   };
 
   async function shutDown() {
-    isStopping = true;
-    log.write("process", LogLevel.Info, "stopping", { open: callers.open() });
-    const stoppedAt = now();
-    const endAt = stoppedAt + settings.graceMs - spareGraceMs;
-    callers.drain({ stoppedAt, endAt });
-    await sleep(Math.min(servingMs, endAt - now()));
-    instance.withdraw();
-    const calmAt = stoppedAt + drainMs;
-    while (now() < endAt && (now() < calmAt || isBusy())) await sleep(50);
-    callers.server.close();
-    // Requests that were read before their connection closed are finished.
-    do {
-      callers.server.closeIdleConnections();
-      await sleep(flushMs);
-    } while (now() < endAt && isBusy());
+    const toldAt = now();
+    stop = createStop({
+      graceMs: settings.graceMs,
+      lagMs: lag.lagMs(),
+      now: toldAt,
+    });
+    log.write("process", LogLevel.Info, "stopping", {
+      open: callers.open(),
+      graceMs: settings.graceMs,
+      lagMs: Math.round(lag.lagMs()),
+    });
+    callers.drain(stop);
+    for (;;) {
+      const event = { type: "ticked", isBusy: isBusy(), now: now() } as const;
+      for (const effect of decideStop(stop, event)) applyStop(effect);
+      if (stop.phase === StopPhase.Over) break;
+      await sleep(stopTickMs);
+    }
+    const { running, waiting } = home.report();
     log.write("process", LogLevel.Info, "closing", {
-      afterMs: Math.round(now() - stoppedAt),
+      afterMs: Math.round(now() - toldAt),
       open: callers.open(),
-      runs: home.report().running,
-      waiting: home.report().waiting,
+      running,
+      waiting,
       unsentLinkBytes: links.unsentBytes(),
     });
+    callers.close();
     clearInterval(moveTimer);
     clearInterval(fleetTimer);
     follower.close();
@@ -355,13 +353,23 @@
       server.closeAllConnections();
       server.close();
     }
-    callers.close();
     lag.close();
     await home.close();
     await platform.store.close();
     log.write("process", LogLevel.Info, "stopped");
     log.close();
   }
+
+  function applyStop(effect: StopEffect) {
+    switch (effect.type) {
+      case "withdraw":
+        return instance.withdraw();
+      case "refuse-rest":
+        return callers.refuseRest();
+      default:
+        exhausted(effect);
+    }
+  }
 }
 
 function listen(server: Server, address: string): Promise<void> {
