--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -6,6 +6,7 @@
 import { type WebSocket, WebSocketServer } from "ws";
 import type { Home } from "../calls/state.ts";
 import type { NodeId } from "../core/types.ts";
+import { Way, type WorkMeter } from "../metrics/create_work_meter.ts";
 import type { QueueReport } from "../queue/state.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
 import type { Gossip, LinkMessage } from "./messages.ts";
@@ -19,6 +20,7 @@
   readonly home: Home;
   readonly report: (route?: string) => QueueReport;
   readonly lagMs: () => number;
+  readonly meter: WorkMeter;
   /** Answers gossip through `reply`. The sender is known after its hello. */
   readonly onGossip: (
     from: NodeId | undefined,
@@ -65,9 +67,13 @@
   const pack = createPacker({ isCompressing: () => isFar });
   const unpack = createUnpacker();
   const send = (message: LinkMessage) => {
-    if (socket.readyState === socket.OPEN) socket.send(pack(message));
+    if (socket.readyState !== socket.OPEN) return;
+    const work = meter.begin();
+    const packed = pack(message);
+    socket.send(packed);
+    meter.endMessage(work, Way.Sent, message.type, packed.length);
   };
-  const { home, report, lagMs } = opts;
+  const { home, report, lagMs, meter } = opts;
   const calls = serveLink({ home, report, lagMs, send });
 
   function take(message: LinkMessage) {
@@ -100,11 +106,17 @@
   }
 
   socket.on("message", (data) => {
+    const work = meter.begin();
+    let type = "unreadable";
     try {
-      take(unpack(data as Buffer));
+      const message = unpack(data as Buffer);
+      ({ type } = message);
+      take(message);
     } catch (err) {
       opts.onError(err instanceof Error ? err.message : String(err), from);
       socket.terminate();
+    } finally {
+      meter.endMessage(work, Way.Received, type, (data as Buffer).length);
     }
   });
   socket.on("error", (err) => opts.onError(err.message, from));
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -11,6 +11,7 @@
 } from "../calls/state.ts";
 import { pauseAfter } from "../core/pause_after.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
+import { Way, type WorkMeter } from "../metrics/create_work_meter.ts";
 import type { QueueReport } from "../queue/state.ts";
 import { checkLink } from "./check_link.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
@@ -31,6 +32,7 @@
   readonly idleMs: number;
   readonly now: () => MonotonicMs;
   readonly random: () => number;
+  readonly meter: WorkMeter;
   /** Whether the node is in another failure domain, as far as is known. */
   readonly isFar: () => boolean;
   readonly hello: () => Gossip;
@@ -58,7 +60,7 @@
 
 /** Keeps a link to a node, connecting again for as long as it is not closed. */
 export function dialLink(opts: DialLinkOptions): DialledLink {
-  const { now } = opts;
+  const { now, meter } = opts;
   const offered = new Map<LinkKey, OfferedOnLink>();
   let lastKey = 0;
   let socket: WebSocket | undefined;
@@ -89,11 +91,17 @@
     });
     fresh.on("message", (data) => {
       health.heardAt = now();
+      const work = meter.begin();
+      let type = "unreadable";
       try {
-        take(unpack(data as Buffer));
+        const message = unpack(data as Buffer);
+        ({ type } = message);
+        take(message);
       } catch (err) {
         reason = err instanceof Error ? err.message : String(err);
         fresh.terminate();
+      } finally {
+        meter.endMessage(work, Way.Received, type, (data as Buffer).length);
       }
     });
     fresh.on("error", (err) => reason = err.message);
@@ -158,7 +166,11 @@
   }
 
   function send(message: LinkMessage) {
-    if (isOpen) socket?.send(pack(message));
+    if (!isOpen) return;
+    const work = meter.begin();
+    const packed = pack(message);
+    socket?.send(packed);
+    meter.endMessage(work, Way.Sent, message.type, packed.length);
   }
 
   function check() {
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -4,6 +4,8 @@
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { Run } from "../takeover/count_run.ts";
+import type { WorkMeter } from "./create_work_meter.ts";
+import { exposeWork } from "./expose_work.ts";
 
 /** Bounds in seconds, from a short inner call to the longest time-outs. */
 const latencyBounds = [
@@ -46,9 +48,15 @@
   text(): Promise<string>;
 }
 
+/** Options of `createMetrics`. */
+export interface CreateMetricsOptions {
+  readonly meter: WorkMeter;
+}
+
 /** Creates the metrics. Labels hold routes, services and fixed words only. */
-export function createMetrics(): Metrics {
+export function createMetrics(opts: CreateMetricsOptions): Metrics {
   const registry = new Registry();
+  exposeWork({ registry, meter: opts.meter });
   const registers = [registry];
   const calls = new Histogram({
     name: "lagoon_call_duration_seconds",
--- a/src/metrics/create_metrics_test.ts
+++ b/src/metrics/create_metrics_test.ts
@@ -1,9 +1,10 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import { createMetrics } from "./create_metrics.ts";
+import { createWorkMeter, Duty, Way } from "./create_work_meter.ts";
 
 test("runs are counted by version and result", async () => {
-  const metrics = createMetrics();
+  const metrics = createMetrics({ meter: createWorkMeter({ now: () => 0 }) });
   const run = {
     service: "one",
     version: "v2",
@@ -23,3 +24,26 @@
     text.includes(`lagoon_version_runs_total{${labels},result="failed"} 2`),
   );
 });
+
+test("work is shown as it is at the scrape", async () => {
+  let now = 0;
+  const meter = createWorkMeter({ now: () => now });
+  const metrics = createMetrics({ meter });
+  for (let scrapes = 1; scrapes <= 2; scrapes++) {
+    const work = meter.begin();
+    now += 500;
+    meter.endMessage(work, Way.Sent, "ping", 10);
+    meter.addMs(Duty.Timers, 250);
+    const text = await metrics.text();
+    const labels = '{type="ping",way="sent"}';
+    assert.ok(text.includes(`lagoon_link_messages_total${labels} ${scrapes}`));
+    assert.ok(
+      text.includes(`lagoon_link_seconds_total${labels} ${scrapes * 0.5}`),
+    );
+    assert.ok(
+      text.includes(
+        `lagoon_work_seconds_total{duty="timers"} ${scrapes * 0.25}`,
+      ),
+    );
+  }
+});
--- /dev/null
+++ b/src/metrics/create_work_meter_test.ts
@@ -0,0 +1,31 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { createWorkMeter, Duty, Way } from "./create_work_meter.ts";
+
+test("nested work counts once", () => {
+  let now = 0;
+  const meter = createWorkMeter({ now: () => now });
+  const outer = meter.begin();
+  now = 2;
+  const inner = meter.begin();
+  now = 5;
+  meter.endMessage(inner, Way.Sent, "offer", 100);
+  now = 6;
+  meter.end(outer, Duty.Callers);
+  const { workMs, messages } = meter.totals();
+  assert.equal(workMs.get(Duty.Callers), 3);
+  assert.deepEqual([...messages.values()], [
+    { type: "offer", way: Way.Sent, count: 1, bytes: 100, ms: 3 },
+  ]);
+});
+
+test("work after other work starts anew", () => {
+  let now = 0;
+  const meter = createWorkMeter({ now: () => now });
+  for (const ms of [3, 4]) {
+    const work = meter.begin();
+    now += ms;
+    meter.end(work, Duty.Timers);
+  }
+  assert.equal(meter.totals().workMs.get(Duty.Timers), 7);
+});
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -17,6 +17,7 @@
 import { type DialledLink, dialLink } from "../links/dial_link.ts";
 import type { Gossip } from "../links/messages.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
+import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
 import { noteReport } from "../placement/note_home.ts";
 import type { PlacementState } from "../placement/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
@@ -55,6 +56,7 @@
   readonly log: Log;
   readonly now: () => MonotonicMs;
   readonly random: () => number;
+  readonly meter: WorkMeter;
   /** How far this node has read the operators' topic, and all it holds. */
   readonly operatorEnd: () => Offset;
   readonly operatorRecords: () => readonly KeyedRecord[];
@@ -91,14 +93,16 @@
 
 /** Creates the hub. It dials nodes as the fleet learns of them. */
 export function createGossip(opts: CreateGossipOptions): GossipHub {
-  const { self, fleet, now } = opts;
+  const { self, fleet, now, meter } = opts;
   const links = new Map<NodeId, DialledLink>();
   const healthyAt = new Map<NodeId, MonotonicMs>();
   let behindSince: MonotonicMs | undefined;
   let hasAskedRows = false;
   // One timer for all links: each wake-up costs, however many links there are.
   const checker = setInterval(() => {
+    const work = meter.begin();
     for (const link of links.values()) link.check();
+    meter.end(work, Duty.Timers);
   }, checkMs);
 
   function change(event: FleetEvent) {
@@ -129,6 +133,7 @@
       idleMs: isNear(node) ? nearIdleMs : farIdleMs,
       now,
       random: opts.random,
+      meter,
       isFar: () => fleet.rows.has(node) && !isNear(node),
       hello: () => ({ type: "hello", row: ownRow(fleet) }),
       ping,
@@ -185,7 +190,11 @@
   ) {
     opts.control.post(
       priorityOf(message),
-      () => handle(from, message, reply),
+      () => {
+        const work = meter.begin();
+        handle(from, message, reply);
+        meter.end(work, Duty.Control);
+      },
     );
   }
 
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -20,6 +20,9 @@
 import { acceptLinks } from "../links/accept_links.ts";
 import { createLog, LogLevel } from "../logs/create_log.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
+import { createWorkMeter, Duty } from "../metrics/create_work_meter.ts";
+import { meterStore } from "../metrics/meter_store.ts";
+import { watchGarbageCollection } from "../metrics/watch_garbage_collection.ts";
 import { createPlacementState } from "../placement/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
@@ -91,13 +94,16 @@
 
 /** Starts the process. Rejects when an address can't be listened on. */
 export async function runSidecar(opts: RunSidecarOptions): Promise<Sidecar> {
-  const { platform } = opts;
   let settings = opts.settings;
   const now = () => performance.now();
+  const meter = createWorkMeter({ now });
+  const store = meterStore(opts.platform.store, meter);
+  const platform = { ...opts.platform, store };
   const startedAt = now();
   const random = () => randomInt(2 ** 32) / 2 ** 32;
   const log = createLog({ node: settings.node, now });
-  const metrics = createMetrics();
+  const metrics = createMetrics({ meter });
+  const collections = watchGarbageCollection(meter);
   const routes = createRoutesState();
   const placement = createPlacementState();
   const fleet = createFleetState({
@@ -171,6 +177,7 @@
     log,
     now,
     random,
+    meter,
     operatorEnd: operator.end,
     operatorRecords: operator.records,
     isStoreHealthy: follower.isHealthy,
@@ -204,6 +211,7 @@
     random,
   };
   const callers = createCallerServer({ ctx });
+  measured(callers.server, Duty.Callers);
 
   const recorder = createMoveRecorder({
     self: settings.node,
@@ -239,6 +247,7 @@
     home,
     report: home.report,
     lagMs: lag.lagMs,
+    meter,
     onGossip: gossip.take,
     isFar: (domain) => domain !== settings.domain,
     onError: (reason, peer) =>
@@ -250,6 +259,12 @@
     onPing: instance.ping,
     onLeave: instance.leave,
   });
+  function measured(server: Server, duty: Duty) {
+    let work = meter.begin();
+    server.prependListener("request", () => work = meter.begin());
+    server.on("request", () => meter.end(work, duty));
+  }
+
   const scrape = polka().get("/metrics", async (_req, res) => {
     metrics.setReadyEndpoints(countReady(fleet));
     res.end(await metrics.text());
@@ -257,6 +272,7 @@
 
   const moveTimer = setInterval(() => {
     if (takeover.moves.size === 0) return;
+    const work = meter.begin();
     const peers = gossip.healthyNodes();
     const waitMs = peers.length === 0 ? leadAloneAfterMs : leadAfterMs;
     const mayLead = now() - startedAt >= waitMs && follower.isHealthy() &&
@@ -270,6 +286,7 @@
       loadOf: (service, version) =>
         loadOfVersion({ fleet, placement, home, service, version }),
     });
+    meter.end(work, Duty.Timers);
   }, moveTickMs);
   const fleetTimer = setInterval(
     () => gossip.change({ type: "ticked", now: now() }),
@@ -347,6 +364,7 @@
       }
       callers.close();
       lag.close();
+      collections.close();
       await home.close();
       await platform.store.close();
       log.write("process", LogLevel.Info, "stopped");
--- a/tools/experiment.ts
+++ b/tools/experiment.ts
@@ -20,6 +20,7 @@
   appending: async () =>
     (await import("./experiments/appending.ts")).runAppending,
   folding: async () => (await import("./experiments/folding.ts")).runFolding,
+  sidecars: async () => (await import("./experiments/sidecars.ts")).runSidecars,
   rollouts: async () => (await import("./experiments/rollouts.ts")).runRollouts,
 };
 
