--- a/tools/experiments/sidecars.ts
+++ b/tools/experiments/sidecars.ts
@@ -33,7 +33,8 @@
 
 /** Requests a second that begin at each node. */
 const rate = 4;
-const settleMs = 8_000;
+const settleMs = 5_000;
+const startLimitMs = 90_000;
 const measuredMs = 15_000;
 const restartMs = 6_000;
 const changeMs = 1_000;
@@ -70,6 +71,7 @@
       fleets.push(await startFleet(folder, index, size));
     }
     const load = startLoad(fleets);
+    await Promise.all(fleets.map(waitUntilLinked));
     await sleep(settleMs);
     opts.onProgress("Measuring under load.");
     const before = await Promise.all(fleets.map(readFleet));
@@ -224,6 +226,22 @@
   return Math.floor(at / domains) % 2 === 0;
 }
 
+/** Waits until each node may offer calls to all endpoints. */
+async function waitUntilLinked(fleet: Fleet) {
+  const giveUpAt = performance.now() + startLimitMs;
+  while (performance.now() < giveUpAt) {
+    await sleep(1_000);
+    // Nodes that are not up yet can't be read.
+    const reading = await readFleet(fleet).catch((): Reading => new Map());
+    let endpoints = 0;
+    for (const [name, value] of reading) {
+      if (name.startsWith("lagoon_ready_endpoints{")) endpoints += value;
+    }
+    if (Math.round(endpoints) === fleet.nodes.length) return;
+  }
+  throw new Error(`${fleet.nodes.length} nodes are not all linked`);
+}
+
 function readFleet({ nodes }: Fleet): Promise<Reading> {
   return readNodes(nodes);
 }
