feat(reading): two nodes of a failure domain read the operators' topic

Callers of a grown fleet were served too little.

The first two nodes by address that can read now do, and pass on what they read over the links. No election: views that differ for a moment mean one reader more or less. A reader that fails or hangs says so, or is found behind by its peers, and the next one steps in. Ruled out: one reader (a hang of its read would have to be found first), and reads spread over all nodes in turn (the same calls).

--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -9,6 +9,7 @@
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { QueueReport } from "../queue/state.ts";
+import type { Reading } from "../reading/state.ts";
 import type { LinkMessage } from "./messages.ts";
 
 /** First element of an encoded message. */
@@ -70,7 +71,7 @@
         Kind.Ping,
         ...reportFields(message.report),
         message.operatorEnd,
-        message.isStoreHealthy,
+        message.reading,
       ];
     case "pong":
       return [Kind.Pong, ...reportFields(message.report)];
@@ -111,7 +112,7 @@
         type: "ping",
         report: reportOf(fields, 1),
         operatorEnd: fields[5] as number,
-        isStoreHealthy: fields[6] as boolean,
+        reading: fields[6] as Reading,
       };
     case Kind.Pong:
       return { type: "pong", report: reportOf(fields, 1) };
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -1,6 +1,7 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import type { AttemptEvent } from "../calls/state.ts";
+import { Reading } from "../reading/state.ts";
 import { offeredCall } from "../testing/offered_call.ts";
 import { checkLink } from "./check_link.ts";
 import { decodeMessage, encodeMessage } from "./encode_message.ts";
@@ -35,7 +36,7 @@
   { type: "body-end", key: 1 },
   { type: "cancel", key: 1 },
   ...events.map((event) => ({ type: "event" as const, key: 3, event, report })),
-  { type: "ping", report, operatorEnd: 12, isStoreHealthy: true },
+  { type: "ping", report, operatorEnd: 12, reading: Reading.Healthy },
   { type: "pong", report },
   { type: "ask-operator" },
 ];
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -6,6 +6,7 @@
 import type { Offset } from "../core/types.ts";
 import type { NodeRow } from "../fleet/state.ts";
 import type { QueueReport } from "../queue/state.ts";
+import type { Reading } from "../reading/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
 import type { MoveFault, MoveReport, MoveStep } from "../takeover/state.ts";
 
@@ -41,8 +42,7 @@
     readonly report: QueueReport;
     /** How far the operators' topic was read. */
     readonly operatorEnd: Offset;
-    /** Reads of the store succeed. */
-    readonly isStoreHealthy: boolean;
+    readonly reading: Reading;
   }
   | { readonly type: "pong"; readonly report: QueueReport }
   | { readonly type: "rows"; readonly rows: readonly NodeRow[] }
@@ -50,6 +50,9 @@
   | { readonly type: "ask-operator" }
   | {
     readonly type: "operator";
+    /** Whoever has read so far lacks nothing. Negative: all keys are there. */
+    readonly from: Offset;
+    /** The newest of each key. */
     readonly records: readonly KeyedRecord[];
     readonly end: Offset;
   }
--- /dev/null
+++ b/src/reading/reading_test.ts
@@ -0,0 +1,182 @@
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import fc from "fast-check";
+import { checkProperty } from "../testing/check_property.ts";
+import {
+  createReadingWorld,
+  type ReadingWorld,
+  StoreMode,
+} from "../testing/create_reading_world.ts";
+
+/** Time in which a change has to be in force on the smaller sites. */
+const applyMs = 2_000;
+
+/** Time after which views agree: the longest rest, and pings after it. */
+const calmMs = 8_000;
+
+const domains = 2;
+const nodesOfDomain = 4;
+const nodes = domains * nodesOfDomain;
+
+function calmWorld(): ReadingWorld {
+  const world = createReadingWorld({ domains, nodesOfDomain });
+  world.run(calmMs);
+  return world;
+}
+
+/** Nodes that should know the newest record and don't. */
+function behind(world: ReadingWorld): number[] {
+  return [...world.reachable()].filter((node) =>
+    world.end(node) !== world.storeEnd()
+  );
+}
+
+function writeAndCheck(world: ReadingWorld) {
+  world.write();
+  world.run(applyMs);
+  assert.deepEqual(behind(world), []);
+}
+
+test("two nodes of each domain read in calm", () => {
+  const world = calmWorld();
+  assert.deepEqual([world.readers(0), world.readers(1)], [2, 2]);
+  writeAndCheck(world);
+});
+
+test("a change is passed on while readers are killed", () => {
+  const world = calmWorld();
+  world.write();
+  world.kill(0);
+  world.kill(2);
+  world.run(applyMs);
+  assert.deepEqual(behind(world), []);
+  assert.equal(world.readers(0), 2);
+});
+
+test("a change is in force while the store turns the first nodes away", () => {
+  const world = calmWorld();
+  for (const node of [0, 2, 4]) world.setMode(node, StoreMode.Refuses);
+  writeAndCheck(world);
+  assert.equal(world.readers(0), 1);
+});
+
+test("a change is in force while all reads of a domain hang", () => {
+  const world = calmWorld();
+  for (const node of [0, 2, 4, 6]) world.setMode(node, StoreMode.Hangs);
+  writeAndCheck(world);
+});
+
+test("a change is in force while the readers' links are silent", () => {
+  const world = calmWorld();
+  for (const reader of [0, 2]) {
+    for (let node = 0; node < nodes; node++) world.cut(reader, node);
+  }
+  writeAndCheck(world);
+});
+
+test("a domain that is cut off from the others reads for itself", () => {
+  const world = calmWorld();
+  for (const a of [0, 2, 4, 6]) {
+    for (const b of [1, 3, 5, 7]) world.cut(a, b);
+  }
+  writeAndCheck(world);
+});
+
+test("a store that is out is not asked by every node all the time", () => {
+  const world = calmWorld();
+  for (let node = 0; node < nodes; node++) {
+    world.setMode(node, StoreMode.Refuses);
+  }
+  world.run(1_000);
+  const before = world.reads();
+  world.run(3_000);
+  // Two nodes of each domain go on asking, the others once in a while.
+  const perNode = (world.reads() - before) / nodes;
+  assert.ok(perNode < 15, `${perNode} reads a node`);
+});
+
+const index = fc.integer({ min: 0, max: nodes - 1 });
+const action = fc.oneof(
+  fc.record({ type: fc.constant("write" as const) }),
+  fc.record({ type: fc.constant("kill" as const), node: index }),
+  fc.record({ type: fc.constant("start" as const), node: index }),
+  fc.record({
+    type: fc.constant("mode" as const),
+    node: index,
+    mode: fc.constantFrom(...Object.values(StoreMode)),
+  }),
+  fc.record({ type: fc.constant("cut" as const), a: index, b: index }),
+  fc.record({ type: fc.constant("heal" as const) }),
+  fc.record({
+    type: fc.constant("run" as const),
+    ms: fc.integer({ min: 1, max: 60 }).map((steps) => steps * 50),
+  }),
+);
+
+type Action = typeof action extends fc.Arbitrary<infer T> ? T : never;
+
+function play(world: ReadingWorld, one: Action) {
+  switch (one.type) {
+    case "write":
+      return world.write();
+    case "kill":
+      return world.kill(one.node);
+    case "start":
+      return world.start(one.node);
+    case "mode":
+      return world.setMode(one.node, one.mode);
+    case "cut":
+      return world.cut(one.a, one.b);
+    case "heal":
+      return world.heal();
+    case "run":
+      return world.run(one.ms);
+  }
+}
+
+const story = fc.array(action, { maxLength: 40 });
+
+test("in any story each node with a path ends at the newest record", () => {
+  checkProperty(
+    fc.property(story, (actions) => {
+      const world = createReadingWorld({ domains, nodesOfDomain });
+      for (const one of actions) play(world, one);
+      world.run(calmMs);
+      assert.deepEqual(behind(world), []);
+      world.write();
+      world.run(calmMs);
+      assert.deepEqual(behind(world), []);
+    }),
+    { runs: 300 },
+  );
+});
+
+test("in any story at most two nodes of a domain read once views agree", () => {
+  checkProperty(
+    fc.property(story, (actions) => {
+      const world = createReadingWorld({ domains, nodesOfDomain });
+      for (const one of actions) play(world, one);
+      world.heal();
+      world.run(calmMs);
+      for (let domain = 0; domain < domains; domain++) {
+        assert.ok(world.readers(domain) <= 2);
+      }
+    }),
+    { runs: 300 },
+  );
+});
+
+test("in any story a change is in force in time once troubles are a while old", () => {
+  checkProperty(
+    fc.property(story, (actions) => {
+      const world = createReadingWorld({ domains, nodesOfDomain });
+      for (const one of actions) play(world, one);
+      world.heal();
+      world.run(calmMs);
+      world.write();
+      world.run(applyMs);
+      assert.deepEqual(behind(world), []);
+    }),
+    { runs: 300 },
+  );
+});
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -5,7 +5,7 @@
 import type { Homes } from "../calls/state.ts";
 import { type ControlLoop, Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
-import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { decideFleet } from "../fleet/decide_fleet.ts";
 import {
   type FleetEffect,
@@ -20,9 +20,11 @@
 import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
 import { noteReport } from "../placement/note_home.ts";
 import type { PlacementState } from "../placement/state.ts";
-import type { KeyedRecord } from "../store/state.ts";
+import { readerCount } from "../reading/should_read.ts";
+import { Reading } from "../reading/state.ts";
 import type { MoveDescription } from "../takeover/describe_moves.ts";
 import type { TakeoverEvent } from "../takeover/state.ts";
+import type { FeedPeers, OperatorFeed } from "./feed_operator.ts";
 
 /** Time between pings of an idle link within the failure domain. */
 const nearIdleMs = 1_000;
@@ -30,12 +32,6 @@
 /** The same between failure domains, where bytes are dear. */
 const farIdleMs = 2_500;
 
-/**
- * Time that a node waits for its own read of the store once a peer is ahead.
- * Usually the read is only a few milliseconds behind.
- */
-const behindMs = 600;
-
 /** Time between looks at the health of all links. */
 const checkMs = 200;
 
@@ -57,21 +53,12 @@
   readonly now: () => MonotonicMs;
   readonly random: () => number;
   readonly meter: WorkMeter;
-  /** How far this node has read the operators' topic, and all it holds. */
-  readonly operatorEnd: () => Offset;
-  readonly operatorRecords: () => readonly KeyedRecord[];
-  readonly isStoreHealthy: () => boolean;
-  readonly onOperatorRecords: (
-    records: readonly KeyedRecord[],
-    end: Offset,
-  ) => void;
-  /** A peer has read further for a while: this node's own read hangs. */
-  readonly onBehind: () => void;
+  readonly operator: OperatorFeed;
   readonly moves: () => readonly MoveDescription[];
   readonly onMove: (event: TakeoverEvent) => void;
 }
 
-export interface GossipHub extends Homes {
+export interface GossipHub extends Homes, FeedPeers {
   /** Takes a message; `reply` answers on the same link. */
   take(
     from: NodeId | undefined,
@@ -96,12 +83,12 @@
   const { self, fleet, now, meter } = opts;
   const links = new Map<NodeId, DialledLink>();
   const healthyAt = new Map<NodeId, MonotonicMs>();
-  let behindSince: MonotonicMs | undefined;
   let hasAskedRows = false;
   // One timer for all links: each wake-up costs, however many links there are.
   const checker = setInterval(() => {
     const work = meter.begin();
     for (const link of links.values()) link.check();
+    opts.operator.tick();
     meter.end(work, Duty.Timers);
   }, checkMs);
 
@@ -118,6 +105,7 @@
         links.get(effect.node)?.close();
         links.delete(effect.node);
         healthyAt.delete(effect.node);
+        opts.operator.lose(effect.node);
         return;
       case "tell":
         tellAll({ type: "rows", rows: [effect.row] });
@@ -149,6 +137,7 @@
         const fields = { peer: node, reason };
         opts.log.write("fleet", LogLevel.Warn, "link lost", fields);
         healthyAt.delete(node);
+        opts.operator.lose(node);
         change({ type: "unlinked", node, now: now() });
       },
     });
@@ -169,8 +158,8 @@
     return {
       type: "ping",
       report: opts.home.report(),
-      operatorEnd: opts.operatorEnd(),
-      isStoreHealthy: opts.isStoreHealthy(),
+      operatorEnd: opts.operator.end(),
+      reading: opts.operator.reading(),
     };
   }
 
@@ -182,6 +171,22 @@
     for (const link of links.values()) link.send(message);
   }
 
+  function tellNear(message: Gossip) {
+    for (const [node, link] of links) if (isNear(node)) link.send(message);
+  }
+
+  function tellFirstFar(message: Gossip) {
+    const told = new Map<string, number>();
+    for (const node of [...fleet.linked].toSorted()) {
+      const domain = fleet.rows.get(node)?.row.domain;
+      if (domain === undefined || domain === opts.domain) continue;
+      const count = told.get(domain) ?? 0;
+      if (count >= readerCount) continue;
+      told.set(domain, count + 1);
+      send(node, message);
+    }
+  }
+
   /** Messages wait their turn, those that take a version back before others. */
   function take(
     from: NodeId | undefined,
@@ -223,15 +228,13 @@
       case "pong":
         return;
       case "ask-operator":
-        reply({
-          type: "operator",
-          records: opts.operatorRecords(),
-          end: opts.operatorEnd(),
-        });
-        return;
+        return reply(opts.operator.page());
       case "operator":
-        behindSince = undefined;
-        return opts.onOperatorRecords(message.records, message.end);
+        return opts.operator.take(
+          message,
+          from,
+          from !== undefined && isNear(from),
+        );
       case "move-step":
         return opts.onMove({
           type: "step-heard",
@@ -272,20 +275,20 @@
     if (from === undefined) return;
     const { report } = message;
     noteReport(opts.placement, { home: from, report, now: now() });
-    if (message.isStoreHealthy) healthyAt.set(from, now());
+    const { reading, operatorEnd: end } = message;
+    if (reading === Reading.Healthy) healthyAt.set(from, now());
     else healthyAt.delete(from);
-    if (message.operatorEnd <= opts.operatorEnd()) return;
-    behindSince ??= now();
-    if (now() - behindSince < behindMs) return;
-    behindSince = undefined;
-    opts.onBehind();
-    send(from, { type: "ask-operator" });
+    opts.operator.hear({ node: from, isNear: isNear(from), reading, end });
   }
 
   return {
     homeOf: (node) => node === self ? opts.home : links.get(node),
     take,
+    send,
     tellAll,
+    tellNear,
+    tellFirstFar,
+    pingNear: () => tellNear(ping()),
     tellNearAndLeaders(message) {
       const leaders = healthyNodes().toSorted().slice(0, leaderCount);
       for (const [node, link] of links) {
--- /dev/null
+++ b/src/sidecar/feed_operator.ts
@@ -0,0 +1,162 @@
+/**
+ * Brings what operators write to this node and on to its failure domain.
+ * @module
+ */
+import { exhausted } from "../core/exhausted.ts";
+import { formatError } from "../core/errors.ts";
+import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
+import type { Gossip } from "../links/messages.ts";
+import { type Log, LogLevel } from "../logs/create_log.ts";
+import { decideReading } from "../reading/decide_reading.ts";
+import {
+  createReadingState,
+  Reading,
+  type ReadingEffect,
+  type ReadingEvent,
+  RecordSource,
+} from "../reading/state.ts";
+import { followTopic } from "../store/follow_topic.ts";
+import type { KeyedRecord, KeyedStore } from "../store/state.ts";
+import type { OperatorReader } from "./read_operator.ts";
+
+/** Records of operators as they travel between nodes. */
+type OperatorPage = Extract<Gossip, { type: "operator" }>;
+
+/** Ways to other nodes. */
+export interface FeedPeers {
+  send(node: NodeId, message: Gossip): void;
+  /** Tells all linked nodes of the own failure domain. */
+  tellNear(message: Gossip): void;
+  /** Tells the first linked nodes of each other failure domain. */
+  tellFirstFar(message: Gossip): void;
+  /** Pings all linked nodes of the own failure domain. */
+  pingNear(): void;
+}
+
+/** Options of `createOperatorFeed`. */
+export interface CreateOperatorFeedOptions {
+  readonly self: NodeId;
+  readonly store: KeyedStore;
+  readonly topic: string;
+  readonly operator: OperatorReader;
+  readonly peers: () => FeedPeers;
+  readonly log: Log;
+  readonly now: () => MonotonicMs;
+  readonly random: () => number;
+}
+
+export interface PeerWord {
+  readonly node: NodeId;
+  readonly isNear: boolean;
+  readonly reading: Reading;
+  readonly end: Offset;
+}
+
+export interface OperatorFeed {
+  reading(): Reading;
+  end(): Offset;
+  /** All that a node needs which knows nothing. */
+  page(): OperatorPage;
+  hear(word: PeerWord): void;
+  lose(node: NodeId): void;
+  take(page: OperatorPage, from: NodeId | undefined, isNear: boolean): void;
+  tick(): void;
+  start(): void;
+  close(): void;
+}
+
+/** Creates a feed that has read nothing. */
+export function createOperatorFeed(
+  opts: CreateOperatorFeedOptions,
+): OperatorFeed {
+  const { operator, log, now } = opts;
+  const state = createReadingState(opts.self);
+
+  const follower = followTopic({
+    store: opts.store,
+    topic: opts.topic,
+    from: operator.end,
+    onRecords: (records, end) => accept(records, end, RecordSource.Store),
+    onHealth(err) {
+      if (err === undefined) log.write("store", LogLevel.Info, "regained");
+      else {
+        const reason = formatError(err);
+        log.write("store", LogLevel.Warn, "lost", { reason });
+      }
+      const isHealthy = err === undefined;
+      decide({ type: "store-changed", isHealthy, now: now() });
+    },
+    random: opts.random,
+  });
+
+  function accept(
+    records: readonly KeyedRecord[],
+    end: Offset,
+    source: RecordSource,
+  ) {
+    const from = operator.end();
+    if (end <= from) return;
+    operator.take(records, end);
+    decide({ type: "records-taken", source, from, end, now: now() });
+  }
+
+  function decide(event: ReadingEvent) {
+    for (const effect of decideReading(state, event)) apply(effect);
+  }
+
+  function apply(effect: ReadingEffect) {
+    switch (effect.type) {
+      case "read":
+        log.write("config", LogLevel.Info, "reads the store");
+        return follower.read();
+      case "rest":
+        log.write("config", LogLevel.Info, "leaves the store to peers");
+        return follower.rest();
+      case "reconnect":
+        log.write("config", LogLevel.Warn, "own read is behind", {
+          end: state.end,
+        });
+        return follower.reconnect();
+      case "tell":
+        return opts.peers().pingNear();
+      case "ask": {
+        const { node } = effect;
+        log.write("config", LogLevel.Warn, "peer is ahead", { peer: node });
+        return opts.peers().send(node, { type: "ask-operator" });
+      }
+      case "pass-on":
+        opts.peers().tellNear(pageFrom(effect.from));
+        // A page without records says how far they go.
+        return opts.peers().tellFirstFar(pageFrom(operator.end()));
+      default:
+        exhausted(effect);
+    }
+  }
+
+  function pageFrom(from: Offset): OperatorPage {
+    const records = operator.since(from);
+    return { type: "operator", from, records, end: operator.end() };
+  }
+
+  return {
+    reading: () => state.reading,
+    end: operator.end,
+    page: () => pageFrom(-1),
+    hear: (word) => decide({ type: "peer-heard", ...word, now: now() }),
+    lose: (node) => decide({ type: "peer-lost", node, now: now() }),
+    take(page, node, isNear) {
+      // A page that begins further on says that its sender is ahead.
+      if (page.from <= operator.end()) {
+        const source = isNear ? RecordSource.Near : RecordSource.Far;
+        accept(page.records, page.end, source);
+      }
+      if (node === undefined) return;
+      const reading = state.peers.get(node)?.reading ?? Reading.Idle;
+      const { end } = page;
+      decide({ type: "peer-heard", node, isNear, reading, end, now: now() });
+    },
+    tick: () => decide({ type: "ticked", now: now() }),
+    start: () => decide({ type: "started", now: now() }),
+    close: () => follower.close(),
+  };
+}
--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -22,8 +22,8 @@
 export interface OperatorReader {
   /** Takes records from the store or from a peer. Older ones are dropped. */
   take(records: readonly KeyedRecord[], end: Offset): void;
-  /** The newest record of each key, for peers that the store leaves out. */
-  records(): readonly KeyedRecord[];
+  /** The newest record of each key that came after an offset, for peers. */
+  since(from: Offset): readonly KeyedRecord[];
   end(): Offset;
 }
 
@@ -31,7 +31,8 @@
 export function createOperatorReader(
   opts: CreateOperatorReaderOptions,
 ): OperatorReader {
-  const newest = new Map<string, KeyedRecord>();
+  /** `end` is how far was read when the record came. */
+  const newest = new Map<string, { record: KeyedRecord; end: Offset }>();
   let readEnd: Offset = -1;
 
   /** False when the record can't be used, and an earlier one counts. */
@@ -42,7 +43,7 @@
       opts.log.write("config", LogLevel.Error, "record refused", { reason });
       return false;
     }
-    newest.set(record.key, record);
+    newest.set(record.key, { record, end: readEnd });
     switch (decoded.value.type) {
       case "table":
         opts.onTable(decoded.value.table);
@@ -68,7 +69,10 @@
         decoded.add(record.key);
       }
     },
-    records: () => [...newest.values()],
+    since: (from) =>
+      [...newest.values()].flatMap(({ record, end }) =>
+        end > from ? [record] : []
+      ),
     end: () => readEnd,
   };
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -13,7 +13,6 @@
 import type { CallContext } from "../callers/state.ts";
 import { createLagMeter } from "../control/create_lag_meter.ts";
 import { createControlLoop } from "../control/create_control_loop.ts";
-import { formatError } from "../core/errors.ts";
 import { countReady } from "../fleet/count_ready.ts";
 import { createFleetState } from "../fleet/state.ts";
 import { createHome } from "../homes/create_home.ts";
@@ -24,9 +23,9 @@
 import { meterStore } from "../metrics/meter_store.ts";
 import { watchGarbageCollection } from "../metrics/watch_garbage_collection.ts";
 import { createPlacementState } from "../placement/state.ts";
+import { Reading } from "../reading/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
-import { followTopic } from "../store/follow_topic.ts";
 import { countRun } from "../takeover/count_run.ts";
 import { decideTakeover } from "../takeover/decide_takeover.ts";
 import { describeMoves } from "../takeover/describe_moves.ts";
@@ -36,6 +35,7 @@
 import { driveMoves } from "./drive_moves.ts";
 import { loadOfVersion } from "./load_of_version.ts";
 import type { Platform, SidecarSettings } from "./platform_port.ts";
+import { createOperatorFeed } from "./feed_operator.ts";
 import { createOperatorReader } from "./read_operator.ts";
 import { createMoveRecorder } from "./record_moves.ts";
 import { registerNode } from "./register_node.ts";
@@ -154,19 +154,17 @@
     });
   }
 
-  const follower = followTopic({
-    store: platform.store,
+  const feed = createOperatorFeed({
+    self: settings.node,
+    store,
     topic: platform.topics.operator,
-    onRecords: (records, end) => operator.take(records, end),
-    onHealth: noteStoreHealth,
+    operator,
+    peers: () => gossip,
+    log,
+    now,
     random,
   });
 
-  function noteStoreHealth(err?: Parameters<typeof formatError>[0]) {
-    if (err === undefined) return log.write("store", LogLevel.Info, "regained");
-    log.write("store", LogLevel.Warn, "lost", { reason: formatError(err) });
-  }
-
   const gossip = createGossip({
     self: settings.node,
     domain: settings.domain,
@@ -178,11 +176,7 @@
     now,
     random,
     meter,
-    operatorEnd: operator.end,
-    operatorRecords: operator.records,
-    isStoreHealthy: follower.isHealthy,
-    onOperatorRecords: operator.take,
-    onBehind: follower.kick,
+    operator: feed,
     moves: () => describeMoves(takeover, now()),
     onMove: move,
   });
@@ -212,6 +206,7 @@
   };
   const callers = createCallerServer({ ctx });
   measured(callers.server, Duty.Callers);
+  feed.start();
 
   const recorder = createMoveRecorder({
     self: settings.node,
@@ -275,8 +270,8 @@
     const work = meter.begin();
     const peers = gossip.healthyNodes();
     const waitMs = peers.length === 0 ? leadAloneAfterMs : leadAfterMs;
-    const mayLead = now() - startedAt >= waitMs && follower.isHealthy() &&
-      !isStopping;
+    const mayLead = now() - startedAt >= waitMs &&
+      feed.reading() === Reading.Healthy && !isStopping;
     const before = peers.filter((peer) => peer < settings.node);
     move({
       type: "ticked",
@@ -352,7 +347,7 @@
       } while (now() < endAt && isBusy());
       clearInterval(moveTimer);
       clearInterval(fleetTimer);
-      follower.close();
+      feed.close();
       recorder.close();
       registration.close();
       control.close();
--- a/src/store/follow_topic.ts
+++ b/src/store/follow_topic.ts
@@ -13,8 +13,11 @@
   StoreError,
 } from "./state.ts";
 
-/** Longest wait of one read, in milliseconds. Bounds a read that went silent. */
-const readWaitMs = 5_000;
+/** Longest wait of one read, in milliseconds. */
+const readWaitMs = 2_000;
+
+/** Time after that wait in which an answer comes, in milliseconds. */
+const answerMs = 1_000;
 
 /**
  * Pause after a read that brought records, in milliseconds. A storm of changes
@@ -29,6 +32,8 @@
 export interface FollowTopicOptions {
   readonly store: KeyedStore;
   readonly topic: string;
+  /** Where reading goes on. Negative: with the newest record of each key. */
+  readonly from: () => Offset;
   /** Takes records in order. `end` is the offset after the last of them. */
   readonly onRecords: (records: readonly KeyedRecord[], end: Offset) => void;
   /** Called when the store is lost or regained. */
@@ -37,58 +42,73 @@
 }
 
 export interface TopicFollower {
+  /** Reads on. It begins at rest. */
+  read(): void;
+  /** Ends reading after the read that waits. */
+  rest(): void;
   /** Ends a read that waits, and reads again on a new connection. */
-  kick(): void;
-  /** False while reads fail. */
-  isHealthy(): boolean;
+  reconnect(): void;
   close(): void;
 }
 
-/** Starts following. Goes on until closed. */
+/** Creates a follower that goes on until it is closed. */
 export function followTopic(opts: FollowTopicOptions): TopicFollower {
   const closing = new AbortController();
   let reading = new AbortController();
+  let isOn = false;
+  let wake = () => {};
   let failures = 1;
+  /** What was told last. Unknown after a rest. */
+  let isHealthy: boolean | undefined;
+  let isDropped = false;
 
   async function run() {
-    let next: Offset | undefined;
     while (!closing.signal.aborted) {
-      reading = new AbortController();
-      const page = await readPage(next);
-      if (closing.signal.aborted) return;
-      if (page.isErr()) {
-        const { fault } = page.error;
-        // History that was dropped is made up for by the newest records.
-        if (fault.type === "dropped") next = undefined;
-        else await backOff(page.error);
-        continue;
-      }
-      if (failures > 0) opts.onHealth(undefined);
-      failures = 0;
-      const isFirst = next === undefined;
-      next = page.value.next;
-      if (page.value.records.length === 0 && !isFirst) continue;
-      opts.onRecords(page.value.records, next);
-      await pause(pauseMs);
+      if (!isOn) await new Promise<void>((resolve) => wake = resolve);
+      else await readOnce();
+    }
+  }
+
+  async function readOnce() {
+    reading = new AbortController();
+    const from = isDropped ? -1 : opts.from();
+    const page = await readPage(from);
+    if (closing.signal.aborted) return;
+    if (page.isErr()) {
+      const { fault } = page.error;
+      // History that was dropped is made up for by the newest records.
+      if (fault.type === "dropped") isDropped = true;
+      else await backOff(page.error);
+      return;
     }
+    failures = 0;
+    if (isHealthy !== true) opts.onHealth(undefined);
+    isHealthy = true;
+    isDropped = false;
+    const { records, next } = page.value;
+    if (records.length === 0 && from >= 0) return;
+    opts.onRecords(records, next);
+    await pause(pauseMs);
   }
 
-  function readPage(
-    next: Offset | undefined,
-  ): ResultAsync<RecordPage, StoreError> {
-    const signal = AbortSignal.any([closing.signal, reading.signal]);
+  function readPage(from: Offset): ResultAsync<RecordPage, StoreError> {
     const { store, topic } = opts;
     // A store that is back says so at once, not at the end of a long wait.
     const waitMs = failures > 0 ? 0 : readWaitMs;
-    return next === undefined
+    const signals = [closing.signal, reading.signal];
+    // A store that fails may be slow; then only the client's own limit holds.
+    if (failures <= 1) signals.push(AbortSignal.timeout(waitMs + answerMs));
+    const signal = AbortSignal.any(signals);
+    return from < 0
       ? store.newest(topic, signal)
-      : store.read({ topic, from: next, waitMs, signal });
+      : store.read({ topic, from, waitMs, signal });
   }
 
   async function backOff(err: StoreError) {
     if (reading.signal.aborted) return;
     failures++;
-    if (failures === 1) opts.onHealth(err);
+    if (isHealthy !== false) opts.onHealth(err);
+    isHealthy = false;
     await pause(pauseAfter(failureBounds, failures, opts.random()));
   }
 
@@ -100,10 +120,22 @@
 
   const running = run();
   return {
-    kick: () => reading.abort(),
-    isHealthy: () => failures === 0,
+    read() {
+      if (isOn) return;
+      isOn = true;
+      failures = 1;
+      isHealthy = undefined;
+      wake();
+    },
+    rest: () => isOn = false,
+    reconnect() {
+      failures = 1;
+      isHealthy = undefined;
+      reading.abort();
+    },
     close() {
       closing.abort();
+      wake();
       void running;
     },
   };
--- a/src/store/follow_topic_test.ts
+++ b/src/store/follow_topic_test.ts
@@ -15,6 +15,7 @@
 
 test("a store that is back is not waited on for a long read", async (t) => {
   const waits: number[] = [];
+  let next = -1;
   const regained = new Promise<void>((resolve) => {
     const store: KeyedStore = {
       append: () => errAsync(lost),
@@ -31,14 +32,59 @@
     const follower = followTopic({
       store,
       topic: "keyed.test",
-      onRecords: () => {},
+      from: () => next,
+      onRecords: (_records, end) => next = end,
       // Found, lost, found again.
       onHealth: () => ++changes === 3 && resolve(),
       random: () => 0,
     });
     t.after(() => follower.close());
+    follower.read();
   });
   await regained;
   assert.ok((waits[0] ?? 0) > 0);
   assert.equal(waits[1], 0);
 });
+
+test("a follower at rest reads nothing, and reads on from where peers are", async (t) => {
+  const asked: number[] = [];
+  let wake = () => {};
+  let end = -1;
+  const store: KeyedStore = {
+    append: () => errAsync(lost),
+    newest: () => okAsync({ records: [], next: 3 }),
+    read({ from }) {
+      asked.push(from);
+      wake();
+      return okAsync({ records: [], next: from });
+    },
+    close: () => Promise.resolve(),
+  };
+  const follower = followTopic({
+    store,
+    topic: "keyed.test",
+    from: () => end,
+    onRecords(_records, next) {
+      end = next;
+      follower.rest();
+      wake();
+    },
+    onHealth: () => {},
+    random: () => 0,
+  });
+  t.after(() => follower.close());
+  await new Promise<void>((resolve) => {
+    wake = resolve;
+    follower.read();
+  });
+  assert.deepEqual(asked, []);
+  end = 7;
+  await new Promise<void>((resolve) => {
+    wake = () => {
+      follower.rest();
+      resolve();
+    };
+    follower.read();
+  });
+  assert.deepEqual(asked, [7]);
+});
