--- a/src/metrics/create_work_meter.ts
+++ b/src/metrics/create_work_meter.ts
@@ -52,6 +52,8 @@
   addMs(duty: Duty, ms: number): void;
   countStoreCall(call: string): void;
   totals(): WorkTotals;
+  /** Work since the last call, as fields of one log line. */
+  summary(): Record<string, number>;
 }
 
 /** Options of `createWorkMeter`. */
@@ -65,6 +67,7 @@
   const workMs = new Map<string, number>();
   const messages = new Map<string, MessageTotals>();
   const storeCalls = new Map<string, number>();
+  let told: ReadonlyMap<string, number> = new Map();
   /** Time spent on work that began within the present work. */
   let nestedMs = 0;
 
@@ -102,5 +105,20 @@
       storeCalls.set(call, (storeCalls.get(call) ?? 0) + 1);
     },
     totals: () => ({ workMs, messages, storeCalls }),
+    summary() {
+      const sums = new Map<string, number>(workMs);
+      for (const [key, { count, ms }] of messages) {
+        sums.set(`${key} ms`, ms);
+        sums.set(key, count);
+      }
+      for (const [call, count] of storeCalls) sums.set(call, count);
+      const fields: Record<string, number> = {};
+      for (const [key, sum] of sums) {
+        const rise = Math.round(sum - (told.get(key) ?? 0));
+        if (rise > 0) fields[key] = rise;
+      }
+      told = sums;
+      return fields;
+    },
   };
 }
--- a/src/metrics/create_work_meter_test.ts
+++ b/src/metrics/create_work_meter_test.ts
@@ -29,3 +29,12 @@
   }
   assert.equal(meter.totals().workMs.get(Duty.Timers), 7);
 });
+
+test("a summary tells what came since the last one", () => {
+  const meter = createWorkMeter({ now: () => 0 });
+  meter.addMs(Duty.Timers, 5);
+  meter.countStoreCall("read topic");
+  assert.deepEqual(meter.summary(), { timers: 5, "read topic": 1 });
+  meter.addMs(Duty.Timers, 2);
+  assert.deepEqual(meter.summary(), { timers: 2 });
+});
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -56,6 +56,9 @@
 /** The same while it has heard of no other node at all. */
 const leadAloneAfterMs = 10_000;
 
+/** Time between log lines of what work was spent on, in milliseconds. */
+const workTickMs = 5_000;
+
 /** Time between looks for nodes that are gone, in milliseconds. */
 const fleetTickMs = 5_000;
 
@@ -283,6 +286,12 @@
     });
     meter.end(work, Duty.Timers);
   }, moveTickMs);
+  const workTimer = setInterval(() => {
+    const { user, system } = process.cpuUsage();
+    const processorMs = Math.round((user + system) / 1_000);
+    const fields = { processorMs, ...meter.summary() };
+    log.write("process", LogLevel.Info, "work", fields);
+  }, workTickMs);
   const fleetTimer = setInterval(
     () => gossip.change({ type: "ticked", now: now() }),
     fleetTickMs,
@@ -346,6 +355,7 @@
         await sleep(flushMs);
       } while (now() < endAt && isBusy());
       clearInterval(moveTimer);
+      clearInterval(workTimer);
       clearInterval(fleetTimer);
       feed.close();
       recorder.close();
