feat(reading): one reader a domain where two other domains have one

A reader tells the first nodes of other domains how far records go, so the second reader may be theirs.

--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -5,11 +5,13 @@
  * without field names. What is sent seldom keeps its names.
  * @module
  */
+import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Packr } from "msgpackr";
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { QueueReport } from "../queue/state.ts";
 import type { Reading } from "../reading/state.ts";
+import type { KeyedRecord } from "../store/state.ts";
 import type { LinkMessage } from "./messages.ts";
 
 /** First element of an encoded message. */
@@ -22,6 +24,7 @@
   Ping: 5,
   Pong: 6,
   Named: 7,
+  Operator: 8,
 } as const;
 
 const EventKind = {
@@ -36,6 +39,12 @@
 
 const packr = new Packr({ useRecords: false });
 
+/** Largest size of operators' records in one message, in bytes. */
+const maxRecordBytes = 16 * 1_024 * 1_024;
+
+/** Records that many nodes are told are compressed once. */
+const compressed = new WeakMap<readonly KeyedRecord[], Buffer>();
+
 type Fields = readonly unknown[];
 
 export function encodeMessage(message: LinkMessage): Buffer {
@@ -79,11 +88,14 @@
     case "rows":
     case "ask-rows":
     case "ask-operator":
-    case "operator":
     case "move-step":
     case "move-report":
     case "move-fault":
       return [Kind.Named, message];
+    case "operator": {
+      const { from, end, records } = message;
+      return [Kind.Operator, from, end, compress(records)];
+    }
     default:
       return exhausted(message);
   }
@@ -118,11 +130,34 @@
       return { type: "pong", report: reportOf(fields, 1) };
     case Kind.Named:
       return fields[1] as LinkMessage;
+    case Kind.Operator:
+      return {
+        type: "operator",
+        from: fields[1] as number,
+        end: fields[2] as number,
+        records: decompress(fields[3] as Buffer),
+      };
     default:
       throw new TypeError(`no message has the kind ${String(fields[0])}`);
   }
 }
 
+/** A table repeats itself, and each node of a domain gets it from one. */
+function compress(records: readonly KeyedRecord[]): Buffer {
+  const known = compressed.get(records);
+  if (known !== undefined) return known;
+  const fields = records.map(({ key, value }) => [key, value]);
+  const bytes = deflateRawSync(packr.pack(fields), { level: 1 });
+  compressed.set(records, bytes);
+  return bytes;
+}
+
+function decompress(bytes: Buffer): KeyedRecord[] {
+  const packed = inflateRawSync(bytes, { maxOutputLength: maxRecordBytes });
+  const fields = packr.unpack(packed) as [string, Buffer | undefined | null][];
+  return fields.map(([key, value]) => ({ key, value: value ?? undefined }));
+}
+
 function reportFields(report: QueueReport): Fields {
   return [report.running, report.waiting, report.meanMs, report.routeMs];
 }
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -39,6 +39,15 @@
   { type: "ping", report, operatorEnd: 12, reading: Reading.Healthy },
   { type: "pong", report },
   { type: "ask-operator" },
+  {
+    type: "operator",
+    from: 3,
+    end: 5,
+    records: [
+      { key: "a", value: Buffer.from("table") },
+      { key: "b", value: undefined },
+    ],
+  },
 ];
 
 test("messages survive the wire", () => {
--- a/src/reading/decide_reading.ts
+++ b/src/reading/decide_reading.ts
@@ -4,7 +4,7 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
-import { countNear, shouldRead } from "./should_read.ts";
+import { countPeers, shouldRead } from "./should_read.ts";
 import {
   Reading,
   type ReadingEffect,
@@ -21,10 +21,16 @@
 
 /**
  * The same for a node that does not read, of a peer in another failure domain.
- * The readers of its own domain ask first, since bytes between domains are dear.
+ * The first nodes of its own domain ask first, since bytes between domains are dear.
  */
 const farBehindMs = 1_000;
 
+/**
+ * Nodes of a failure domain that other domains tell how far records go. They
+ * bring them to their own domain when its reader does not.
+ */
+export const firstCount = 2;
+
 /** Time for which a node reads that got no answer from a peer. */
 const insistMs = 3_000;
 
@@ -42,8 +48,9 @@
       state.isOn = true;
       return [{ type: "read" }];
     case "peer-heard": {
-      const { node, isNear, reading, end } = event;
-      state.peers.set(node, { isNear, reading, end, heardAt: now });
+      const { node, domain, reading, end } = event;
+      const isNear = domain === state.domain;
+      state.peers.set(node, { domain, reading, end, heardAt: now });
       settleOwed(state, node, isNear, end);
       noteAhead(state, node, isNear, now);
       return review(state, now);
@@ -69,7 +76,7 @@
 
 /** Starts or ends this node's reads. */
 function review(state: ReadingState, now: MonotonicMs): ReadingEffect[] {
-  const { readers } = countNear(state, now);
+  const { readers } = countPeers(state, now);
   if (readers > 0) state.unreadSince = undefined;
   else state.unreadSince ??= now;
   const isOn = shouldRead(state, now);
@@ -111,12 +118,14 @@
   switch (source) {
     case RecordSource.Near:
       return [];
-    case RecordSource.Far:
-      return state.isOn ? [{ type: "pass-on", from }] : [];
+    case RecordSource.Far: {
+      const isFirst = countPeers(state, now).before < firstCount;
+      return isFirst || state.isOn ? [{ type: "pass-on", from }] : [];
+    }
     case RecordSource.Store:
       // What was there before this node's start its peers have read, too.
       if (from < 0) return [];
-      if (countNear(state, now).readersBefore === 0) {
+      if (countPeers(state, now).readersBefore === 0) {
         return [{ type: "pass-on", from }];
       }
       state.owed ??= { from, dueAt: now + passOnMs };
@@ -165,7 +174,8 @@
 function catchUp(state: ReadingState, now: MonotonicMs): ReadingEffect[] {
   const { ahead } = state;
   if (ahead === undefined) return [];
-  const waitMs = state.isOn || ahead.isNear ? behindMs : farBehindMs;
+  const isFirst = countPeers(state, now).before < firstCount;
+  const waitMs = isFirst || state.isOn || ahead.isNear ? behindMs : farBehindMs;
   if (now - ahead.since < waitMs) return [];
   const { node, asked } = ahead;
   state.ahead = { ...ahead, since: now, asked: asked + 1 };
--- a/src/reading/reading_test.ts
+++ b/src/reading/reading_test.ts
@@ -14,12 +14,14 @@
 /** Time after which views agree: the longest rest, and pings after it. */
 const calmMs = 8_000;
 
-const domains = 2;
-const nodesOfDomain = 4;
-const nodes = domains * nodesOfDomain;
+/** Two domains have two readers each, four have one. */
+const pair = { domains: 2, nodesOfDomain: 4 };
+const four = { domains: 4, nodesOfDomain: 3 };
+
+const nodes = pair.domains * pair.nodesOfDomain;
 
 function calmWorld(): ReadingWorld {
-  const world = createReadingWorld({ domains, nodesOfDomain });
+  const world = createReadingWorld(pair);
   world.run(calmMs);
   return world;
 }
@@ -43,6 +45,28 @@
   writeAndCheck(world);
 });
 
+test("one node of each domain reads where many domains do", () => {
+  const world = createReadingWorld(four);
+  world.run(calmMs);
+  const readers = [0, 1, 2, 3].map((domain) => world.readers(domain));
+  assert.deepEqual(readers, [1, 1, 1, 1]);
+  writeAndCheck(world);
+});
+
+test("a domain's only reader that hangs is found by what others have", () => {
+  const world = createReadingWorld(four);
+  world.run(calmMs);
+  world.setMode(0, StoreMode.Hangs);
+  writeAndCheck(world);
+});
+
+test("a domain's only reader that freezes is found by what others have", () => {
+  const world = createReadingWorld(four);
+  world.run(calmMs);
+  for (let node = 0; node < 12; node++) world.cut(0, node);
+  writeAndCheck(world);
+});
+
 test("a change is passed on while readers are killed", () => {
   const world = calmWorld();
   world.write();
@@ -134,12 +158,15 @@
   }
 }
 
-const story = fc.array(action, { maxLength: 40 });
+const story = fc.record({
+  size: fc.constantFrom(pair, four),
+  actions: fc.array(action, { maxLength: 40 }),
+});
 
 test("in any story each node with a path ends at the newest record", () => {
   checkProperty(
-    fc.property(story, (actions) => {
-      const world = createReadingWorld({ domains, nodesOfDomain });
+    fc.property(story, ({ size, actions }) => {
+      const world = createReadingWorld(size);
       for (const one of actions) play(world, one);
       world.run(calmMs);
       assert.deepEqual(behind(world), []);
@@ -153,12 +180,12 @@
 
 test("in any story at most two nodes of a domain read once views agree", () => {
   checkProperty(
-    fc.property(story, (actions) => {
-      const world = createReadingWorld({ domains, nodesOfDomain });
+    fc.property(story, ({ size, actions }) => {
+      const world = createReadingWorld(size);
       for (const one of actions) play(world, one);
       world.heal();
       world.run(calmMs);
-      for (let domain = 0; domain < domains; domain++) {
+      for (let domain = 0; domain < size.domains; domain++) {
         assert.ok(world.readers(domain) <= 2);
       }
     }),
@@ -166,10 +193,10 @@
   );
 });
 
-test("in any story a change is in force in time once troubles are a while old", () => {
+test("in any story a change is in force in time once troubles are old", () => {
   checkProperty(
-    fc.property(story, (actions) => {
-      const world = createReadingWorld({ domains, nodesOfDomain });
+    fc.property(story, ({ size, actions }) => {
+      const world = createReadingWorld(size);
       for (const one of actions) play(world, one);
       world.heal();
       world.run(calmMs);
--- a/src/reading/should_read.ts
+++ b/src/reading/should_read.ts
@@ -3,13 +3,23 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
-import { type PeerReading, Reading, type ReadingState } from "./state.ts";
+import { Reading, type ReadingState } from "./state.ts";
 
-/** Nodes of a failure domain that read. */
-export const readerCount = 2;
+/** Nodes of a failure domain that read while it is on its own. */
+const aloneReaders = 2;
 
-/** A peer that was not heard of for so long is not counted on. */
-export const silentMs = 2_000;
+/**
+ * Other failure domains with a reader that make one reader here enough. Each
+ * reader tells the first nodes of the other domains how far records go, so that
+ * one that hangs is found by what they have.
+ */
+const otherDomains = 2;
+
+/** A near peer that was not heard of for so long is not counted on. */
+const silentMs = 2_000;
+
+/** The same of a peer in another failure domain, which is pinged less. */
+const farSilentMs = 6_000;
 
 /** Time until nodes that are not first read, once nobody is known to. */
 const unreadMs = 300;
@@ -17,32 +27,41 @@
 /** Time for which a node whose reads failed leaves them to others. */
 const restMs = 3_000;
 
-/** Peers of the failure domain, as far as they can be counted on. */
-export interface NearPeers {
-  /** Reads of theirs succeed. */
+/** Peers, as far as they can be counted on. */
+export interface CountedPeers {
+  /** Nodes that are to read in this failure domain. */
+  readonly wanted: number;
+  /** Near peers whose reads succeed. */
   readonly readers: number;
-  /** Nodes before this one in the order of addresses. */
+  /** Near peers before this node in the order of addresses. */
   readonly before: number;
   readonly readersBefore: number;
   readonly failingBefore: number;
 }
 
-export function countNear(state: ReadingState, now: MonotonicMs): NearPeers {
+export function countPeers(
+  state: ReadingState,
+  now: MonotonicMs,
+): CountedPeers {
   let [readers, before, readersBefore, failingBefore] = [0, 0, 0, 0];
+  const others = new Set<string>();
   for (const [node, peer] of state.peers) {
-    if (!isCounted(peer, now)) continue;
     const isReader = peer.reading === Reading.Healthy;
+    const silentFor = now - peer.heardAt;
+    if (peer.domain !== state.domain) {
+      if (!isReader || peer.domain === undefined) continue;
+      if (silentFor < farSilentMs) others.add(peer.domain);
+      continue;
+    }
+    if (silentFor >= silentMs) continue;
     if (isReader) readers++;
     if (node > state.self) continue;
     before++;
     if (isReader) readersBefore++;
     if (peer.reading === Reading.Failing) failingBefore++;
   }
-  return { readers, before, readersBefore, failingBefore };
-}
-
-function isCounted(peer: PeerReading, now: MonotonicMs): boolean {
-  return peer.isNear && now - peer.heardAt < silentMs;
+  const wanted = others.size >= otherDomains ? 1 : aloneReaders;
+  return { wanted, readers, before, readersBefore, failingBefore };
 }
 
 /**
@@ -51,14 +70,15 @@
  * until the nodes before it are known to read.
  */
 export function shouldRead(state: ReadingState, now: MonotonicMs): boolean {
-  const near = countNear(state, now);
+  const near = countPeers(state, now);
+  const { wanted } = near;
   if (now < state.insistsUntil) return true;
-  if (near.readersBefore >= readerCount) return false;
+  if (near.readersBefore >= wanted) return false;
   if (state.reading === Reading.Failing) {
-    const isNeeded = near.readers === 0 && near.before < readerCount;
+    const isNeeded = near.readers === 0 && near.before < aloneReaders;
     if (!isNeeded && now - state.failedAt < restMs) return false;
   }
-  if (near.before - near.failingBefore < readerCount) return true;
+  if (near.before - near.failingBefore < wanted) return true;
   if (state.isOn) return true;
   return state.unreadSince !== undefined &&
     now - state.unreadSince >= unreadMs;
--- a/src/reading/state.ts
+++ b/src/reading/state.ts
@@ -25,7 +25,8 @@
 
 /** What a peer last said of itself. */
 export interface PeerReading {
-  readonly isNear: boolean;
+  /** Failure domain, once its row is known. */
+  readonly domain: string | undefined;
   readonly reading: Reading;
   readonly end: Offset;
   readonly heardAt: MonotonicMs;
@@ -48,6 +49,7 @@
 
 export interface ReadingState {
   readonly self: NodeId;
+  readonly domain: string;
   readonly peers: Map<NodeId, PeerReading>;
   reading: Reading;
   /** Whether this node's reads go on. */
@@ -68,7 +70,7 @@
   | {
     readonly type: "peer-heard";
     readonly node: NodeId;
-    readonly isNear: boolean;
+    readonly domain: string | undefined;
     readonly reading: Reading;
     readonly end: Offset;
     readonly now: MonotonicMs;
@@ -109,9 +111,18 @@
    */
   | { readonly type: "pass-on"; readonly from: Offset };
 
-export function createReadingState(self: NodeId): ReadingState {
+/** Options of `createReadingState`. */
+export interface CreateReadingStateOptions {
+  readonly self: NodeId;
+  readonly domain: string;
+}
+
+export function createReadingState(
+  opts: CreateReadingStateOptions,
+): ReadingState {
   return {
-    self,
+    self: opts.self,
+    domain: opts.domain,
     peers: new Map(),
     reading: Reading.Idle,
     isOn: false,
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -20,7 +20,7 @@
 import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
 import { noteReport } from "../placement/note_home.ts";
 import type { PlacementState } from "../placement/state.ts";
-import { readerCount } from "../reading/should_read.ts";
+import { firstCount } from "../reading/decide_reading.ts";
 import { Reading } from "../reading/state.ts";
 import type { MoveDescription } from "../takeover/describe_moves.ts";
 import type { TakeoverEvent } from "../takeover/state.ts";
@@ -150,8 +150,12 @@
     send(node, { type: "ask-rows" });
   }
 
+  function domainOf(node: NodeId): string | undefined {
+    return fleet.rows.get(node)?.row.domain;
+  }
+
   function isNear(node: NodeId): boolean {
-    return fleet.rows.get(node)?.row.domain === opts.domain;
+    return domainOf(node) === opts.domain;
   }
 
   function ping(): Gossip {
@@ -178,10 +182,10 @@
   function tellFirstFar(message: Gossip) {
     const told = new Map<string, number>();
     for (const node of [...fleet.linked].toSorted()) {
-      const domain = fleet.rows.get(node)?.row.domain;
+      const domain = domainOf(node);
       if (domain === undefined || domain === opts.domain) continue;
       const count = told.get(domain) ?? 0;
-      if (count >= readerCount) continue;
+      if (count >= firstCount) continue;
       told.set(domain, count + 1);
       send(node, message);
     }
@@ -230,11 +234,7 @@
       case "ask-operator":
         return reply(opts.operator.page());
       case "operator":
-        return opts.operator.take(
-          message,
-          from,
-          from !== undefined && isNear(from),
-        );
+        return opts.operator.take(message, from);
       case "move-step":
         return opts.onMove({
           type: "step-heard",
@@ -278,12 +278,14 @@
     const { reading, operatorEnd: end } = message;
     if (reading === Reading.Healthy) healthyAt.set(from, now());
     else healthyAt.delete(from);
-    opts.operator.hear({ node: from, isNear: isNear(from), reading, end });
+    const domain = domainOf(from);
+    opts.operator.hear({ node: from, domain, reading, end });
   }
 
   return {
     homeOf: (node) => node === self ? opts.home : links.get(node),
     take,
+    domainOf,
     send,
     tellAll,
     tellNear,
--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -24,6 +24,7 @@
 
 /** Ways to other nodes. */
 export interface FeedPeers {
+  domainOf(node: NodeId): string | undefined;
   send(node: NodeId, message: Gossip): void;
   /** Tells all linked nodes of the own failure domain. */
   tellNear(message: Gossip): void;
@@ -36,6 +37,7 @@
 /** Options of `createOperatorFeed`. */
 export interface CreateOperatorFeedOptions {
   readonly self: NodeId;
+  readonly domain: string;
   readonly store: KeyedStore;
   readonly topic: string;
   readonly operator: OperatorReader;
@@ -45,9 +47,11 @@
   readonly random: () => number;
 }
 
+/** What a peer says of itself. */
 export interface PeerWord {
   readonly node: NodeId;
-  readonly isNear: boolean;
+  /** Failure domain, once its row is known. */
+  readonly domain: string | undefined;
   readonly reading: Reading;
   readonly end: Offset;
 }
@@ -59,7 +63,7 @@
   page(): OperatorPage;
   hear(word: PeerWord): void;
   lose(node: NodeId): void;
-  take(page: OperatorPage, from: NodeId | undefined, isNear: boolean): void;
+  take(page: OperatorPage, from: NodeId | undefined): void;
   tick(): void;
   start(): void;
   close(): void;
@@ -70,7 +74,8 @@
   opts: CreateOperatorFeedOptions,
 ): OperatorFeed {
   const { operator, log, now } = opts;
-  const state = createReadingState(opts.self);
+  const { self, domain } = opts;
+  const state = createReadingState({ self, domain });
 
   const follower = followTopic({
     store: opts.store,
@@ -144,16 +149,20 @@
     page: () => pageFrom(-1),
     hear: (word) => decide({ type: "peer-heard", ...word, now: now() }),
     lose: (node) => decide({ type: "peer-lost", node, now: now() }),
-    take(page, node, isNear) {
+    take(page, node) {
+      const domain = node === undefined
+        ? undefined
+        : opts.peers().domainOf(node);
       // A page that begins further on says that its sender is ahead.
       if (page.from <= operator.end()) {
+        const isNear = domain === opts.domain;
         const source = isNear ? RecordSource.Near : RecordSource.Far;
         accept(page.records, page.end, source);
       }
       if (node === undefined) return;
       const reading = state.peers.get(node)?.reading ?? Reading.Idle;
       const { end } = page;
-      decide({ type: "peer-heard", node, isNear, reading, end, now: now() });
+      decide({ type: "peer-heard", node, domain, reading, end, now: now() });
     },
     tick: () => decide({ type: "ticked", now: now() }),
     start: () => decide({ type: "started", now: now() }),
--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -27,6 +27,12 @@
   end(): Offset;
 }
 
+interface Told {
+  readonly from: Offset;
+  readonly end: Offset;
+  readonly records: readonly KeyedRecord[];
+}
+
 /** Creates a reader that has read nothing. */
 export function createOperatorReader(
   opts: CreateOperatorReaderOptions,
@@ -34,6 +40,8 @@
   /** `end` is how far was read when the record came. */
   const newest = new Map<string, { record: KeyedRecord; end: Offset }>();
   let readEnd: Offset = -1;
+  /** What was last told: many peers ask for the same. */
+  let told: Told = { from: -1, end: -1, records: [] };
 
   /** False when the record can't be used, and an earlier one counts. */
   function decode(record: KeyedRecord, isNew: boolean): boolean {
@@ -69,10 +77,14 @@
         decoded.add(record.key);
       }
     },
-    since: (from) =>
-      [...newest.values()].flatMap(({ record, end }) =>
+    since(from) {
+      if (told.from === from && told.end === readEnd) return told.records;
+      const records = [...newest.values()].flatMap(({ record, end }) =>
         end > from ? [record] : []
-      ),
+      );
+      told = { from, end: readEnd, records };
+      return records;
+    },
     end: () => readEnd,
   };
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -159,6 +159,7 @@
 
   const feed = createOperatorFeed({
     self: settings.node,
+    domain: settings.domain,
     store,
     topic: platform.topics.operator,
     operator,
--- a/src/testing/create_reading_world.ts
+++ b/src/testing/create_reading_world.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { MonotonicMs, Offset } from "../core/types.ts";
-import { decideReading } from "../reading/decide_reading.ts";
+import { decideReading, firstCount } from "../reading/decide_reading.ts";
 import {
   createReadingState,
   Reading,
@@ -21,8 +21,6 @@
 export type StoreMode = typeof StoreMode[keyof typeof StoreMode];
 
 const stepMs = 50;
-/** Nodes of each other domain that are told how far records go. */
-const noticedFar = 2;
 const nearPingMs = 1_000;
 const farPingMs = 2_500;
 const tickMs = 200;
@@ -84,8 +82,8 @@
   for (let index = 0; index < opts.domains * opts.nodesOfDomain; index++) {
     nodes.push({
       index,
-      domain: `d${index % opts.domains}`,
-      state: createReadingState(nameOf(index)),
+      domain: domainOf(index),
+      state: stateOf(index),
       isUp: false,
       mode: StoreMode.Serves,
       readAt: 0,
@@ -94,6 +92,15 @@
     });
   }
 
+  function domainOf(index: number): string {
+    return `d${index % opts.domains}`;
+  }
+
+  function stateOf(index: number): ReadingState {
+    const domain = domainOf(index);
+    return createReadingState({ self: nameOf(index), domain });
+  }
+
   function nodeAt(index: number): WorldNode {
     const node = nodes[index];
     if (node === undefined) throw new TypeError(`no node ${index}`);
@@ -147,7 +154,7 @@
     return linked.filter((peer) =>
       linked.filter((other) =>
         other.domain === peer.domain && other.index < peer.index
-      ).length < noticedFar
+      ).length < firstCount
     );
   }
 
@@ -161,12 +168,12 @@
 
   function ping(from: WorldNode, to: WorldNode) {
     const { reading, end, self } = from.state;
-    const isNear = from.domain === to.domain;
+    const { domain } = from;
     send(from, to, () =>
       decide(to, {
         type: "peer-heard",
         node: self,
-        isNear,
+        domain,
         reading,
         end,
         now,
@@ -182,7 +189,8 @@
       const peer = to.state.peers.get(from.state.self);
       const reading = peer?.reading ?? Reading.Idle;
       const node = from.state.self;
-      decide(to, { type: "peer-heard", node, isNear, reading, end, now });
+      const { domain } = from;
+      decide(to, { type: "peer-heard", node, domain, reading, end, now });
     });
   }
 
@@ -255,7 +263,7 @@
     const node = nodeAt(index);
     if (node.isUp) return;
     node.isUp = true;
-    node.state = createReadingState(nameOf(index));
+    node.state = stateOf(index);
     decide(node, { type: "started", now });
   }
 
