--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -9,7 +9,7 @@
 import { Way, type WorkMeter } from "../metrics/create_work_meter.ts";
 import type { QueueReport } from "../queue/state.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
-import type { Gossip, LinkMessage } from "./messages.ts";
+import type { Gossip, LinkMessage, NodeStatus } from "./messages.ts";
 import { serveLink } from "./serve_link.ts";
 
 /** Largest message. Bodies travel in parts far smaller than that. */
@@ -19,6 +19,7 @@
 export interface AcceptLinksOptions {
   readonly home: Home;
   readonly report: (route?: string) => QueueReport;
+  readonly status: () => NodeStatus;
   readonly lagMs: () => number;
   readonly meter: WorkMeter;
   /** Answers gossip through `reply`. The sender is known after its hello. */
@@ -87,7 +88,7 @@
       case "pong":
         throw new TypeError(`${message.type} came from a caller`);
       case "ping":
-        send({ type: "pong", report: report() });
+        send({ type: "pong", ...opts.status() });
         break;
       case "hello":
         from = message.row.node;
--- a/src/links/check_link.ts
+++ b/src/links/check_link.ts
@@ -11,11 +11,21 @@
 /** A ping that is not answered in this time ends the link. */
 const answerMs = 800;
 
+/**
+ * Periods of an idle link in which nothing came over it, though the nodes have
+ * exchanged pings over the link that the peer opened.
+ */
+const unheardPeriods = 4;
+
 /** Options of `checkLink`. */
 export interface CheckLinkOptions {
   readonly hasCalls: boolean;
-  /** Time between pings of an idle link. */
+  /** Time between pings of an idle pair of nodes. */
   readonly idleMs: number;
+  /** When the nodes last exchanged a ping, over the peer's link too. */
+  readonly exchangedAt: MonotonicMs;
+  /** How long an answer may have waited unread. */
+  readonly lagMs: number;
   readonly now: MonotonicMs;
 }
 
@@ -27,14 +37,15 @@
   health: LinkHealth,
   opts: CheckLinkOptions,
 ): LinkCheck {
-  const { now } = opts;
+  const { now, idleMs } = opts;
   if (health.pingedAt > health.heardAt) {
-    return now - health.pingedAt > answerMs
+    return now - health.pingedAt > answerMs + opts.lagMs
       ? { type: "give-up" }
       : { type: "wait" };
   }
   const silentMs = now - health.heardAt;
-  const isDue = now - health.lastPingAt >= opts.idleMs ||
+  const sinceMs = now - Math.max(health.lastPingAt, opts.exchangedAt);
+  const isDue = sinceMs >= idleMs || silentMs >= idleMs * unheardPeriods ||
     (opts.hasCalls && silentMs >= busySilenceMs);
   return isDue ? { type: "ping" } : { type: "wait" };
 }
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -22,14 +22,24 @@
 /** Time for a connection and its handshake, in milliseconds. */
 const connectMs = 1_000;
 
+/** A link on which something came a moment ago is alive. */
+const freshMs = 500;
+
 /** Pauses between attempts to connect, in milliseconds. */
 const redialBounds = { firstMs: 100, longestMs: 1_500 };
 
+/** Reason given when nothing came back over a link. */
+export const silentReason = "silent";
+
 /** Options of `dialLink`. */
 export interface DialLinkOptions {
   readonly node: NodeId;
-  /** Time between pings while the link is idle. */
-  readonly idleMs: number;
+  /** Time between pings of the two nodes while they are idle. */
+  readonly idleMs: () => number;
+  /** When the nodes last exchanged a ping, over the peer's link too. */
+  readonly exchangedAt: () => MonotonicMs;
+  /** How long a message may have waited unread, in milliseconds. */
+  readonly lagMs: () => number;
   readonly now: () => MonotonicMs;
   readonly random: () => number;
   readonly meter: WorkMeter;
@@ -37,8 +47,8 @@
   readonly isFar: () => boolean;
   readonly hello: () => Gossip;
   readonly ping: () => Gossip;
-  /** The route is known of a report that comes with a call's event. */
-  readonly onReport: (report: QueueReport, route?: string) => void;
+  /** A report that comes with a call's event. */
+  readonly onReport: (report: QueueReport, route: string | undefined) => void;
   readonly onGossip: (message: Gossip) => void;
   readonly onOpen: () => void;
   readonly onClose: (reason: string) => void;
@@ -48,6 +58,8 @@
   send(message: Gossip): void;
   /** Looks whether the link is alive. Called a few times a second. */
   check(): void;
+  /** Pings the node soon, unless it was heard a moment ago. */
+  probe(): void;
   /** Connects now instead of after the pause. */
   hurry(): void;
   close(): void;
@@ -143,9 +155,6 @@
         call.onEvent(message.event);
         return;
       }
-      case "pong":
-        opts.onReport(message.report);
-        return;
       case "offer":
       case "body":
       case "body-end":
@@ -153,6 +162,7 @@
         throw new TypeError(`${message.type} came from a home`);
       case "hello":
       case "ping":
+      case "pong":
       case "rows":
       case "ask-rows":
       case "ask-operator":
@@ -173,24 +183,30 @@
     meter.endMessage(work, Way.Sent, message.type, packed.length);
   }
 
+  function ping() {
+    // The first ping without an answer decides when the link is given up.
+    if (health.pingedAt <= health.heardAt) health.pingedAt = now();
+    health.lastPingAt = now();
+    send(opts.ping());
+  }
+
   function check() {
     if (!isOpen) return;
     const found = checkLink(health, {
       hasCalls: offered.size > 0,
-      idleMs: opts.idleMs,
+      idleMs: opts.idleMs(),
+      exchangedAt: opts.exchangedAt(),
+      lagMs: opts.lagMs(),
       now: now(),
     });
     switch (found.type) {
       case "wait":
         return;
       case "ping":
-        health.pingedAt = now();
-        health.lastPingAt = health.pingedAt;
-        send(opts.ping());
-        return;
+        return ping();
       case "give-up": {
         const silent = socket;
-        lose("silent");
+        lose(silentReason);
         silent?.terminate();
         return;
       }
@@ -222,6 +238,9 @@
     },
     send,
     check,
+    probe() {
+      if (isOpen && now() - health.heardAt >= freshMs) ping();
+    },
     hurry() {
       if (socket !== undefined || isClosed) return;
       clearTimeout(redial);
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -12,7 +12,7 @@
 import type { QueueReport } from "../queue/state.ts";
 import type { Reading } from "../reading/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
-import type { LinkMessage } from "./messages.ts";
+import type { LinkMessage, NodeStatus } from "./messages.ts";
 
 /** First element of an encoded message. */
 const Kind = {
@@ -76,14 +76,9 @@
         ...eventFields(message.event),
       ];
     case "ping":
-      return [
-        Kind.Ping,
-        ...reportFields(message.report),
-        message.operatorEnd,
-        message.reading,
-      ];
+      return [Kind.Ping, ...statusFields(message)];
     case "pong":
-      return [Kind.Pong, ...reportFields(message.report)];
+      return [Kind.Pong, ...statusFields(message)];
     case "hello":
     case "rows":
     case "ask-rows":
@@ -120,14 +115,9 @@
         event: eventOf(fields.slice(6)),
       };
     case Kind.Ping:
-      return {
-        type: "ping",
-        report: reportOf(fields, 1),
-        operatorEnd: fields[5] as number,
-        reading: fields[6] as Reading,
-      };
+      return { type: "ping", ...statusOf(fields) };
     case Kind.Pong:
-      return { type: "pong", report: reportOf(fields, 1) };
+      return { type: "pong", ...statusOf(fields) };
     case Kind.Named:
       return fields[1] as LinkMessage;
     case Kind.Operator:
@@ -158,6 +148,18 @@
   return fields.map(([key, value]) => ({ key, value: value ?? undefined }));
 }
 
+function statusFields(status: NodeStatus): Fields {
+  return [...reportFields(status.report), status.operatorEnd, status.reading];
+}
+
+function statusOf(fields: Fields): NodeStatus {
+  return {
+    report: reportOf(fields, 1),
+    operatorEnd: fields[5] as number,
+    reading: fields[6] as Reading,
+  };
+}
+
 function reportFields(report: QueueReport): Fields {
   return [report.running, report.waiting, report.meanMs, report.routeMs];
 }
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -37,7 +37,7 @@
   { type: "cancel", key: 1 },
   ...events.map((event) => ({ type: "event" as const, key: 3, event, report })),
   { type: "ping", report, operatorEnd: 12, reading: Reading.Healthy },
-  { type: "pong", report },
+  { type: "pong", report, operatorEnd: -1, reading: Reading.Idle },
   { type: "ask-operator" },
   {
     type: "operator",
@@ -62,10 +62,17 @@
   }
 });
 
+const idle = {
+  hasCalls: false,
+  exchangedAt: 0,
+  lagMs: 0,
+  idleMs: 2_000,
+};
+
 test("a silent link with calls is given up within its bound", () => {
   const health = { heardAt: 0, pingedAt: -Infinity, lastPingAt: 0 };
   const check = (now: number, hasCalls = true) =>
-    checkLink(health, { hasCalls, idleMs: 2_000, now }).type;
+    checkLink(health, { ...idle, hasCalls, now }).type;
   assert.equal(check(200), "wait");
   assert.equal(check(400, false), "wait");
   assert.equal(check(400), "ping");
@@ -75,3 +82,21 @@
   health.heardAt = 1_300;
   assert.equal(check(1_400), "wait");
 });
+
+test("an answer that may wait unread does not end a link", () => {
+  const health = { heardAt: 0, pingedAt: 400, lastPingAt: 400 };
+  const check = (lagMs: number) =>
+    checkLink(health, { ...idle, lagMs, now: 1_300 }).type;
+  assert.equal(check(0), "give-up");
+  assert.equal(check(500), "wait");
+});
+
+test("a pair of nodes exchanges one ping in each period", () => {
+  const health = { heardAt: 0, pingedAt: -Infinity, lastPingAt: 0 };
+  const check = (exchangedAt: number, now: number) =>
+    checkLink(health, { ...idle, exchangedAt, now }).type;
+  assert.equal(check(0, 2_100), "ping");
+  assert.equal(check(1_000, 2_100), "wait");
+  // The peer's pings say nothing of this link, which is looked at less often.
+  assert.equal(check(9_000, 9_100), "ping");
+});
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -33,18 +33,20 @@
   readonly report: QueueReport;
 }
 
+/** How a node is, as pings and their answers carry it. */
+export interface NodeStatus {
+  readonly report: QueueReport;
+  /** How far the operators' topic was read. */
+  readonly operatorEnd: Offset;
+  readonly reading: Reading;
+}
+
 /** What nodes tell each other besides calls. */
 export type Gossip =
   /** Opens a link. */
   | { readonly type: "hello"; readonly row: NodeRow }
-  | {
-    readonly type: "ping";
-    readonly report: QueueReport;
-    /** How far the operators' topic was read. */
-    readonly operatorEnd: Offset;
-    readonly reading: Reading;
-  }
-  | { readonly type: "pong"; readonly report: QueueReport }
+  | ({ readonly type: "ping" } & NodeStatus)
+  | ({ readonly type: "pong" } & NodeStatus)
   | { readonly type: "rows"; readonly rows: readonly NodeRow[] }
   | { readonly type: "ask-rows" }
   | { readonly type: "ask-operator" }
--- a/src/reading/decide_reading.ts
+++ b/src/reading/decide_reading.ts
@@ -29,7 +29,7 @@
  * Nodes of a failure domain that other domains tell how far records go. They
  * bring them to their own domain when its reader does not.
  */
-export const firstCount = 2;
+export const firstCount = 3;
 
 /** Time for which a node reads that got no answer from a peer. */
 const insistMs = 3_000;
--- a/src/reading/should_read.ts
+++ b/src/reading/should_read.ts
@@ -15,11 +15,11 @@
  */
 const otherDomains = 2;
 
-/** A near peer that was not heard of for so long is not counted on. */
+/** A near reader that was not heard of for so long is not counted on. */
 const silentMs = 2_000;
 
-/** The same of a peer in another failure domain, which is pinged less. */
-const farSilentMs = 6_000;
+/** The same of other nodes, and of other failure domains. */
+const idleSilentMs = 7_000;
 
 /** Time until nodes that are not first read, once nobody is known to. */
 const unreadMs = 300;
@@ -50,10 +50,10 @@
     const silentFor = now - peer.heardAt;
     if (peer.domain !== state.domain) {
       if (!isReader || peer.domain === undefined) continue;
-      if (silentFor < farSilentMs) others.add(peer.domain);
+      if (silentFor < idleSilentMs) others.add(peer.domain);
       continue;
     }
-    if (silentFor >= silentMs) continue;
+    if (silentFor >= (isReader ? silentMs : idleSilentMs)) continue;
     if (isReader) readers++;
     if (node > state.self) continue;
     before++;
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -14,8 +14,12 @@
   ownRow,
 } from "../fleet/state.ts";
 import type { LocalHome } from "../homes/create_home.ts";
-import { type DialledLink, dialLink } from "../links/dial_link.ts";
-import type { Gossip } from "../links/messages.ts";
+import {
+  type DialledLink,
+  dialLink,
+  silentReason,
+} from "../links/dial_link.ts";
+import type { Gossip, NodeStatus } from "../links/messages.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
 import { noteReport } from "../placement/note_home.ts";
@@ -26,11 +30,19 @@
 import type { TakeoverEvent } from "../takeover/state.ts";
 import type { FeedPeers, OperatorFeed } from "./feed_operator.ts";
 
-/** Time between pings of an idle link within the failure domain. */
-const nearIdleMs = 1_000;
+/**
+ * Time between pings of an idle pair of nodes, in milliseconds, within the
+ * failure domain and between domains, where bytes are dear. It grows with the
+ * links of either kind, so that a node's pings do not.
+ */
+const nearIdle = { shortestMs: 600, longestMs: 3_000, perLinkMs: 100 };
+const farIdle = { shortestMs: 1_500, longestMs: 10_000, perLinkMs: 100 };
 
-/** The same between failure domains, where bytes are dear. */
-const farIdleMs = 2_500;
+/** The same with a node that reads the operators' topic for others. */
+const readerIdle = { nearMs: 1_000, farMs: 2_500 };
+
+/** Least time between looks at all links after one was found silent. */
+const probeMs = 1_000;
 
 /** Time between looks at the health of all links. */
 const checkMs = 200;
@@ -52,6 +64,8 @@
   readonly log: Log;
   readonly now: () => MonotonicMs;
   readonly random: () => number;
+  /** How long a message may have waited unread, in milliseconds. */
+  readonly lagMs: () => number;
   readonly meter: WorkMeter;
   readonly operator: OperatorFeed;
   readonly moves: () => readonly MoveDescription[];
@@ -73,6 +87,8 @@
   tellNearAndLeaders(message: Gossip): void;
   /** Applies an event of the fleet and its effects. */
   change(event: FleetEvent): void;
+  /** How this node is. */
+  status(): NodeStatus;
   /** Linked nodes whose reads of the store succeed. */
   healthyNodes(): readonly NodeId[];
   close(): void;
@@ -83,10 +99,14 @@
   const { self, fleet, now, meter } = opts;
   const links = new Map<NodeId, DialledLink>();
   const healthyAt = new Map<NodeId, MonotonicMs>();
+  const exchangedAt = new Map<NodeId, MonotonicMs>();
+  let nearLinks = 0;
+  let probedAt = -Infinity;
   let hasAskedRows = false;
   // One timer for all links: each wake-up costs, however many links there are.
   const checker = setInterval(() => {
     const work = meter.begin();
+    nearLinks = [...links.keys()].filter(isNear).length;
     for (const link of links.values()) link.check();
     opts.operator.tick();
     meter.end(work, Duty.Timers);
@@ -105,6 +125,7 @@
         links.get(effect.node)?.close();
         links.delete(effect.node);
         healthyAt.delete(effect.node);
+        exchangedAt.delete(effect.node);
         opts.operator.lose(effect.node);
         return;
       case "tell":
@@ -118,13 +139,15 @@
   function dial(node: NodeId): DialledLink {
     return dialLink({
       node,
-      idleMs: isNear(node) ? nearIdleMs : farIdleMs,
+      idleMs: () => idleMs(node),
+      exchangedAt: () => exchangedAt.get(node) ?? -Infinity,
+      lagMs: opts.lagMs,
       now,
       random: opts.random,
       meter,
       isFar: () => fleet.rows.has(node) && !isNear(node),
       hello: () => ({ type: "hello", row: ownRow(fleet) }),
-      ping,
+      ping: () => ({ type: "ping", ...status() }),
       onReport: (report, route) =>
         noteReport(opts.placement, { home: node, report, route, now: now() }),
       onGossip: (message) => take(node, message, (reply) => send(node, reply)),
@@ -138,6 +161,7 @@
         opts.log.write("fleet", LogLevel.Warn, "link lost", fields);
         healthyAt.delete(node);
         opts.operator.lose(node);
+        if (reason === silentReason) probeLinks();
         change({ type: "unlinked", node, now: now() });
       },
     });
@@ -158,9 +182,26 @@
     return domainOf(node) === opts.domain;
   }
 
-  function ping(): Gossip {
+  function idleMs(node: NodeId): number {
+    const isReader = opts.operator.reading() === Reading.Healthy;
+    if (isNear(node)) {
+      return isReader
+        ? Math.min(readerIdle.nearMs, scaled(nearIdle, nearLinks))
+        : scaled(nearIdle, nearLinks);
+    }
+    const farMs = scaled(farIdle, links.size - nearLinks);
+    return isReader ? Math.min(readerIdle.farMs, farMs) : farMs;
+  }
+
+  /** What silenced one link may have silenced others. */
+  function probeLinks() {
+    if (now() - probedAt < probeMs) return;
+    probedAt = now();
+    for (const link of links.values()) link.probe();
+  }
+
+  function status(): NodeStatus {
     return {
-      type: "ping",
       report: opts.home.report(),
       operatorEnd: opts.operator.end(),
       reading: opts.operator.reading(),
@@ -191,12 +232,18 @@
     }
   }
 
-  /** Messages wait their turn, those that take a version back before others. */
+  /**
+   * Messages wait their turn, those that take a version back before others. The
+   * status of a peer is only noted.
+   */
   function take(
     from: NodeId | undefined,
     message: Gossip,
     reply: (message: Gossip) => void,
   ) {
+    if (message.type === "ping" || message.type === "pong") {
+      return takeStatus(from, message);
+    }
     opts.control.post(
       priorityOf(message),
       () => {
@@ -228,9 +275,8 @@
         });
         return;
       case "ping":
-        return takePing(from, message);
       case "pong":
-        return;
+        return takeStatus(from, message);
       case "ask-operator":
         return reply(opts.operator.page());
       case "operator":
@@ -268,11 +314,9 @@
     );
   }
 
-  function takePing(
-    from: NodeId | undefined,
-    message: Extract<Gossip, { type: "ping" }>,
-  ) {
+  function takeStatus(from: NodeId | undefined, message: NodeStatus) {
     if (from === undefined) return;
+    exchangedAt.set(from, now());
     const { report } = message;
     noteReport(opts.placement, { home: from, report, now: now() });
     const { reading, operatorEnd: end } = message;
@@ -290,7 +334,8 @@
     tellAll,
     tellNear,
     tellFirstFar,
-    pingNear: () => tellNear(ping()),
+    pingNear: () => tellNear({ type: "ping", ...status() }),
+    status,
     tellNearAndLeaders(message) {
       const leaders = healthyNodes().toSorted().slice(0, leaderCount);
       for (const [node, link] of links) {
@@ -306,6 +351,11 @@
   };
 }
 
+function scaled(bounds: typeof nearIdle, count: number): number {
+  const ms = count * bounds.perLinkMs;
+  return Math.min(bounds.longestMs, Math.max(bounds.shortestMs, ms));
+}
+
 function priorityOf(message: Gossip): Priority {
   switch (message.type) {
     case "move-fault":
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -179,6 +179,7 @@
     log,
     now,
     random,
+    lagMs: lag.lagMs,
     meter,
     operator: feed,
     moves: () => describeMoves(takeover, now()),
@@ -245,6 +246,7 @@
   const links = acceptLinks({
     home,
     report: home.report,
+    status: gossip.status,
     lagMs: lag.lagMs,
     meter,
     onGossip: gossip.take,
--- a/src/testing/create_reading_world.ts
+++ b/src/testing/create_reading_world.ts
@@ -21,8 +21,9 @@
 export type StoreMode = typeof StoreMode[keyof typeof StoreMode];
 
 const stepMs = 50;
-const nearPingMs = 1_000;
-const farPingMs = 2_500;
+/** Time between pings within a domain and between domains. */
+const readerPings = { nearMs: 1_000, farMs: 2_500 };
+const idlePings = { nearMs: 2_000, farMs: 6_000 };
 const tickMs = 200;
 const pausedMs = 400;
 const backOffMs = 150;
@@ -236,10 +237,12 @@
       if (!node.isUp) continue;
       poll(node);
       if (isDue(node, tickMs)) decide(node, { type: "ticked", now });
+      const isReader = node.state.reading === Reading.Healthy;
+      const { nearMs, farMs } = isReader ? readerPings : idlePings;
       for (const peer of nodes) {
         if (peer === node) continue;
         const isNear = peer.domain === node.domain;
-        if (isDue(node, isNear ? nearPingMs : farPingMs)) ping(node, peer);
+        if (isDue(node, isNear ? nearMs : farMs)) ping(node, peer);
       }
     }
     for (const [key, since] of cuts) {
