--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -6,6 +6,7 @@
 import type { Offset } from "../core/types.ts";
 import type { NodeRow } from "../fleet/state.ts";
 import type { QueueReport } from "../queue/state.ts";
+import type { Reading } from "../reading/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
 import type { MoveFault, MoveReport, MoveStep } from "../takeover/state.ts";
 
@@ -32,24 +33,28 @@
   readonly report: QueueReport;
 }
 
+/** How a node is, as pings and their answers carry it. */
+export interface NodeStatus {
+  readonly report: QueueReport;
+  /** How far the operators' topic was read. */
+  readonly operatorEnd: Offset;
+  readonly reading: Reading;
+}
+
 /** What nodes tell each other besides calls. */
 export type Gossip =
   /** Opens a link. */
   | { readonly type: "hello"; readonly row: NodeRow }
-  | {
-    readonly type: "ping";
-    readonly report: QueueReport;
-    /** How far the operators' topic was read. */
-    readonly operatorEnd: Offset;
-    /** Reads of the store succeed. */
-    readonly isStoreHealthy: boolean;
-  }
-  | { readonly type: "pong"; readonly report: QueueReport }
+  | ({ readonly type: "ping" } & NodeStatus)
+  | ({ readonly type: "pong" } & NodeStatus)
   | { readonly type: "rows"; readonly rows: readonly NodeRow[] }
   | { readonly type: "ask-rows" }
   | { readonly type: "ask-operator" }
   | {
     readonly type: "operator";
+    /** Whoever has read so far lacks nothing. Negative: all keys are there. */
+    readonly from: Offset;
+    /** The newest of each key. */
     readonly records: readonly KeyedRecord[];
     readonly end: Offset;
   }
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -5,7 +5,7 @@
 import type { Homes } from "../calls/state.ts";
 import { type ControlLoop, Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
-import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { decideFleet } from "../fleet/decide_fleet.ts";
 import {
   type FleetEffect,
@@ -14,26 +14,35 @@
   ownRow,
 } from "../fleet/state.ts";
 import type { LocalHome } from "../homes/create_home.ts";
-import { type DialledLink, dialLink } from "../links/dial_link.ts";
-import type { Gossip } from "../links/messages.ts";
+import {
+  type DialledLink,
+  dialLink,
+  silentReason,
+} from "../links/dial_link.ts";
+import type { Gossip, NodeStatus } from "../links/messages.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
+import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
 import { noteReport } from "../placement/note_home.ts";
 import type { PlacementState } from "../placement/state.ts";
-import type { KeyedRecord } from "../store/state.ts";
+import { firstCount } from "../reading/decide_reading.ts";
+import { Reading } from "../reading/state.ts";
 import type { MoveDescription } from "../takeover/describe_moves.ts";
 import type { TakeoverEvent } from "../takeover/state.ts";
-
-/** Time between pings of an idle link within the failure domain. */
-const nearIdleMs = 1_000;
-
-/** The same between failure domains, where bytes are dear. */
-const farIdleMs = 2_500;
+import type { FeedPeers, OperatorFeed } from "./feed_operator.ts";
 
 /**
- * Time that a node waits for its own read of the store once a peer is ahead.
- * Usually the read is only a few milliseconds behind.
+ * Time between pings of an idle pair of nodes, in milliseconds, within the
+ * failure domain and between domains, where bytes are dear. It grows with the
+ * links of either kind, so that a node's pings do not.
  */
-const behindMs = 600;
+const nearIdle = { shortestMs: 600, longestMs: 3_000, perLinkMs: 100 };
+const farIdle = { shortestMs: 1_500, longestMs: 10_000, perLinkMs: 100 };
+
+/** The same with a node that reads the operators' topic for others. */
+const readerIdle = { nearMs: 1_000, farMs: 2_500 };
+
+/** Least time between looks at all links after one was found silent. */
+const probeMs = 1_000;
 
 /** Time between looks at the health of all links. */
 const checkMs = 200;
@@ -55,21 +64,15 @@
   readonly log: Log;
   readonly now: () => MonotonicMs;
   readonly random: () => number;
-  /** How far this node has read the operators' topic, and all it holds. */
-  readonly operatorEnd: () => Offset;
-  readonly operatorRecords: () => readonly KeyedRecord[];
-  readonly isStoreHealthy: () => boolean;
-  readonly onOperatorRecords: (
-    records: readonly KeyedRecord[],
-    end: Offset,
-  ) => void;
-  /** A peer has read further for a while: this node's own read hangs. */
-  readonly onBehind: () => void;
+  /** How long a message may have waited unread, in milliseconds. */
+  readonly lagMs: () => number;
+  readonly meter: WorkMeter;
+  readonly operator: OperatorFeed;
   readonly moves: () => readonly MoveDescription[];
   readonly onMove: (event: TakeoverEvent) => void;
 }
 
-export interface GossipHub extends Homes {
+export interface GossipHub extends Homes, FeedPeers {
   /** Takes a message; `reply` answers on the same link. */
   take(
     from: NodeId | undefined,
@@ -84,6 +87,8 @@
   tellNearAndLeaders(message: Gossip): void;
   /** Applies an event of the fleet and its effects. */
   change(event: FleetEvent): void;
+  /** How this node is. */
+  status(): NodeStatus;
   /** Linked nodes whose reads of the store succeed. */
   healthyNodes(): readonly NodeId[];
   close(): void;
@@ -91,14 +96,20 @@
 
 /** Creates the hub. It dials nodes as the fleet learns of them. */
 export function createGossip(opts: CreateGossipOptions): GossipHub {
-  const { self, fleet, now } = opts;
+  const { self, fleet, now, meter } = opts;
   const links = new Map<NodeId, DialledLink>();
   const healthyAt = new Map<NodeId, MonotonicMs>();
-  let behindSince: MonotonicMs | undefined;
+  const exchangedAt = new Map<NodeId, MonotonicMs>();
+  let nearLinks = 0;
+  let probedAt = -Infinity;
   let hasAskedRows = false;
   // One timer for all links: each wake-up costs, however many links there are.
   const checker = setInterval(() => {
+    const work = meter.begin();
+    nearLinks = [...links.keys()].filter(isNear).length;
     for (const link of links.values()) link.check();
+    opts.operator.tick();
+    meter.end(work, Duty.Timers);
   }, checkMs);
 
   function change(event: FleetEvent) {
@@ -114,6 +125,8 @@
         links.get(effect.node)?.close();
         links.delete(effect.node);
         healthyAt.delete(effect.node);
+        exchangedAt.delete(effect.node);
+        opts.operator.lose(effect.node);
         return;
       case "tell":
         tellAll({ type: "rows", rows: [effect.row] });
@@ -129,12 +142,15 @@
   function dial(node: NodeId): DialledLink {
     return dialLink({
       node,
-      idleMs: isNear(node) ? nearIdleMs : farIdleMs,
+      idleMs: () => idleMs(node),
+      exchangedAt: () => exchangedAt.get(node) ?? -Infinity,
+      lagMs: opts.lagMs,
       now,
       random: opts.random,
+      meter,
       isFar: () => fleet.rows.has(node) && !isNear(node),
       hello,
-      ping,
+      ping: () => ({ type: "ping", ...status() }),
       onReport: (report, route) =>
         noteReport(opts.placement, { home: node, report, route, now: now() }),
       onGossip: (message) => takeFromHome(node, message),
@@ -146,6 +162,8 @@
         const fields = { peer: node, reason };
         opts.log.write("fleet", LogLevel.Warn, "link lost", fields);
         healthyAt.delete(node);
+        opts.operator.lose(node);
+        if (reason === silentReason) probeLinks();
         change({ type: "unlinked", node, now: now() });
       },
     });
@@ -158,20 +176,41 @@
     send(node, { type: "ask-rows" });
   }
 
-  function isNear(node: NodeId): boolean {
-    return fleet.rows.get(node)?.row.domain === opts.domain;
+  function domainOf(node: NodeId): string | undefined {
+    return fleet.rows.get(node)?.row.domain;
   }
 
   function hello(): Gossip {
     return { type: "hello", row: ownRow(fleet) };
   }
 
-  function ping(): Gossip {
+  function isNear(node: NodeId): boolean {
+    return domainOf(node) === opts.domain;
+  }
+
+  function idleMs(node: NodeId): number {
+    const isReader = opts.operator.reading() === Reading.Healthy;
+    if (isNear(node)) {
+      return isReader
+        ? Math.min(readerIdle.nearMs, scaled(nearIdle, nearLinks))
+        : scaled(nearIdle, nearLinks);
+    }
+    const farMs = scaled(farIdle, links.size - nearLinks);
+    return isReader ? Math.min(readerIdle.farMs, farMs) : farMs;
+  }
+
+  /** What silenced one link may have silenced others. */
+  function probeLinks() {
+    if (now() - probedAt < probeMs) return;
+    probedAt = now();
+    for (const link of links.values()) link.probe();
+  }
+
+  function status(): NodeStatus {
     return {
-      type: "ping",
       report: opts.home.report(),
-      operatorEnd: opts.operatorEnd(),
-      isStoreHealthy: opts.isStoreHealthy(),
+      operatorEnd: opts.operator.end(),
+      reading: opts.operator.reading(),
     };
   }
 
@@ -197,15 +236,41 @@
     if (own !== undefined) change({ type: "confirmed", row: own, now: now() });
   }
 
-  /** Messages wait their turn, those that take a version back before others. */
+  function tellNear(message: Gossip) {
+    for (const [node, link] of links) if (isNear(node)) link.send(message);
+  }
+
+  function tellFirstFar(message: Gossip) {
+    const told = new Map<string, number>();
+    for (const node of [...fleet.linked].toSorted()) {
+      const domain = domainOf(node);
+      if (domain === undefined || domain === opts.domain) continue;
+      const count = told.get(domain) ?? 0;
+      if (count >= firstCount) continue;
+      told.set(domain, count + 1);
+      send(node, message);
+    }
+  }
+
+  /**
+   * Messages wait their turn, those that take a version back before others. The
+   * status of a peer is only noted.
+   */
   function take(
     from: NodeId | undefined,
     message: Gossip,
     reply: (message: Gossip) => void,
   ) {
+    if (message.type === "ping" || message.type === "pong") {
+      return takeStatus(from, message);
+    }
     opts.control.post(
       priorityOf(message),
-      () => handle(from, message, reply),
+      () => {
+        const work = meter.begin();
+        handle(from, message, reply);
+        meter.end(work, Duty.Control);
+      },
     );
   }
 
@@ -230,19 +295,12 @@
         });
         return;
       case "ping":
-        return takePing(from, message);
       case "pong":
-        return;
+        return takeStatus(from, message);
       case "ask-operator":
-        reply({
-          type: "operator",
-          records: opts.operatorRecords(),
-          end: opts.operatorEnd(),
-        });
-        return;
+        return reply(opts.operator.page());
       case "operator":
-        behindSince = undefined;
-        return opts.onOperatorRecords(message.records, message.end);
+        return opts.operator.take(message, from);
       case "move-step":
         return opts.onMove({
           type: "step-heard",
@@ -276,27 +334,28 @@
     );
   }
 
-  function takePing(
-    from: NodeId | undefined,
-    message: Extract<Gossip, { type: "ping" }>,
-  ) {
+  function takeStatus(from: NodeId | undefined, message: NodeStatus) {
     if (from === undefined) return;
+    exchangedAt.set(from, now());
     const { report } = message;
     noteReport(opts.placement, { home: from, report, now: now() });
-    if (message.isStoreHealthy) healthyAt.set(from, now());
+    const { reading, operatorEnd: end } = message;
+    if (reading === Reading.Healthy) healthyAt.set(from, now());
     else healthyAt.delete(from);
-    if (message.operatorEnd <= opts.operatorEnd()) return;
-    behindSince ??= now();
-    if (now() - behindSince < behindMs) return;
-    behindSince = undefined;
-    opts.onBehind();
-    send(from, { type: "ask-operator" });
+    const domain = domainOf(from);
+    opts.operator.hear({ node: from, domain, reading, end });
   }
 
   return {
     homeOf: (node) => node === self ? opts.home : links.get(node),
     take,
+    domainOf,
+    send,
     tellAll,
+    tellNear,
+    tellFirstFar,
+    pingNear: () => tellNear({ type: "ping", ...status() }),
+    status,
     tellNearAndLeaders(message) {
       const leaders = healthyNodes().toSorted().slice(0, leaderCount);
       for (const [node, link] of links) {
@@ -312,6 +371,11 @@
   };
 }
 
+function scaled(bounds: typeof nearIdle, count: number): number {
+  const ms = count * bounds.perLinkMs;
+  return Math.min(bounds.longestMs, Math.max(bounds.shortestMs, ms));
+}
+
 function priorityOf(message: Gossip): Priority {
   switch (message.type) {
     case "move-fault":
--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -22,17 +22,26 @@
 export interface OperatorReader {
   /** Takes records from the store or from a peer. Older ones are dropped. */
   take(records: readonly KeyedRecord[], end: Offset): void;
-  /** The newest record of each key, for peers that the store leaves out. */
-  records(): readonly KeyedRecord[];
+  /** The newest record of each key that came after an offset, for peers. */
+  since(from: Offset): readonly KeyedRecord[];
   end(): Offset;
 }
 
+interface Told {
+  readonly from: Offset;
+  readonly end: Offset;
+  readonly records: readonly KeyedRecord[];
+}
+
 /** Creates a reader that has read nothing. */
 export function createOperatorReader(
   opts: CreateOperatorReaderOptions,
 ): OperatorReader {
-  const newest = new Map<string, KeyedRecord>();
+  /** `end` is how far was read when the record came. */
+  const newest = new Map<string, { record: KeyedRecord; end: Offset }>();
   let readEnd: Offset = -1;
+  /** What was last told: many peers ask for the same. */
+  let told: Told = { from: -1, end: -1, records: [] };
 
   /** False when the record can't be used, and an earlier one counts. */
   function decode(record: KeyedRecord, isNew: boolean): boolean {
@@ -42,7 +51,7 @@
       opts.log.write("config", LogLevel.Error, "record refused", { reason });
       return false;
     }
-    newest.set(record.key, record);
+    newest.set(record.key, { record, end: readEnd });
     switch (decoded.value.type) {
       case "table":
         opts.onTable(decoded.value.table);
@@ -68,7 +77,14 @@
         decoded.add(record.key);
       }
     },
-    records: () => [...newest.values()],
+    since(from) {
+      if (told.from === from && told.end === readEnd) return told.records;
+      const records = [...newest.values()].flatMap(({ record, end }) =>
+        end > from ? [record] : []
+      );
+      told = { from, end: readEnd, records };
+      return records;
+    },
     end: () => readEnd,
   };
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -13,7 +13,6 @@
 import type { CallContext } from "../callers/state.ts";
 import { createLagMeter } from "../control/create_lag_meter.ts";
 import { createControlLoop } from "../control/create_control_loop.ts";
-import { formatError } from "../core/errors.ts";
 import { exhausted } from "../core/exhausted.ts";
 import { countReady } from "../fleet/count_ready.ts";
 import { createFleetState } from "../fleet/state.ts";
@@ -21,7 +20,11 @@
 import { acceptLinks } from "../links/accept_links.ts";
 import { createLog, LogLevel } from "../logs/create_log.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
+import { createWorkMeter, Duty } from "../metrics/create_work_meter.ts";
+import { meterStore } from "../metrics/meter_store.ts";
+import { watchGarbageCollection } from "../metrics/watch_garbage_collection.ts";
 import { createPlacementState } from "../placement/state.ts";
+import { Reading } from "../reading/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
 import { createStop } from "../stopping/create_stop.ts";
@@ -31,7 +34,6 @@
   StopPhase,
   type StopState,
 } from "../stopping/state.ts";
-import { followTopic } from "../store/follow_topic.ts";
 import { countRun } from "../takeover/count_run.ts";
 import { decideTakeover } from "../takeover/decide_takeover.ts";
 import { describeMoves } from "../takeover/describe_moves.ts";
@@ -41,6 +43,7 @@
 import { driveMoves } from "./drive_moves.ts";
 import { loadOfVersion } from "./load_of_version.ts";
 import type { Platform, SidecarSettings } from "./platform_port.ts";
+import { createOperatorFeed } from "./feed_operator.ts";
 import { createOperatorReader } from "./read_operator.ts";
 import { createMoveRecorder } from "./record_moves.ts";
 import { registerNode } from "./register_node.ts";
@@ -64,6 +67,9 @@
 /** The same while it has heard of no other node at all. */
 const leadAloneAfterMs = 10_000;
 
+/** Time between log lines of what work was spent on, in milliseconds. */
+const workTickMs = 5_000;
+
 /** Time between looks for nodes that are gone, in milliseconds. */
 const fleetTickMs = 5_000;
 
@@ -87,13 +93,16 @@
 
 /** Starts the process. Rejects when an address can't be listened on. */
 export async function runSidecar(opts: RunSidecarOptions): Promise<Sidecar> {
-  const { platform } = opts;
   let settings = opts.settings;
   const now = () => performance.now();
+  const meter = createWorkMeter({ now });
+  const store = meterStore(opts.platform.store, meter);
+  const platform = { ...opts.platform, store };
   const startedAt = now();
   const random = () => randomInt(2 ** 32) / 2 ** 32;
   const log = createLog({ node: settings.node, now });
-  const metrics = createMetrics();
+  const metrics = createMetrics({ meter });
+  const collections = watchGarbageCollection(meter);
   const routes = createRoutesState();
   const placement = createPlacementState();
   const fleet = createFleetState({
@@ -165,19 +174,18 @@
     });
   }
 
-  const follower = followTopic({
-    store: platform.store,
+  const feed = createOperatorFeed({
+    self: settings.node,
+    domain: settings.domain,
+    store,
     topic: platform.topics.operator,
-    onRecords: (records, end) => operator.take(records, end),
-    onHealth: noteStoreHealth,
+    operator,
+    peers: () => gossip,
+    log,
+    now,
     random,
   });
 
-  function noteStoreHealth(err?: Parameters<typeof formatError>[0]) {
-    if (err === undefined) return log.write("store", LogLevel.Info, "regained");
-    log.write("store", LogLevel.Warn, "lost", { reason: formatError(err) });
-  }
-
   const gossip = createGossip({
     self: settings.node,
     domain: settings.domain,
@@ -188,11 +196,9 @@
     log,
     now,
     random,
-    operatorEnd: operator.end,
-    operatorRecords: operator.records,
-    isStoreHealthy: follower.isHealthy,
-    onOperatorRecords: operator.take,
-    onBehind: follower.kick,
+    lagMs: lag.lagMs,
+    meter,
+    operator: feed,
     moves: () => describeMoves(takeover, now()),
     onMove: move,
   });
@@ -222,6 +228,8 @@
     random,
   };
   const callers = createCallerServer({ ctx });
+  measured(callers.server, Duty.Callers);
+  feed.start();
 
   const recorder = createMoveRecorder({
     self: settings.node,
@@ -256,7 +264,9 @@
   const links = acceptLinks({
     home,
     report: home.report,
+    status: gossip.status,
     lagMs: lag.lagMs,
+    meter,
     onGossip: gossip.take,
     isFar: (domain) => domain !== settings.domain,
     onError: (reason, peer) =>
@@ -268,6 +278,12 @@
     onPing: instance.ping,
     onLeave: instance.leave,
   });
+  function measured(server: Server, duty: Duty) {
+    let work = meter.begin();
+    server.prependListener("request", () => work = meter.begin());
+    server.on("request", () => meter.end(work, duty));
+  }
+
   const scrape = polka().get("/metrics", async (_req, res) => {
     metrics.setReadyEndpoints(countReady(fleet));
     res.end(await metrics.text());
@@ -275,9 +291,11 @@
 
   const moveTimer = setInterval(() => {
     if (takeover.moves.size === 0) return;
+    const work = meter.begin();
     const peers = gossip.healthyNodes();
     const waitMs = peers.length === 0 ? leadAloneAfterMs : leadAfterMs;
-    const mayLead = now() - startedAt >= waitMs && follower.isHealthy() &&
+    const mayLead = now() - startedAt >= waitMs &&
+      feed.reading() === Reading.Healthy &&
       stop === undefined;
     const before = peers.filter((peer) => peer < settings.node);
     move({
@@ -288,7 +306,14 @@
       loadOf: (service, version) =>
         loadOfVersion({ fleet, placement, home, service, version }),
     });
+    meter.end(work, Duty.Timers);
   }, moveTickMs);
+  const workTimer = setInterval(() => {
+    const { user, system } = process.cpuUsage();
+    const processorMs = Math.round((user + system) / 1_000);
+    const fields = { processorMs, ...meter.summary() };
+    log.write("process", LogLevel.Info, "work", fields);
+  }, workTickMs);
   const fleetTimer = setInterval(
     () => gossip.change({ type: "ticked", now: now() }),
     fleetTickMs,
@@ -366,8 +391,9 @@
     });
     callers.close();
     clearInterval(moveTimer);
+    clearInterval(workTimer);
     clearInterval(fleetTimer);
-    follower.close();
+    feed.close();
     recorder.close();
     registration.close();
     control.close();
@@ -378,6 +404,7 @@
       server.close();
     }
     lag.close();
+    collections.close();
     await home.close();
     await platform.store.close();
     log.write("process", LogLevel.Info, "stopped");
