feat(placement): count the time that calls spend between nodes

Placement knew slots, waits and run times only, so it went on sending calls there. An event now tells how long the home held its call; the rest of the time is the transit to that home, which fades within seconds so that it is tried again.

--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -5,7 +5,7 @@
 import { createServer, type Server } from "node:http";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { Home } from "../calls/state.ts";
-import type { NodeId } from "../core/types.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { Way, type WorkMeter } from "../metrics/create_work_meter.ts";
 import type { QueueReport } from "../queue/state.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
@@ -21,6 +21,7 @@
   readonly report: (route?: string) => QueueReport;
   readonly status: () => NodeStatus;
   readonly lagMs: () => number;
+  readonly now: () => MonotonicMs;
   readonly meter: WorkMeter;
   /** Answers gossip through `reply`. The sender is known after its hello. */
   readonly onGossip: (
@@ -81,8 +82,8 @@
     socket.send(packed);
     meter.endMessage(work, Way.Sent, message.type, packed.length);
   };
-  const { home, report, lagMs, meter } = opts;
-  const calls = serveLink({ home, report, lagMs, send });
+  const { home, report, lagMs, now, meter } = opts;
+  const calls = serveLink({ home, report, lagMs, now, send });
 
   function take(message: LinkMessage) {
     switch (message.type) {
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -49,6 +49,8 @@
   readonly ping: () => Gossip;
   /** A report that comes with a call's event. */
   readonly onReport: (report: QueueReport, route: string | undefined) => void;
+  /** Time that a call spent between this node and the home, in milliseconds. */
+  readonly onTransit: (transitMs: number) => void;
   readonly onGossip: (message: Gossip) => void;
   readonly onOpen: () => void;
   readonly onClose: (reason: string) => void;
@@ -67,6 +69,9 @@
 
 interface OfferedOnLink {
   readonly route: string;
+  readonly offeredAt: MonotonicMs;
+  /** No event of the call has come. */
+  isNew: boolean;
   readonly onEvent: (event: AttemptEvent) => void;
 }
 
@@ -151,6 +156,11 @@
         const call = offered.get(message.key);
         opts.onReport(message.report, call?.route);
         if (call === undefined) return;
+        // Bodies travel between later events.
+        if (call.isNew) {
+          opts.onTransit(now() - call.offeredAt - message.heldMs);
+        }
+        call.isNew = false;
         if (isLast(message.event)) offered.delete(message.key);
         call.onEvent(message.event);
         return;
@@ -226,7 +236,8 @@
         queueMicrotask(() => onEvent({ type: "refused", refusal }));
         return { send() {}, finish() {}, cancel() {} };
       }
-      offered.set(key, { route: call.route, onEvent });
+      const { route } = call;
+      offered.set(key, { route, offeredAt: now(), isNew: true, onEvent });
       send({ type: "offer", key, call });
       return {
         send: (chunk) => send({ type: "body", key, chunk }),
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -73,6 +73,7 @@
         Kind.Event,
         message.key,
         ...reportFields(message.report),
+        Math.round(message.heldMs),
         ...eventFields(message.event),
       ];
     case "ping":
@@ -112,7 +113,8 @@
         type: "event",
         key,
         report: reportOf(fields, 2),
-        event: eventOf(fields.slice(6)),
+        heldMs: fields[6] as number,
+        event: eventOf(fields.slice(7)),
       };
     case Kind.Ping:
       return { type: "ping", ...statusOf(fields) };
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -31,6 +31,8 @@
   readonly event: AttemptEvent;
   /** The home's queue at the time of the event. */
   readonly report: QueueReport;
+  /** Time since the home read the offer, in milliseconds. */
+  readonly heldMs: number;
 }
 
 /** How a node is, as pings and their answers carry it. */
--- a/src/links/serve_link.ts
+++ b/src/links/serve_link.ts
@@ -9,6 +9,7 @@
   OfferedCall,
 } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs } from "../core/types.ts";
 import type { QueueReport } from "../queue/state.ts";
 import type { CallMessage, LinkKey, LinkMessage } from "./messages.ts";
 
@@ -18,6 +19,7 @@
   readonly report: (route?: string) => QueueReport;
   /** How long a message may have waited unread, in milliseconds. */
   readonly lagMs: () => number;
+  readonly now: () => MonotonicMs;
   readonly send: (message: LinkMessage) => void;
 }
 
@@ -31,13 +33,20 @@
 export function serveLink(opts: ServeLinkOptions): ServedLink {
   const attempts = new Map<LinkKey, Attempt>();
 
-  function tell(key: LinkKey, route: string, event: AttemptEvent) {
+  function tell(
+    key: LinkKey,
+    route: string,
+    event: AttemptEvent,
+    heldMs: number,
+  ) {
     if (isLast(event)) attempts.delete(key);
-    opts.send({ type: "event", key, event, report: opts.report(route) });
+    const report = opts.report(route);
+    opts.send({ type: "event", key, event, report, heldMs });
   }
 
   function offer(key: LinkKey, call: OfferedCall): Attempt {
     const isWaited = call.body === undefined;
+    const readAt = opts.now();
     // Times are relative to the offer's sending. On a node that can't keep up
     // an offer waits unread, and its caller may be gone when it is read.
     const lagMs = opts.lagMs();
@@ -45,7 +54,8 @@
     const aimLeftMs = call.aimLeftMs - lagMs;
     return opts.home.offer({ ...call, leftMs, aimLeftMs }, (event) => {
       // An admission matters to a body that waits for it, and to nothing else.
-      if (event.type !== "admitted" || isWaited) tell(key, call.route, event);
+      if (event.type === "admitted" && !isWaited) return;
+      tell(key, call.route, event, opts.now() - readAt);
     });
   }
 
--- a/src/links/serve_link_test.ts
+++ b/src/links/serve_link_test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import type { OfferedCall } from "../calls/state.ts";
 import { offeredCall } from "../testing/offered_call.ts";
+import type { LinkMessage } from "./messages.ts";
 import { serveLink } from "./serve_link.ts";
 
 test("time that an offer waited unread is taken off its time", () => {
@@ -15,6 +16,7 @@
     },
     report: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
     lagMs: () => 1_900,
+    now: () => 0,
     send() {},
   });
   const call = offeredCall({ leftMs: 200, aimLeftMs: 60 });
@@ -22,3 +24,26 @@
   assert.equal(offered[0]?.leftMs, -1_700);
   assert.equal(offered[0]?.aimLeftMs, -1_840);
 });
+
+test("an event tells how long the home held its call", () => {
+  const sent: LinkMessage[] = [];
+  let now = 100;
+  let answer = () => {};
+  const link = serveLink({
+    home: {
+      offer(_call, onEvent) {
+        answer = () => onEvent({ type: "ended" });
+        return { send() {}, finish() {}, cancel() {} };
+      },
+    },
+    report: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
+    lagMs: () => 40,
+    now: () => now,
+    send: (message) => sent.push(message),
+  });
+  link.take({ type: "offer", key: 1, call: offeredCall({}) });
+  now = 130;
+  answer();
+  const [event] = sent;
+  assert.equal(event?.type === "event" && event.heldMs, 30);
+});
--- a/src/placement/choose_candidate.ts
+++ b/src/placement/choose_candidate.ts
@@ -4,7 +4,7 @@
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { coldFactor, firstGuessMs, isSafeWait } from "../queue/estimate.ts";
-import { failingOf } from "./note_home.ts";
+import { failingOf, transitOf } from "./note_home.ts";
 import {
   type Candidate,
   type HomeView,
@@ -102,7 +102,8 @@
       1,
       outstandingOf(view, opts.now) / candidate.slots,
     );
-    const tookMs = waitMs + runMs * (1 + crowdShare * crowd);
+    const tookMs = transitOf(view, opts.now) + waitMs +
+      runMs * (1 + crowdShare * crowd);
     const cost = costOfTime(tookMs, opts.aimLeftMs) + opts.random() +
       failingOf(state, candidate.home, opts.now) * failureMs +
       (candidate.domain === opts.ownDomain ? 0 : priceOfLeaving(opts.bytes)) +
--- a/src/placement/note_home.ts
+++ b/src/placement/note_home.ts
@@ -4,7 +4,7 @@
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { QueueReport } from "../queue/state.ts";
-import { type PlacementState, viewOf } from "./state.ts";
+import { type HomeView, type PlacementState, viewOf } from "./state.ts";
 
 /** Weight of the newest end of an offer. */
 const newestWeight = 0.12;
@@ -12,6 +12,12 @@
 /** Failures count half after this time, in milliseconds. */
 const halfLifeMs = 2_000;
 
+/** Weight of the newest time between here and a home. */
+const newestTransitWeight = 0.25;
+
+/** Such a time counts half after this time, in milliseconds. */
+const transitHalfLifeMs = 1_000;
+
 /** Options of `noteReport`. */
 export interface NoteReportOptions {
   readonly home: NodeId;
@@ -33,6 +39,28 @@
   }
 }
 
+/** Options of `noteTransit`. */
+export interface NoteTransitOptions {
+  readonly home: NodeId;
+  /** Time of one call between this node and the home, in milliseconds. */
+  readonly transitMs: number;
+  readonly now: MonotonicMs;
+}
+
+/** Learns how long calls take to a home and back. */
+export function noteTransit(state: PlacementState, opts: NoteTransitOptions) {
+  const view = viewOf(state, opts.home);
+  const known = transitOf(view, opts.now);
+  view.transitMs = known + (opts.transitMs - known) * newestTransitWeight;
+  view.transitAt = opts.now;
+}
+
+/** Expected time to a home and back. Fades, so that it is tried again. */
+export function transitOf(view: HomeView, now: MonotonicMs): number {
+  const halvings = (now - view.transitAt) / transitHalfLifeMs;
+  return view.transitMs * 0.5 ** halvings;
+}
+
 /** Counts a call that is offered to a home. */
 export function noteOffer(state: PlacementState, home: NodeId) {
   viewOf(state, home).inFlight++;
--- a/src/placement/placement_test.ts
+++ b/src/placement/placement_test.ts
@@ -1,7 +1,13 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import { chooseCandidate } from "./choose_candidate.ts";
-import { noteEnd, noteOffer, noteReport, shunHome } from "./note_home.ts";
+import {
+  noteEnd,
+  noteOffer,
+  noteReport,
+  noteTransit,
+  shunHome,
+} from "./note_home.ts";
 import {
   type Candidate,
   createPlacementState,
@@ -142,3 +148,14 @@
   assert.equal(isFull(2), false);
   assert.equal(isFull(8), true);
 });
+
+test("a home whose node can't keep up gets fewer calls", () => {
+  const state = createPlacementState();
+  for (const home of ["near", "far"]) report(state, home, [0, 0, 30]);
+  for (let n = 0; n < 8; n++) {
+    noteTransit(state, { home: "near", transitMs: 90, now: 0 });
+    noteTransit(state, { home: "far", transitMs: 3, now: 0 });
+  }
+  assert.equal(choose(state), "far");
+  assert.equal(choose(state, { now: 10_000 }), "near");
+});
--- a/src/placement/state.ts
+++ b/src/placement/state.ts
@@ -20,6 +20,12 @@
   reportedAt: MonotonicMs;
   /** Mean run times there by route, in milliseconds, as last reported. */
   readonly routeMs: Map<string, number>;
+  /**
+   * Recent time that a call spent outside of the home's queue: on links, and
+   * unread where its node can't keep up. In milliseconds.
+   */
+  transitMs: number;
+  transitAt: MonotonicMs;
   /** Calls from here at that home now, and when it last reported. */
   inFlight: number;
   inFlightAtReport: number;
@@ -46,6 +52,8 @@
     report: { running: 0, waiting: 0, meanMs: 0, routeMs: 0 },
     reportedAt: -Infinity,
     routeMs: new Map(),
+    transitMs: 0,
+    transitAt: -Infinity,
     inFlight: 0,
     inFlightAtReport: 0,
     failing: 0,
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -22,7 +22,7 @@
 import type { Gossip, NodeStatus } from "../links/messages.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
-import { noteReport } from "../placement/note_home.ts";
+import { noteReport, noteTransit } from "../placement/note_home.ts";
 import type { PlacementState } from "../placement/state.ts";
 import { firstCount } from "../reading/decide_reading.ts";
 import { Reading } from "../reading/state.ts";
@@ -153,6 +153,8 @@
       ping: () => ({ type: "ping", ...status() }),
       onReport: (report, route) =>
         noteReport(opts.placement, { home: node, report, route, now: now() }),
+      onTransit: (transitMs) =>
+        noteTransit(opts.placement, { home: node, transitMs, now: now() }),
       onGossip: (message) => takeFromHome(node, message),
       onOpen() {
         opts.log.write("fleet", LogLevel.Info, "link opened", { peer: node });
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -266,6 +266,7 @@
     report: home.report,
     status: gossip.status,
     lagMs: lag.lagMs,
+    now,
     meter,
     onGossip: gossip.take,
     isFar: (domain) => domain !== settings.domain,
