fix(homes): give a call its slot once its body is there

With nine endpoints of six slots the service was full at a third of its load, so the calls that bookings make there waited and failed, and bookings with them. A home now asks for the body when it has room in its queue, and the call gets its slot when the body is whole.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -192,7 +192,6 @@
     if (isDone || (open !== streaming && !attempts.has(open))) return;
     switch (event.type) {
       case "admitted":
-        arrive(open);
         if (open.hasLaterBody) body?.pipe(open.sink);
         return;
       case "overdue":
@@ -223,7 +222,7 @@
     }
   }
 
-  /** Homes tell of an admission only when the body waits for it. */
+  /** The endpoint has got the call. */
   function arrive(open: OpenAttempt) {
     if (!open.hasArrived) arrivals++;
     open.hasArrived = true;
--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -73,7 +73,7 @@
 
 /** What one attempt tells. Exactly one of refused, failed, ended comes last. */
 export type AttemptEvent =
-  /** The endpoint has a slot for the call; a body that follows may be sent. */
+  /** A body that follows may be sent: it is awaited, or has a slot already. */
   | { readonly type: "admitted" }
   /** The call runs much longer than usual. */
   | { readonly type: "overdue" }
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -13,10 +13,16 @@
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import type { Instance } from "../instance/state.ts";
-import { decideQueue, reportQueue } from "../queue/decide_queue.ts";
+import {
+  decideQueue,
+  reportQueue,
+  whyRefused,
+  type WhyRefusedOptions,
+} from "../queue/decide_queue.ts";
 import {
   createQueueState,
   type Gate,
+  type QueuedCall,
   type QueueEffect,
   type QueueReport,
   RefusalReason,
@@ -24,6 +30,7 @@
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { Run } from "../takeover/count_run.ts";
 import { createEndpointConnector } from "./connect_endpoint.ts";
+import { createGathering, type GatheredBody } from "./create_gathering.ts";
 import {
   createEndpointPool,
   type EndpointPool,
@@ -74,6 +81,8 @@
   setInstance(instance: Instance | undefined, reason: string): void;
   /** Its queue as other nodes are told of it, for a route where one is given. */
   report(route?: string): QueueReport;
+  /** Whether calls run, wait, or send their bodies. */
+  isBusy(): boolean;
   /** Whether the endpoint runs the call with this id. */
   runs(callId: string): boolean;
   /** A call that this one has made failed, so it may fail through no fault. */
@@ -82,10 +91,13 @@
 }
 
 interface OpenCall {
-  readonly call: OfferedCall;
+  call: OfferedCall;
   readonly offeredAt: MonotonicMs;
   readonly deadlineAt: MonotonicMs;
   readonly onEvent: (event: AttemptEvent) => void;
+  /** The body, while it comes before the run. */
+  body?: GatheredBody | undefined;
+  isGathered?: boolean;
   run?: RunningAttempt;
   timer?: NodeJS.Timeout;
   startedAt?: MonotonicMs;
@@ -99,6 +111,7 @@
   const { dialect, now } = opts;
   const connector = createEndpointConnector({ connectMs });
   const queue = createQueueState();
+  const gathering = createGathering();
   const open = new Map<number, OpenCall>();
   const running = new Map<string, OpenCall>();
   let lastKey = 0;
@@ -126,10 +139,7 @@
         return start(effect.key, entry);
       case "refuse": {
         open.delete(effect.key);
-        const { reason, waitMs } = effect;
-        const refusal = { by: RefusedBy.Home, reason, waitMs };
-        entry.onEvent({ type: "refused", refusal });
-        return;
+        return refuse(entry, effect.reason, effect.waitMs);
       }
       case "overdue":
         entry.onEvent({ type: "overdue" });
@@ -139,6 +149,12 @@
     }
   }
 
+  /** The endpoint has got nothing of the call. */
+  function refuse(entry: OpenCall, reason: RefusalReason, waitMs: number) {
+    const refusal = { by: RefusedBy.Home, reason, waitMs };
+    entry.onEvent({ type: "refused", refusal });
+  }
+
   function start(key: number, entry: OpenCall) {
     if (instance === undefined || pool === undefined) {
       throw new TypeError("a call started behind a closed gate");
@@ -161,7 +177,7 @@
       isReset: connector.isReset,
       onEvent: (event) => takeRun(key, entry, event),
     });
-    entry.onEvent({ type: "admitted" });
+    if (!entry.isGathered) entry.onEvent({ type: "admitted" });
   }
 
   function takeRun(key: number, entry: OpenCall, event: RunEvent) {
@@ -198,15 +214,7 @@
         return;
       case "expired":
         end(key, entry, false);
-        entry.onEvent({
-          type: "refused",
-          refusal: {
-            by: RefusedBy.Home,
-            reason: RefusalReason.NoTime,
-            waitMs: reportQueue(queue).meanMs,
-          },
-        });
-        return;
+        return refuse(entry, RefusalReason.NoTime, reportQueue(queue).meanMs);
       case "failed":
         if (event.doubtful) opts.onDoubt(entry.call, event.doubtful);
         noteRun(entry, true);
@@ -282,20 +290,65 @@
   function refuseMisdirected(key: number, entry: OpenCall, present: Instance) {
     opts.onMisdirected(entry.call, present);
     open.delete(key);
-    entry.onEvent({
-      type: "refused",
-      refusal: {
-        by: RefusedBy.Home,
-        reason: RefusalReason.Misdirected,
-        waitMs: 0,
-      },
-    });
+    refuse(entry, RefusalReason.Misdirected, 0);
+  }
+
+  /** Asks the queue for a slot, or for the body where that comes first. */
+  function receive(
+    key: number,
+    entry: OpenCall,
+    offer: Omit<WhyRefusedOptions, "now">,
+  ) {
+    const { call } = entry;
+    if (instance !== undefined && !isSameSoftware(call, instance)) {
+      return refuseMisdirected(key, entry, instance);
+    }
+    const reason = whyRefused(queue, { ...offer, now: now() });
+    if (reason === undefined) entry.body = gathering.begin(call);
+    if (entry.body === undefined) {
+      return apply(decideQueue(queue, {
+        type: "offered",
+        ...offer,
+        now: now(),
+      }));
+    }
+    entry.timer = setTimeout(() => {
+      release(entry);
+      open.delete(key);
+      refuse(entry, RefusalReason.NoTime, reportQueue(queue).meanMs);
+    }, Math.max(0, entry.deadlineAt - now()));
+    entry.onEvent({ type: "admitted" });
+  }
+
+  function takeChunk(
+    key: number,
+    entry: OpenCall,
+    queued: QueuedCall,
+    chunk: Buffer,
+  ) {
+    const { body } = entry;
+    if (body === undefined) return entry.run?.send(chunk);
+    body.add(chunk);
+    if (!body.isWhole() || open.get(key) !== entry) return;
+    entry.call = { ...entry.call, body: body.bytes() };
+    entry.isGathered = true;
+    release(entry);
+    // Elsewhere the body would have to travel once more.
+    receive(key, entry, { call: queued, mayBeLate: true });
+  }
+
+  /** Ends the time in which a body comes. */
+  function release(entry: OpenCall) {
+    clearTimeout(entry.timer);
+    entry.body?.close();
+    entry.body = undefined;
   }
 
   function withdraw(key: number, entry: OpenCall) {
     if (open.get(key) !== entry) return;
     entry.run?.cancel();
     if (entry.run !== undefined) return end(key, entry, false);
+    release(entry);
     open.delete(key);
     apply(decideQueue(queue, { type: "withdrawn", key, now: now() }));
   }
@@ -311,22 +364,14 @@
       const aimAt = at + call.aimLeftMs;
       const times = { offeredAt: at, aimAt, deadlineAt };
       const queued = { key, route, urgency, isInner, ...times };
+      const offer = { call: queued, mayBeLate };
       // After all that was read in this turn: a caller that leaves while the
       // node can't keep up withdraws its call before the endpoint gets it.
       setImmediate(() => {
-        if (open.get(key) !== entry) return;
-        if (instance !== undefined && !isSameSoftware(call, instance)) {
-          return refuseMisdirected(key, entry, instance);
-        }
-        apply(decideQueue(queue, {
-          type: "offered",
-          call: queued,
-          mayBeLate,
-          now: now(),
-        }));
+        if (open.get(key) === entry) receive(key, entry, offer);
       });
       return {
-        send: (chunk) => entry.run?.send(chunk),
+        send: (chunk) => takeChunk(key, entry, queued, chunk),
         finish: () => entry.run?.finish(),
         cancel: () => withdraw(key, entry),
       };
@@ -357,6 +402,7 @@
       if (entry !== undefined) entry.isExcused = true;
     },
     report: (route) => reportQueue(queue, route),
+    isBusy: () => open.size > 0,
     async close() {
       clearTimeout(ticker);
       clearTimeout(reopener);
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -2,6 +2,7 @@
 import { test, type TestContext } from "node:test";
 import assert from "node:assert/strict";
 import {
+  type Attempt,
   type AttemptEvent,
   type OfferedCall,
   RefusedBy,
@@ -30,12 +31,12 @@
 /** A home of an endpoint that answers each request as `serve` does. */
 async function homeOf(
   t: TestContext,
-  serve: (socket: Socket) => void,
+  serve: (socket: Socket, chunk: Buffer) => void,
   onRun: (run: Run) => void = () => {},
 ) {
   const server = createServer((socket) => {
     socket.on("error", () => {});
-    socket.on("data", () => serve(socket));
+    socket.on("data", (chunk: Buffer) => serve(socket, chunk));
   });
   await new Promise<void>((resolve) =>
     server.listen(0, "127.0.0.1", () => resolve())
@@ -274,3 +275,73 @@
   assert.equal((await running).type, "failed");
   assert.equal(asked.length, 1);
 });
+
+test("a body that is still on its way holds no slot", async (t) => {
+  const { home } = await homeOf(t, (socket) => {
+    socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
+  });
+  home.setInstance({ ...announced, slots: 1 }, "");
+  const upload = { id: "r-2", method: "POST", body: undefined, bodyBytes: 6 };
+  const events: string[] = [];
+  let attempt: Attempt | undefined;
+  await new Promise<void>((resolve) => {
+    attempt = home.offer({ ...call, ...upload }, (event) => {
+      events.push(event.type);
+      if (event.type === "admitted") resolve();
+    });
+  });
+  attempt?.send(Buffer.from("pho"));
+  assert.equal((await offer(home)).type, "answered");
+  assert.deepEqual(events, ["admitted"]);
+});
+
+test("a gathered body reaches the endpoint whole", async (t) => {
+  let got = "";
+  const { home } = await homeOf(t, (socket, chunk) => {
+    got += chunk.toString();
+    if (got.endsWith("photo!")) {
+      socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
+    }
+  });
+  const upload = { method: "POST", body: undefined, bodyBytes: 6 };
+  const ended = new Promise<AttemptEvent>((resolve) => {
+    const attempt = home.offer({ ...call, ...upload }, (event) => {
+      if (event.type !== "admitted") return resolve(event);
+      attempt.send(Buffer.from("pho"));
+      attempt.send(Buffer.from("to!"));
+      attempt.finish();
+    });
+  });
+  assert.equal((await ended).type, "answered");
+  assert.match(got, /content-length: 6\r\n/i);
+  assert.ok(got.endsWith("\r\n\r\nphoto!"));
+});
+
+test("a body that never comes is refused as not run", async (t) => {
+  const { home } = await homeOf(t, () => assert.fail("it has run"));
+  const times = { leftMs: 60, aimLeftMs: 60 };
+  const upload = { body: undefined, bodyBytes: 6, ...times };
+  const events: AttemptEvent[] = [];
+  await new Promise<void>((resolve) => {
+    home.offer({ ...call, ...upload }, (event) => {
+      events.push(event);
+      if (event.type === "refused") resolve();
+    });
+  });
+  assert.deepEqual(events.map(({ type }) => type), ["admitted", "refused"]);
+  assert.equal(home.isBusy(), false);
+});
+
+test("a body that comes for another service is not run", async (t) => {
+  const { home } = await homeOf(t, () => assert.fail("it has run"));
+  const upload = { body: undefined, bodyBytes: 6 };
+  const next = { ...announced, id: "i-2", service: "two", bornAt: 1 };
+  const refusal = await new Promise<AttemptEvent>((resolve) => {
+    const attempt = home.offer({ ...call, ...upload }, (event) => {
+      if (event.type !== "admitted") return resolve(event);
+      home.setInstance(next, "");
+      attempt.send(Buffer.from("photo!"));
+    });
+  });
+  assert.equal(refusal.type, "refused");
+});
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -104,27 +104,39 @@
   state: QueueState,
   event: Extract<QueueEvent, { type: "offered" }>,
 ): readonly QueueEffect[] {
-  const { call, now, mayBeLate } = event;
+  const { call, now } = event;
+  const reason = whyRefused(state, event);
+  if (reason !== undefined) return [refuse(state, call.key, reason, now)];
+  state.waiting.set(call.key, call);
+  return [...crowdOut(state, now), ...pump(state, now)];
+}
+
+/** Options of `whyRefused`. */
+export interface WhyRefusedOptions {
+  readonly call: QueuedCall;
+  /** The sender has no better home, so an answer past the aim is welcome. */
+  readonly mayBeLate: boolean;
+  readonly now: MonotonicMs;
+}
+
+/** Returns why a call would be turned away if it were offered now. */
+export function whyRefused(
+  state: QueueState,
+  opts: WhyRefusedOptions,
+): RefusalReason | undefined {
+  const { call, mayBeLate, now } = opts;
   const { gate } = state;
-  if (gate.type === "closed") {
-    return [refuse(state, call.key, RefusalReason.Closed, now)];
-  }
+  if (gate.type === "closed") return RefusalReason.Closed;
   const ahead = countAhead(state, call, now);
   const startAt = now + expectedWaitMs(state, ahead, now);
-  if (!canMeetDeadline(state, call, startAt, now)) {
-    return [refuse(state, call.key, RefusalReason.NoTime, now)];
-  }
+  if (!canMeetDeadline(state, call, startAt, now)) return RefusalReason.NoTime;
   if (!isWaitSafe(state, call, startAt - now, now)) {
-    if (!mayBeLate) return [refuse(state, call.key, RefusalReason.Late, now)];
+    if (!mayBeLate) return RefusalReason.Late;
     if (!call.isInner && ahead > aheadShare * gate.slots) {
-      return [refuse(state, call.key, RefusalReason.Crowded, now)];
+      return RefusalReason.Crowded;
     }
   }
-  if (state.waiting.size >= maxWaiting) {
-    return [refuse(state, call.key, RefusalReason.Crowded, now)];
-  }
-  state.waiting.set(call.key, call);
-  return [...crowdOut(state, gate.slots, now), ...pump(state, now)];
+  return state.waiting.size >= maxWaiting ? RefusalReason.Crowded : undefined;
 }
 
 /**
@@ -132,11 +144,8 @@
  * are no exception: while such a call waits its parent holds a slot, and an
  * early refusal frees it for another.
  */
-function crowdOut(
-  state: QueueState,
-  slots: number,
-  now: MonotonicMs,
-): QueueEffect[] {
+function crowdOut(state: QueueState, now: MonotonicMs): QueueEffect[] {
+  const slots = slotsOf(state);
   if (state.waiting.size <= lateShare * slots) return [];
   const late = [...state.waiting.values()]
     .filter((call) => !canMeetAim(state, call, now))
@@ -147,6 +156,10 @@
   });
 }
 
+function slotsOf({ gate }: QueueState): number {
+  return gate.type === "open" ? gate.slots : 0;
+}
+
 function countAhead(
   state: QueueState,
   call: QueuedCall,
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -257,8 +257,7 @@
   });
 
   function isBusy(): boolean {
-    const { running, waiting } = home.report();
-    return callers.open() + running + waiting > 0;
+    return callers.open() > 0 || home.isBusy();
   }
 
   const links = acceptLinks({
