--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -14,7 +14,8 @@
 export interface CreateOperatorReaderOptions {
   readonly platform: Pick<Platform, "decodeOperatorRecord">;
   readonly log: Log;
-  readonly onTable: (table: RouteTable) => void;
+  /** `bytes` is the size of the record that held the table. */
+  readonly onTable: (table: RouteTable, bytes: number) => void;
   /** `isNew` is false for what was there before this node first read. */
   readonly onOrder: (order: MoveOrder, isNew: boolean) => void;
 }
@@ -54,7 +55,7 @@
     newest.set(record.key, { record, end: readEnd });
     switch (decoded.value.type) {
       case "table":
-        opts.onTable(decoded.value.table);
+        opts.onTable(decoded.value.table, record.value?.length ?? 0);
         return true;
       case "order":
         opts.onOrder(decoded.value.order, isNew);
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -165,12 +165,13 @@
     },
   });
 
-  function takeTable(table: RouteTable) {
+  function takeTable(table: RouteTable, bytes: number) {
     if (!adoptTable(routes, table)) return;
     callers.setLimits(table.limits);
     metrics.setTableVersion(table.version);
     log.write("config", LogLevel.Info, "route table in force", {
       version: table.version,
+      bytes,
     });
   }
 
