fix(homes): let few bodies come at once, and count them

Three bodies come at once now, the others wait for their turn; those calls count as waiting, and the time of bodies belongs to the run time that placement sees.

--- a/src/homes/create_gathering.ts
+++ b/src/homes/create_gathering.ts
@@ -4,52 +4,111 @@
  */
 import { Buffer } from "node:buffer";
 import type { OfferedCall } from "../calls/state.ts";
+import type { MonotonicMs } from "../core/types.ts";
 
 /** Longest body that is gathered, in bytes. A longer one needs its slot first. */
 const maxBodyBytes = 1_048_576;
 
-/** Bytes of all bodies that are gathered at once. */
+/** Bytes of all bodies that come or wait for their turn. */
 const maxGatheredBytes = 16_777_216;
 
-/** The body of one call while it comes. */
+/**
+ * Bodies that come at once. More of them would share the link, so that all come
+ * late and small calls wait behind them.
+ */
+const maxComing = 3;
+
+/** Weight of the newest time in the mean of its route. */
+const newestWeight = 0.2;
+
+/** Options of `createGathering`. */
+export interface CreateGatheringOptions {
+  readonly now: () => MonotonicMs;
+}
+
+/** The body of one call. */
 export interface GatheredBody {
   add(chunk: Buffer): void;
   /** Whether every announced byte is here. */
   isWhole(): boolean;
   bytes(): Buffer;
-  /** Frees its room. */
+  /** Gives its place to the next body. */
   close(): void;
 }
 
 export interface Gathering {
-  /** Returns undefined when the call's body has to wait for a slot. */
-  begin(call: OfferedCall): GatheredBody | undefined;
+  /** Whether the call's body is gathered. Else it has to wait for a slot. */
+  fits(call: OfferedCall): boolean;
+  /** `onTurn` is called when the body may come, at once where there is room. */
+  begin(
+    call: OfferedCall,
+    onTurn: (body: GatheredBody) => void,
+  ): GatheredBody;
+  /** Expected time until a body of the route is here, in milliseconds. */
+  expectedMs(route: string): number;
+  /** Bodies that come or wait for their turn. */
+  size(): number;
+}
+
+interface Place {
+  readonly bytes: number;
+  readonly onTurn: () => void;
 }
 
 /** Creates the room for the bodies of one home. */
-export function createGathering(): Gathering {
+export function createGathering(opts: CreateGatheringOptions): Gathering {
+  const coming = new Set<Place>();
+  const waiting = new Set<Place>();
+  const meanMs = new Map<string, number>();
   let reserved = 0;
+
+  function admit() {
+    for (const place of waiting) {
+      if (coming.size >= maxComing) return;
+      waiting.delete(place);
+      coming.add(place);
+      place.onTurn();
+    }
+  }
+
+  function leave(place: Place) {
+    const wasHere = coming.delete(place) || waiting.delete(place);
+    if (!wasHere) return;
+    reserved -= place.bytes;
+    admit();
+  }
+
+  function learn(route: string, tookMs: number) {
+    const known = meanMs.get(route) ?? tookMs;
+    meanMs.set(route, known + (tookMs - known) * newestWeight);
+  }
+
   return {
-    begin({ body, bodyBytes }) {
-      if (body !== undefined || bodyBytes === undefined) return undefined;
-      if (bodyBytes > maxBodyBytes) return undefined;
-      if (reserved + bodyBytes > maxGatheredBytes) return undefined;
-      reserved += bodyBytes;
+    fits({ body, bodyBytes }) {
+      return body === undefined && bodyBytes !== undefined &&
+        bodyBytes <= maxBodyBytes && reserved + bodyBytes <= maxGatheredBytes;
+    },
+    begin({ route, bodyBytes = 0 }, onTurn) {
+      const begunAt = opts.now();
       const chunks: Buffer[] = [];
       let size = 0;
-      let isClosed = false;
-      return {
+      const body: GatheredBody = {
         add(chunk) {
           size += chunk.length;
           chunks.push(chunk);
+          if (size >= bodyBytes) learn(route, opts.now() - begunAt);
         },
         isWhole: () => size >= bodyBytes,
         bytes: () => Buffer.concat(chunks, size),
-        close() {
-          if (!isClosed) reserved -= bodyBytes;
-          isClosed = true;
-        },
+        close: () => leave(place),
       };
+      const place = { bytes: bodyBytes, onTurn: () => onTurn(body) };
+      reserved += bodyBytes;
+      waiting.add(place);
+      admit();
+      return body;
     },
+    expectedMs: (route) => meanMs.get(route) ?? 0,
+    size: () => coming.size + waiting.size,
   };
 }
--- /dev/null
+++ b/src/homes/create_gathering_test.ts
@@ -0,0 +1,60 @@
+import { Buffer } from "node:buffer";
+import { test } from "node:test";
+import assert from "node:assert/strict";
+import { offeredCall } from "../testing/offered_call.ts";
+import { createGathering } from "./create_gathering.ts";
+
+const photo = offeredCall({ body: undefined, bodyBytes: 4 });
+
+function gatheringAt(times: { now: number }) {
+  const gathering = createGathering({ now: () => times.now });
+  const turns: number[] = [];
+  const begin = (number: number) =>
+    gathering.begin(photo, () => turns.push(number));
+  return { gathering, turns, begin };
+}
+
+test("few bodies come at once, the others by turns", () => {
+  const { gathering, turns, begin } = gatheringAt({ now: 0 });
+  const bodies = [1, 2, 3, 4, 5].map(begin);
+  assert.deepEqual(turns, [1, 2, 3]);
+  assert.equal(gathering.size(), 5);
+  bodies[3]?.close();
+  bodies[1]?.close();
+  bodies[1]?.close();
+  assert.deepEqual(turns, [1, 2, 3, 5]);
+  assert.equal(gathering.size(), 3);
+});
+
+test("the time of bodies is learnt with their wait", () => {
+  const times = { now: 0 };
+  const { gathering, begin } = gatheringAt(times);
+  const body = begin(1);
+  times.now = 30;
+  body.add(Buffer.from("ph"));
+  assert.equal(body.isWhole(), false);
+  times.now = 50;
+  body.add(Buffer.from("ot"));
+  assert.equal(body.isWhole(), true);
+  assert.equal(body.bytes().toString(), "phot");
+  assert.equal(gathering.expectedMs(photo.route), 50);
+  assert.equal(gathering.expectedMs("other"), 0);
+});
+
+test("bodies without a length or with a great one need a slot first", () => {
+  const { gathering } = gatheringAt({ now: 0 });
+  assert.equal(gathering.fits(photo), true);
+  assert.equal(gathering.fits({ ...photo, bodyBytes: undefined }), false);
+  assert.equal(gathering.fits({ ...photo, bodyBytes: 2_000_000 }), false);
+  assert.equal(gathering.fits(offeredCall()), false);
+});
+
+test("the room for bodies is bounded and comes back", () => {
+  const { gathering } = gatheringAt({ now: 0 });
+  const large = { ...photo, bodyBytes: 1_000_000 };
+  const bodies = [];
+  while (gathering.fits(large)) bodies.push(gathering.begin(large, () => {}));
+  assert.equal(bodies.length, 16);
+  bodies[0]?.close();
+  assert.equal(gathering.fits(large), true);
+});
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -111,7 +111,7 @@
   const { dialect, now } = opts;
   const connector = createEndpointConnector({ connectMs });
   const queue = createQueueState();
-  const gathering = createGathering();
+  const gathering = createGathering({ now });
   const open = new Map<number, OpenCall>();
   const running = new Map<string, OpenCall>();
   let lastKey = 0;
@@ -303,21 +303,39 @@
     if (instance !== undefined && !isSameSoftware(call, instance)) {
       return refuseMisdirected(key, entry, instance);
     }
-    const reason = whyRefused(queue, { ...offer, now: now() });
-    if (reason === undefined) entry.body = gathering.begin(call);
-    if (entry.body === undefined) {
-      return apply(decideQueue(queue, {
-        type: "offered",
-        ...offer,
-        now: now(),
-      }));
+    if (!gathering.fits(call)) {
+      const event = { type: "offered", ...offer, now: now() } as const;
+      return apply(decideQueue(queue, event));
+    }
+    const aimAt = offer.call.aimAt - gathering.expectedMs(call.route);
+    const shortened = { ...offer, call: { ...offer.call, aimAt } };
+    const reason = whyRefused(queue, { ...shortened, now: now() });
+    if (reason !== undefined) {
+      open.delete(key);
+      return refuse(entry, reason, report(call.route).routeMs);
     }
     entry.timer = setTimeout(() => {
       release(entry);
       open.delete(key);
       refuse(entry, RefusalReason.NoTime, reportQueue(queue).meanMs);
     }, Math.max(0, entry.deadlineAt - now()));
-    entry.onEvent({ type: "admitted" });
+    const body = gathering.begin(call, (whose) => {
+      entry.body = whose;
+      entry.onEvent({ type: "admitted" });
+    });
+    if (!body.isWhole()) entry.body = body;
+  }
+
+  /** Calls whose bodies are on their way count as waiting. */
+  function report(route?: string): QueueReport {
+    const { running, waiting, meanMs, routeMs } = reportQueue(queue, route);
+    const bodyMs = route === undefined ? 0 : gathering.expectedMs(route);
+    return {
+      running,
+      waiting: waiting + gathering.size(),
+      meanMs,
+      routeMs: routeMs > 0 ? routeMs + Math.round(bodyMs) : 0,
+    };
   }
 
   function takeChunk(
@@ -401,7 +419,7 @@
       const entry = running.get(callId);
       if (entry !== undefined) entry.isExcused = true;
     },
-    report: (route) => reportQueue(queue, route),
+    report,
     isBusy: () => open.size > 0,
     async close() {
       clearTimeout(ticker);
