fix(adapters): check a waiting call's service again at its turn

What callers would see: on the product's own path, a call that waited for a slot of an upstream ran at another service's upstream, when one announced itself at the same address meanwhile.

Cause: a home chose the upstream for a call by service and version, and at the call's turn looked only at the state of whichever upstream had the address.

Evidence: 'a call that waits is not run by another service's upstream' was answered before; it is refused as not run now.

Why it works: the announcement in force at the turn decides, by the same comparison as in src/homes.

--- a/src/adapters/create_home.ts
+++ b/src/adapters/create_home.ts
@@ -10,6 +10,7 @@
 import { createAdmissionState } from "../admission/state.ts";
 import { exhausted } from "../core/exhausted.ts";
 import { type EndpointId, EndpointState } from "../core/types.ts";
+import { isSameSoftware } from "../homes/is_same_software.ts";
 import type { OwnEndpoint } from "../membership/state.ts";
 import type { CallEnd } from "../retry/messages.ts";
 import {
@@ -99,8 +100,7 @@
   function pickEndpoint(call: CallRequest): OwnEndpoint | undefined {
     let best: OwnEndpoint | undefined;
     for (const own of opts.endpoints().values()) {
-      const { service, version } = own.announcement;
-      if (service !== call.service || version !== call.version) continue;
+      if (!isSameSoftware(call, own.announcement)) continue;
       if (own.announcement.state !== EndpointState.Ready) continue;
       if (best === undefined || loadOf(own) < loadOf(best)) best = own;
     }
@@ -289,6 +289,10 @@
   if (own?.announcement.state !== EndpointState.Ready) {
     return notRun("LAGOON_CALL_DRAINING", "the upstream leaves");
   }
+  if (!isSameSoftware(call, own.announcement)) {
+    const reason = `another upstream has the address of ${call.service}`;
+    return notRun("LAGOON_CALL_NO_ENDPOINT", reason);
+  }
   return canSendBody(call.body)
     ? undefined
     : notRun("LAGOON_CALL_BODY_GONE", "the body can't be sent again");
