fix(sidecar): refuse pings of another service's endpoint

What callers would see: an endpoint that takes no calls. A ping that was held up and came from an endpoint of another service, which was at the address before, was taken as that of the endpoint beside the node. Peers then sent the other service's calls, and the endpoint turned each of them away (421), until its own next ping, or for good where that seemed to be of an earlier start.

Cause: the settings name the service of the endpoint beside a node, and no ping was compared with it.

Evidence: 'a ping of another service's endpoint names none to use' was acknowledged with 200 before; now it is refused and the endpoint stays in use.

Why it works: what the settings say of the VM holds for the process's life, and a ping that contradicts them names no endpoint here. It isn't acknowledged, so its sender tries elsewhere.

--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -240,6 +240,7 @@
 
   const instance = watchInstance({
     decodePing: platform.decodePing,
+    service: settings.service,
     home,
     log,
     now,
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -18,6 +18,8 @@
 /** Options of `watchInstance`. */
 export interface WatchInstanceOptions {
   readonly decodePing: Platform["decodePing"];
+  /** Service of the endpoint beside this node, by the settings. */
+  readonly service: string;
   readonly home: LocalHome;
   readonly log: Log;
   readonly now: () => MonotonicMs;
@@ -76,13 +78,20 @@
     );
   }
 
+  function refuse(reason: string): string {
+    log.write("endpoint", LogLevel.Warn, "ping refused", { reason });
+    return reason;
+  }
+
   return {
     ping(id, body) {
       const ping = opts.decodePing(id, body);
-      if (ping.isErr()) {
-        const reason = formatError(ping.error);
-        log.write("endpoint", LogLevel.Warn, "ping refused", { reason });
-        return reason;
+      if (ping.isErr()) return refuse(formatError(ping.error));
+      const { service } = ping.value;
+      // A ping that was held up may come from an endpoint that was at this
+      // address before, beside another node.
+      if (service !== opts.service) {
+        return refuse(`${id} runs ${service}, not ${opts.service}`);
       }
       const event = { type: "pinged", ping: ping.value, now: now() } as const;
       take(decideInstance(state, event));
