fix(homes): new connections for an endpoint that starts again under its id

What callers would see: a 502 for a call that never ran. An endpoint may start again under the id that it had; the home knew it by the id alone and sent the next calls over connections of the start before. Such a connection is reset at best, and a call that was written to it may have run for all the home knows.

Cause: the identity of an endpoint is its id and its start; one comparison left the start out. Found while looking for what else takes one process for another at the same address.

Evidence: 'an endpoint that starts again under its id gets new connections' failed before, as the second start's call went over the first one's connection.

Why it works: a start that was not known gets a pool of its own, as an endpoint with a new id always did.

--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -316,14 +316,15 @@
     },
     setInstance(next, reason) {
       clearTimeout(reopener);
-      const isSame = next?.id === instance?.id && next !== undefined;
+      const isSameStart = next?.id === instance?.id &&
+        next?.bornAt === instance?.bornAt;
       const isReplaced = instance !== undefined && next !== undefined &&
         !isSameSoftware(instance, next);
       // What waits was routed to the software that is gone.
       if (isReplaced) gate({ type: "closed", reason: "its software changed" });
       instance = next;
       if (next === undefined) return gate({ type: "closed", reason });
-      if (!isSame || pool === undefined) {
+      if (!isSameStart || pool === undefined) {
         // Answers of an earlier endpoint must not reach calls to this one.
         void pool?.destroy();
         pool = createPool(opts.endpointAddress, next.slots, connector);
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -271,3 +271,18 @@
   assert.equal((await running).type, "failed");
   assert.equal(asked.length, 1);
 });
+
+test("an endpoint that starts again under its id gets new connections", async (t) => {
+  const asked: Socket[] = [];
+  const { home } = await homeOf(t, (socket) => {
+    asked.push(socket);
+    socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
+  });
+  assert.equal((await offer(home)).type, "answered");
+  home.setInstance({ ...announced, seq: 2 }, "");
+  assert.equal((await offer(home)).type, "answered");
+  assert.equal(asked[1], asked[0]);
+  home.setInstance({ ...announced, bornAt: 1 }, "");
+  assert.equal((await offer(home)).type, "answered");
+  assert.notEqual(asked[2], asked[0]);
+});
