--- a/src/fleet/decide_fleet.ts
+++ b/src/fleet/decide_fleet.ts
@@ -110,7 +110,7 @@
   return effects;
 }
 
-/** Another process at the address than the one that was linked is its heir. */
+/** A greeting of another life casts doubt on the process that is linked. */
 function takeGreeting(
   state: FleetState,
   row: NodeRow,
