--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -345,3 +345,18 @@
   });
   assert.equal(refusal.type, "refused");
 });
+
+test("an endpoint that starts again under its id gets new connections", async (t) => {
+  const asked: Socket[] = [];
+  const { home } = await homeOf(t, (socket) => {
+    asked.push(socket);
+    socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
+  });
+  assert.equal((await offer(home)).type, "answered");
+  home.setInstance({ ...announced, seq: 2 }, "");
+  assert.equal((await offer(home)).type, "answered");
+  assert.equal(asked[1], asked[0]);
+  home.setInstance({ ...announced, bornAt: 1 }, "");
+  assert.equal((await offer(home)).type, "answered");
+  assert.notEqual(asked[2], asked[0]);
+});
