fix(homes): a coded answer without chunks has no end of its own

What callers would see: an answer with a transfer coding whose last part is not chunked ends with its connection. The home took the header alone as framing and did not ask whether the connection was reset, so a 200 whose body was cut by a reset, from its first byte on, was passed on with a length of its own as whole.

--- a/src/homes/run_call.ts
+++ b/src/homes/run_call.ts
@@ -7,6 +7,7 @@
 import type { MonotonicMs } from "../core/types.ts";
 import type { AnswerHead, OfferedCall } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
+import { type Framing, isFramed } from "../core/is_framed.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { EndpointPool } from "./create_endpoint_pool.ts";
 import { type AnswerDoubt, judgeAnswer } from "./judge_answer.ts";
@@ -23,8 +24,6 @@
 /** Time for the rest of a refusal, in milliseconds. */
 const refusalRestMs = 500;
 
-const framingHeaders = new Set(["content-length", "transfer-encoding"]);
-
 /** How a run ends or goes on. One of the last four comes last. */
 export type RunEvent =
   | {
@@ -153,7 +152,7 @@
   function takeEnd() {
     clearTimeout(refusalRest);
     if (head === undefined) return;
-    if (!isFramed(head) && opts.isReset()) {
+    if (!isFramed(framingOf(head)) && opts.isReset()) {
       return emit({ type: "failed", reason: "the answer was reset" });
     }
     if (isStreaming) emit({ type: "ended" });
@@ -226,11 +225,15 @@
   return headers;
 }
 
-/** Whether the end of the answer shows without the connection's end. */
-function isFramed(head: AnswerHead): boolean {
-  return head.headers.some((name, index) =>
-    index % 2 === 0 && framingHeaders.has(name.toLowerCase())
-  );
+function framingOf({ headers }: AnswerHead): Framing {
+  const last = (wanted: string) =>
+    headers.findLast((_, index) =>
+      index % 2 === 1 && headers[index - 1]?.toLowerCase() === wanted
+    );
+  return {
+    length: last("content-length"),
+    coding: last("transfer-encoding"),
+  };
 }
 
 /** Header names and values by turns, in the order of the wire. */
