fix(callers): a cut answer is reset where its end would look whole

Seen before the change: 'cut long answer is not whole to an HTTP/1.0 caller'.

What callers would see: an answer over 64 KB is passed on while it comes. To an HTTP/1.0 caller it ends with its connection, and when the endpoint broke off, the node closed in good order, so the part looked like a whole 200.

Now such a connection is reset. Answers to HTTP/1.1 callers are chunked and are closed as before, since a reset could take earlier answers with it.

The tests of the same on the wire, at the endpoint's node and over a link, for every position of an answer with a length and in chunks behind a hint, passed before ('cut answer is not whole to its caller'): the answer is 502.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -15,6 +15,7 @@
   type Refusal,
   RefusedBy,
 } from "../calls/state.ts";
+import { cutAnswer } from "../core/cut_answer.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { NodeId } from "../core/types.ts";
 import { LogLevel } from "../logs/create_log.ts";
@@ -346,7 +347,7 @@
   /** The answer is cut: its end must not look like the answer's own. */
   function breakOff(reason: string) {
     log(LogLevel.Warn, "answer cut", { reason });
-    res.destroy();
+    cutAnswer(res);
     finish(CallResult.Unknown, 0);
   }
 
