--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -15,7 +15,8 @@
 import { findRoute } from "../routes/find_route.ts";
 import type { ClientLimits } from "../routes/state.ts";
 import { retryAfterMs } from "../calls/retry_after.ts";
-import { admitRequest, type StopTimes } from "./admit_request.ts";
+import type { StopState } from "../stopping/state.ts";
+import { admitRequest, Turned } from "./admit_request.ts";
 import { answerItself } from "./answer_caller.ts";
 import { createAcceptMeter } from "./create_accept_meter.ts";
 import { estimateAgeMs } from "./estimate_age.ts";
@@ -50,8 +51,10 @@
   readonly server: Server;
   setLimits(limits: ClientLimits): void;
   /** Asks callers to connect elsewhere with their next request. */
-  drain(times: StopTimes): void;
-  /** Requests that are not answered yet. */
+  drain(state: StopState): void;
+  /** Refuses the requests that no home has been offered yet. */
+  refuseRest(): void;
+  /** Requests whose answers have not left yet. */
   open(): number;
   /** Ends what is left of all connections. */
   close(): void;
@@ -67,6 +70,8 @@
 /** Requests of one connection. */
 interface Connection {
   readonly calls: Set<ServedCall>;
+  /** Answers that are not made, or have not left the socket. */
+  readonly unsent: Set<ServerResponse>;
   /** Answer that goes out last. */
   latest: ServerResponse;
 }
@@ -80,14 +85,22 @@
   const accepts = createAcceptMeter(ctx);
   /** Connections whose first request has not been read. */
   const arrivals = new WeakMap<Socket, Arrival>();
-  let stop: StopTimes | undefined;
-  let count = 0;
+  let stop: StopState | undefined;
+  let unsent = 0;
 
   function take(req: IncomingMessage, res: ServerResponse) {
-    const known = connections.get(req.socket);
-    if (known !== undefined) known.latest = res;
-    const { table } = ctx.routes;
+    const connection = connections.get(req.socket) ?? watch(req.socket, res);
     const caller = ctx.dialect.readCaller(req.headers);
+    // The answer before it closes the connection, so its caller sends it again.
+    if (isClosing(connection.latest)) {
+      req.resume();
+      ctx.log.write("call", LogLevel.Info, "request behind the last answer", {
+        id: caller?.id,
+      });
+      return;
+    }
+    expect(connection, res);
+    const { table } = ctx.routes;
     if (caller === undefined) {
       return refuse(req, res, 400, "the request has no id");
     }
@@ -112,7 +125,7 @@
     if (reason !== undefined) {
       if (isInner && caller.parentId) ctx.excuseRun(caller.parentId);
       const retryMs = retryAfterMs({
-        waitMs: waitedMs,
+        waitMs: returnMs(reason, waitedMs),
         leftMs: waitMs,
         random: ctx.random(),
       });
@@ -123,11 +136,9 @@
     if (Number(req.headers["content-length"] ?? 0) > bodyBytes) {
       return refuse(req, res, 413, "the body is too large");
     }
-    const { socket } = req;
-    const { calls } = connections.get(socket) ?? watch(socket, res);
+    const { calls } = connection;
     let isDone = false;
     let call: ServedCall | undefined = undefined;
-    count++;
     call = serveCall({
       ctx,
       req,
@@ -141,7 +152,6 @@
       mayClose: () => mayClose(res),
       onDone() {
         isDone = true;
-        count--;
         if (call !== undefined) calls.delete(call);
       },
     });
@@ -155,15 +165,30 @@
   }
 
   function watch(socket: Socket, latest: ServerResponse): Connection {
-    const connection = { calls: new Set<ServedCall>(), latest };
+    const connection: Connection = {
+      calls: new Set(),
+      unsent: new Set(),
+      latest,
+    };
     connections.set(socket, connection);
     socket.once("close", () => {
       connections.delete(socket);
+      unsent -= connection.unsent.size;
+      connection.unsent.clear();
       for (const call of connection.calls) call.abandon();
     });
     return connection;
   }
 
+  function expect(connection: Connection, res: ServerResponse) {
+    connection.latest = res;
+    connection.unsent.add(res);
+    unsent++;
+    res.once("finish", () => {
+      if (connection.unsent.delete(res)) unsent--;
+    });
+  }
+
   function refuse(
     req: IncomingMessage,
     res: ServerResponse,
@@ -184,6 +209,13 @@
     });
   }
 
+  /** Time after which a caller that was turned away may be taken. */
+  function returnMs(reason: Turned, waitedMs: number): number {
+    if (stop === undefined || reason !== Turned.Stopping) return waitedMs;
+    // Until its end the node would turn the same caller away again.
+    return stop.times.endAt - ctx.now();
+  }
+
   /** How long a request that is read now may have waited before. */
   function unreadMs(socket: Socket): number {
     const lagMs = ctx.lagMs();
@@ -208,12 +240,31 @@
       server.keepAliveTimeout = limits.idleMs + idleSlackMs;
       server.headersTimeout = limits.headerMs;
     },
-    drain(times) {
-      stop = times;
+    drain(state) {
+      stop = state;
     },
-    open: () => count,
+    refuseRest() {
+      for (const { calls } of connections.values()) {
+        for (const call of [...calls]) call.refuseUnsent();
+      }
+    },
+    open: () => unsent,
     close() {
+      for (const [socket, { calls }] of connections) {
+        for (const call of [...calls]) call.cut();
+        const unsentBytes = socket.writableLength;
+        if (unsentBytes === 0) continue;
+        ctx.log.write("call", LogLevel.Error, "answer cut by the stop", {
+          unsentBytes,
+        });
+      }
+      server.close();
       server.closeAllConnections();
     },
   };
 }
+
+/** Whether the connection ends behind this answer. */
+function isClosing(res: ServerResponse): boolean {
+  return res.headersSent && !res.shouldKeepAlive;
+}
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -25,6 +25,7 @@
 import { RefusalReason } from "../queue/state.ts";
 import { pickPart } from "../routes/pick_part.ts";
 import type { Route } from "../routes/state.ts";
+import { Turned } from "./admit_request.ts";
 import { answerItself, passOnAnswer } from "./answer_caller.ts";
 import { createHomeSearch } from "./create_home_search.ts";
 import { describeCall, inlineBytes } from "./describe_call.ts";
@@ -73,6 +74,10 @@
 export interface ServedCall {
   /** The caller's connection is gone. */
   abandon(): void;
+  /** The node ends. The call is refused unless a home has been offered it. */
+  refuseUnsent(): void;
+  /** The node ends and closes the connection before the answer. */
+  cut(): void;
 }
 
 interface OpenAttempt {
@@ -102,6 +107,8 @@
   let wasFull = false;
   let isHedged = false;
   let leastWaitMs = Infinity;
+  let firstOfferAt = startedAt;
+  let lastOfferAt = startedAt;
   let isDone = false;
   let streaming: OpenAttempt | undefined;
   const deadline = setTimeout(expire, Math.max(0, deadlineAt - startedAt));
@@ -150,6 +157,8 @@
     const home = ctx.homes.homeOf(node);
     if (home === undefined) return offer(mayBeLate);
     offers++;
+    lastOfferAt = ctx.now();
+    if (offers === 1) firstOfferAt = lastOfferAt;
     noteOffer(ctx.placement, node);
     const call = describeCall({
       ctx,
@@ -225,6 +234,7 @@
     ctx.metrics.countRefusal(refusal.reason);
     leastWaitMs = Math.min(leastWaitMs, refusal.waitMs);
     if (refusal.reason === RefusalReason.Late) search.noteLate(open.home);
+    if (refusal.reason === RefusalReason.Misdirected) ctx.doubtHome(open.home);
     const isAway = refusal.reason === RefusalReason.Closed ||
       refusal.by === RefusedBy.Link;
     if (isAway) shunHome(ctx.placement, open.home, ctx.now() + shunMs);
@@ -365,6 +375,15 @@
     else streaming?.attempt.cancel();
     const tookMs = ctx.now() - startedAt;
     ctx.metrics.countCall(route.name, result, tookMs);
+    if (result === CallResult.Served && tookMs > route.aimMs - opts.ageMs) {
+      log(LogLevel.Info, "call late", {
+        aimMs: route.aimMs,
+        ageMs: Math.round(opts.ageMs),
+        firstOfferMs: Math.round(firstOfferAt - startedAt),
+        lastOfferMs: Math.round(lastOfferAt - startedAt),
+        lagMs: Math.round(ctx.lagMs()),
+      });
+    }
     if (result === CallResult.EndpointFailed) {
       log(LogLevel.Warn, "endpoint failed the call", { status });
     }
@@ -391,6 +410,19 @@
 
   return {
     abandon: () => finish(CallResult.Left, 0),
+    refuseUnsent() {
+      if (offers === 0) giveUp(503, Turned.Stopping);
+    },
+    cut() {
+      if (isDone) return;
+      log(LogLevel.Error, "call cut by the stop", {
+        idempotent: route.isIdempotent,
+        leftMs: Math.round(deadlineAt - ctx.now()),
+        bodyBytes: body?.size() ?? 0,
+        isStreaming: streaming !== undefined,
+      });
+      finish(CallResult.Unknown, 0);
+    },
   };
 }
 
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -28,6 +28,8 @@
   createEndpointPool,
   type EndpointPool,
 } from "./create_endpoint_pool.ts";
+import { isSameSoftware } from "./is_same_software.ts";
+import { type LateRun, lateRunOf } from "./late_run_of.ts";
 import {
   type DoubtfulAnswer,
   runCall,
@@ -57,10 +59,14 @@
   readonly now: () => MonotonicMs;
   /** Told of each run that was answered or failed. */
   readonly onRun: (run: Run) => void;
+  /** Told of each answer that came past the aim of its call. */
+  readonly onLate: (run: LateRun) => void;
   /** Told of each answer that was not taken for its call's. */
   readonly onDoubt: (call: OfferedCall, answer: DoubtfulAnswer) => void;
   /** Told when the endpoint can't be used as announced. */
   readonly onTrouble: (reason: string) => void;
+  /** Told of a call that was routed to another endpoint than the present one. */
+  readonly onMisdirected: (call: OfferedCall, present: Instance) => void;
 }
 
 export interface LocalHome extends Home {
@@ -77,6 +83,7 @@
 
 interface OpenCall {
   readonly call: OfferedCall;
+  readonly offeredAt: MonotonicMs;
   readonly deadlineAt: MonotonicMs;
   readonly onEvent: (event: AttemptEvent) => void;
   run?: RunningAttempt;
@@ -167,12 +174,14 @@
         entry.onEvent(event);
         if (event.body === undefined) return;
         noteRun(entry, isFailed);
+        noteLate(entry);
         end(key, entry, !isFailed);
         return;
       }
       case "ended":
         entry.onEvent(event);
         noteRun(entry, false);
+        noteLate(entry);
         return end(key, entry, true);
       case "not-run":
         end(key, entry, false);
@@ -240,6 +249,12 @@
     });
   }
 
+  function noteLate({ call, offeredAt, startedAt }: OpenCall) {
+    if (startedAt === undefined) return;
+    const late = lateRunOf({ call, offeredAt, startedAt, now: now() });
+    if (late !== undefined) opts.onLate(late);
+  }
+
   /** Takes no calls for a while, or until the endpoint's next ping. */
   function shut(reason: string) {
     opts.onTrouble(reason);
@@ -263,6 +278,20 @@
     }));
   }
 
+  /** The sender's row of this node is older than the endpoint. */
+  function refuseMisdirected(key: number, entry: OpenCall, present: Instance) {
+    opts.onMisdirected(entry.call, present);
+    open.delete(key);
+    entry.onEvent({
+      type: "refused",
+      refusal: {
+        by: RefusedBy.Home,
+        reason: RefusalReason.Misdirected,
+        waitMs: 0,
+      },
+    });
+  }
+
   function withdraw(key: number, entry: OpenCall) {
     if (open.get(key) !== entry) return;
     entry.run?.cancel();
@@ -276,7 +305,7 @@
       const key = ++lastKey;
       const at = now();
       const deadlineAt = at + call.leftMs;
-      const entry: OpenCall = { call, deadlineAt, onEvent };
+      const entry: OpenCall = { call, offeredAt: at, deadlineAt, onEvent };
       open.set(key, entry);
       const { route, urgency, isInner, mayBeLate } = call;
       const aimAt = at + call.aimLeftMs;
@@ -286,6 +315,9 @@
       // node can't keep up withdraws its call before the endpoint gets it.
       setImmediate(() => {
         if (open.get(key) !== entry) return;
+        if (instance !== undefined && !isSameSoftware(call, instance)) {
+          return refuseMisdirected(key, entry, instance);
+        }
         apply(decideQueue(queue, {
           type: "offered",
           call: queued,
@@ -302,6 +334,10 @@
     setInstance(next, reason) {
       clearTimeout(reopener);
       const isSame = next?.id === instance?.id && next !== undefined;
+      const isReplaced = instance !== undefined && next !== undefined &&
+        !isSameSoftware(instance, next);
+      // What waits was routed to the software that is gone.
+      if (isReplaced) gate({ type: "closed", reason: "its software changed" });
       instance = next;
       if (next === undefined) return gate({ type: "closed", reason });
       if (!isSame || pool === undefined) {
--- a/src/homes/cut_answers_test.ts
+++ b/src/homes/cut_answers_test.ts
@@ -34,6 +34,8 @@
     now: () => performance.now(),
     onRun: () => {},
     onDoubt: () => {},
+    onLate: () => {},
+    onMisdirected: () => {},
     onTrouble: () => {},
   });
   home.setInstance(instance, "");
--- a/src/homes/stale_answers_test.ts
+++ b/src/homes/stale_answers_test.ts
@@ -33,8 +33,10 @@
     dialect: testDialect,
     now: () => performance.now(),
     onRun: () => {},
+    onLate: () => {},
     onDoubt: () => {},
     onTrouble: () => {},
+    onMisdirected: () => {},
   });
   home.setInstance(instance, "");
   t.after(() => home.close());
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -11,6 +11,7 @@
 } from "../calls/state.ts";
 import { pauseAfter } from "../core/pause_after.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
+import { Way, type WorkMeter } from "../metrics/create_work_meter.ts";
 import type { QueueReport } from "../queue/state.ts";
 import { checkLink } from "./check_link.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
@@ -21,22 +22,33 @@
 /** Time for a connection and its handshake, in milliseconds. */
 const connectMs = 1_000;
 
+/** A link on which something came a moment ago is alive. */
+const freshMs = 500;
+
 /** Pauses between attempts to connect, in milliseconds. */
 const redialBounds = { firstMs: 100, longestMs: 1_500 };
 
+/** Reason given when nothing came back over a link. */
+export const silentReason = "silent";
+
 /** Options of `dialLink`. */
 export interface DialLinkOptions {
   readonly node: NodeId;
-  /** Time between pings while the link is idle. */
-  readonly idleMs: number;
+  /** Time between pings of the two nodes while they are idle. */
+  readonly idleMs: () => number;
+  /** When the nodes last exchanged a ping, over the peer's link too. */
+  readonly exchangedAt: () => MonotonicMs;
+  /** How long a message may have waited unread, in milliseconds. */
+  readonly lagMs: () => number;
   readonly now: () => MonotonicMs;
   readonly random: () => number;
+  readonly meter: WorkMeter;
   /** Whether the node is in another failure domain, as far as is known. */
   readonly isFar: () => boolean;
   readonly hello: () => Gossip;
   readonly ping: () => Gossip;
-  /** The route is known of a report that comes with a call's event. */
-  readonly onReport: (report: QueueReport, route?: string) => void;
+  /** A report that comes with a call's event. */
+  readonly onReport: (report: QueueReport, route: string | undefined) => void;
   readonly onGossip: (message: Gossip) => void;
   readonly onOpen: () => void;
   readonly onClose: (reason: string) => void;
@@ -46,6 +58,8 @@
   send(message: Gossip): void;
   /** Looks whether the link is alive. Called a few times a second. */
   check(): void;
+  /** Pings the node soon, unless it was heard a moment ago. */
+  probe(): void;
   /** Connects now instead of after the pause. */
   hurry(): void;
   close(): void;
@@ -58,7 +72,7 @@
 
 /** Keeps a link to a node, connecting again for as long as it is not closed. */
 export function dialLink(opts: DialLinkOptions): DialledLink {
-  const { now } = opts;
+  const { now, meter } = opts;
   const offered = new Map<LinkKey, OfferedOnLink>();
   let lastKey = 0;
   let socket: WebSocket | undefined;
@@ -89,11 +103,17 @@
     });
     fresh.on("message", (data) => {
       health.heardAt = now();
+      const work = meter.begin();
+      let type = "unreadable";
       try {
-        take(unpack(data as Buffer));
+        const message = unpack(data as Buffer);
+        ({ type } = message);
+        take(message);
       } catch (err) {
         reason = err instanceof Error ? err.message : String(err);
         fresh.terminate();
+      } finally {
+        meter.endMessage(work, Way.Received, type, (data as Buffer).length);
       }
     });
     fresh.on("error", (err) => reason = err.message);
@@ -135,9 +155,6 @@
         call.onEvent(message.event);
         return;
       }
-      case "pong":
-        opts.onReport(message.report);
-        return;
       case "offer":
       case "body":
       case "body-end":
@@ -145,6 +162,7 @@
         throw new TypeError(`${message.type} came from a home`);
       case "hello":
       case "ping":
+      case "pong":
       case "rows":
       case "ask-rows":
       case "ask-operator":
@@ -158,27 +176,37 @@
   }
 
   function send(message: LinkMessage) {
-    if (isOpen) socket?.send(pack(message));
+    if (!isOpen) return;
+    const work = meter.begin();
+    const packed = pack(message);
+    socket?.send(packed);
+    meter.endMessage(work, Way.Sent, message.type, packed.length);
+  }
+
+  function ping() {
+    // The first ping without an answer decides when the link is given up.
+    if (health.pingedAt <= health.heardAt) health.pingedAt = now();
+    health.lastPingAt = now();
+    send(opts.ping());
   }
 
   function check() {
     if (!isOpen) return;
     const found = checkLink(health, {
       hasCalls: offered.size > 0,
-      idleMs: opts.idleMs,
+      idleMs: opts.idleMs(),
+      exchangedAt: opts.exchangedAt(),
+      lagMs: opts.lagMs(),
       now: now(),
     });
     switch (found.type) {
       case "wait":
         return;
       case "ping":
-        health.pingedAt = now();
-        health.lastPingAt = health.pingedAt;
-        send(opts.ping());
-        return;
+        return ping();
       case "give-up": {
         const silent = socket;
-        lose("silent");
+        lose(silentReason);
         silent?.terminate();
         return;
       }
@@ -210,6 +238,9 @@
     },
     send,
     check,
+    probe() {
+      if (isOpen && now() - health.heardAt >= freshMs) ping();
+    },
     hurry() {
       if (socket !== undefined || isClosed) return;
       clearTimeout(redial);
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -4,6 +4,8 @@
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { Run } from "../takeover/count_run.ts";
+import type { WorkMeter } from "./create_work_meter.ts";
+import { exposeWork } from "./expose_work.ts";
 
 /** Bounds in seconds, from a short inner call to the longest time-outs. */
 const latencyBounds = [
@@ -37,6 +39,8 @@
   countCall(route: string, result: CallResult, tookMs: number): void;
   countRefusal(reason: string): void;
   countRepeat(service: string): void;
+  /** Counts a call that reached the home of another service or version. */
+  countMisdirected(expected: string, present: string): void;
   /** Counts an answer of the endpoint that was not taken for its call's. */
   countDoubt(doubt: string): void;
   /** Counts a run at the endpoint beside this node. */
@@ -48,9 +52,15 @@
   text(): Promise<string>;
 }
 
+/** Options of `createMetrics`. */
+export interface CreateMetricsOptions {
+  readonly meter: WorkMeter;
+}
+
 /** Creates the metrics. Labels hold routes, services and fixed words only. */
-export function createMetrics(): Metrics {
+export function createMetrics(opts: CreateMetricsOptions): Metrics {
   const registry = new Registry();
+  exposeWork({ registry, meter: opts.meter });
   const registers = [registry];
   const calls = new Histogram({
     name: "lagoon_call_duration_seconds",
@@ -71,6 +81,12 @@
     labelNames: ["service"],
     registers,
   });
+  const misdirected = new Counter({
+    name: "lagoon_misdirected_calls_total",
+    help: "Calls that reached an endpoint of another service or version.",
+    labelNames: ["expected", "present"],
+    registers,
+  });
   const doubts = new Counter({
     name: "lagoon_doubtful_answers_total",
     help: "Endpoint's answers that were not taken for their call's, by reason.",
@@ -99,6 +115,8 @@
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
     countRepeat: (service) => repeats.inc({ service }),
+    countMisdirected: (expected, present) =>
+      misdirected.inc({ expected, present }),
     countDoubt: (doubt) => doubts.inc({ doubt }),
     countVersionRun(run) {
       const { service, version } = run;
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -2,7 +2,7 @@
  * Runs the process beside an endpoint.
  * @module
  */
-import { randomInt } from "node:crypto";
+import { randomBytes, randomInt } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import process from "node:process";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -13,17 +13,27 @@
 import type { CallContext } from "../callers/state.ts";
 import { createLagMeter } from "../control/create_lag_meter.ts";
 import { createControlLoop } from "../control/create_control_loop.ts";
-import { formatError } from "../core/errors.ts";
+import { exhausted } from "../core/exhausted.ts";
 import { countReady } from "../fleet/count_ready.ts";
 import { createFleetState } from "../fleet/state.ts";
 import { createHome } from "../homes/create_home.ts";
 import { acceptLinks } from "../links/accept_links.ts";
 import { createLog, LogLevel } from "../logs/create_log.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
+import { createWorkMeter, Duty } from "../metrics/create_work_meter.ts";
+import { meterStore } from "../metrics/meter_store.ts";
+import { watchGarbageCollection } from "../metrics/watch_garbage_collection.ts";
 import { createPlacementState } from "../placement/state.ts";
+import { Reading } from "../reading/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
-import { followTopic } from "../store/follow_topic.ts";
+import { createStop } from "../stopping/create_stop.ts";
+import { decideStop } from "../stopping/decide_stop.ts";
+import {
+  type StopEffect,
+  StopPhase,
+  type StopState,
+} from "../stopping/state.ts";
 import { countRun } from "../takeover/count_run.ts";
 import { decideTakeover } from "../takeover/decide_takeover.ts";
 import { describeMoves } from "../takeover/describe_moves.ts";
@@ -33,6 +43,7 @@
 import { driveMoves } from "./drive_moves.ts";
 import { loadOfVersion } from "./load_of_version.ts";
 import type { Platform, SidecarSettings } from "./platform_port.ts";
+import { createOperatorFeed } from "./feed_operator.ts";
 import { createOperatorReader } from "./read_operator.ts";
 import { createMoveRecorder } from "./record_moves.ts";
 import { registerNode } from "./register_node.ts";
@@ -41,6 +52,9 @@
 /** Messages of peers that wait. More gossip is dropped; it comes again. */
 const maxControlEvents = 1_000;
 
+/** Length of the name of a process, in bytes. */
+const lifeBytes = 8;
+
 /** Time between looks at moves, in milliseconds. */
 const moveTickMs = 100;
 
@@ -53,26 +67,14 @@
 /** The same while it has heard of no other node at all. */
 const leadAloneAfterMs = 10_000;
 
+/** Time between log lines of what work was spent on, in milliseconds. */
+const workTickMs = 5_000;
+
 /** Time between looks for nodes that are gone, in milliseconds. */
 const fleetTickMs = 5_000;
 
-/**
- * Time after SIGTERM in which the endpoint still takes calls from other nodes,
- * in milliseconds. Their calls end before callers have left.
- */
-const servingMs = 1_700;
-
-/**
- * Time after SIGTERM in which callers still come: two readiness checks have to
- * fail before clients stop, and checks are a second apart.
- */
-const drainMs = 2_200;
-
-/** Part of the grace that is left unused, in milliseconds. */
-const spareGraceMs = 700;
-
-/** Time for the last answers to leave their sockets. */
-const flushMs = 150;
+/** Time between looks at a node that stops, in milliseconds. */
+const stopTickMs = 50;
 
 /** Options of `runSidecar`. */
 export interface RunSidecarOptions {
@@ -91,19 +93,22 @@
 
 /** Starts the process. Rejects when an address can't be listened on. */
 export async function runSidecar(opts: RunSidecarOptions): Promise<Sidecar> {
-  const { platform } = opts;
   let settings = opts.settings;
   const now = () => performance.now();
+  const meter = createWorkMeter({ now });
+  const store = meterStore(opts.platform.store, meter);
+  const platform = { ...opts.platform, store };
   const startedAt = now();
   const random = () => randomInt(2 ** 32) / 2 ** 32;
   const log = createLog({ node: settings.node, now });
-  const metrics = createMetrics();
+  const metrics = createMetrics({ meter });
+  const collections = watchGarbageCollection(meter);
   const routes = createRoutesState();
   const placement = createPlacementState();
   const fleet = createFleetState({
     self: settings.node,
     domain: settings.domain,
-    revision: Date.now(),
+    life: randomBytes(lifeBytes).toString("hex"),
   });
   const source = `${settings.node} ${Date.now()}`;
   const takeover = createTakeoverState({ self: settings.node, source });
@@ -115,7 +120,8 @@
       }),
   });
   const lag = createLagMeter({ now });
-  let isStopping = false;
+  let stop: StopState | undefined;
+  let closed: Promise<void> | undefined;
 
   const home = createHome({
     endpointAddress: settings.endpointAddress,
@@ -125,6 +131,8 @@
       countRun(takeover, run);
       metrics.countVersionRun(run);
     },
+    onLate: ({ callId, ...times }) =>
+      log.write("call", LogLevel.Info, "run late", { id: callId, ...times }),
     onDoubt({ id, route }, { status, doubt }) {
       metrics.countDoubt(doubt);
       const fields = { id, route, status, doubt };
@@ -132,6 +140,19 @@
     },
     onTrouble: (reason) =>
       log.write("endpoint", LogLevel.Warn, "endpoint shut", { reason }),
+    onMisdirected(call, present) {
+      metrics.countMisdirected(call.service, present.service);
+      log.write("endpoint", LogLevel.Warn, "call for another endpoint", {
+        id: call.id,
+        route: call.route,
+        expected: { service: call.service, version: call.version },
+        present: {
+          id: present.id,
+          service: present.service,
+          version: present.version,
+        },
+      });
+    },
   });
 
   const operator = createOperatorReader({
@@ -153,19 +174,18 @@
     });
   }
 
-  const follower = followTopic({
-    store: platform.store,
+  const feed = createOperatorFeed({
+    self: settings.node,
+    domain: settings.domain,
+    store,
     topic: platform.topics.operator,
-    onRecords: (records, end) => operator.take(records, end),
-    onHealth: noteStoreHealth,
+    operator,
+    peers: () => gossip,
+    log,
+    now,
     random,
   });
 
-  function noteStoreHealth(err?: Parameters<typeof formatError>[0]) {
-    if (err === undefined) return log.write("store", LogLevel.Info, "regained");
-    log.write("store", LogLevel.Warn, "lost", { reason: formatError(err) });
-  }
-
   const gossip = createGossip({
     self: settings.node,
     domain: settings.domain,
@@ -176,11 +196,9 @@
     log,
     now,
     random,
-    operatorEnd: operator.end,
-    operatorRecords: operator.records,
-    isStoreHealthy: follower.isHealthy,
-    onOperatorRecords: operator.take,
-    onBehind: follower.kick,
+    lagMs: lag.lagMs,
+    meter,
+    operator: feed,
     moves: () => describeMoves(takeover, now()),
     onMove: move,
   });
@@ -198,6 +216,7 @@
     patience: createCallerPatience(),
     answerBytes: new Map(),
     homes: gossip,
+    doubtHome: (node) => gossip.change({ type: "doubted", node, now: now() }),
     ownReport: home.report,
     runsHere: home.runs,
     excuseRun: home.excuse,
@@ -209,6 +228,8 @@
     random,
   };
   const callers = createCallerServer({ ctx });
+  measured(callers.server, Duty.Callers);
+  feed.start();
 
   const recorder = createMoveRecorder({
     self: settings.node,
@@ -243,7 +264,9 @@
   const links = acceptLinks({
     home,
     report: home.report,
+    status: gossip.status,
     lagMs: lag.lagMs,
+    meter,
     onGossip: gossip.take,
     isFar: (domain) => domain !== settings.domain,
     onError: (reason, peer) =>
@@ -251,10 +274,16 @@
   });
   const pings = createPingServer({
     match: platform.matchPingCall,
-    isReady: () => !isStopping && routes.table !== undefined,
+    isReady: () => stop === undefined && routes.table !== undefined,
     onPing: instance.ping,
     onLeave: instance.leave,
   });
+  function measured(server: Server, duty: Duty) {
+    let work = meter.begin();
+    server.prependListener("request", () => work = meter.begin());
+    server.on("request", () => meter.end(work, duty));
+  }
+
   const scrape = polka().get("/metrics", async (_req, res) => {
     metrics.setReadyEndpoints(countReady(fleet));
     res.end(await metrics.text());
@@ -262,10 +291,12 @@
 
   const moveTimer = setInterval(() => {
     if (takeover.moves.size === 0) return;
+    const work = meter.begin();
     const peers = gossip.healthyNodes();
     const waitMs = peers.length === 0 ? leadAloneAfterMs : leadAfterMs;
-    const mayLead = now() - startedAt >= waitMs && follower.isHealthy() &&
-      !isStopping;
+    const mayLead = now() - startedAt >= waitMs &&
+      feed.reading() === Reading.Healthy &&
+      stop === undefined;
     const before = peers.filter((peer) => peer < settings.node);
     move({
       type: "ticked",
@@ -275,7 +306,14 @@
       loadOf: (service, version) =>
         loadOfVersion({ fleet, placement, home, service, version }),
     });
+    meter.end(work, Duty.Timers);
   }, moveTickMs);
+  const workTimer = setInterval(() => {
+    const { user, system } = process.cpuUsage();
+    const processorMs = Math.round((user + system) / 1_000);
+    const fields = { processorMs, ...meter.summary() };
+    log.write("process", LogLevel.Info, "work", fields);
+  }, workTickMs);
   const fleetTimer = setInterval(
     () => gossip.change({ type: "ticked", now: now() }),
     fleetTickMs,
@@ -321,43 +359,68 @@
     },
     rejectReload: (reason) =>
       log.write("process", LogLevel.Error, "settings kept", { reason }),
-    async close() {
-      if (isStopping) return;
-      isStopping = true;
-      log.write("process", LogLevel.Info, "stopping", { open: callers.open() });
-      const stoppedAt = now();
-      const endAt = stoppedAt + settings.graceMs - spareGraceMs;
-      callers.drain({ stoppedAt, endAt });
-      await sleep(Math.min(servingMs, endAt - now()));
-      instance.withdraw();
-      const calmAt = stoppedAt + drainMs;
-      while (now() < endAt && (now() < calmAt || isBusy())) await sleep(50);
-      callers.server.close();
-      // Requests that were read before their connection closed are finished.
-      do {
-        callers.server.closeIdleConnections();
-        await sleep(flushMs);
-      } while (now() < endAt && isBusy());
-      clearInterval(moveTimer);
-      clearInterval(fleetTimer);
-      follower.close();
-      recorder.close();
-      registration.close();
-      control.close();
-      gossip.close();
-      links.close();
-      for (const server of [...pingServers, scraped]) {
-        server.closeAllConnections();
-        server.close();
-      }
-      callers.close();
-      lag.close();
-      await home.close();
-      await platform.store.close();
-      log.write("process", LogLevel.Info, "stopped");
-      log.close();
-    },
+    close: () => closed ??= shutDown(),
   };
+
+  async function shutDown() {
+    const toldAt = now();
+    stop = createStop({
+      graceMs: settings.graceMs,
+      lagMs: lag.lagMs(),
+      now: toldAt,
+    });
+    log.write("process", LogLevel.Info, "stopping", {
+      open: callers.open(),
+      graceMs: settings.graceMs,
+      lagMs: Math.round(lag.lagMs()),
+    });
+    callers.drain(stop);
+    for (;;) {
+      const event = { type: "ticked", isBusy: isBusy(), now: now() } as const;
+      for (const effect of decideStop(stop, event)) applyStop(effect);
+      if (stop.phase === StopPhase.Over) break;
+      await sleep(stopTickMs);
+    }
+    const { running, waiting } = home.report();
+    log.write("process", LogLevel.Info, "closing", {
+      afterMs: Math.round(now() - toldAt),
+      open: callers.open(),
+      running,
+      waiting,
+      unsentLinkBytes: links.unsentBytes(),
+    });
+    callers.close();
+    clearInterval(moveTimer);
+    clearInterval(workTimer);
+    clearInterval(fleetTimer);
+    feed.close();
+    recorder.close();
+    registration.close();
+    control.close();
+    gossip.close();
+    links.close();
+    for (const server of [...pingServers, scraped]) {
+      server.closeAllConnections();
+      server.close();
+    }
+    lag.close();
+    collections.close();
+    await home.close();
+    await platform.store.close();
+    log.write("process", LogLevel.Info, "stopped");
+    log.close();
+  }
+
+  function applyStop(effect: StopEffect) {
+    switch (effect.type) {
+      case "withdraw":
+        return instance.withdraw();
+      case "refuse-rest":
+        return callers.refuseRest();
+      default:
+        exhausted(effect);
+    }
+  }
 }
 
 function listen(server: Server, address: string): Promise<void> {
