fix(adapters): refuse a coded answer that has no end of its own

Seen before the change: 'cut answer is not whole: coded without chunks' on the product's own path.

What callers would see: this path passes on no answer whose cut can't be told from its end. It took a transfer coding for such an end, so a gzip-coded answer without chunks that broke off, by a reset or in good order, became a whole 200.

Cause: the same as at the sidecar's home, a second copy of one question. Both now ask src/core/is_framed.ts.

The tests of every position of an answer (length, closing, chunks behind a hint; without a body and with one that is streamed over a link) passed before and stay.

--- a/src/adapters/create_relay.ts
+++ b/src/adapters/create_relay.ts
@@ -7,6 +7,7 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import type { MonotonicMs } from "../core/types.ts";
+import { isFramed } from "../core/is_framed.ts";
 import type { CallEnd } from "../retry/messages.ts";
 import { loadHeader, notRunHeader, reasonHeader } from "../routing/headers.ts";
 import { sendableHeaders, type SentHeaders } from "./calls.ts";
@@ -153,7 +154,7 @@
         const isLate = headers[reasonHeader] === "LAGOON_CALL_LATE";
         return stop("The home lost the call after dispatch", isLate);
       }
-      if (!isFramed(opts.method, code, headers)) {
+      if (!canTellCut(opts.method, code, headers)) {
         return stop("The answer has no length", false);
       }
       hasHead = true;
@@ -200,7 +201,7 @@
 }
 
 /** Whether a cut of the answer can be told from its end. */
-function isFramed(
+function canTellCut(
   method: string,
   status: number,
   headers: IncomingHttpHeaders,
@@ -208,6 +209,8 @@
   if (method === "HEAD" || status === noContent || status === notModified) {
     return true;
   }
-  return headers["content-length"] !== undefined ||
-    headers["transfer-encoding"] !== undefined;
+  return isFramed({
+    length: headers["content-length"],
+    coding: headers["transfer-encoding"],
+  });
 }
