fix(links): refuse other nodes' calls that a stop can't finish

What callers saw: a home took whatever other nodes offered until it closed its links, and their callers got 502 for calls that may have run, so an unsafe one could not be sent again. The end also did not wait for answers that were still in the socket of a link.

--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -19,6 +19,8 @@
   readonly home: Home;
   readonly report: (route?: string) => QueueReport;
   readonly lagMs: () => number;
+  /** Whether a call that has so much time left is still taken. */
+  readonly canTake: (leftMs: number) => boolean;
   /** Answers gossip through `reply`. The sender is known after its hello. */
   readonly onGossip: (
     from: NodeId | undefined,
@@ -74,8 +76,8 @@
   const send = (message: LinkMessage) => {
     if (socket.readyState === socket.OPEN) socket.send(pack(message));
   };
-  const { home, report, lagMs } = opts;
-  const calls = serveLink({ home, report, lagMs, send });
+  const { home, report, lagMs, canTake } = opts;
+  const calls = serveLink({ home, report, lagMs, canTake, send });
 
   function take(message: LinkMessage) {
     switch (message.type) {
--- a/src/links/serve_link.ts
+++ b/src/links/serve_link.ts
@@ -2,14 +2,15 @@
  * The home's side of a link: takes calls that another node offers.
  * @module
  */
-import type {
-  Attempt,
-  AttemptEvent,
-  Home,
-  OfferedCall,
+import {
+  type Attempt,
+  type AttemptEvent,
+  type Home,
+  type OfferedCall,
+  RefusedBy,
 } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
-import type { QueueReport } from "../queue/state.ts";
+import { type QueueReport, RefusalReason } from "../queue/state.ts";
 import type { CallMessage, LinkKey, LinkMessage } from "./messages.ts";
 
 /** Options of `serveLink`. */
@@ -18,6 +19,8 @@
   readonly report: (route?: string) => QueueReport;
   /** How long a message may have waited unread, in milliseconds. */
   readonly lagMs: () => number;
+  /** Whether a call that has so much time left is still taken. */
+  readonly canTake: (leftMs: number) => boolean;
   readonly send: (message: LinkMessage) => void;
 }
 
@@ -36,13 +39,19 @@
     opts.send({ type: "event", key, event, report: opts.report(route) });
   }
 
-  function offer(key: LinkKey, call: OfferedCall): Attempt {
+  function offer(key: LinkKey, call: OfferedCall): Attempt | undefined {
     const isWaited = call.body === undefined;
     // Times are relative to the offer's sending. On a node that can't keep up
     // an offer waits unread, and its caller may be gone when it is read.
     const lagMs = opts.lagMs();
     const leftMs = call.leftMs - lagMs;
     const aimLeftMs = call.aimLeftMs - lagMs;
+    if (!opts.canTake(leftMs)) {
+      const reason = RefusalReason.Closed;
+      const refusal = { by: RefusedBy.Home, reason, waitMs: 0 };
+      tell(key, call.route, { type: "refused", refusal });
+      return undefined;
+    }
     return opts.home.offer({ ...call, leftMs, aimLeftMs }, (event) => {
       // An admission matters to a body that waits for it, and to nothing else.
       if (event.type !== "admitted" || isWaited) tell(key, call.route, event);
@@ -53,9 +62,11 @@
     take(message) {
       const { key } = message;
       switch (message.type) {
-        case "offer":
-          attempts.set(key, offer(key, message.call));
+        case "offer": {
+          const attempt = offer(key, message.call);
+          if (attempt !== undefined) attempts.set(key, attempt);
           return;
+        }
         case "body":
           attempts.get(key)?.send(message.chunk);
           return;
--- a/src/links/serve_link_test.ts
+++ b/src/links/serve_link_test.ts
@@ -1,7 +1,8 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
-import type { OfferedCall } from "../calls/state.ts";
+import { type OfferedCall, RefusedBy } from "../calls/state.ts";
 import { offeredCall } from "../testing/offered_call.ts";
+import type { LinkMessage } from "./messages.ts";
 import { serveLink } from "./serve_link.ts";
 
 test("time that an offer waited unread is taken off its time", () => {
@@ -15,6 +16,7 @@
     },
     report: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
     lagMs: () => 1_900,
+    canTake: () => true,
     send() {},
   });
   const call = offeredCall({ leftMs: 200, aimLeftMs: 60 });
@@ -22,3 +24,19 @@
   assert.equal(offered[0]?.leftMs, -1_700);
   assert.equal(offered[0]?.aimLeftMs, -1_840);
 });
+
+test("a node that ends refuses the calls of other nodes as not run", () => {
+  const sent: LinkMessage[] = [];
+  const link = serveLink({
+    home: { offer: () => assert.fail("the call was taken") },
+    report: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
+    lagMs: () => 0,
+    canTake: (leftMs) => leftMs <= 1_000,
+    send: (message) => sent.push(message),
+  });
+  const call = offeredCall({ leftMs: 1_100 });
+  link.take({ type: "offer", key: 1, call });
+  const [message] = sent;
+  assert.ok(message?.type === "event" && message.event.type === "refused");
+  assert.equal(message.event.refusal.by, RefusedBy.Home);
+});
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -24,6 +24,7 @@
 import { createPlacementState } from "../placement/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
+import { canFinish } from "../stopping/can_finish.ts";
 import { createStop } from "../stopping/create_stop.ts";
 import { decideStop } from "../stopping/decide_stop.ts";
 import {
@@ -226,13 +227,19 @@
 
   function isBusy(): boolean {
     const { running, waiting } = home.report();
-    return callers.open() + running + waiting > 0;
+    return callers.open() + running + waiting + links.unsentBytes() > 0;
+  }
+
+  function canTake(waitMs: number): boolean {
+    const lagMs = lag.lagMs();
+    return stop === undefined || canFinish(stop, { waitMs, lagMs, now: now() });
   }
 
   const links = acceptLinks({
     home,
     report: home.report,
     lagMs: lag.lagMs,
+    canTake,
     onGossip: gossip.take,
     isFar: (domain) => domain !== settings.domain,
     onError: (reason, peer) =>
