--- a/src/adapters/create_call_path.ts
+++ b/src/adapters/create_call_path.ts
@@ -206,7 +206,7 @@
     },
     stop() {
       isStopping = true;
-      for (const res of active) res.shouldKeepAlive = false;
+      for (const res of lastOfConnections(active)) res.shouldKeepAlive = false;
     },
     async idle(boundMs) {
       if (active.size === 0) return;
@@ -227,6 +227,16 @@
   };
 }
 
+/** Answers behind which nothing is due on their connections. */
+function lastOfConnections(
+  active: Iterable<ServerResponse>,
+): Iterable<ServerResponse> {
+  const last = new Map<Socket, ServerResponse>();
+  // They are in the order in which their requests were read.
+  for (const res of active) last.set(res.req.socket, res);
+  return last.values();
+}
+
 const quarantined = {
   type: "refused",
   status: 422,
--- a/src/adapters/create_call_path_test.ts
+++ b/src/adapters/create_call_path_test.ts
@@ -5,6 +5,7 @@
 import { request as rawRequest, type ServerResponse } from "node:http";
 import { connect } from "node:net";
 import { Readable } from "node:stream";
+import { text } from "node:stream/consumers";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { EndpointState } from "../core/types.ts";
@@ -265,6 +266,23 @@
   await Promise.all([idle, closed]);
 });
 
+test("planned stop answers all requests of a connection", async (t) => {
+  const held: (() => void)[] = [];
+  const { home } = await startPair(t, (_req, res) => {
+    held.push(() => res.end("whole"));
+  });
+  const { host, port } = new URL(home.url);
+  const socket = connect(Number(port), "127.0.0.1");
+  const one = `GET /portaal/once HTTP/1.1\r\nhost: ${host}\r\n` +
+    "lagoon-customer: baker\r\n\r\n";
+  socket.write(one + one);
+  await until(() => held.length === 2);
+  home.path.stop();
+  for (const finish of held) finish();
+  const answers = await text(socket);
+  assert.equal(answers.split("HTTP/1.1 200").length - 1, 2);
+});
+
 test("connection refused is not run, a broken one is unknown", async (t) => {
   const home = await startCallNode(t);
   const entry = await startCallNode(t);
