--- a/src/adapters/run_node.ts
+++ b/src/adapters/run_node.ts
@@ -37,7 +37,10 @@
 
 export interface RunningNode {
   readonly control: Control;
-  /** Graceful shutdown: finishes calls in flight, then closes all. */
+  /**
+   * Graceful shutdown: finishes calls in flight, then closes all. Called again,
+   * it resolves with the first.
+   */
   close(): Promise<void>;
 }
 
@@ -107,28 +110,29 @@
   });
   log("Node %s of %s is up.", self.id, domain);
 
-  return {
-    control,
-    async close() {
-      log("Node %s leaves.", self.id);
-      const boundMs = longestCallMs(control) + stopSlackMs;
-      await control.leave();
-      callPath.stop();
-      await sleep(leaveGraceMs);
-      await Promise.all([calls.close(boundMs), callPath.idle(boundMs)]);
-      await callPath.close();
-      await control.once.idle(recordBoundMs);
-      control.close();
-      reporter.close();
-      links?.close();
-      await peers.close();
-      await admin.close();
-      await logClient.close();
-      await metrics.close();
-      await recording.close();
-      log("Node %s is down.", self.id);
-    },
-  };
+  let closed: Promise<void> | undefined;
+
+  return { control, close: () => closed ??= shutDown() };
+
+  async function shutDown() {
+    log("Node %s leaves.", self.id);
+    const boundMs = longestCallMs(control) + stopSlackMs;
+    await control.leave();
+    callPath.stop();
+    await sleep(leaveGraceMs);
+    await Promise.all([calls.close(boundMs), callPath.idle(boundMs)]);
+    await callPath.close();
+    await control.once.idle(recordBoundMs);
+    control.close();
+    reporter.close();
+    links?.close();
+    await peers.close();
+    await admin.close();
+    await logClient.close();
+    await metrics.close();
+    await recording.close();
+    log("Node %s is down.", self.id);
+  }
 }
 
 /** Longest time that a call in flight may still take, in milliseconds. */
--- a/src/bin/lagoon_node.ts
+++ b/src/bin/lagoon_node.ts
@@ -23,9 +23,14 @@
       process.exitCode = 2;
       return;
     }
-    const node = await runNode(settings);
-    const stop = () => node.close().then(() => process.exit(0));
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
+    const starting = runNode(settings);
+    // Signals that come again must not end the process by themselves.
+    const stop = () =>
+      void starting
+        .then((node) => node.close())
+        .then(() => process.exit(0));
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+    await starting;
   },
 });
--- a/tools/once_path_test.ts
+++ b/tools/once_path_test.ts
@@ -135,13 +135,20 @@
   log.faults.delayMs = 600;
   const pay = { key: "invoice-9", body: "ten" };
   const first = await call(0, "/pay", pay);
-  // A node closes once: the other is left to the end of the test.
-  await nodes.shift()?.close();
+  await nodes[0]?.close();
   const again = await call(1, "/pay", pay);
   assert.deepEqual([first.status, again.status], [200, 200]);
   assert.equal(again.text, first.text);
 });
 
+test("node told to stop twice stops once", async (t) => {
+  const { nodes: [node] } = await startPath(t);
+  assert.ok(node !== undefined);
+  const closing = node.close();
+  assert.equal(node.close(), closing);
+  await closing;
+});
+
 test("crashing request stops after two upstreams", async (t) => {
   const { upstreams, call } = await startPath(t);
   for (const one of upstreams) {
