--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -23,6 +23,8 @@
   readonly lagMs: () => number;
   readonly now: () => MonotonicMs;
   readonly meter: WorkMeter;
+  /** Whether a call that has so much time left is still taken. */
+  readonly canTake: (leftMs: number) => boolean;
   /** Answers gossip through `reply`. The sender is known after its hello. */
   readonly onGossip: (
     from: NodeId | undefined,
@@ -82,8 +84,8 @@
     socket.send(packed);
     meter.endMessage(work, Way.Sent, message.type, packed.length);
   };
-  const { home, report, lagMs, now, meter } = opts;
-  const calls = serveLink({ home, report, lagMs, now, send });
+  const { home, report, lagMs, now, canTake, meter } = opts;
+  const calls = serveLink({ home, report, lagMs, now, canTake, send });
 
   function take(message: LinkMessage) {
     switch (message.type) {
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -27,6 +27,7 @@
 import { Reading } from "../reading/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
+import { canFinish } from "../stopping/can_finish.ts";
 import { createStop } from "../stopping/create_stop.ts";
 import { decideStop } from "../stopping/decide_stop.ts";
 import {
@@ -259,7 +260,12 @@
   });
 
   function isBusy(): boolean {
-    return callers.open() > 0 || home.isBusy();
+    return callers.open() + links.unsentBytes() > 0 || home.isBusy();
+  }
+
+  function canTake(waitMs: number): boolean {
+    const lagMs = lag.lagMs();
+    return stop === undefined || canFinish(stop, { waitMs, lagMs, now: now() });
   }
 
   const links = acceptLinks({
@@ -269,6 +275,7 @@
     lagMs: lag.lagMs,
     now,
     meter,
+    canTake,
     onGossip: gossip.take,
     isFar: (domain) => domain !== settings.domain,
     onError: (reason, peer) =>
