--- a/tools/experiments/sidecars.ts
+++ b/tools/experiments/sidecars.ts
@@ -70,8 +70,9 @@
       opts.onProgress(`Starting ${size} nodes.`);
       fleets.push(await startFleet(folder, index, size));
     }
+    const pings = startPings(fleets);
+    await Promise.all(fleets.map((fleet) => waitUntilLinked(fleet, opts)));
     const load = startLoad(fleets);
-    await Promise.all(fleets.map(waitUntilLinked));
     await sleep(settleMs);
     opts.onProgress("Measuring under load.");
     const before = await Promise.all(fleets.map(readFleet));
@@ -82,6 +83,7 @@
     await sleep(restartMs);
     const restarted = await Promise.all(fleets.map(readSurvivors));
     load.close();
+    pings.close();
     return fleets.flatMap((fleet, index) =>
       tellFleet(fleet, before[index], after[index], restarted[index])
     );
@@ -179,16 +181,23 @@
   return configOf(version, [...rules, ...idle]);
 }
 
-/** Requests at each node, pings of each endpoint, a change each second. */
+function startPings(fleets: readonly Fleet[]) {
+  const timers = fleets.flatMap(({ nodes }) => nodes).map((node) => {
+    const { ip, endpoint } = node;
+    // A node that restarts can't be reached; the next round finds it.
+    const ping = () => void endpoint.ping(`${ip}:17003`).catch(() => {});
+    ping();
+    return setInterval(ping, pingMs);
+  });
+  return { close: () => timers.forEach((timer) => clearInterval(timer)) };
+}
+
+/** Requests at each node, and a change of configuration each second. */
 function startLoad(fleets: readonly Fleet[]) {
   const timers: NodeJS.Timeout[] = [];
   let calls = 0;
   let version = 1;
-  for (const { ip, endpoint } of fleets.flatMap(({ nodes }) => nodes)) {
-    // A node that restarts can't be reached; the next round finds it.
-    const ping = () => void endpoint.ping(`${ip}:17003`).catch(() => {});
-    ping();
-    timers.push(setInterval(ping, pingMs));
+  for (const { ip } of fleets.flatMap(({ nodes }) => nodes)) {
     timers.push(setInterval(() => {
       calls++;
       const path = `/${services[calls % services.length]}/x`;
@@ -227,7 +236,8 @@
 }
 
 /** Waits until each node may offer calls to all endpoints. */
-async function waitUntilLinked(fleet: Fleet) {
+async function waitUntilLinked(fleet: Fleet, opts: ExperimentOptions) {
+  const size = fleet.nodes.length;
   const giveUpAt = performance.now() + startLimitMs;
   while (performance.now() < giveUpAt) {
     await sleep(1_000);
@@ -237,9 +247,10 @@
     for (const [name, value] of reading) {
       if (name.startsWith("lagoon_ready_endpoints{")) endpoints += value;
     }
-    if (Math.round(endpoints) === fleet.nodes.length) return;
+    if (Math.round(endpoints) === size) return;
+    opts.onProgress(`${size} nodes see ${endpoints.toFixed(1)} endpoints.`);
   }
-  throw new Error(`${fleet.nodes.length} nodes are not all linked`);
+  throw new Error(`${size} nodes are not all linked`);
 }
 
 function readFleet({ nodes }: Fleet): Promise<Reading> {
