--- a/src/fleet/decide_fleet.ts
+++ b/src/fleet/decide_fleet.ts
@@ -4,7 +4,6 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
-import { indexCandidates } from "./index_candidates.ts";
 import {
   type FleetEffect,
   type FleetEvent,
@@ -35,12 +34,12 @@
     case "linked":
       state.linked.add(event.node);
       state.seenAt.set(event.node, event.now);
-      indexCandidates(state);
+      state.isIndexStale = true;
       return [];
     case "unlinked":
       state.linked.delete(event.node);
       state.seenAt.set(event.node, event.now);
-      indexCandidates(state);
+      state.isIndexStale = true;
       return [];
     case "ticked":
       return forgetLost(state, event.now);
@@ -57,7 +56,7 @@
   const { revision, ...rest } = ownRow(state);
   const row = { ...rest, endpoint, revision: revision + 1 };
   state.rows.set(state.self, { row, takenAt: now });
-  indexCandidates(state);
+  state.isIndexStale = true;
   return [{ type: "tell", row }];
 }
 
@@ -79,7 +78,7 @@
     state.rows.set(row.node, { row, takenAt: now });
     isChanged = true;
   }
-  if (isChanged) indexCandidates(state);
+  if (isChanged) state.isIndexStale = true;
   return effects;
 }
 
--- a/src/fleet/index_candidates.ts
+++ b/src/fleet/index_candidates.ts
@@ -3,10 +3,12 @@
  * @module
  */
 import type { Candidate } from "../placement/state.ts";
-import type { FleetState } from "./state.ts";
+import type { CandidateIndex, FleetState } from "./state.ts";
 
-/** Rebuilds the index from the rows of this node and of linked nodes. */
-export function indexCandidates(state: FleetState) {
+/** Builds the index from the rows of this node and of linked nodes. */
+export function indexCandidates(
+  state: Pick<FleetState, "self" | "rows" | "linked">,
+): CandidateIndex {
   const byService = new Map<string, Map<string, Candidate[]>>();
   for (const [node, { row, takenAt }] of state.rows) {
     const { endpoint } = row;
@@ -28,5 +30,5 @@
     if (same === undefined) versions.set(version, [candidate]);
     else same.push(candidate);
   }
-  state.byService = byService;
+  return byService;
 }
--- a/src/fleet/state.ts
+++ b/src/fleet/state.ts
@@ -4,6 +4,7 @@
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { Candidate } from "../placement/state.ts";
+import { indexCandidates } from "./index_candidates.ts";
 
 /** An endpoint that takes calls. */
 export interface RowEndpoint {
@@ -38,10 +39,18 @@
   readonly linked: Set<NodeId>;
   /** When a node was last linked, or first heard of. */
   readonly seenAt: Map<NodeId, MonotonicMs>;
-  /** Ready endpoints by service, then by version. Rebuilt at a change. */
-  byService: ReadonlyMap<string, ReadonlyMap<string, readonly Candidate[]>>;
+  /** Built when it is used after a change: changes come in crowds. */
+  readonly byService: CandidateIndex;
+  /** Whether rows or links have changed since the index was built. */
+  isIndexStale?: boolean;
 }
 
+/** Ready endpoints by service, then by version. */
+export type CandidateIndex = ReadonlyMap<
+  string,
+  ReadonlyMap<string, readonly Candidate[]>
+>;
+
 export type FleetEvent =
   | {
     readonly type: "row-changed";
@@ -92,12 +101,18 @@
     domain: opts.domain,
     revision: opts.revision,
   };
+  let index: CandidateIndex = new Map();
   return {
     self: opts.self,
     rows: new Map([[opts.self, { row, takenAt: -Infinity }]]),
     linked: new Set(),
     seenAt: new Map(),
-    byService: new Map(),
+    get byService() {
+      if (this.isIndexStale === true) index = indexCandidates(this);
+      this.isIndexStale = false;
+      return index;
+    },
+    isIndexStale: false,
   };
 }
 
