fix(links): a peer that is behind is not taken for a dead one

Calls of a grown fleet ended with 502, and links fell in crowds. A node now says how far behind it is in pings, their answers and events of calls, and the wait for an answer grows with that, and with the own lag. Ruled out: a longer wait for all, which finds dead nodes later.

--- a/src/links/check_link.ts
+++ b/src/links/check_link.ts
@@ -11,6 +11,13 @@
 /** A ping that is not answered in this time ends the link. */
 const answerMs = 800;
 
+/**
+ * Turns of its loop that a peer which is behind takes for an answer, and the
+ * longest time that is given for them.
+ */
+const answerTurns = 2;
+const longestTurnsMs = 1_500;
+
 /**
  * Periods of an idle link in which nothing came over it, though the nodes have
  * exchanged pings over the link that the peer opened.
@@ -39,7 +46,10 @@
 ): LinkCheck {
   const { now, idleMs } = opts;
   if (health.pingedAt > health.heardAt) {
-    return now - health.pingedAt > answerMs + opts.lagMs
+    // A peer that can't keep up is not helped by calls that are sent again and
+    // by links that are opened anew.
+    const turnsMs = Math.min(longestTurnsMs, health.peerLagMs * answerTurns);
+    return now - health.pingedAt > answerMs + opts.lagMs + turnsMs
       ? { type: "give-up" }
       : { type: "wait" };
   }
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -149,6 +149,7 @@
     switch (message.type) {
       case "event": {
         const call = offered.get(message.key);
+        health.peerLagMs = message.lagMs;
         opts.onReport(message.report, call?.route);
         if (call === undefined) return;
         if (isLast(message.event)) offered.delete(message.key);
@@ -160,9 +161,12 @@
       case "body-end":
       case "cancel":
         throw new TypeError(`${message.type} came from a home`);
+      case "pong":
+        health.peerLagMs = message.lagMs;
+        opts.onGossip(message);
+        return;
       case "hello":
       case "ping":
-      case "pong":
       case "rows":
       case "ask-rows":
       case "ask-operator":
@@ -257,5 +261,10 @@
 }
 
 function createHealth(now: MonotonicMs): LinkHealth {
-  return { heardAt: now, pingedAt: -Infinity, lastPingAt: -Infinity };
+  return {
+    heardAt: now,
+    pingedAt: -Infinity,
+    lastPingAt: -Infinity,
+    peerLagMs: 0,
+  };
 }
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -73,6 +73,7 @@
         Kind.Event,
         message.key,
         ...reportFields(message.report),
+        Math.round(message.lagMs),
         ...eventFields(message.event),
       ];
     case "ping":
@@ -112,7 +113,8 @@
         type: "event",
         key,
         report: reportOf(fields, 2),
-        event: eventOf(fields.slice(6)),
+        lagMs: fields[6] as number,
+        event: eventOf(fields.slice(7)),
       };
     case Kind.Ping:
       return { type: "ping", ...statusOf(fields) };
@@ -149,7 +151,12 @@
 }
 
 function statusFields(status: NodeStatus): Fields {
-  return [...reportFields(status.report), status.operatorEnd, status.reading];
+  return [
+    ...reportFields(status.report),
+    status.operatorEnd,
+    status.reading,
+    Math.round(status.lagMs),
+  ];
 }
 
 function statusOf(fields: Fields): NodeStatus {
@@ -157,6 +164,7 @@
     report: reportOf(fields, 1),
     operatorEnd: fields[5] as number,
     reading: fields[6] as Reading,
+    lagMs: fields[7] as number,
   };
 }
 
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -31,6 +31,8 @@
   readonly event: AttemptEvent;
   /** The home's queue at the time of the event. */
   readonly report: QueueReport;
+  /** How far behind the home's node is, in milliseconds. */
+  readonly lagMs: number;
 }
 
 /** How a node is, as pings and their answers carry it. */
@@ -39,6 +41,8 @@
   /** How far the operators' topic was read. */
   readonly operatorEnd: Offset;
   readonly reading: Reading;
+  /** How far behind it is, in milliseconds. */
+  readonly lagMs: number;
 }
 
 /** What nodes tell each other besides calls. */
--- a/src/links/serve_link.ts
+++ b/src/links/serve_link.ts
@@ -33,7 +33,8 @@
 
   function tell(key: LinkKey, route: string, event: AttemptEvent) {
     if (isLast(event)) attempts.delete(key);
-    opts.send({ type: "event", key, event, report: opts.report(route) });
+    const report = opts.report(route);
+    opts.send({ type: "event", key, event, report, lagMs: opts.lagMs() });
   }
 
   function offer(key: LinkKey, call: OfferedCall): Attempt {
--- a/src/links/state.ts
+++ b/src/links/state.ts
@@ -10,6 +10,8 @@
   /** Last ping, or minus infinity once something came after it. */
   pingedAt: MonotonicMs;
   lastPingAt: MonotonicMs;
+  /** How far behind the peer last said that it is, in milliseconds. */
+  peerLagMs: number;
 }
 
 export type LinkCheck =
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -205,6 +205,7 @@
       report: opts.home.report(),
       operatorEnd: opts.operator.end(),
       reading: opts.operator.reading(),
+      lagMs: opts.lagMs(),
     };
   }
 
