--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -41,8 +41,11 @@
 /** The same with a node that reads the operators' topic for others. */
 const readerIdle = { nearMs: 1_000, farMs: 2_500 };
 
-/** Least time between looks at all links after one was found silent. */
-const probeMs = 1_000;
+/**
+ * Least time between looks at all links after one was found silent, in
+ * milliseconds. Nodes that can't keep up must not be asked by all all the time.
+ */
+const probeMs = 5_000;
 
 /** Time between looks at the health of all links. */
 const checkMs = 200;
