--- a/src/fleet/index_candidates.ts
+++ b/src/fleet/index_candidates.ts
@@ -3,13 +3,15 @@
  * @module
  */
 import type { Candidate } from "../placement/state.ts";
-import type { FleetState } from "./state.ts";
+import type { CandidateIndex, FleetState } from "./state.ts";
 
 /**
- * Rebuilds the index from the rows of this node and of linked nodes. The row of
+ * Builds the index from the rows of this node and of linked nodes. The row of
  * a node without a link may be that of an earlier process at its address.
  */
-export function indexCandidates(state: FleetState) {
+export function indexCandidates(
+  state: Pick<FleetState, "self" | "rows" | "linked">,
+): CandidateIndex {
   const byService = new Map<string, Map<string, Candidate[]>>();
   for (const [node, { row, takenAt }] of state.rows) {
     const { endpoint } = row;
@@ -31,5 +33,5 @@
     if (same === undefined) versions.set(version, [candidate]);
     else same.push(candidate);
   }
-  state.byService = byService;
+  return byService;
 }
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -353,6 +353,8 @@
     socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
   });
   assert.equal((await offer(home)).type, "answered");
+  // A connection rests for a turn behind an answer.
+  await new Promise((resolve) => setTimeout(resolve, 20));
   home.setInstance({ ...announced, seq: 2 }, "");
   assert.equal((await offer(home)).type, "answered");
   assert.equal(asked[1], asked[0]);
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -74,6 +74,7 @@
         message.key,
         ...reportFields(message.report),
         Math.round(message.heldMs),
+        Math.round(message.lagMs),
         ...eventFields(message.event),
       ];
     case "ping":
@@ -114,7 +115,8 @@
         key,
         report: reportOf(fields, 2),
         heldMs: fields[6] as number,
-        event: eventOf(fields.slice(7)),
+        lagMs: fields[7] as number,
+        event: eventOf(fields.slice(8)),
       };
     case Kind.Ping:
       return { type: "ping", ...statusOf(fields) };
@@ -151,7 +153,12 @@
 }
 
 function statusFields(status: NodeStatus): Fields {
-  return [...reportFields(status.report), status.operatorEnd, status.reading];
+  return [
+    ...reportFields(status.report),
+    status.operatorEnd,
+    status.reading,
+    Math.round(status.lagMs),
+  ];
 }
 
 function statusOf(fields: Fields): NodeStatus {
@@ -159,6 +166,7 @@
     report: reportOf(fields, 1),
     operatorEnd: fields[5] as number,
     reading: fields[6] as Reading,
+    lagMs: fields[7] as number,
   };
 }
 
