fix(adapters): reset a cut answer to an HTTP/1.0 caller

Seen before the change: 'cut answer is not whole: HTTP/1.0 caller' on the product's own path.

What callers would see: an answer in chunks that breaks off was closed in good order, which to an HTTP/1.0 caller is its end. The same as at the sidecar, so both use src/core/cut_answer.ts, the answers that a sidecar's stop cuts included.

--- a/src/adapters/create_relay.ts
+++ b/src/adapters/create_relay.ts
@@ -7,6 +7,7 @@
  */
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
 import type { MonotonicMs } from "../core/types.ts";
+import { cutAnswer } from "../core/cut_answer.ts";
 import { isFramed } from "../core/is_framed.ts";
 import type { CallEnd } from "../retry/messages.ts";
 import { loadHeader, notRunHeader, reasonHeader } from "../routing/headers.ts";
@@ -101,7 +102,7 @@
   function finishBroken(reason: string, isLate: boolean) {
     if (hasHead) {
       // The caller must see that its answer is not whole.
-      res.destroy();
+      cutAnswer(res);
       return finish({ type: "cut", reason });
     }
     if (isSent) return finish({ type: "unknown", reason, isLate });
--- a/src/adapters/cut_answers_test.ts
+++ b/src/adapters/cut_answers_test.ts
@@ -103,3 +103,15 @@
     }
   }
 });
+
+test("cut answer is not whole: HTTP/1.0 caller", async (t) => {
+  const chunk = `8000\r\n${"x".repeat(0x8000)}\r\n`;
+  const answer = `${ok}transfer-encoding: chunked\r\n\r\n${chunk.repeat(8)}` +
+    "0\r\n\r\n";
+  for (const node of await startPair(t, answer)) {
+    for (const at of [70_000, 200_000, answer.length - 3]) {
+      const wire = await readWire(node, at, { http: "1.0" });
+      assert.ok(!looksWhole(wire), `${at} ${wire.text.slice(0, 200)}`);
+    }
+  }
+});
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -421,6 +421,7 @@
         bodyBytes: body?.size() ?? 0,
         isStreaming: streaming !== undefined,
       });
+      if (streaming !== undefined) cutAnswer(res);
       finish(CallResult.Unknown, 0);
     },
   };
