--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -27,6 +27,7 @@
 import { Reading } from "../reading/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
+import { canFinish } from "../stopping/can_finish.ts";
 import { createStop } from "../stopping/create_stop.ts";
 import { decideStop } from "../stopping/decide_stop.ts";
 import {
@@ -165,12 +166,13 @@
     },
   });
 
-  function takeTable(table: RouteTable) {
+  function takeTable(table: RouteTable, bytes: number) {
     if (!adoptTable(routes, table)) return;
     callers.setLimits(table.limits);
     metrics.setTableVersion(table.version);
     log.write("config", LogLevel.Info, "route table in force", {
       version: table.version,
+      bytes,
     });
   }
 
@@ -249,6 +251,7 @@
 
   const instance = watchInstance({
     decodePing: platform.decodePing,
+    service: settings.service,
     home,
     log,
     now,
@@ -257,8 +260,12 @@
   });
 
   function isBusy(): boolean {
-    const { running, waiting } = home.report();
-    return callers.open() + running + waiting > 0;
+    return callers.open() + links.unsentBytes() > 0 || home.isBusy();
+  }
+
+  function canTake(waitMs: number): boolean {
+    const lagMs = lag.lagMs();
+    return stop === undefined || canFinish(stop, { waitMs, lagMs, now: now() });
   }
 
   const links = acceptLinks({
@@ -266,7 +273,9 @@
     report: home.report,
     status: gossip.status,
     lagMs: lag.lagMs,
+    now,
     meter,
+    canTake,
     onGossip: gossip.take,
     isFar: (domain) => domain !== settings.domain,
     onError: (reason, peer) =>
