--- a/src/fleet/decide_fleet.ts
+++ b/src/fleet/decide_fleet.ts
@@ -4,7 +4,6 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
-import { indexCandidates } from "./index_candidates.ts";
 import {
   type FleetEffect,
   type FleetEvent,
@@ -41,7 +40,7 @@
     case "unlinked":
       state.linked.delete(event.node);
       state.seenAt.set(event.node, event.now);
-      indexCandidates(state);
+      state.isIndexStale = true;
       return [];
     case "ticked":
       return forgetLost(state, event.now);
@@ -58,7 +57,7 @@
   const { revision, ...rest } = ownRow(state);
   const row = { ...rest, endpoint, revision: revision + 1 };
   state.rows.set(state.self, { row, takenAt: now });
-  indexCandidates(state);
+  state.isIndexStale = true;
   return [{ type: "tell", row }];
 }
 
@@ -77,7 +76,7 @@
     state.rows.set(row.node, { row, takenAt: now });
     isChanged = true;
   }
-  if (isChanged) indexCandidates(state);
+  if (isChanged) state.isIndexStale = true;
   return effects;
 }
 
@@ -106,7 +105,7 @@
   const effects = meet(state, node, now);
   state.linked.add(node);
   state.seenAt.set(node, now);
-  indexCandidates(state);
+  state.isIndexStale = true;
   return effects;
 }
 
@@ -129,7 +128,7 @@
 ): readonly FleetEffect[] {
   if (!state.linked.delete(node)) return [];
   state.seenAt.set(node, now);
-  indexCandidates(state);
+  state.isIndexStale = true;
   return [{ type: "greet", node }];
 }
 
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -15,6 +15,12 @@
   body: Buffer.from("body"),
 });
 const report = { running: 1, waiting: 2, meanMs: 3.5, routeMs: 4.5 };
+const status = {
+  report,
+  operatorEnd: 12,
+  reading: Reading.Healthy,
+  lagMs: 40,
+};
 const events: AttemptEvent[] = [
   { type: "admitted" },
   { type: "overdue" },
@@ -41,9 +47,10 @@
     event,
     report,
     heldMs: 6,
+    lagMs: 7,
   })),
-  { type: "ping", report, operatorEnd: 12, reading: Reading.Healthy },
-  { type: "pong", report, operatorEnd: -1, reading: Reading.Idle },
+  { type: "ping", ...status },
+  { type: "pong", ...status, reading: Reading.Idle },
   { type: "ask-operator" },
   {
     type: "operator",
@@ -76,7 +83,12 @@
 };
 
 test("a silent link with calls is given up within its bound", () => {
-  const health = { heardAt: 0, pingedAt: -Infinity, lastPingAt: 0 };
+  const health = {
+    heardAt: 0,
+    pingedAt: -Infinity,
+    lastPingAt: 0,
+    peerLagMs: 0,
+  };
   const check = (now: number, hasCalls = true) =>
     checkLink(health, { ...idle, hasCalls, now }).type;
   assert.equal(check(200), "wait");
@@ -90,15 +102,30 @@
 });
 
 test("an answer that may wait unread does not end a link", () => {
-  const health = { heardAt: 0, pingedAt: 400, lastPingAt: 400 };
+  const health = { heardAt: 0, pingedAt: 400, lastPingAt: 400, peerLagMs: 0 };
   const check = (lagMs: number) =>
     checkLink(health, { ...idle, lagMs, now: 1_300 }).type;
   assert.equal(check(0), "give-up");
   assert.equal(check(500), "wait");
 });
 
+test("a peer that is behind is given time to answer", () => {
+  const check = (peerLagMs: number, now: number) => {
+    const health = { heardAt: 0, pingedAt: 400, lastPingAt: 400, peerLagMs };
+    return checkLink(health, { ...idle, now }).type;
+  };
+  assert.equal(check(300, 1_700), "wait");
+  assert.equal(check(300, 1_900), "give-up");
+  assert.equal(check(60_000, 2_800), "give-up");
+});
+
 test("a pair of nodes exchanges one ping in each period", () => {
-  const health = { heardAt: 0, pingedAt: -Infinity, lastPingAt: 0 };
+  const health = {
+    heardAt: 0,
+    pingedAt: -Infinity,
+    lastPingAt: 0,
+    peerLagMs: 0,
+  };
   const check = (exchangedAt: number, now: number) =>
     checkLink(health, { ...idle, exchangedAt, now }).type;
   assert.equal(check(0, 2_100), "ping");
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -33,6 +33,8 @@
   readonly report: QueueReport;
   /** Time since the home read the offer, in milliseconds. */
   readonly heldMs: number;
+  /** How far behind the home's node is, in milliseconds. */
+  readonly lagMs: number;
 }
 
 /** How a node is, as pings and their answers carry it. */
@@ -41,6 +43,8 @@
   /** How far the operators' topic was read. */
   readonly operatorEnd: Offset;
   readonly reading: Reading;
+  /** How far behind it is, in milliseconds. */
+  readonly lagMs: number;
 }
 
 /** What nodes tell each other besides calls. */
--- a/src/links/serve_link.ts
+++ b/src/links/serve_link.ts
@@ -44,7 +44,8 @@
   ) {
     if (isLast(event)) attempts.delete(key);
     const report = opts.report(route);
-    opts.send({ type: "event", key, event, report, heldMs });
+    const lagMs = opts.lagMs();
+    opts.send({ type: "event", key, event, report, heldMs, lagMs });
   }
 
   function offer(key: LinkKey, call: OfferedCall): Attempt | undefined {
