--- a/src/reading/decide_reading.ts
+++ b/src/reading/decide_reading.ts
@@ -46,6 +46,7 @@
   switch (event.type) {
     case "started":
       state.isOn = true;
+      state.startedAt = now;
       return [{ type: "read" }];
     case "peer-heard": {
       const { node, domain, reading, end } = event;
--- a/src/reading/reading_test.ts
+++ b/src/reading/reading_test.ts
@@ -45,6 +45,13 @@
   writeAndCheck(world);
 });
 
+test("nodes that start together read once, and the first ones go on", () => {
+  const world = createReadingWorld(four);
+  world.run(calmMs);
+  // Each once, and two of each domain until they know of the others' readers.
+  assert.equal(world.reads(), 12 + 8);
+});
+
 test("one node of each domain reads where many domains do", () => {
   const world = createReadingWorld(four);
   world.run(calmMs);
--- a/src/reading/should_read.ts
+++ b/src/reading/should_read.ts
@@ -27,6 +27,12 @@
 /** Time for which a node whose reads failed leaves them to others. */
 const restMs = 3_000;
 
+/**
+ * Time after a start in which a node that has read once waits for word of its
+ * peers. Nodes that start together would all go on reading.
+ */
+const meetMs = 2_500;
+
 /** Peers, as far as they can be counted on. */
 export interface CountedPeers {
   /** Nodes that are to read in this failure domain. */
@@ -72,7 +78,8 @@
 export function shouldRead(state: ReadingState, now: MonotonicMs): boolean {
   const near = countPeers(state, now);
   const { wanted } = near;
-  if (now < state.insistsUntil) return true;
+  if (now < state.insistsUntil || state.end < 0) return true;
+  if (now - state.startedAt < meetMs) return false;
   if (near.readersBefore >= wanted) return false;
   if (state.reading === Reading.Failing) {
     const isNeeded = near.readers === 0 && near.before < aloneReaders;
@@ -80,6 +87,7 @@
   }
   if (near.before - near.failingBefore < wanted) return true;
   if (state.isOn) return true;
+  const metAt = state.startedAt + meetMs;
   return state.unreadSince !== undefined &&
-    now - state.unreadSince >= unreadMs;
+    now - Math.max(metAt, state.unreadSince) >= unreadMs;
 }
--- a/src/reading/state.ts
+++ b/src/reading/state.ts
@@ -54,6 +54,7 @@
   reading: Reading;
   /** Whether this node's reads go on. */
   isOn: boolean;
+  startedAt: MonotonicMs;
   failedAt: MonotonicMs;
   /** This node reads until then, whoever else does. */
   insistsUntil: MonotonicMs;
@@ -126,6 +127,7 @@
     peers: new Map(),
     reading: Reading.Idle,
     isOn: false,
+    startedAt: -Infinity,
     failedAt: -Infinity,
     insistsUntil: -Infinity,
     unreadSince: undefined,
