--- a/src/reading/decide_reading.ts
+++ b/src/reading/decide_reading.ts
@@ -169,6 +169,9 @@
     state.ahead = { node, isNear, since: now, asked: 0 };
   } else if (isNear && !ahead.isNear) {
     state.ahead = { ...ahead, node, isNear };
+  } else if (ahead.asked > 0) {
+    // One that did not answer may not be reached.
+    state.ahead = { ...ahead, node, isNear };
   }
 }
 
--- a/src/reading/reading_test.ts
+++ b/src/reading/reading_test.ts
@@ -7,6 +7,8 @@
   type ReadingWorld,
   StoreMode,
 } from "../testing/create_reading_world.ts";
+import { decideReading } from "./decide_reading.ts";
+import { createReadingState, Reading } from "./state.ts";
 
 /** Time in which a change has to be in force on the smaller sites. */
 const applyMs = 2_000;
@@ -126,6 +128,27 @@
   assert.ok(perNode < 15, `${perNode} reads a node`);
 });
 
+test("a peer that does not answer is followed by another one", () => {
+  const state = createReadingState({ self: "b", domain: "d0" });
+  const hear = (node: string, now: number) =>
+    decideReading(state, {
+      type: "peer-heard",
+      node,
+      domain: "d0",
+      reading: Reading.Idle,
+      end: 5,
+      now,
+    });
+  const asked = (now: number) =>
+    decideReading(state, { type: "ticked", now }).flatMap((effect) =>
+      effect.type === "ask" ? [effect.node] : []
+    );
+  hear("a", 0);
+  assert.deepEqual(asked(700), ["a"]);
+  hear("c", 800);
+  assert.deepEqual(asked(1_400), ["c"]);
+});
+
 const index = fc.integer({ min: 0, max: nodes - 1 });
 const action = fc.oneof(
   fc.record({ type: fc.constant("write" as const) }),
