fix(takeover): keep a version that nobody ordered out of another move

Callers got answers of a version that no order allows: while a service moved to one version, or after that move was taken back, all other versions that were present shared its requests, so endpoints that had started ahead of their own order got as many as the version in use.

The choice named what must not be used, the target and what was taken back, and took whatever else was there. It now keeps to the version that carried the service before the order, where it is known and present. 'a version that nobody ordered gets nothing beside a move' got v1 and v3 before.

--- a/src/takeover/choose_version.ts
+++ b/src/takeover/choose_version.ts
@@ -8,8 +8,8 @@
  * Versions of a service that a request may run on, the preferred one first.
  * `present` lists the versions with a ready endpoint.
  *
- * Without an order, traffic stays on the version that carries it, so endpoints
- * that start ahead of their order get nothing.
+ * Beside the target of an order, traffic stays on the version that carried it
+ * before, so endpoints that start ahead of their order get nothing.
  */
 export function chooseVersions(
   state: TakeoverState,
@@ -20,9 +20,11 @@
   if (move === undefined) return chooseBase(state, service, present);
   const { target } = move.order;
   const withdrawn = state.withdrawn.get(service);
-  const others = present.filter((version) =>
+  const rest = present.filter((version) =>
     version !== target && withdrawn?.has(version) !== true
   );
+  const base = state.base.get(service);
+  const others = base !== undefined && rest.includes(base) ? [base] : rest;
   switch (move.step.phase) {
     case MovePhase.Completed:
       if (move.fault !== undefined) return others;
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -111,6 +111,24 @@
   assert.deepEqual(chooseVersions(state, "one", ["v2", "v1"]), ["v1"]);
 });
 
+test("a version that nobody ordered gets nothing beside a move", () => {
+  const running = { ...order, target: "v2" };
+  for (const phase of [MovePhase.Running, MovePhase.RolledBack]) {
+    const state = createTakeoverState({ self: "a", source: "a 1" });
+    chooseVersions(state, "one", ["v1"]);
+    const status = { service: "one", target: "v2", phase };
+    decideTakeover(state, { type: "status-read", status, now: 0 });
+    decideTakeover(state, {
+      type: "ordered",
+      order: running,
+      isNew: true,
+      now: 0,
+    });
+    const present = ["v1", "v2", "v3"];
+    assert.deepEqual(chooseVersions(state, "one", present), ["v1"]);
+  }
+});
+
 test("only the holder of the lease plans", () => {
   const state = createTakeoverState({ self: "a", source: "a 1" });
   decideTakeover(state, { type: "ordered", order, isNew: true, now: 0 });
