fix(takeover): go back to the version in use once its homes are linked again

A node that had no link to a home of a service's version for a moment, as behind a cut or when it thaws, and a link to one of another version, sent all calls of the service to that other version from then on, though nobody had ordered it.

The version that carries a service was learnt anew whenever the known one had no reachable home. Since rows count only once their link has told them, links come back one by one, and the first may be that of an endpoint which is ahead of its order. What is known is now kept, and another version is used only meanwhile.

--- a/src/takeover/choose_version.ts
+++ b/src/takeover/choose_version.ts
@@ -52,6 +52,7 @@
   if (base !== undefined && present.includes(base)) return [base];
   const [first] = present;
   if (first === undefined) return [];
-  state.base.set(service, first);
+  // Homes that are out of reach for a moment come back with their version.
+  if (base === undefined) state.base.set(service, first);
   return [first];
 }
--- a/src/takeover/takeover_test.ts
+++ b/src/takeover/takeover_test.ts
@@ -111,6 +111,14 @@
   assert.deepEqual(chooseVersions(state, "one", ["v2", "v1"]), ["v1"]);
 });
 
+test("a version that nobody ordered gets nothing once the old one is back", () => {
+  const state = createTakeoverState({ self: "a", source: "a 1" });
+  assert.deepEqual(chooseVersions(state, "one", ["v1"]), ["v1"]);
+  // Its homes were out of reach for a moment.
+  chooseVersions(state, "one", ["v2"]);
+  assert.deepEqual(chooseVersions(state, "one", ["v2", "v1"]), ["v1"]);
+});
+
 test("a version that nobody ordered gets nothing beside a move", () => {
   const running = { ...order, target: "v2" };
   for (const phase of [MovePhase.Running, MovePhase.RolledBack]) {
