fix(homes): a body that does not come holds no other one up

Callers of a service that takes large bodies waited for their whole deadline while its endpoints had free slots: three senders that were cut off, frozen or starved in the middle of their bodies held all turns at a home until their own deadlines. A lost failure domain leaves such senders at every home.

A turn ended with the body or with the call's deadline only, and a home does not see that a link which another node opened is silent. A turn in which nothing came for 500 ms now goes to the next body. The late one may still come. 'a body that does not come gives its turn to the next' failed before.

--- a/src/homes/create_gathering.ts
+++ b/src/homes/create_gathering.ts
@@ -18,6 +18,12 @@
  */
 const maxComing = 3;
 
+/**
+ * Time without a byte after which a body that may come gives its turn to the
+ * next, in milliseconds. Its sender may be cut off or frozen.
+ */
+const stalledMs = 500;
+
 /** Weight of the newest time in the mean of its route. */
 const newestWeight = 0.2;
 
@@ -48,17 +54,22 @@
   expectedMs(route: string): number;
   /** Bodies that come or wait for their turn. */
   size(): number;
+  /** No further body gets its turn. */
+  close(): void;
 }
 
 interface Place {
   readonly bytes: number;
   readonly onTurn: () => void;
+  /** Ends its turn if nothing comes. */
+  staller?: NodeJS.Timeout;
 }
 
 /** Creates the room for the bodies of one home. */
 export function createGathering(opts: CreateGatheringOptions): Gathering {
   const coming = new Set<Place>();
   const waiting = new Set<Place>();
+  const stalled = new Set<Place>();
   const meanMs = new Map<string, number>();
   let reserved = 0;
 
@@ -67,12 +78,22 @@
       if (coming.size >= maxComing) return;
       waiting.delete(place);
       coming.add(place);
+      place.staller = setTimeout(() => yieldTurn(place), stalledMs);
       place.onTurn();
     }
   }
 
+  /** The body may still come, beside those whose turn it is. */
+  function yieldTurn(place: Place) {
+    coming.delete(place);
+    stalled.add(place);
+    admit();
+  }
+
   function leave(place: Place) {
-    const wasHere = coming.delete(place) || waiting.delete(place);
+    clearTimeout(place.staller);
+    const wasHere = coming.delete(place) || waiting.delete(place) ||
+      stalled.delete(place);
     if (!wasHere) return;
     reserved -= place.bytes;
     admit();
@@ -96,19 +117,24 @@
         add(chunk) {
           size += chunk.length;
           chunks.push(chunk);
+          if (coming.has(place)) place.staller?.refresh();
           if (size >= bodyBytes) learn(route, opts.now() - begunAt);
         },
         isWhole: () => size >= bodyBytes,
         bytes: () => Buffer.concat(chunks, size),
         close: () => leave(place),
       };
-      const place = { bytes: bodyBytes, onTurn: () => onTurn(body) };
+      const place: Place = { bytes: bodyBytes, onTurn: () => onTurn(body) };
       reserved += bodyBytes;
       waiting.add(place);
       admit();
       return body;
     },
     expectedMs: (route) => meanMs.get(route) ?? 0,
-    size: () => coming.size + waiting.size,
+    size: () => coming.size + waiting.size + stalled.size,
+    close() {
+      for (const { staller } of coming) clearTimeout(staller);
+      waiting.clear();
+    },
   };
 }
--- a/src/homes/create_gathering_test.ts
+++ b/src/homes/create_gathering_test.ts
@@ -26,6 +26,23 @@
   assert.equal(gathering.size(), 3);
 });
 
+test("a body that does not come gives its turn to the next", (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const { gathering, turns, begin } = gatheringAt({ now: 0 });
+  const bodies = [1, 2, 3, 4, 5].map(begin);
+  t.mock.timers.tick(400);
+  bodies[0]?.add(Buffer.from("ph"));
+  assert.deepEqual(turns, [1, 2, 3]);
+  t.mock.timers.tick(400);
+  assert.deepEqual(turns, [1, 2, 3, 4, 5]);
+  assert.equal(gathering.size(), 5);
+  // One that comes after all is as good as any.
+  bodies[1]?.add(Buffer.from("phot"));
+  assert.equal(bodies[1]?.isWhole(), true);
+  for (const body of bodies) body.close();
+  assert.equal(gathering.size(), 0);
+});
+
 test("the time of bodies is learnt with their wait", () => {
   const times = { now: 0 };
   const { gathering, begin } = gatheringAt(times);
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -426,6 +426,7 @@
       clearTimeout(ticker);
       clearTimeout(reopener);
       for (const entry of open.values()) clearTimeout(entry.timer);
+      gathering.close();
       await pool?.close();
     },
   };
