fix(homes): refuse a body at once whose turn comes too late

When more large bodies were sent to a home than its turns could bring, callers were refused only at their deadline, though the home knew before that they had waited in vain, and could not go elsewhere any more.

The home now learns how long a body takes from its turn on, and counts the turns before a new one. Its own time is not counted, so a home that has learnt a long one is still tried. 'a body whose turn comes too late is refused at once' failed before.

--- a/src/homes/create_gathering.ts
+++ b/src/homes/create_gathering.ts
@@ -52,6 +52,8 @@
   ): GatheredBody;
   /** Expected time until a body of the route is here, in milliseconds. */
   expectedMs(route: string): number;
+  /** Expected time until one that is begun now may come, in milliseconds. */
+  turnMs(route: string): number;
   /** Bodies that come or wait for their turn. */
   size(): number;
   /** No further body gets its turn. */
@@ -70,7 +72,11 @@
   const coming = new Set<Place>();
   const waiting = new Set<Place>();
   const stalled = new Set<Place>();
-  const meanMs = new Map<string, number>();
+  /** Mean times of bodies by route, from their calls' offers and turns on. */
+  const means = {
+    offer: new Map<string, number>(),
+    turn: new Map<string, number>(),
+  };
   let reserved = 0;
 
   function admit() {
@@ -99,9 +105,10 @@
     admit();
   }
 
-  function learn(route: string, tookMs: number) {
-    const known = meanMs.get(route) ?? tookMs;
-    meanMs.set(route, known + (tookMs - known) * newestWeight);
+  function learn(mean: Map<string, number>, route: string, since: number) {
+    const tookMs = opts.now() - since;
+    const known = mean.get(route) ?? tookMs;
+    mean.set(route, known + (tookMs - known) * newestWeight);
   }
 
   return {
@@ -111,6 +118,7 @@
     },
     begin({ route, bodyBytes = 0 }, onTurn) {
       const begunAt = opts.now();
+      let turnAt = begunAt;
       const chunks: Buffer[] = [];
       let size = 0;
       const body: GatheredBody = {
@@ -118,19 +126,32 @@
           size += chunk.length;
           chunks.push(chunk);
           if (coming.has(place)) place.staller?.refresh();
-          if (size >= bodyBytes) learn(route, opts.now() - begunAt);
+          if (size < bodyBytes) return;
+          learn(means.offer, route, begunAt);
+          learn(means.turn, route, turnAt);
         },
         isWhole: () => size >= bodyBytes,
         bytes: () => Buffer.concat(chunks, size),
         close: () => leave(place),
       };
-      const place: Place = { bytes: bodyBytes, onTurn: () => onTurn(body) };
+      const place: Place = {
+        bytes: bodyBytes,
+        onTurn() {
+          turnAt = opts.now();
+          onTurn(body);
+        },
+      };
       reserved += bodyBytes;
       waiting.add(place);
       admit();
       return body;
     },
-    expectedMs: (route) => meanMs.get(route) ?? 0,
+    expectedMs: (route) => means.offer.get(route) ?? 0,
+    turnMs(route) {
+      if (coming.size < maxComing) return 0;
+      const turns = (waiting.size + 1) / maxComing;
+      return turns * (means.turn.get(route) ?? 0);
+    },
     size: () => coming.size + waiting.size + stalled.size,
     close() {
       for (const { staller } of coming) clearTimeout(staller);
--- a/src/homes/create_home.ts
+++ b/src/homes/create_home.ts
@@ -308,7 +308,9 @@
       return apply(decideQueue(queue, event));
     }
     const aimAt = offer.call.aimAt - gathering.expectedMs(call.route);
-    const shortened = { ...offer, call: { ...offer.call, aimAt } };
+    // Its own time is left out: one that was learnt in trouble has to be tried.
+    const deadlineAt = entry.deadlineAt - gathering.turnMs(call.route);
+    const shortened = { ...offer, call: { ...offer.call, aimAt, deadlineAt } };
     const reason = whyRefused(queue, { ...shortened, now: now() });
     if (reason !== undefined) {
       open.delete(key);
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -28,11 +28,20 @@
   heardAt: 0,
 };
 
+interface HomeOptions {
+  readonly onRun?: (run: Run) => void;
+  readonly now?: () => number;
+}
+
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 /** A home of an endpoint that answers each request as `serve` does. */
 async function homeOf(
   t: TestContext,
   serve: (socket: Socket, chunk: Buffer) => void,
-  onRun: (run: Run) => void = () => {},
+  { onRun = () => {}, now = () => performance.now() }: HomeOptions = {},
 ) {
   const server = createServer((socket) => {
     socket.on("error", () => {});
@@ -45,7 +54,7 @@
   const home = createHome({
     endpointAddress: `127.0.0.1:${port}`,
     dialect: testDialect,
-    now: () => performance.now(),
+    now,
     onRun,
     onLate: () => {},
     onDoubt: () => {},
@@ -171,7 +180,7 @@
     socket.write(
       "HTTP/1.1 500 Failed\r\ncall-id: r-1\r\ncontent-length: 0\r\n\r\n",
     );
-  }, (run) => runs.push(run));
+  }, { onRun: (run) => runs.push(run) });
   await offer(home);
   assert.deepEqual(
     runs.map(({ isFailed, isExcused }) => ({ isFailed, isExcused })),
@@ -183,7 +192,7 @@
   const runs: Run[] = [];
   const { home } = await homeOf(t, () => {
     home.setInstance({ ...announced, bornAt: 1, version: "v2" }, "");
-  }, (run) => runs.push(run));
+  }, { onRun: (run) => runs.push(run) });
   assert.equal(
     (await offer(home, { leftMs: 400, aimLeftMs: 100 })).type,
     "failed",
@@ -332,6 +341,41 @@
   assert.equal(home.isBusy(), false);
 });
 
+test("a body whose turn comes too late is refused at once", async (t) => {
+  let at = 0;
+  const { home } = await homeOf(t, (socket) => {
+    socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
+  }, { now: () => at });
+  const upload = { method: "POST", body: undefined, bodyBytes: 6 };
+  const offerBody = () => {
+    const events: AttemptEvent[] = [];
+    const change = { ...call, ...upload, leftMs: 1_900, aimLeftMs: 1_900 };
+    const attempt = home.offer(change, (event) => events.push(event));
+    return { attempt, events };
+  };
+  const first = offerBody();
+  while (first.events.length < 1) await nextTurn();
+  at = 1_000;
+  first.attempt.send(Buffer.from("photo!"));
+  while (first.events.length < 2) await nextTurn();
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const coming = [1, 2, 3].map(offerBody);
+  const waiting = [1, 2, 3, 4, 5].map(offerBody);
+  const last = offerBody();
+  // Offers are taken in the turn after theirs.
+  for (let turns = 0; turns < 3; turns++) await nextTurn();
+  const told = [...coming, ...waiting, last].map(({ events }) =>
+    events.map((event) =>
+      event.type === "refused" ? event.refusal.reason : event.type
+    ).join()
+  );
+  const late = RefusalReason.NoTime;
+  assert.deepEqual(told, [
+    ...["admitted", "admitted", "admitted"],
+    ...["", "", "", "", "", late],
+  ]);
+});
+
 test("a body that comes for another service is not run", async (t) => {
   const { home } = await homeOf(t, () => assert.fail("it has run"));
   const upload = { body: undefined, bodyBytes: 6 };
