fix(instance): use a start that looks older once the one before is silent

An endpoint that crashed and started again after its VM's time of day was set back got no calls for as long as it lived, and its service lost the capacity. Its pings were acknowledged all the same, so it did not look for another node.

Starts are ordered by the time of day at which they were born, and a ping of an older start was dropped however long the later one had said nothing. A start that has been silent for 10 s, some six pings, keeps no other one away any more. Should a ping that was held up that long be believed, the endpoint's check of its id turns the calls away. 'a start that looks older is used once the one before is silent' failed before.

--- a/src/instance/decide_instance.ts
+++ b/src/instance/decide_instance.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { exhausted } from "../core/exhausted.ts";
+import type { MonotonicMs } from "../core/types.ts";
 import {
   type Instance,
   type InstanceChange,
@@ -12,6 +13,12 @@
   type InstanceState,
 } from "./state.ts";
 
+/**
+ * Silence after which an endpoint doesn't keep others away any more, in
+ * milliseconds. A time of day that was set back makes the next start look older.
+ */
+const goneMs = 10_000;
+
 /** Endpoints remembered after they left. A VM runs one at a time. */
 const maxLeft = 64;
 
@@ -39,7 +46,7 @@
 ): InstanceChange {
   const { ping, now } = event;
   const { current } = state;
-  const reason = whyIgnored(state, ping);
+  const reason = whyIgnored(state, ping, now);
   if (reason !== undefined) return { type: "none", reason };
   const { coldMs, ...rest } = ping;
   const isSameStart = current?.id === ping.id && current.bornAt === ping.bornAt;
@@ -63,6 +70,7 @@
 function whyIgnored(
   state: InstanceState,
   ping: InstancePing,
+  now: MonotonicMs,
 ): string | undefined {
   const { current } = state;
   const leftBornAt = state.left.get(ping.id);
@@ -70,7 +78,9 @@
     return "its sender has left";
   }
   if (current === undefined) return undefined;
-  if (ping.bornAt < current.bornAt) return "a later start has pinged";
+  if (ping.bornAt < current.bornAt && now - current.heardAt < goneMs) {
+    return "a later start has pinged";
+  }
   const isSameStart = current.id === ping.id && current.bornAt === ping.bornAt;
   return isSameStart && ping.seq <= current.seq
     ? "a later ping has arrived"
--- a/src/instance/instance_test.ts
+++ b/src/instance/instance_test.ts
@@ -56,6 +56,18 @@
   assert.equal(state.current?.phase, InstancePhase.Ready);
 });
 
+test("a start that looks older is used once the one before is silent", () => {
+  const state = createInstanceState();
+  const ping = (bornAt: number, now: number) =>
+    decideInstance(state, { type: "pinged", ping: pingOf({ bornAt }), now });
+  ping(9_000, 0);
+  // The time of day was set back, and the endpoint started again.
+  assert.equal(ping(4_000, 2_000).type, "none");
+  assert.equal(ping(4_000, 9_000).type, "none");
+  assert.equal(ping(4_000, 11_000).type, "started");
+  assert.equal(state.current?.bornAt, 4_000);
+});
+
 test("an unknown leave is remembered", () => {
   const state = createInstanceState();
   decideInstance(state, { type: "left", id: "i-9" });
