fix(callers): read a body to its end behind an early answer

A caller whose large upload was refused, or answered by the endpoint before it was sent whole, could not send the rest: it hung in the middle of its body, and no further request on its kept connection was read. While a node stops, such a connection kept it from ending until its grace was over.

A body that has no home is paused after 256 KiB. When its call was done nothing ever had it read on: Node discards a body by itself only where nobody has begun to read it, and the pause came again with each part that a stop resumed. The body is now closed with its call: the rest is read and nothing of it is kept.

--- a/src/callers/request_body.ts
+++ b/src/callers/request_body.ts
@@ -28,6 +28,8 @@
   /** Sends all parts to the sink, those read before included. */
   pipe(sink: BodySink): void;
   unpipe(sink: BodySink): void;
+  /** Reads the rest and keeps nothing, so that its connection can go on. */
+  close(): void;
 }
 
 /** Options of `readBody`. */
@@ -53,10 +55,12 @@
   let size = 0;
   let isWhole = false;
   let isDropped = false;
+  let isClosed = false;
 
   req.on("data", (chunk: Buffer) => {
     size += chunk.length;
     if (size > opts.maxBytes) return opts.onTooLarge();
+    if (isClosed) return;
     if (size > maxKeptBytes && sinks.size > 0) isDropped = true;
     if (!isDropped) parts.push(chunk);
     else parts.length = 0;
@@ -81,5 +85,12 @@
       req.resume();
     },
     unpipe: (sink) => sinks.delete(sink),
+    close() {
+      isClosed = true;
+      isDropped = true;
+      parts.length = 0;
+      sinks.clear();
+      req.resume();
+    },
   };
 }
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -370,6 +370,7 @@
       open.attempt.cancel();
       close(open, isLost);
     }
+    body?.close();
     if (streaming !== undefined && result === CallResult.Served) res.end();
     else streaming?.attempt.cancel();
     const tookMs = ctx.now() - startedAt;
