fix(homes): read what has come before a body counts as stalled

On a node that can't keep up bodies lost their turns though their bytes were there, and more of them came at once than its link bears. The turn's timer runs before the loop reads what came while it was busy. It is now only a suspicion, and the turn goes on if the next read brings something. 'a body that waits unread keeps its turn' failed before.

--- a/src/homes/create_gathering.ts
+++ b/src/homes/create_gathering.ts
@@ -64,6 +64,8 @@
 
 interface Place {
   readonly onTurn: () => void;
+  /** Bytes that have come. */
+  size: number;
   /** Ends its turn if nothing comes. */
   staller?: NodeJS.Timeout;
 }
@@ -85,11 +87,26 @@
       if (coming.size >= maxComing) return;
       waiting.delete(place);
       coming.add(place);
-      place.staller = setTimeout(() => yieldTurn(place), stalledMs);
+      watch(place);
       place.onTurn();
     }
   }
 
+  function watch(place: Place) {
+    clearTimeout(place.staller);
+    place.staller = setTimeout(() => suspect(place), stalledMs);
+  }
+
+  /** A node that can't keep up first reads what has come. */
+  function suspect(place: Place) {
+    const { size } = place;
+    setImmediate(() => {
+      if (!coming.has(place)) return;
+      if (place.size === size) yieldTurn(place);
+      else watch(place);
+    });
+  }
+
   /** The body may still come, beside those whose turn it is. */
   function yieldTurn(place: Place) {
     coming.delete(place);
@@ -125,6 +142,7 @@
         add(chunk) {
           size += chunk.length;
           chunks.push(chunk);
+          place.size = size;
           if (coming.has(place)) place.staller?.refresh();
           if (size < bodyBytes) return;
           learn(means.offer, route, begunAt);
@@ -140,6 +158,7 @@
         },
       };
       const place: Place = {
+        size,
         onTurn() {
           turnAt = opts.now();
           onTurn(body);
@@ -159,6 +178,7 @@
     size: () => coming.size + waiting.size + stalled.size,
     close() {
       for (const { staller } of coming) clearTimeout(staller);
+      coming.clear();
       waiting.clear();
     },
   };
--- a/src/homes/create_gathering_test.ts
+++ b/src/homes/create_gathering_test.ts
@@ -6,6 +6,10 @@
 
 const photo = offeredCall({ body: undefined, bodyBytes: 4 });
 
+function nextTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 function gatheringAt(times: { now: number }) {
   const gathering = createGathering({ now: () => times.now });
   const turns: number[] = [];
@@ -26,7 +30,7 @@
   assert.equal(gathering.size(), 3);
 });
 
-test("a body that does not come gives its turn to the next", (t) => {
+test("a body that does not come gives its turn to the next", async (t) => {
   t.mock.timers.enable({ apis: ["setTimeout"] });
   const { gathering, turns, begin } = gatheringAt({ now: 0 });
   const bodies = [1, 2, 3, 4, 5].map(begin);
@@ -34,6 +38,7 @@
   bodies[0]?.add(Buffer.from("ph"));
   assert.deepEqual(turns, [1, 2, 3]);
   t.mock.timers.tick(400);
+  await nextTurn();
   assert.deepEqual(turns, [1, 2, 3, 4, 5]);
   assert.equal(gathering.size(), 5);
   // One that comes after all is as good as any.
@@ -43,6 +48,19 @@
   assert.equal(gathering.size(), 0);
 });
 
+test("a body that waits unread keeps its turn", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const { turns, begin } = gatheringAt({ now: 0 });
+  const bodies = [1, 2, 3, 4].map(begin);
+  t.mock.timers.tick(600);
+  for (const body of bodies.slice(0, 3)) body.add(Buffer.from("ph"));
+  await nextTurn();
+  assert.deepEqual(turns, [1, 2, 3]);
+  t.mock.timers.tick(600);
+  await nextTurn();
+  assert.deepEqual(turns, [1, 2, 3, 4]);
+});
+
 test("the time of bodies is learnt with their wait", () => {
   const times = { now: 0 };
   const { gathering, begin } = gatheringAt(times);
