fix(sidecar): pass over records that name no node

One record in the topic of nodes whose key is no address ended every process that read it at its start, again and again: callers found no node there.

The key went to the dialler as it was, which throws on an address that it can't read, and nothing was there to take that. Keys are now looked at where they come in from the store. 'a record that names no node is passed over' failed before.

--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -74,7 +74,7 @@
       return appended.isOk() ? true : undefined;
     });
     const nodes = await insist("find nodes", () => newest(topics.nodes));
-    opts.onNodes((nodes ?? []).map(({ key }) => key));
+    opts.onNodes((nodes ?? []).map(({ key }) => key).filter(isAddress));
   }
 
   async function readStatuses() {
@@ -91,3 +91,8 @@
   void readStatuses();
   return { close: () => closing.abort() };
 }
+
+/** Whether a key may be a node's. The store has other writers. */
+function isAddress(key: string): boolean {
+  return /^[\w.-]+:\d+$/.test(key) && URL.canParse(`ws://${key}`);
+}
