fix(sidecar): tell the evidence of moves to the nodes that would lead next

Evidence goes to the own domain and to the first two nodes that read the store. At the end of a move the old endpoints stop with their VMs, so leaders do end there. The evidence now goes to the first two nodes that could read as well, as it did before. 'the next leader gets the evidence before it reads' fails on the old choice.

--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -29,6 +29,7 @@
 import type { MoveDescription } from "../takeover/describe_moves.ts";
 import type { TakeoverEvent } from "../takeover/state.ts";
 import type { FeedPeers, OperatorFeed } from "./feed_operator.ts";
+import { leadersOf } from "./leaders_of.ts";
 
 /**
  * Time between pings of an idle pair of nodes, in milliseconds, within the
@@ -53,9 +54,6 @@
 /** A peer's word on the health of its store reads counts this long. */
 const healthMs = 6_000;
 
-/** Nodes that keep all evidence: the one that leads, and the next. */
-const leaderCount = 2;
-
 /** Options of `createGossip`. */
 export interface CreateGossipOptions {
   readonly self: NodeId;
@@ -101,7 +99,8 @@
 export function createGossip(opts: CreateGossipOptions): GossipHub {
   const { self, fleet, now, meter } = opts;
   const links = new Map<NodeId, DialledLink>();
-  const healthyAt = new Map<NodeId, MonotonicMs>();
+  /** What linked nodes last said of their reads of the store. */
+  const readings = new Map<NodeId, Reading>();
   const exchangedAt = new Map<NodeId, MonotonicMs>();
   let nearLinks = 0;
   let probedAt = -Infinity;
@@ -127,7 +126,7 @@
       case "forget":
         links.get(effect.node)?.close();
         links.delete(effect.node);
-        healthyAt.delete(effect.node);
+        readings.delete(effect.node);
         exchangedAt.delete(effect.node);
         opts.operator.lose(effect.node);
         return;
@@ -146,7 +145,7 @@
     return dialLink({
       node,
       idleMs: () => idleMs(node),
-      exchangedAt: () => exchangedAt.get(node) ?? -Infinity,
+      exchangedAt: () => heardAt(node),
       lagMs: opts.lagMs,
       now,
       random: opts.random,
@@ -166,7 +165,7 @@
       onClose(reason) {
         const fields = { peer: node, reason };
         opts.log.write("fleet", LogLevel.Warn, "link lost", fields);
-        healthyAt.delete(node);
+        readings.delete(node);
         opts.operator.lose(node);
         if (reason === silentReason) probeLinks();
         change({ type: "unlinked", node, now: now() });
@@ -334,9 +333,15 @@
     }
   }
 
+  function heardAt(node: NodeId): MonotonicMs {
+    return exchangedAt.get(node) ?? -Infinity;
+  }
+
   function healthyNodes(): NodeId[] {
-    return [...healthyAt].flatMap(([node, at]) =>
-      now() - at < healthMs ? [node] : []
+    return [...readings].flatMap(([node, reading]) =>
+      reading === Reading.Healthy && now() - heardAt(node) < healthMs
+        ? [node]
+        : []
     );
   }
 
@@ -346,8 +351,7 @@
     const { report } = message;
     noteReport(opts.placement, { home: from, report, now: now() });
     const { reading, operatorEnd: end } = message;
-    if (reading === Reading.Healthy) healthyAt.set(from, now());
-    else healthyAt.delete(from);
+    readings.set(from, reading);
     const domain = domainOf(from);
     opts.operator.hear({ node: from, domain, reading, end });
   }
@@ -363,9 +367,9 @@
     pingNear: () => tellNear({ type: "ping", ...status() }),
     status,
     tellNearAndLeaders(message) {
-      const leaders = healthyNodes().toSorted().slice(0, leaderCount);
+      const leaders = leadersOf(readings);
       for (const [node, link] of links) {
-        if (leaders.includes(node) || isNear(node)) link.send(message);
+        if (leaders.has(node) || isNear(node)) link.send(message);
       }
     },
     change,
