--- a/src/homes/cut_answers_test.ts
+++ b/src/homes/cut_answers_test.ts
@@ -1,27 +1,15 @@
 import { test, type TestContext } from "node:test";
 import assert from "node:assert/strict";
 import type { AttemptEvent } from "../calls/state.ts";
-import { type Instance, InstancePhase } from "../instance/state.ts";
 import {
   createRawEndpoint,
   type RawRequest,
 } from "../testing/create_raw_endpoint.ts";
+import { announcedInstance } from "../testing/announced_instance.ts";
 import { offeredCall } from "../testing/offered_call.ts";
 import { testDialect } from "../testing/test_dialect.ts";
 import { createHome, type LocalHome } from "./create_home.ts";
 
-const instance: Instance = {
-  id: "i-1",
-  bornAt: 0,
-  seq: 1,
-  service: "one",
-  version: "v1",
-  slots: 2,
-  phase: InstancePhase.Ready,
-  coldUntil: -Infinity,
-  heardAt: 0,
-};
-
 /** Starts a home of an endpoint that answers as told. */
 async function homeOf(
   t: TestContext,
@@ -38,7 +26,7 @@
     onMisdirected: () => {},
     onTrouble: () => {},
   });
-  home.setInstance(instance, "");
+  home.setInstance(announcedInstance, "");
   t.after(() => home.close());
   return { home, requests: endpoint.requests };
 }
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -7,8 +7,8 @@
   type OfferedCall,
   RefusedBy,
 } from "../calls/state.ts";
-import { type Instance, InstancePhase } from "../instance/state.ts";
 import { RefusalReason } from "../queue/state.ts";
+import { announcedInstance } from "../testing/announced_instance.ts";
 import { offeredCall } from "../testing/offered_call.ts";
 import { testDialect } from "../testing/test_dialect.ts";
 import type { Run } from "../takeover/count_run.ts";
@@ -16,18 +16,6 @@
 
 const call = offeredCall({ mayBeLate: true });
 
-const announced: Instance = {
-  id: "i-1",
-  bornAt: 0,
-  seq: 1,
-  service: "one",
-  version: "v1",
-  slots: 2,
-  phase: InstancePhase.Ready,
-  coldUntil: -Infinity,
-  heardAt: 0,
-};
-
 interface HomeOptions {
   readonly onRun?: (run: Run) => void;
   readonly now?: () => number;
@@ -61,7 +49,7 @@
     onTrouble: () => {},
     onMisdirected: () => {},
   });
-  home.setInstance(announced, "");
+  home.setInstance(announcedInstance, "");
   t.after(async () => {
     await home.close();
     server.close();
@@ -191,7 +179,7 @@
 test("a run that takes too long counts for the version that ran it", async (t) => {
   const runs: Run[] = [];
   const { home } = await homeOf(t, () => {
-    home.setInstance({ ...announced, bornAt: 1, version: "v2" }, "");
+    home.setInstance({ ...announcedInstance, bornAt: 1, version: "v2" }, "");
   }, { onRun: (run) => runs.push(run) });
   assert.equal(
     (await offer(home, { leftMs: 400, aimLeftMs: 100 })).type,
@@ -272,13 +260,18 @@
     asked.push("run");
     setTimeout(() => socket.destroy(), 100);
   });
-  home.setInstance({ ...announced, slots: 1 }, "");
+  home.setInstance({ ...announcedInstance, slots: 1 }, "");
   const running = offer(home);
   const waiting = offer(home, { id: "r-2" });
   while (asked.length === 0) {
     await new Promise((resolve) => setTimeout(resolve, 5));
   }
-  home.setInstance({ ...announced, id: "i-2", service: "two", bornAt: 1 }, "");
+  home.setInstance({
+    ...announcedInstance,
+    id: "i-2",
+    service: "two",
+    bornAt: 1,
+  }, "");
   const event = await waiting;
   assert.equal(event.type, "refused");
   assert.equal((await running).type, "failed");
@@ -289,7 +282,7 @@
   const { home } = await homeOf(t, (socket) => {
     socket.write(head("call-id: r-1\r\ncontent-length: 4") + "body");
   });
-  home.setInstance({ ...announced, slots: 1 }, "");
+  home.setInstance({ ...announcedInstance, slots: 1 }, "");
   const upload = { id: "r-2", method: "POST", body: undefined, bodyBytes: 6 };
   const events: string[] = [];
   let attempt: Attempt | undefined;
@@ -397,7 +390,7 @@
 
 test("bodies that wait for a slot are bounded in memory", async (t) => {
   const { home } = await homeOf(t, () => {});
-  home.setInstance({ ...announced, slots: 1 }, "");
+  home.setInstance({ ...announcedInstance, slots: 1 }, "");
   const photo = Buffer.alloc(1_000_000);
   const upload = { method: "POST", body: undefined, bodyBytes: photo.length };
   let taken = 0;
@@ -423,7 +416,7 @@
 test("a body that comes for another service is not run", async (t) => {
   const { home } = await homeOf(t, () => assert.fail("it has run"));
   const upload = { body: undefined, bodyBytes: 6 };
-  const next = { ...announced, id: "i-2", service: "two", bornAt: 1 };
+  const next = { ...announcedInstance, id: "i-2", service: "two", bornAt: 1 };
   const refusal = await new Promise<AttemptEvent>((resolve) => {
     const attempt = home.offer({ ...call, ...upload }, (event) => {
       if (event.type !== "admitted") return resolve(event);
@@ -448,10 +441,10 @@
     await new Promise((resolve) => setTimeout(resolve, 20));
   };
   await ask("r-1");
-  home.setInstance({ ...announced, seq: 2 }, "");
+  home.setInstance({ ...announcedInstance, seq: 2 }, "");
   await ask("r-2");
   assert.equal(asked[1], asked[0]);
-  home.setInstance({ ...announced, bornAt: 1 }, "");
+  home.setInstance({ ...announcedInstance, bornAt: 1 }, "");
   await ask("r-3");
   assert.notEqual(asked[2], asked[0]);
 });
--- a/src/homes/stale_answers_test.ts
+++ b/src/homes/stale_answers_test.ts
@@ -7,27 +7,15 @@
   RefusedBy,
 } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
-import { type Instance, InstancePhase } from "../instance/state.ts";
 import {
   createRawEndpoint,
   type RawRequest,
 } from "../testing/create_raw_endpoint.ts";
+import { announcedInstance } from "../testing/announced_instance.ts";
 import { offeredCall } from "../testing/offered_call.ts";
 import { testDialect } from "../testing/test_dialect.ts";
 import { createHome, type LocalHome } from "./create_home.ts";
 
-const instance: Instance = {
-  id: "i-1",
-  bornAt: 0,
-  seq: 1,
-  service: "one",
-  version: "v1",
-  slots: 2,
-  phase: InstancePhase.Ready,
-  coldUntil: -Infinity,
-  heardAt: 0,
-};
-
 /** Time enough for a process that stands still beside other work. */
 const patient = { leftMs: 60_000, aimLeftMs: 60_000 };
 
@@ -43,7 +31,7 @@
     onTrouble: () => {},
     onMisdirected: () => {},
   });
-  home.setInstance(instance, "");
+  home.setInstance(announcedInstance, "");
   t.after(() => home.close());
   return { home, endpoint };
 }
--- /dev/null
+++ b/src/testing/announced_instance.ts
@@ -0,0 +1,18 @@
+/**
+ * An endpoint as it announced itself, for tests.
+ * @module
+ */
+import { type Instance, InstancePhase } from "../instance/state.ts";
+
+/** A warm endpoint with two slots. */
+export const announcedInstance: Instance = {
+  id: "i-1",
+  bornAt: 0,
+  seq: 1,
+  service: "one",
+  version: "v1",
+  slots: 2,
+  phase: InstancePhase.Ready,
+  coldUntil: -Infinity,
+  heardAt: 0,
+};
