fix(instance): a confirmed leave binds the process that starts next

The node was being restarted in turn and counted as in touch at the calls, so the process that confirmed had started half a second before and had heard no ping yet. A leave names no start, and was kept for the start of an endpoint that is known; for an unknown one it was kept for none, so the next ping opened the gate. It is now kept for all starts before the time at which it was said.

A node's row now names the starts that are gone, other nodes keep that over its lives, and tell it to a process that greets them.

--- a/src/callers/find_next_home_test.ts
+++ b/src/callers/find_next_home_test.ts
@@ -21,6 +21,7 @@
       rows: new Map(),
       linked: new Set(),
       seenAt: new Map(),
+      gone: new Map(),
       byService: new Map([["one", new Map([["v1", candidates]])]]),
     },
     placement: createPlacementState(),
--- a/src/fleet/decide_fleet.ts
+++ b/src/fleet/decide_fleet.ts
@@ -10,7 +10,6 @@
   type FleetState,
   type NodeRow,
   ownRow,
-  type RowEndpoint,
 } from "./state.ts";
 
 /**
@@ -26,7 +25,7 @@
 ): readonly FleetEffect[] {
   switch (event.type) {
     case "row-changed":
-      return changeOwnRow(state, event.endpoint, event.now);
+      return changeOwnRow(state, event);
     case "rows-heard":
       return takeRows(state, event.rows, event.now);
     case "nodes-found":
@@ -51,11 +50,11 @@
 
 function changeOwnRow(
   state: FleetState,
-  endpoint: RowEndpoint | undefined,
-  now: MonotonicMs,
+  event: Extract<FleetEvent, { type: "row-changed" }>,
 ): readonly FleetEffect[] {
+  const { endpoint, gone, now } = event;
   const { revision, ...rest } = ownRow(state);
-  const row = { ...rest, endpoint, revision: revision + 1 };
+  const row = { ...rest, endpoint, gone, revision: revision + 1 };
   state.rows.set(state.self, { row, takenAt: now });
   state.isIndexStale = true;
   return [{ type: "tell", row }];
@@ -73,13 +72,19 @@
     if (row.node === state.self) continue;
     effects.push(...meet(state, row.node, now));
     if (!isNews(state, row)) continue;
-    state.rows.set(row.node, { row, takenAt: now });
+    keepRow(state, row, now);
     isChanged = true;
   }
   if (isChanged) state.isIndexStale = true;
   return effects;
 }
 
+function keepRow(state: FleetState, row: NodeRow, now: MonotonicMs) {
+  state.rows.set(row.node, { row, takenAt: now });
+  const { gone = [] } = row;
+  if (gone.length > 0) state.gone.set(row.node, gone);
+}
+
 /**
  * Whether a row replaces the one that is known. Clocks can't order the
  * processes at one address, so only the open link tells which one is there.
@@ -100,7 +105,7 @@
   if (node === state.self) return [];
   const known = state.rows.get(node)?.row;
   if (known?.life !== row.life || row.revision > known.revision) {
-    state.rows.set(node, { row, takenAt: now });
+    keepRow(state, row, now);
   }
   const effects = meet(state, node, now);
   state.linked.add(node);
@@ -151,6 +156,7 @@
     if (state.linked.has(node) || now - seenAt < forgetAfterMs) continue;
     state.seenAt.delete(node);
     state.rows.delete(node);
+    state.gone.delete(node);
     effects.push({ type: "forget", node });
   }
   return effects;
--- a/src/fleet/fleet_test.ts
+++ b/src/fleet/fleet_test.ts
@@ -112,12 +112,26 @@
   hear(peer, rowOf("a", 50, "i-old"));
   confirm(peer, ownRow(state));
   assert.deepEqual(homesOf(peer), []);
-  const told = decideFleet(state, { type: "row-changed", endpoint, now: 3 });
+  const told = decideFleet(state, {
+    type: "row-changed",
+    endpoint,
+    gone: [],
+    now: 3,
+  });
   assert.equal(told[0]?.type, "tell");
   hear(peer, ownRow(state));
   assert.deepEqual(homesOf(peer), ["a"]);
 });
 
+test("what a node said of gone starts outlives its process", () => {
+  const state = fleetOf();
+  const gone = [{ id: "i-2", bornAt: 7 }];
+  confirm(state, { ...rowOf("b", 1), gone });
+  lose(state, "b");
+  confirm(state, rowOf("b", 0, undefined, { life: "second" }));
+  assert.deepEqual(state.gone.get("b"), gone);
+});
+
 test("a node without a link for long is forgotten", () => {
   const state = fleetOf();
   hear(state, rowOf("b", 1, "i-2"));
--- a/src/fleet/state.ts
+++ b/src/fleet/state.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { GoneStart } from "../instance/state.ts";
 import type { Candidate } from "../placement/state.ts";
 import { indexCandidates } from "./index_candidates.ts";
 
@@ -26,6 +27,8 @@
   readonly revision: number;
   /** Absent while the endpoint takes no new calls. */
   readonly endpoint?: RowEndpoint | undefined;
+  /** Starts of its endpoint whose leaving the node has confirmed. */
+  readonly gone?: readonly GoneStart[];
 }
 
 /** A row and when it came. */
@@ -44,6 +47,11 @@
   readonly linked: Set<NodeId>;
   /** When a node was last linked, or first heard of. */
   readonly seenAt: Map<NodeId, MonotonicMs>;
+  /**
+   * What nodes last said of starts that are gone. Kept over their lives: a
+   * process that starts again at an address has forgotten it.
+   */
+  readonly gone: Map<NodeId, readonly GoneStart[]>;
   /** Built when it is used after a change: changes come in crowds. */
   readonly byService: CandidateIndex;
   /** Whether rows or links have changed since the index was built. */
@@ -60,6 +68,7 @@
   | {
     readonly type: "row-changed";
     readonly endpoint: RowEndpoint | undefined;
+    readonly gone: readonly GoneStart[];
     readonly now: MonotonicMs;
   }
   | {
@@ -128,6 +137,7 @@
     rows: new Map([[opts.self, { row, takenAt: -Infinity }]]),
     linked: new Set(),
     seenAt: new Map(),
+    gone: new Map(),
     get byService() {
       if (this.isIndexStale === true) index = indexCandidates(this);
       this.isIndexStale = false;
--- a/src/instance/decide_instance.ts
+++ b/src/instance/decide_instance.ts
@@ -5,6 +5,7 @@
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import {
+  type GoneStart,
   type Instance,
   type InstanceChange,
   type InstanceEvent,
@@ -22,6 +23,9 @@
 /** Endpoints remembered after they left. A VM runs one at a time. */
 const maxLeft = 64;
 
+/** Those that other nodes are told of. */
+const maxTold = 4;
+
 /**
  * Takes a ping or a leave. A ping that was delayed past a newer one, past a
  * newer start, or past the leave of its sender changes nothing.
@@ -34,7 +38,9 @@
     case "pinged":
       return takePing(state, event);
     case "left":
-      return takeLeave(state, event.id);
+      return takeLeave(state, event);
+    case "recalled":
+      return recall(state, event.gone);
     default:
       return exhausted(event);
   }
@@ -92,16 +98,49 @@
     a.slots === b.slots;
 }
 
-function takeLeave(state: InstanceState, id: string): InstanceChange {
-  const { current, left } = state;
-  // A leave names no start, so it ends the latest one known under that id.
-  const bornAt = current?.id === id ? current.bornAt : 0;
-  left.set(id, Math.max(bornAt, left.get(id) ?? 0));
-  const [oldest] = left.keys();
-  if (left.size > maxLeft && oldest !== undefined) left.delete(oldest);
+function takeLeave(
+  state: InstanceState,
+  event: Extract<InstanceEvent, { type: "left" }>,
+): InstanceChange {
+  const { id, saidAt } = event;
+  const { current } = state;
+  // A leave names no start, so it ends the latest one known under that id. A
+  // node that has just started may hear it before any ping of that start.
+  const bornAt = current?.id === id ? current.bornAt : saidAt;
+  remember(state, { id, bornAt });
   if (current?.id !== id) {
     return { type: "none", reason: "another endpoint runs here" };
   }
   state.current = undefined;
   return { type: "left", id };
 }
+
+function recall(
+  state: InstanceState,
+  gone: readonly GoneStart[],
+): InstanceChange {
+  for (const start of gone) remember(state, start);
+  const { current } = state;
+  const leftBornAt = state.left.get(current?.id ?? "") ?? -Infinity;
+  if (current === undefined || current.bornAt > leftBornAt) {
+    return { type: "none", reason: "another endpoint runs here" };
+  }
+  state.current = undefined;
+  return { type: "left", id: current.id };
+}
+
+function remember({ left }: InstanceState, { id, bornAt }: GoneStart) {
+  left.set(id, Math.max(bornAt, left.get(id) ?? 0));
+  const [oldest] = left.keys();
+  if (left.size > maxLeft && oldest !== undefined) left.delete(oldest);
+}
+
+/** Starts that take no more calls, the newest last. */
+export function goneStarts(state: InstanceState): readonly GoneStart[] {
+  const { current, left } = state;
+  const gone = [...left].map(([id, bornAt]) => ({ id, bornAt }));
+  if (current?.phase === InstancePhase.Draining) {
+    gone.push({ id: current.id, bornAt: current.bornAt });
+  }
+  return gone.slice(-maxTold);
+}
--- a/src/instance/instance_test.ts
+++ b/src/instance/instance_test.ts
@@ -26,7 +26,7 @@
 test("a late ping does not revive an endpoint that left", () => {
   const state = createInstanceState();
   decideInstance(state, { type: "pinged", ping: pingOf({}), now: 0 });
-  decideInstance(state, { type: "left", id: "i-1" });
+  decideInstance(state, { type: "left", id: "i-1", saidAt: 0 });
   const late = pingOf({ seq: 2 });
   const change = decideInstance(state, { type: "pinged", ping: late, now: 9 });
   assert.equal(change.type, "none");
@@ -70,7 +70,7 @@
 
 test("an unknown leave is remembered", () => {
   const state = createInstanceState();
-  decideInstance(state, { type: "left", id: "i-9" });
+  decideInstance(state, { type: "left", id: "i-9", saidAt: 0 });
   assert.equal(state.current, undefined);
 });
 
@@ -101,3 +101,25 @@
     { runs: 200 },
   );
 });
+
+test("a start that an earlier process saw leave is not used again", () => {
+  const state = createInstanceState();
+  const gone = [{ id: "i-1", bornAt: 100 }];
+  const recall = () => decideInstance(state, { type: "recalled", gone });
+  const ping = (fields: Partial<InstancePing>) =>
+    decideInstance(state, { type: "pinged", ping: pingOf(fields), now: 0 });
+  assert.equal(ping({ bornAt: 100 }).type, "started");
+  assert.equal(recall().type, "left");
+  assert.equal(ping({ bornAt: 100, seq: 9 }).type, "none");
+  assert.equal(ping({ bornAt: 101 }).type, "started");
+  assert.equal(recall().type, "none");
+});
+
+test("a leave that comes before any ping ends the start that said it", () => {
+  const state = createInstanceState();
+  const ping = (fields: Partial<InstancePing>) =>
+    decideInstance(state, { type: "pinged", ping: pingOf(fields), now: 0 });
+  decideInstance(state, { type: "left", id: "i-1", saidAt: 2_000 });
+  assert.equal(ping({ bornAt: 1_000 }).type, "none");
+  assert.equal(ping({ bornAt: 2_001 }).type, "started");
+});
--- a/src/instance/state.ts
+++ b/src/instance/state.ts
@@ -34,6 +34,12 @@
   readonly heardAt: MonotonicMs;
 }
 
+/** A start of an endpoint that takes no more calls. */
+export interface GoneStart {
+  readonly id: string;
+  readonly bornAt: WallMs;
+}
+
 export interface InstanceState {
   /** Undefined before the first ping and after a leave. */
   current: Instance | undefined;
@@ -47,7 +53,14 @@
     readonly ping: InstancePing;
     readonly now: MonotonicMs;
   }
-  | { readonly type: "left"; readonly id: string };
+  | {
+    readonly type: "left";
+    readonly id: string;
+    /** Time of day at which the endpoint said so. */
+    readonly saidAt: WallMs;
+  }
+  /** An earlier process at this address has confirmed that they leave. */
+  | { readonly type: "recalled"; readonly gone: readonly GoneStart[] };
 
 /** What a ping or a leave changed. */
 export type InstanceChange =
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -105,6 +105,7 @@
         isFar = opts.isFar(message.row.domain);
         break;
       case "rows":
+      case "recall":
       case "ask-rows":
       case "ask-operator":
       case "operator":
--- a/src/links/create_packer.ts
+++ b/src/links/create_packer.ts
@@ -116,6 +116,7 @@
     case "ping":
     case "pong":
     case "rows":
+    case "recall":
     case "ask-rows":
     case "ask-operator":
     case "operator":
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -178,6 +178,7 @@
       case "hello":
       case "ping":
       case "rows":
+      case "recall":
       case "ask-rows":
       case "ask-operator":
       case "operator":
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -83,6 +83,7 @@
       return [Kind.Pong, ...statusFields(message)];
     case "hello":
     case "rows":
+    case "recall":
     case "ask-rows":
     case "ask-operator":
     case "move-step":
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -5,6 +5,7 @@
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import type { Offset } from "../core/types.ts";
 import type { NodeRow } from "../fleet/state.ts";
+import type { GoneStart } from "../instance/state.ts";
 import type { QueueReport } from "../queue/state.ts";
 import type { Reading } from "../reading/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
@@ -54,6 +55,8 @@
   | ({ readonly type: "ping" } & NodeStatus)
   | ({ readonly type: "pong" } & NodeStatus)
   | { readonly type: "rows"; readonly rows: readonly NodeRow[] }
+  /** What the process before the sender of a hello said of its endpoint. */
+  | { readonly type: "recall"; readonly gone: readonly GoneStart[] }
   | { readonly type: "ask-rows" }
   | { readonly type: "ask-operator" }
   | {
--- a/src/sidecar/create_gossip.ts
+++ b/src/sidecar/create_gossip.ts
@@ -14,6 +14,7 @@
   ownRow,
 } from "../fleet/state.ts";
 import type { LocalHome } from "../homes/create_home.ts";
+import type { GoneStart } from "../instance/state.ts";
 import {
   type DialledLink,
   dialLink,
@@ -69,6 +70,8 @@
   readonly lagMs: () => number;
   readonly meter: WorkMeter;
   readonly operator: OperatorFeed;
+  /** Peers tell of starts that an earlier process here saw leave. */
+  readonly onRecall: (gone: readonly GoneStart[]) => void;
   readonly moves: () => readonly MoveDescription[];
   readonly onMove: (event: TakeoverEvent) => void;
 }
@@ -290,9 +293,12 @@
         // A node that has just started is reached without a pause.
         links.get(message.row.node)?.hurry();
         reply({ type: "rows", rows: [ownRow(fleet)] });
+        recallFor(message.row.node, reply);
         return tellMoves(reply);
       case "rows":
         return change({ type: "rows-heard", rows: message.rows, now: now() });
+      case "recall":
+        return opts.onRecall(message.gone);
       case "ask-rows":
         reply({
           type: "rows",
@@ -325,6 +331,12 @@
     }
   }
 
+  /** A process that has just started knows nothing of the one before it. */
+  function recallFor(node: NodeId, reply: (message: Gossip) => void) {
+    const gone = fleet.gone.get(node);
+    if (gone !== undefined) reply({ type: "recall", gone });
+  }
+
   function tellMoves(reply: (message: Gossip) => void) {
     for (const { step, report, fault } of opts.moves()) {
       reply({ type: "move-step", step });
@@ -393,6 +405,7 @@
       return Priority.Rollback;
     case "rows":
     case "hello":
+    case "recall":
       return Priority.Drain;
     case "operator":
       return Priority.Config;
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -201,6 +201,7 @@
     lagMs: lag.lagMs,
     meter,
     operator: feed,
+    onRecall: (gone) => instance.recall(gone),
     moves: () => describeMoves(takeover, now()),
     onMove: move,
   });
@@ -255,8 +256,9 @@
     home,
     log,
     now,
-    onEndpoint: (endpoint) =>
-      gossip.change({ type: "row-changed", endpoint, now: now() }),
+    wall: Date.now,
+    onEndpoint: (endpoint, gone) =>
+      gossip.change({ type: "row-changed", endpoint, gone, now: now() }),
   });
 
   function isBusy(): boolean {
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -3,12 +3,13 @@
  * @module
  */
 import { formatError } from "../core/errors.ts";
-import type { MonotonicMs } from "../core/types.ts";
+import type { MonotonicMs, WallMs } from "../core/types.ts";
 import type { RowEndpoint } from "../fleet/state.ts";
 import type { LocalHome } from "../homes/create_home.ts";
-import { decideInstance } from "../instance/decide_instance.ts";
+import { decideInstance, goneStarts } from "../instance/decide_instance.ts";
 import {
   createInstanceState,
+  type GoneStart,
   type InstanceChange,
   InstancePhase,
 } from "../instance/state.ts";
@@ -23,14 +24,20 @@
   readonly home: LocalHome;
   readonly log: Log;
   readonly now: () => MonotonicMs;
+  readonly wall: () => WallMs;
   /** Told what other nodes may use from now on. */
-  readonly onEndpoint: (endpoint: RowEndpoint | undefined) => void;
+  readonly onEndpoint: (
+    endpoint: RowEndpoint | undefined,
+    gone: readonly GoneStart[],
+  ) => void;
 }
 
 export interface InstanceWatch {
   /** Takes a ping before it is acknowledged. Returns why it is refused. */
   ping(id: string, body: Buffer): string | undefined;
   leave(id: string): void;
+  /** Takes what other nodes know of an earlier process at this address. */
+  recall(gone: readonly GoneStart[]): void;
   /** Keeps the endpoint from other nodes; this node still uses it. */
   withdraw(): void;
 }
@@ -75,6 +82,7 @@
         slots: current.slots,
         coldMs: Math.max(0, current.coldUntil - now()),
       },
+      goneStarts(state),
     );
   }
 
@@ -97,7 +105,11 @@
       take(decideInstance(state, event));
       return undefined;
     },
-    leave: (id) => take(decideInstance(state, { type: "left", id })),
+    leave(id) {
+      const event = { type: "left", id, saidAt: opts.wall() } as const;
+      take(decideInstance(state, event));
+    },
+    recall: (gone) => take(decideInstance(state, { type: "recalled", gone })),
     withdraw() {
       isWithdrawn = true;
       open();
