--- a/src/homes/cut_answers_test.ts
+++ b/src/homes/cut_answers_test.ts
@@ -5,10 +5,9 @@
   createRawEndpoint,
   type RawRequest,
 } from "../testing/create_raw_endpoint.ts";
-import { announcedInstance } from "../testing/announced_instance.ts";
+import { createTestHome } from "../testing/create_test_home.ts";
 import { offeredCall } from "../testing/offered_call.ts";
-import { testDialect } from "../testing/test_dialect.ts";
-import { createHome, type LocalHome } from "./create_home.ts";
+import type { LocalHome } from "./create_home.ts";
 
 /** Starts a home of an endpoint that answers as told. */
 async function homeOf(
@@ -16,18 +15,7 @@
   onRequest: (req: RawRequest) => void,
 ) {
   const endpoint = await createRawEndpoint(t, onRequest);
-  const home = createHome({
-    endpointAddress: endpoint.address,
-    dialect: testDialect,
-    now: () => performance.now(),
-    onRun: () => {},
-    onDoubt: () => {},
-    onLate: () => {},
-    onMisdirected: () => {},
-    onTrouble: () => {},
-  });
-  home.setInstance(announcedInstance, "");
-  t.after(() => home.close());
+  const home = createTestHome(t, endpoint);
   return { home, requests: endpoint.requests };
 }
 
--- a/src/homes/homes_test.ts
+++ b/src/homes/homes_test.ts
@@ -9,17 +9,16 @@
 } from "../calls/state.ts";
 import { RefusalReason } from "../queue/state.ts";
 import { announcedInstance } from "../testing/announced_instance.ts";
+import {
+  createTestHome,
+  type CreateTestHomeOptions,
+} from "../testing/create_test_home.ts";
 import { offeredCall } from "../testing/offered_call.ts";
-import { testDialect } from "../testing/test_dialect.ts";
 import type { Run } from "../takeover/count_run.ts";
-import { createHome } from "./create_home.ts";
 
 const call = offeredCall({ mayBeLate: true });
 
-interface HomeOptions {
-  readonly onRun?: (run: Run) => void;
-  readonly now?: () => number;
-}
+type HomeOptions = Omit<CreateTestHomeOptions, "address">;
 
 function nextTurn(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
@@ -29,7 +28,7 @@
 async function homeOf(
   t: TestContext,
   serve: (socket: Socket, chunk: Buffer) => void,
-  { onRun = () => {}, now = () => performance.now() }: HomeOptions = {},
+  opts: HomeOptions = {},
 ) {
   const server = createServer((socket) => {
     socket.on("error", () => {});
@@ -39,21 +38,8 @@
     server.listen(0, "127.0.0.1", () => resolve())
   );
   const { port } = server.address() as AddressInfo;
-  const home = createHome({
-    endpointAddress: `127.0.0.1:${port}`,
-    dialect: testDialect,
-    now,
-    onRun,
-    onLate: () => {},
-    onDoubt: () => {},
-    onTrouble: () => {},
-    onMisdirected: () => {},
-  });
-  home.setInstance(announcedInstance, "");
-  t.after(async () => {
-    await home.close();
-    server.close();
-  });
+  const home = createTestHome(t, { address: `127.0.0.1:${port}`, ...opts });
+  t.after(() => server.close());
   return { home, server };
 }
 
--- a/src/homes/stale_answers_test.ts
+++ b/src/homes/stale_answers_test.ts
@@ -11,28 +11,16 @@
   createRawEndpoint,
   type RawRequest,
 } from "../testing/create_raw_endpoint.ts";
-import { announcedInstance } from "../testing/announced_instance.ts";
+import { createTestHome } from "../testing/create_test_home.ts";
 import { offeredCall } from "../testing/offered_call.ts";
-import { testDialect } from "../testing/test_dialect.ts";
-import { createHome, type LocalHome } from "./create_home.ts";
+import type { LocalHome } from "./create_home.ts";
 
 /** Time enough for a process that stands still beside other work. */
 const patient = { leftMs: 60_000, aimLeftMs: 60_000 };
 
 async function homeOf(t: TestContext, onRequest: (req: RawRequest) => void) {
   const endpoint = await createRawEndpoint(t, onRequest);
-  const home = createHome({
-    endpointAddress: endpoint.address,
-    dialect: testDialect,
-    now: () => performance.now(),
-    onRun: () => {},
-    onLate: () => {},
-    onDoubt: () => {},
-    onTrouble: () => {},
-    onMisdirected: () => {},
-  });
-  home.setInstance(announcedInstance, "");
-  t.after(() => home.close());
+  const home = createTestHome(t, endpoint);
   return { home, endpoint };
 }
 
--- /dev/null
+++ b/src/testing/create_test_home.ts
@@ -0,0 +1,37 @@
+/**
+ * A home of an endpoint that a test runs.
+ * @module
+ */
+import type { TestContext } from "node:test";
+import { createHome, type LocalHome } from "../homes/create_home.ts";
+import type { Run } from "../takeover/count_run.ts";
+import { announcedInstance } from "./announced_instance.ts";
+import { testDialect } from "./test_dialect.ts";
+
+/** Options of `createTestHome`. */
+export interface CreateTestHomeOptions {
+  /** `host:port` of the endpoint. */
+  readonly address: string;
+  readonly onRun?: (run: Run) => void;
+  readonly now?: () => number;
+}
+
+/** Creates a home whose gate is open. It is closed after the test. */
+export function createTestHome(
+  t: TestContext,
+  opts: CreateTestHomeOptions,
+): LocalHome {
+  const home = createHome({
+    endpointAddress: opts.address,
+    dialect: testDialect,
+    now: opts.now ?? (() => performance.now()),
+    onRun: opts.onRun ?? (() => {}),
+    onLate: () => {},
+    onDoubt: () => {},
+    onTrouble: () => {},
+    onMisdirected: () => {},
+  });
+  home.setInstance(announcedInstance, "");
+  t.after(() => home.close());
+  return home;
+}
