refactor(homes): choose a connection to the endpoint in one pass

Each call built three lists of the connections. The choice is the same: an open one that has not carried the id, else a closed one, else a new one.

--- a/src/homes/create_endpoint_pool.ts
+++ b/src/homes/create_endpoint_pool.ts
@@ -74,11 +74,16 @@
   }
 
   function choose(callId: string): Connection {
-    const idle = [...connections].filter((one) => !one.isBusy);
-    const unused = idle.filter((one) => !one.carried.has(callId));
-    const found = unused.find((one) => one.isOpen) ?? unused[0];
-    if (found !== undefined) return found;
-    const [oldest] = idle;
+    let oldest: Connection | undefined;
+    let unused: Connection | undefined;
+    for (const one of connections) {
+      if (one.isBusy) continue;
+      oldest ??= one;
+      if (one.carried.has(callId)) continue;
+      if (one.isOpen) return one;
+      unused ??= one;
+    }
+    if (unused !== undefined) return unused;
     if (oldest !== undefined && connections.size >= opts.connections) {
       connections.delete(oldest);
       void oldest.client.destroy();
