--- a/src/instance/decide_instance.ts
+++ b/src/instance/decide_instance.ts
@@ -23,9 +23,6 @@
 /** Endpoints remembered after they left. A VM runs one at a time. */
 const maxLeft = 64;
 
-/** Those that other nodes are told of. */
-const maxTold = 4;
-
 /**
  * Takes a ping or a leave. A ping that was delayed past a newer one, past a
  * newer start, or past the leave of its sender changes nothing.
@@ -134,13 +131,3 @@
   const [oldest] = left.keys();
   if (left.size > maxLeft && oldest !== undefined) left.delete(oldest);
 }
-
-/** Starts that take no more calls, the newest last. */
-export function goneStarts(state: InstanceState): readonly GoneStart[] {
-  const { current, left } = state;
-  const gone = [...left].map(([id, bornAt]) => ({ id, bornAt }));
-  if (current?.phase === InstancePhase.Draining) {
-    gone.push({ id: current.id, bornAt: current.bornAt });
-  }
-  return gone.slice(-maxTold);
-}
--- /dev/null
+++ b/src/instance/gone_starts.ts
@@ -0,0 +1,18 @@
+/**
+ * What other nodes are told of endpoints that leave.
+ * @module
+ */
+import { type GoneStart, InstancePhase, type InstanceState } from "./state.ts";
+
+/** Starts that other nodes are told of. */
+const maxTold = 4;
+
+/** Starts that take no more calls, the newest last. */
+export function goneStarts(state: InstanceState): readonly GoneStart[] {
+  const { current, left } = state;
+  const gone = [...left].map(([id, bornAt]) => ({ id, bornAt }));
+  if (current?.phase === InstancePhase.Draining) {
+    gone.push({ id: current.id, bornAt: current.bornAt });
+  }
+  return gone.slice(-maxTold);
+}
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -6,7 +6,8 @@
 import type { MonotonicMs, WallMs } from "../core/types.ts";
 import type { RowEndpoint } from "../fleet/state.ts";
 import type { LocalHome } from "../homes/create_home.ts";
-import { decideInstance, goneStarts } from "../instance/decide_instance.ts";
+import { decideInstance } from "../instance/decide_instance.ts";
+import { goneStarts } from "../instance/gone_starts.ts";
 import {
   createInstanceState,
   type GoneStart,
