test(reading): readers that the store is silent to hide a change

Callers saw a confirmed change that was not in force in time. The four tests fail on this code: a read that hangs is found by what peers have read, and where all readers hang nobody has read anything; its own limit of 3 s is longer than the 2 s that a change may take, and does not fire at all once garbage has been collected.

--- a/src/reading/reading_test.ts
+++ b/src/reading/reading_test.ts
@@ -23,6 +23,9 @@
 /** A fleet of so many links that its nodes ping as seldom as they ever do. */
 const seldom = { ...four, idlePings: { nearMs: 3_000, farMs: 10_000 } };
 
+/** Domains larger than the number of nodes that look for a way at once. */
+const crowd = { domains: 3, nodesOfDomain: 9 };
+
 const nodes = pair.domains * pair.nodesOfDomain;
 
 function calmWorld(): ReadingWorld {
@@ -44,6 +47,13 @@
   assert.deepEqual(behind(world), []);
 }
 
+/** Nodes that the store serves and that don't know the newest record. */
+function behindOfServed(world: ReadingWorld, count: number): number[] {
+  return Array.from({ length: count }, (_, node) => node).filter((node) =>
+    world.isServed(node) && world.end(node) !== world.storeEnd()
+  );
+}
+
 test("two nodes of each domain read in calm", () => {
   const world = calmWorld();
   assert.deepEqual([world.readers(0), world.readers(1)], [2, 2]);
@@ -102,6 +112,25 @@
   writeAndCheck(world);
 });
 
+test("a change is in force while the store is silent to all readers", () => {
+  const world = createReadingWorld(four);
+  world.run(calmMs);
+  for (const reader of [0, 1, 2, 3]) world.setMode(reader, StoreMode.Hangs);
+  writeAndCheck(world);
+});
+
+test("a change is in force while all readers freeze", () => {
+  const world = createReadingWorld(four);
+  world.run(calmMs);
+  for (const reader of [0, 1, 2, 3]) {
+    world.setMode(reader, StoreMode.Hangs);
+    for (let node = 0; node < 12; node++) world.cut(reader, node);
+  }
+  world.write();
+  world.run(applyMs);
+  assert.deepEqual(behindOfServed(world, 12), []);
+});
+
 test("a change is in force while the readers' links are silent", () => {
   const world = calmWorld();
   for (const reader of [0, 2]) {
@@ -211,6 +240,28 @@
   );
 });
 
+test("in any outage of some nodes a change is in force where the store serves", () => {
+  const outage = fc.record({
+    size: fc.constantFrom(pair, four, seldom, crowd),
+    silent: fc.array(fc.nat(), { maxLength: 24 }),
+    mode: fc.constantFrom(StoreMode.Hangs, StoreMode.Refuses),
+    leadMs: fc.integer({ min: 0, max: 60 }).map((steps) => steps * 50),
+  });
+  checkProperty(
+    fc.property(outage, ({ size, silent, mode, leadMs }) => {
+      const world = createReadingWorld(size);
+      world.run(calmMs);
+      const count = size.domains * size.nodesOfDomain;
+      for (const node of silent) world.setMode(node % count, mode);
+      world.run(leadMs);
+      world.write();
+      world.run(applyMs);
+      assert.deepEqual(behindOfServed(world, count), []);
+    }),
+    { runs: 300 },
+  );
+});
+
 test("in any story at most two nodes of a domain read once views agree", () => {
   checkProperty(
     fc.property(story, ({ size, actions }) => {
--- a/src/store/follow_topic_test.ts
+++ b/src/store/follow_topic_test.ts
@@ -1,6 +1,8 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
-import { errAsync, okAsync } from "neverthrow";
+import { setTimeout as sleep } from "node:timers/promises";
+import { err, errAsync, okAsync, ResultAsync } from "neverthrow";
+import { collectGarbage } from "../testing/collect_garbage.ts";
 import { followTopic } from "./follow_topic.ts";
 import type { KeyedStore, StoreError } from "./state.ts";
 
@@ -46,6 +48,41 @@
   assert.equal(waits[1], 0);
 });
 
+test(
+  "a read that hangs is given up though garbage is collected",
+  { timeout: 8_000 },
+  async (t) => {
+    let isLost = false;
+    const hang = (signal: AbortSignal) =>
+      new ResultAsync<never, StoreError>(
+        new Promise((resolve) =>
+          signal.addEventListener("abort", () => resolve(err(lost)))
+        ),
+      );
+    const store: KeyedStore = {
+      append: () => errAsync(lost),
+      newest: () => okAsync({ records: [], next: 0 }),
+      read: ({ signal }) => hang(signal),
+      close: () => Promise.resolve(),
+    };
+    let end = -1;
+    const follower = followTopic({
+      store,
+      topic: "keyed.test",
+      from: () => end,
+      onRecords: (_records, next) => end = next,
+      onHealth: (problem) => isLost ||= problem !== undefined,
+      random: () => 0,
+    });
+    t.after(() => follower.close());
+    follower.read();
+    while (!isLost && !t.signal.aborted) {
+      collectGarbage();
+      await sleep(20);
+    }
+  },
+);
+
 test("a follower at rest reads nothing, and reads on from where peers are", async (t) => {
   const asked: number[] = [];
   let wake = () => {};
--- a/src/testing/create_reading_world.ts
+++ b/src/testing/create_reading_world.ts
@@ -58,6 +58,7 @@
   /** Nodes that are up and can learn what the store holds. */
   reachable(): ReadonlySet<number>;
   end(node: number): Offset;
+  isServed(node: number): boolean;
   storeEnd(): Offset;
   /** Nodes of a domain whose reads succeed. */
   readers(domain: number): number;
@@ -288,6 +289,7 @@
       return new Set([...found].map(({ index }) => index));
     },
     end: (index) => nodeAt(index).state.end,
+    isServed: (index) => nodeAt(index).mode === StoreMode.Serves,
     storeEnd: () => storeEnd,
     readers: (domain) =>
       nodes.filter((node) =>
