fix(core): a call's time limit holds when garbage is collected

What callers saw: requests handled by an old configuration.

Cause: AbortSignal.any keeps its sources weakly. A time-out that nothing else refers to is collected, and the call has no limit of its own any more.

Now a timer holds the deadline until it is closed, and lets one turn of the loop pass first, so that an answer which waits unread counts.

--- a/src/sidecar/record_moves.ts
+++ b/src/sidecar/record_moves.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { MonotonicMs, NodeId, WallMs } from "../core/types.ts";
+import { createDeadline } from "../core/create_deadline.ts";
 import { formatError } from "../core/errors.ts";
 import { pauseAfter } from "../core/pause_after.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
@@ -58,19 +59,29 @@
   let seq = 0;
 
   /** Ends with the recorder, or when a call has taken too long. */
-  function limit(): AbortSignal {
-    return AbortSignal.any([closing.signal, AbortSignal.timeout(callMs)]);
+  async function limited<T>(
+    step: string,
+    call: (signal: AbortSignal) => PromiseLike<T>,
+  ): Promise<T> {
+    const signals = [closing.signal];
+    const deadline = createDeadline({ limitMs: callMs, step, signals });
+    try {
+      return await call(deadline.signal);
+    } finally {
+      deadline.close();
+    }
   }
 
   async function lease() {
     if (isAsking || opts.now() < askAgainAt) return;
     isAsking = true;
-    const taken = await takeLease({
-      store: opts.store,
-      topic: opts.topic,
-      holder: opts.self,
-      signal: limit(),
-    });
+    const taken = await limited("take the lease", (signal) =>
+      takeLease({
+        store: opts.store,
+        topic: opts.topic,
+        holder: opts.self,
+        signal,
+      }));
     isAsking = false;
     failures = taken.isOk() ? 0 : failures + 1;
     if (taken.isErr()) {
@@ -96,15 +107,19 @@
     const { service, target, phase } = status;
     const orderedAt = opts.wall() - elapsedMs;
     const askedAt = opts.now();
-    const appended = await opts.store.append({
-      topic: opts.topic,
-      records: [
-        opts.platform.encodeStatus(status),
-        encodeOrderTime({ service, target, orderedAt }),
-      ],
-      condition: { type: "fenced", producer, epoch, seq: seq++ },
-      signal: limit(),
-    });
+    const appended = await limited(
+      "record a status",
+      (signal) =>
+        opts.store.append({
+          topic: opts.topic,
+          records: [
+            opts.platform.encodeStatus(status),
+            encodeOrderTime({ service, target, orderedAt }),
+          ],
+          condition: { type: "fenced", producer, epoch, seq: seq++ },
+          signal,
+        }),
+    );
     const fields = { service, target, phase, epoch };
     if (appended.isOk()) {
       opts.log.write("move", LogLevel.Info, "status recorded", fields);
--- a/src/store/follow_topic.ts
+++ b/src/store/follow_topic.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { ResultAsync } from "neverthrow";
+import type { Result } from "neverthrow";
+import { createDeadline } from "../core/create_deadline.ts";
 import { pauseAfter } from "../core/pause_after.ts";
 import type { Offset } from "../core/types.ts";
 import type {
@@ -19,6 +20,9 @@
 /** Time after that wait in which an answer comes, in milliseconds. */
 const answerMs = 1_000;
 
+/** The same of a store that has just failed, and may be slow. */
+const longestAnswerMs = 2_000;
+
 /**
  * Pause after a read that brought records, in milliseconds. A storm of changes
  * is read in a few pages, well inside the seconds that a change may take.
@@ -91,17 +95,25 @@
     await pause(pauseMs);
   }
 
-  function readPage(from: Offset): ResultAsync<RecordPage, StoreError> {
+  async function readPage(
+    from: Offset,
+  ): Promise<Result<RecordPage, StoreError>> {
     const { store, topic } = opts;
     // A store that is back says so at once, not at the end of a long wait.
     const waitMs = failures > 0 ? 0 : readWaitMs;
-    const signals = [closing.signal, reading.signal];
-    // A store that fails may be slow; then only the client's own limit holds.
-    if (failures <= 1) signals.push(AbortSignal.timeout(waitMs + answerMs));
-    const signal = AbortSignal.any(signals);
-    return from < 0
-      ? store.newest(topic, signal)
-      : store.read({ topic, from, waitMs, signal });
+    const deadline = createDeadline({
+      limitMs: waitMs + (failures > 1 ? longestAnswerMs : answerMs),
+      step: `the read of ${topic}`,
+      signals: [closing.signal, reading.signal],
+    });
+    const { signal } = deadline;
+    try {
+      return await (from < 0
+        ? store.newest(topic, signal)
+        : store.read({ topic, from, waitMs, signal }));
+    } finally {
+      deadline.close();
+    }
   }
 
   async function backOff(err: StoreError) {
