fix(reading): find out that the store is silent to all readers

Cause: one node of each failure domain reads for it. A read that hangs was found by what peers had read, and peers had only what readers read; its own limit, 3 s, was longer than a change may take. Where the store was silent to all readers, everybody took no news for nothing new. A common failure of the watchers that watch each other.

Ruled out: a slow store (new nodes' reads took 35 ms), pages lost on the way to new nodes (no node had the change before the readers gave up).

Now a read waits 0.5 s instead of 2 s and fails when it isn't answered 0.6 s later, or four times what the store last took. While a near reader has failed and none is known to succeed, six nodes look for a way at once instead of one. A reader that froze counts for 1.4 s instead of 2 s.

--- a/src/reading/should_read.ts
+++ b/src/reading/should_read.ts
@@ -15,8 +15,14 @@
  */
 const otherDomains = 2;
 
+/**
+ * Nodes that look for a way to the store at once when a near reader has failed
+ * and none is known to succeed. What silenced one may have silenced others.
+ */
+const searchers = 6;
+
 /** A near reader that was not heard of for so long is not counted on. */
-const silentMs = 2_000;
+const silentMs = 1_400;
 
 /** The same of other nodes, and of other failure domains. */
 const idleSilentMs = 7_000;
@@ -42,6 +48,8 @@
   /** Near peers before this node in the order of addresses. */
   readonly before: number;
   readonly readersBefore: number;
+  /** Near peers whose reads fail. */
+  readonly failing: number;
   readonly failingBefore: number;
 }
 
@@ -49,10 +57,12 @@
   state: ReadingState,
   now: MonotonicMs,
 ): CountedPeers {
-  let [readers, before, readersBefore, failingBefore] = [0, 0, 0, 0];
+  let [readers, before, readersBefore] = [0, 0, 0];
+  let [failing, failingBefore] = [0, 0];
   const others = new Set<string>();
   for (const [node, peer] of state.peers) {
     const isReader = peer.reading === Reading.Healthy;
+    const isFailing = peer.reading === Reading.Failing;
     const silentFor = now - peer.heardAt;
     if (peer.domain !== state.domain) {
       if (!isReader || peer.domain === undefined) continue;
@@ -61,13 +71,14 @@
     }
     if (silentFor >= (isReader ? silentMs : idleSilentMs)) continue;
     if (isReader) readers++;
+    if (isFailing) failing++;
     if (node > state.self) continue;
     before++;
     if (isReader) readersBefore++;
-    if (peer.reading === Reading.Failing) failingBefore++;
+    if (isFailing) failingBefore++;
   }
   const wanted = others.size >= otherDomains ? 1 : aloneReaders;
-  return { wanted, readers, before, readersBefore, failingBefore };
+  return { wanted, readers, before, readersBefore, failing, failingBefore };
 }
 
 /**
@@ -85,7 +96,9 @@
     const isNeeded = near.readers === 0 && near.before < aloneReaders;
     if (!isNeeded && now - state.failedAt < restMs) return false;
   }
-  if (near.before - near.failingBefore < wanted) return true;
+  const isSearching = near.readers === 0 && near.failing > 0;
+  const first = isSearching ? searchers : wanted;
+  if (near.before - near.failingBefore < first) return true;
   if (state.isOn) return true;
   const metAt = state.startedAt + meetMs;
   return state.unreadSince !== undefined &&
--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -86,11 +86,13 @@
       if (err === undefined) log.write("store", LogLevel.Info, "regained");
       else {
         const reason = formatError(err);
-        log.write("store", LogLevel.Warn, "lost", { reason });
+        const fields = { reason, end: operator.end() };
+        log.write("store", LogLevel.Warn, "lost", fields);
       }
       const isHealthy = err === undefined;
       decide({ type: "store-changed", isHealthy, now: now() });
     },
+    now,
     random: opts.random,
   });
 
@@ -101,6 +103,7 @@
   ) {
     const from = operator.end();
     if (end <= from) return;
+    log.write("config", LogLevel.Info, "records taken", { source, from, end });
     operator.take(records, end);
     decide({ type: "records-taken", source, from, end, now: now() });
   }
--- a/src/store/follow_topic.ts
+++ b/src/store/follow_topic.ts
@@ -6,7 +6,7 @@
 import type { Result } from "neverthrow";
 import { createDeadline } from "../core/create_deadline.ts";
 import { pauseAfter } from "../core/pause_after.ts";
-import type { Offset } from "../core/types.ts";
+import type { MonotonicMs, Offset } from "../core/types.ts";
 import type {
   KeyedRecord,
   KeyedStore,
@@ -14,14 +14,21 @@
   StoreError,
 } from "./state.ts";
 
-/** Longest wait of one read, in milliseconds. */
-const readWaitMs = 2_000;
+/**
+ * Longest wait of one read, in milliseconds. A store that falls silent shows
+ * only at its end, and a change may be hidden until then.
+ */
+export const readWaitMs = 500;
 
-/** Time after that wait in which an answer comes, in milliseconds. */
-const answerMs = 1_000;
+/**
+ * Time besides that wait in which an answer comes, in milliseconds: some times
+ * what the store took last, within bounds.
+ */
+export const answerBounds = { shortestMs: 600, longestMs: 2_000 };
+const answerFactor = 4;
 
-/** The same of a store that has just failed, and may be slow. */
-const longestAnswerMs = 2_000;
+/** Time that the store is taken to need before it has answered. */
+const firstAnswerMs = 250;
 
 /**
  * Pause after a read that brought records, in milliseconds. A storm of changes
@@ -42,6 +49,7 @@
   readonly onRecords: (records: readonly KeyedRecord[], end: Offset) => void;
   /** Called when the store is lost or regained. */
   readonly onHealth: (err: StoreError | undefined) => void;
+  readonly now: () => MonotonicMs;
   readonly random: () => number;
 }
 
@@ -65,6 +73,8 @@
   /** What was told last. Unknown after a rest. */
   let isHealthy: boolean | undefined;
   let isDropped = false;
+  /** Time that the store took for the last answer which it gave at once. */
+  let tookMs = firstAnswerMs;
 
   async function run() {
     while (!closing.signal.aborted) {
@@ -101,21 +111,39 @@
     const { store, topic } = opts;
     // A store that is back says so at once, not at the end of a long wait.
     const waitMs = failures > 0 ? 0 : readWaitMs;
+    const beganAt = opts.now();
     const deadline = createDeadline({
-      limitMs: waitMs + (failures > 1 ? longestAnswerMs : answerMs),
+      limitMs: waitMs + answerMs(),
       step: `the read of ${topic}`,
       signals: [closing.signal, reading.signal],
     });
     const { signal } = deadline;
     try {
-      return await (from < 0
+      const page = await (from < 0
         ? store.newest(topic, signal)
         : store.read({ topic, from, waitMs, signal }));
+      if (page.isOk()) {
+        noteAnswer(opts.now() - beganAt, waitMs, page.value);
+      }
+      return page;
     } finally {
       deadline.close();
     }
   }
 
+  function answerMs(): number {
+    const { shortestMs, longestMs } = answerBounds;
+    // A store that has just failed may be slow.
+    if (failures > 1) return longestMs;
+    return Math.min(longestMs, Math.max(shortestMs, tookMs * answerFactor));
+  }
+
+  /** Records that came during the wait tell nothing of the store's speed. */
+  function noteAnswer(elapsedMs: number, waitMs: number, page: RecordPage) {
+    if (waitMs > 0 && page.records.length > 0) return;
+    tookMs = Math.max(0, elapsedMs - waitMs);
+  }
+
   async function backOff(err: StoreError) {
     if (reading.signal.aborted) return;
     failures++;
--- a/src/store/follow_topic_test.ts
+++ b/src/store/follow_topic_test.ts
@@ -38,6 +38,7 @@
       onRecords: (_records, end) => next = end,
       // Found, lost, found again.
       onHealth: () => ++changes === 3 && resolve(),
+      now: () => 0,
       random: () => 0,
     });
     t.after(() => follower.close());
@@ -72,6 +73,7 @@
       from: () => end,
       onRecords: (_records, next) => end = next,
       onHealth: (problem) => isLost ||= problem !== undefined,
+      now: () => 0,
       random: () => 0,
     });
     t.after(() => follower.close());
@@ -107,6 +109,7 @@
       wake();
     },
     onHealth: () => {},
+    now: () => 0,
     random: () => 0,
   });
   t.after(() => follower.close());
--- a/src/testing/create_reading_world.ts
+++ b/src/testing/create_reading_world.ts
@@ -4,6 +4,7 @@
  */
 import type { MonotonicMs, Offset } from "../core/types.ts";
 import { decideReading, firstCount } from "../reading/decide_reading.ts";
+import { answerBounds, readWaitMs } from "../store/follow_topic.ts";
 import {
   createReadingState,
   Reading,
@@ -27,7 +28,6 @@
 const tickMs = 200;
 const pausedMs = 400;
 const backOffMs = 150;
-const hangMs = 3_000;
 /** Silence after which a link is given up. */
 const lostMs = 2_000;
 
@@ -39,8 +39,9 @@
   mode: StoreMode;
   /** When its read goes on. */
   readAt: MonotonicMs;
-  /** Since when its present read waits. */
+  /** Since when its present read waits, and how long it may take. */
   pollAt: MonotonicMs;
+  limitMs: number;
   isTold: boolean | undefined;
 }
 
@@ -93,6 +94,7 @@
       mode: StoreMode.Serves,
       readAt: 0,
       pollAt: 0,
+      limitMs: answerBounds.shortestMs,
       isTold: undefined,
     });
   }
@@ -124,6 +126,7 @@
           reads++;
           node.readAt = now + stepMs;
           node.pollAt = now;
+          node.limitMs = answerBounds.shortestMs;
           node.isTold = undefined;
           break;
         case "rest":
@@ -218,6 +221,7 @@
       case StoreMode.Serves:
         tellStore(node, true);
         node.pollAt = now;
+        node.limitMs = readWaitMs + answerBounds.shortestMs;
         if (storeEnd <= node.state.end) return;
         take(node, storeEnd, RecordSource.Store);
         node.readAt = now + pausedMs;
@@ -227,9 +231,10 @@
         node.readAt = now + backOffMs;
         return tellStore(node, false);
       case StoreMode.Hangs:
-        if (now - node.pollAt < hangMs) return;
+        if (now - node.pollAt < node.limitMs) return;
         reads++;
         node.pollAt = now;
+        node.limitMs = answerBounds.longestMs;
         return tellStore(node, false);
     }
   }
