fix(instance): an odd ping doesn't keep the endpoint away

The address was not read at all, so a ping of an endpoint elsewhere was taken for the one beside the node.

The older test's ping now names the address, as the protocol has it.

--- a/src/instance/instance_test.ts
+++ b/src/instance/instance_test.ts
@@ -15,6 +15,7 @@
     bornAt: 1_000,
     seq: 1,
     service: "one",
+    address: "10.0.0.1:8080",
     version: "v1",
     slots: 6,
     phase: InstancePhase.Ready,
--- a/src/instance/state.ts
+++ b/src/instance/state.ts
@@ -19,6 +19,8 @@
   /** Grows with each ping of one start. */
   readonly seq: number;
   readonly service: string;
+  /** Where it takes calls. */
+  readonly address: string;
   /** Version of the endpoint's software. */
   readonly version: string;
   /** Requests that it runs at once. */
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -253,6 +253,7 @@
   const instance = watchInstance({
     decodePing: platform.decodePing,
     service: settings.service,
+    address: settings.endpointAddress,
     home,
     log,
     now,
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -17,11 +17,16 @@
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import type { Platform } from "./platform_port.ts";
 
+/** How far the clock of an endpoint may be ahead, in milliseconds. */
+const maxAheadMs = 3_600_000;
+
 /** Options of `watchInstance`. */
 export interface WatchInstanceOptions {
   readonly decodePing: Platform["decodePing"];
   /** Service of the endpoint beside this node, by the settings. */
   readonly service: string;
+  /** Address of that endpoint, by the settings. */
+  readonly address: string;
   readonly home: LocalHome;
   readonly log: Log;
   readonly now: () => MonotonicMs;
@@ -96,12 +101,19 @@
     ping(id, body) {
       const ping = opts.decodePing(id, body);
       if (ping.isErr()) return refuse(formatError(ping.error));
-      const { service } = ping.value;
+      const { service, address, bornAt } = ping.value;
       // A ping that was held up may come from an endpoint that was at this
       // address before, beside another node.
       if (service !== opts.service) {
         return refuse(`${id} runs ${service}, not ${opts.service}`);
       }
+      if (address !== opts.address) {
+        return refuse(`${id} is at ${address}, not at ${opts.address}`);
+      }
+      // It would keep every real start away.
+      if (bornAt - opts.wall() > maxAheadMs) {
+        return refuse(`${id} starts in the far future`);
+      }
       const event = { type: "pinged", ping: ping.value, now: now() } as const;
       take(decideInstance(state, event));
       return undefined;
--- a/src/testing/announced_instance.ts
+++ b/src/testing/announced_instance.ts
@@ -10,6 +10,7 @@
   bornAt: 0,
   seq: 1,
   service: "one",
+  address: "10.0.0.1:8080",
   version: "v1",
   slots: 2,
   phase: InstancePhase.Ready,
