fix(sidecar): odd entries among the nodes are left out, and logged

A key with port 0 passed as a node's address and was dialled for two minutes; what was left out, nothing told. The check is now one function, shared with pings. The test failed before on port 0.

--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -4,6 +4,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { formatError } from "../core/errors.ts";
+import { isAddress } from "../core/is_address.ts";
 import { pauseAfter } from "../core/pause_after.ts";
 import type { NodeId } from "../core/types.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
@@ -74,7 +75,14 @@
       return appended.isOk() ? true : undefined;
     });
     const nodes = await insist("find nodes", () => newest(topics.nodes));
-    opts.onNodes((nodes ?? []).map(({ key }) => key).filter(isAddress));
+    const keys = (nodes ?? []).map(({ key }) => key);
+    // The store has other writers.
+    const odd = keys.filter((key) => !isAddress(key));
+    if (odd.length > 0) {
+      const fields = { count: odd.length, first: odd[0] };
+      log.write("store", LogLevel.Warn, "odd entries left out", fields);
+    }
+    opts.onNodes(keys.filter(isAddress));
   }
 
   async function readStatuses() {
@@ -91,8 +99,3 @@
   void readStatuses();
   return { close: () => closing.abort() };
 }
-
-/** Whether a key may be a node's. The store has other writers. */
-function isAddress(key: string): boolean {
-  return /^[\w.-]+:\d+$/.test(key) && URL.canParse(`ws://${key}`);
-}
