--- a/src/store/hold_lease.ts
+++ b/src/store/hold_lease.ts
@@ -12,7 +12,7 @@
 export const leaseKey = "lease";
 
 const leaseSchema = v.object({
-  epoch: v.pipe(v.number(), v.integer(), v.minValue(0)),
+  epoch: v.pipe(v.number(), v.safeInteger(), v.minValue(0)),
   holder: v.string(),
 });
 
--- a/src/takeover/order_time.ts
+++ b/src/takeover/order_time.ts
@@ -13,7 +13,7 @@
 const orderTimeSchema = v.object({
   target: v.string(),
   /** Time of day of the node that led the move. */
-  orderedAt: v.number(),
+  orderedAt: v.pipe(v.number(), v.finite()),
 });
 
 export interface OrderTime {
