fix(reading): a node that joins asks at once for what it missed

A new node reads its table, then registers, then is linked; records that are passed on meanwhile go to linked nodes only, and it gave its peers 0.6 s more to bring what nobody would bring.

A near peer that is ahead when it is first heard is asked at the next look. The test failed before.

--- a/src/reading/decide_reading.ts
+++ b/src/reading/decide_reading.ts
@@ -6,6 +6,7 @@
 import type { MonotonicMs, NodeId, Offset } from "../core/types.ts";
 import { countPeers, shouldRead } from "./should_read.ts";
 import {
+  type Ahead,
   Reading,
   type ReadingEffect,
   type ReadingEvent,
@@ -51,9 +52,12 @@
     case "peer-heard": {
       const { node, domain, reading, end } = event;
       const isNear = domain === state.domain;
+      const isNew = !state.peers.has(node);
       state.peers.set(node, { domain, reading, end, heardAt: now });
       settleOwed(state, node, isNear, end);
-      noteAhead(state, node, isNear, now);
+      // What a peer took before it was linked, nobody passes on from it.
+      const since = isNew && isNear ? -Infinity : now;
+      noteAhead(state, { node, isNear, since });
       return review(state, now);
     }
     case "peer-lost":
@@ -154,21 +158,18 @@
 }
 
 /** A peer of the own domain is asked rather than another one. */
-function noteAhead(
-  state: ReadingState,
-  node: NodeId,
-  isNear: boolean,
-  now: MonotonicMs,
-) {
+function noteAhead(state: ReadingState, peer: Omit<Ahead, "asked">) {
   const { ahead } = state;
+  const { node, isNear } = peer;
   if ((state.peers.get(node)?.end ?? -1) <= state.end) {
     if (ahead?.node === node) state.ahead = undefined;
     return;
   }
   if (ahead === undefined) {
-    state.ahead = { node, isNear, since: now, asked: 0 };
+    state.ahead = { ...peer, asked: 0 };
   } else if (isNear && !ahead.isNear) {
-    state.ahead = { ...ahead, node, isNear };
+    const since = Math.min(ahead.since, peer.since);
+    state.ahead = { ...ahead, node, isNear, since };
   } else if (ahead.asked > 0) {
     // One that did not answer may not be reached.
     state.ahead = { ...ahead, node, isNear };
--- a/src/reading/reading_test.ts
+++ b/src/reading/reading_test.ts
@@ -8,7 +8,12 @@
   StoreMode,
 } from "../testing/create_reading_world.ts";
 import { decideReading } from "./decide_reading.ts";
-import { createReadingState, Reading } from "./state.ts";
+import {
+  createReadingState,
+  Reading,
+  type ReadingEvent,
+  RecordSource,
+} from "./state.ts";
 
 /** Time in which a change has to be in force on the smaller sites. */
 const applyMs = 2_000;
@@ -160,6 +165,31 @@
   assert.ok(perNode < 15, `${perNode} reads a node`);
 });
 
+test("a node that joins asks for what was passed on before it was linked", () => {
+  const state = createReadingState({ self: "b", domain: "d0" });
+  const events: ReadingEvent[] = [
+    { type: "started", now: 0 },
+    {
+      type: "records-taken",
+      source: RecordSource.Store,
+      from: -1,
+      end: 2,
+      now: 100,
+    },
+    {
+      type: "peer-heard",
+      node: "a",
+      domain: "d0",
+      reading: Reading.Healthy,
+      end: 3,
+      now: 1_000,
+    },
+  ];
+  for (const event of events) decideReading(state, event);
+  const effects = decideReading(state, { type: "ticked", now: 1_200 });
+  assert.ok(effects.some(({ type }) => type === "ask"));
+});
+
 test("a peer that does not answer is followed by another one", () => {
   const state = createReadingState({ self: "b", domain: "d0" });
   const hear = (node: string, now: number) =>
