fix(reading): a node that nobody has linked goes on reading

Same look for changes that nobody brings: a node that has started leaves the store to its peers after its first read, for 2.5 s, also while it has none. It is linked only once its registration is answered, which takes 2.2 s when that answer is lost, and more with a slow store. It now reads on when it has heard of no peer for a second. The test failed before.

--- a/src/reading/reading_test.ts
+++ b/src/reading/reading_test.ts
@@ -165,6 +165,22 @@
   assert.ok(perNode < 15, `${perNode} reads a node`);
 });
 
+test("a node that has started and is not linked yet goes on reading", () => {
+  const state = createReadingState({ self: "b", domain: "d0" });
+  decideReading(state, { type: "started", now: 0 });
+  decideReading(state, {
+    type: "records-taken",
+    source: RecordSource.Store,
+    from: -1,
+    end: 2,
+    now: 100,
+  });
+  decideReading(state, { type: "ticked", now: 200 });
+  assert.equal(state.isOn, false);
+  decideReading(state, { type: "ticked", now: 1_200 });
+  assert.equal(state.isOn, true);
+});
+
 test("a node that joins asks for what was passed on before it was linked", () => {
   const state = createReadingState({ self: "b", domain: "d0" });
   const events: ReadingEvent[] = [
--- a/src/reading/should_read.ts
+++ b/src/reading/should_read.ts
@@ -39,6 +39,9 @@
  */
 const meetMs = 2_500;
 
+/** The same for a node that has heard of no peer at all. */
+const aloneMs = 1_000;
+
 /** Peers, as far as they can be counted on. */
 export interface CountedPeers {
   /** Nodes that are to read in this failure domain. */
@@ -90,7 +93,8 @@
   const near = countPeers(state, now);
   const { wanted } = near;
   if (now < state.insistsUntil || state.end < 0) return true;
-  if (now - state.startedAt < meetMs) return false;
+  const upMs = now - state.startedAt;
+  if (upMs < meetMs) return state.peers.size === 0 && upMs >= aloneMs;
   if (near.readersBefore >= wanted) return false;
   if (state.reading === Reading.Failing) {
     const isNeeded = near.readers === 0 && near.before < aloneReaders;
