--- a/src/core/create_deadline.ts
+++ b/src/core/create_deadline.ts
@@ -14,8 +14,6 @@
 
 export interface Deadline {
   readonly signal: AbortSignal;
-  /** Whether the time is up. */
-  isPassed(): boolean;
   close(): void;
 }
 
@@ -27,12 +25,10 @@
 export function createDeadline(opts: CreateDeadlineOptions): Deadline {
   const { limitMs, step, signals } = opts;
   const controller = new AbortController();
-  let isPassed = false;
   let turn: NodeJS.Immediate | undefined;
   const timer = setTimeout(() => {
     // An answer that waits unread, since the loop was busy, is taken first.
     turn = setImmediate(() => {
-      isPassed = true;
       const message = `${step} took more than ${limitMs} ms`;
       controller.abort(new DOMException(message, "TimeoutError"));
     });
@@ -46,7 +42,6 @@
 
   return {
     signal: controller.signal,
-    isPassed: () => isPassed,
     close() {
       clearTimeout(timer);
       clearImmediate(turn);
--- a/src/core/create_deadline_test.ts
+++ b/src/core/create_deadline_test.ts
@@ -30,7 +30,6 @@
   });
   caller.abort("closed");
   assert.equal(deadline.signal.reason, "closed");
-  assert.equal(deadline.isPassed(), false);
   deadline.close();
 });
 
