--- a/tools/bundle.sh
+++ b/tools/bundle.sh
@@ -7,5 +7,6 @@
 require="import{createRequire as loadFrom}from'node:module';"
 require="${require}const require=loadFrom(import.meta.url);"
 npx esbuild src/bin/lagoon_sidecar.ts --bundle --platform=node --format=esm \
+  --minify-whitespace --minify-syntax \
   --target=node20 --outfile=target/lagoon_sidecar.mjs --log-level=warning \
   --banner:js="$require"
