--- a/src/callers/create_home_search.ts
+++ b/src/callers/create_home_search.ts
@@ -52,7 +52,16 @@
   return {
     find(options) {
       if (versions.length === 0) versions = allowedVersions(ctx, service);
-      return findNextHome({ ctx, service, versions, route, tried, ...options });
+      const found = findNextHome({
+        ctx,
+        service,
+        versions,
+        route,
+        tried,
+        ...options,
+      });
+      ctx.recordDemand(service, found === undefined || found.isFull);
+      return found;
     },
     recordTried: (home) => tried.add(home),
     recordLate: (home) => refusedLate.add(home),
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -22,6 +22,7 @@
 import { abortAnswer } from "../core/abort_answer.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { NodeId } from "../core/types.ts";
+import { countLive } from "../fleet/state.ts";
 import { LogLevel } from "../logs/create_log.ts";
 import { CallResult } from "../metrics/create_metrics.ts";
 import type { Choice } from "../load_balancing/choose_candidate.ts";
@@ -62,6 +63,9 @@
 /** Retry delay for a call that has no candidate, in milliseconds. */
 const NO_HOME_WAIT_MS = 300;
 
+/** Time that a call waits for a link to a home that is being opened. */
+const LINK_WAIT_MS = 100;
+
 /** Options of `serveCall`. */
 export interface ServeCallOptions {
   readonly ctx: CallContext;
@@ -102,6 +106,12 @@
   hasArrived: boolean;
 }
 
+/** A wait for a link to a home of the service. */
+interface LinkWait {
+  readonly cancel: () => void;
+  readonly timer: NodeJS.Timeout;
+}
+
 /** Starts serving a request. A small body is read before the first attempt. */
 export function serveCall(opts: ServeCallOptions): ServedCall {
   const { ctx, req, res, id, route, parentId } = opts;
@@ -125,6 +135,7 @@
   let lastAttemptAt = startedAt;
   let isDone = false;
   let streaming: OpenAttempt | undefined;
+  let linkWait: LinkWait | undefined;
   const deadline = setTimeout(
     handleDeadline,
     Math.max(0, deadlineAt - startedAt),
@@ -158,7 +169,7 @@
       return sendTo(found.home, mayBeLate);
     }
     if (!mayBeLate && search.allowLateAnswers()) return attemptNext(true);
-    if (attempts.size > 0) return;
+    if (attempts.size > 0 || waitForLink()) return;
     const reason = offers === 0
       ? "no endpoint is known"
       : "no endpoint is left";
@@ -166,6 +177,28 @@
     giveUp(mayHaveRun ? 502 : 503, reason);
   }
 
+  /**
+   * Waits once for a link to a home, if one is being opened. Returns false if
+   * none is expected.
+   */
+  function waitForLink(): boolean {
+    if (offers > 0 || linkWait !== undefined) return false;
+    const cancel = ctx.awaitHome(service, endLinkWait);
+    if (cancel === undefined) return false;
+    linkWait = { cancel, timer: setTimeout(endLinkWait, LINK_WAIT_MS) };
+    return true;
+  }
+
+  function endLinkWait() {
+    cancelLinkWait();
+    attemptNext(false);
+  }
+
+  function cancelLinkWait() {
+    linkWait?.cancel();
+    clearTimeout(linkWait?.timer);
+  }
+
   function findHome(): Choice | undefined {
     const objectiveLeftMs = objectiveAt - ctx.now();
     return search.find({ bodyBytes: bytesOf(body), objectiveLeftMs });
@@ -320,7 +353,7 @@
     const isSpent = spendRetry(ctx.budget, {
       terms: ctx.budgetTerms(),
       service,
-      nodes: ctx.fleet.linked.size + 1,
+      nodes: countLive(ctx.fleet),
       hasRun,
       now: ctx.now(),
     });
@@ -389,6 +422,7 @@
     if (isDone) return;
     isDone = true;
     clearTimeout(deadline);
+    cancelLinkWait();
     const isLost = result === CallResult.Unknown;
     if (isNested && isFailure(result)) ctx.recordNestedFailure(parentId);
     for (const open of attempts) {
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -36,6 +36,18 @@
   readonly homes: Homes;
   /** Called when a home runs another endpoint than its gossip row states. */
   readonly verifyHome: (home: NodeId) => void;
+  /**
+   * Calls back once a link to a home of the service opens. Returns a function
+   * that cancels the callback, or undefined if no such link is expected.
+   */
+  readonly awaitHome: (
+    service: string,
+    onReady: () => void,
+  ) => (() => void) | undefined;
+  /**
+   * Records a call to a service, and whether its linked homes seem to be full.
+   */
+  readonly recordDemand: (service: string, isFull: boolean) => void;
   /** Whether the endpoint on this VM runs the call with this id. */
   readonly isRunningHere: (callId: string) => boolean;
   /** Records that a nested call of the run with this id failed. */
--- a/src/fleet/count_ready.ts
+++ b/src/fleet/count_ready.ts
@@ -1,16 +1,16 @@
 /**
- * Counts the endpoints that calls may be sent to.
+ * Counts the endpoints that accept calls.
  * @module
  */
-import type { FleetState } from "./state.ts";
+import { type FleetState, liveRows } from "./state.ts";
 
 /** Returns the number of ready endpoints by service, over all versions. */
 export function countReady(state: FleetState): ReadonlyMap<string, number> {
   const counts = new Map<string, number>();
-  for (const [service, versions] of state.byService) {
-    let count = 0;
-    for (const candidates of versions.values()) count += candidates.length;
-    counts.set(service, count);
+  for (const { row } of liveRows(state)) {
+    if (row.endpoint === undefined) continue;
+    const { service } = row.endpoint;
+    counts.set(service, (counts.get(service) ?? 0) + 1);
   }
   return counts;
 }
--- a/src/fleet/decide_fleet.ts
+++ b/src/fleet/decide_fleet.ts
@@ -1,23 +1,42 @@
 /**
- * Merges the rows of nodes, and decides which nodes to keep links to.
+ * Merges what nodes say of themselves and of lost nodes, and decides what to
+ * forward and which nodes to keep links to.
+ *
+ * Each node forwards a change once, when it learns of it, to its neighbors.
  * @module
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
+import { applyLost, clearLost, reportLost } from "./apply_lost.ts";
+import { applyRows, isLaterLife, storeRow } from "./apply_rows.ts";
+import { differingDomains, digestRows } from "./digest_rows.ts";
+import { MAX_DIAL_FAILURES, planLinks } from "./plan_links.ts";
+import {
+  forgetDemands,
+  recordDemand,
+  recordServices,
+} from "./record_demand.ts";
 import {
   type FleetEffect,
   type FleetEvent,
   type FleetState,
-  type NodeRow,
+  type Member,
   ownRow,
 } from "./state.ts";
+import type { LostNotice, NodeRow } from "./messages.ts";
 
 /**
- * Time without a link after which a node is removed, in milliseconds. A
- * replaced VM never returns to its address, and a node that does return opens a
- * link.
+ * Time after which a lost node is removed, in milliseconds. Regions lose each
+ * other for an hour at times, and have to find each other again without the
+ * store. A replaced VM never returns to its address.
  */
-const FORGET_AFTER_MS = 120_000;
+export const FORGET_AFTER_MS = 7_200_000;
+
+/** Time after which a node that could not be reached is tried again. */
+const RETRY_NODE_AFTER_MS = 30_000;
+
+/** Longest time between two plans of the links. */
+const PLAN_INTERVAL_MS = 1_000;
 
 /** Applies one event to the fleet and returns the effects to carry out. */
 export function decideFleet(
@@ -28,22 +47,32 @@
     case "row-changed":
       return changeOwnRow(state, event);
     case "rows-received":
-      return applyRows(state, event.rows, event.now);
+      return applyRows(state, event);
     case "nodes-found":
-      return event.nodes.flatMap((node) => addNode(state, node, event.now));
+      return addSeeds(state, event.nodes);
     case "confirmed":
       return confirm(state, event.row, event.now);
     case "hello-received":
       return handleHello(state, event.row, event.now);
     case "suspected":
-      return requestRow(state, event.node, event.now);
+      return requestRow(state, event.node);
     case "unlinked":
-      state.linked.delete(event.node);
-      state.seenAt.set(event.node, event.now);
-      state.isIndexStale = true;
+      unlink(state, event.node);
+      return [];
+    case "dial-failed":
+      return countFailure(state, event.node, event.now);
+    case "lost-received":
+      return applyLost(state, event);
+    case "digest-received":
+      return compareDigests(state, event);
+    case "services-listed":
+      recordServices(state, event.services, event.now);
+      return [];
+    case "called":
+      recordDemand(state, event);
       return [];
     case "ticked":
-      return forgetUnlinked(state, event.now);
+      return tick(state, event);
     default:
       return exhausted(event);
   }
@@ -58,45 +87,19 @@
   const row = { ...rest, endpoint, gone, revision: revision + 1 };
   state.rows.set(state.self, { row, receivedAt: now });
   state.isIndexStale = true;
-  return [{ type: "send-row", row }];
+  return [{ type: "send-own-row", row }];
 }
 
-function applyRows(
+function addSeeds(
   state: FleetState,
-  rows: readonly NodeRow[],
-  now: MonotonicMs,
+  nodes: readonly Member[],
 ): readonly FleetEffect[] {
-  const effects: FleetEffect[] = [];
-  let isChanged = false;
-  for (const row of rows) {
-    // Only this process changes this node's row, so received copies are
-    // ignored.
-    if (row.node === state.self) continue;
-    effects.push(...addNode(state, row.node, now));
-    if (!replacesKnownRow(state, row)) continue;
-    storeRow(state, row, now);
-    isChanged = true;
+  for (const { node, domain } of nodes) {
+    if (node === state.self || state.rows.has(node)) continue;
+    state.seeds.set(node, domain);
+    state.isPlanStale = true;
   }
-  if (isChanged) state.isIndexStale = true;
-  return effects;
-}
-
-function storeRow(state: FleetState, row: NodeRow, now: MonotonicMs) {
-  state.rows.set(row.node, { row, receivedAt: now });
-  const { gone = [] } = row;
-  if (gone.length > 0) state.gone.set(row.node, gone);
-}
-
-/**
- * Returns whether a row replaces the known row of its node. Clocks can't order
- * the processes at one address. While a link is open, the process at its other
- * end is the current one, so rows of other processes are ignored.
- */
-function replacesKnownRow(state: FleetState, row: NodeRow): boolean {
-  const known = state.rows.get(row.node)?.row;
-  if (known === undefined) return true;
-  if (known.life === row.life) return row.revision > known.revision;
-  return !state.linked.has(row.node);
+  return [];
 }
 
 function confirm(
@@ -107,14 +110,20 @@
   const { node } = row;
   if (node === state.self) return [];
   const known = state.rows.get(node)?.row;
-  if (known?.life !== row.life || row.revision > known.revision) {
-    storeRow(state, row, now);
+  const isNews = known?.life !== row.life || row.revision > known.revision;
+  const isOutdated = known !== undefined && known.life !== row.life &&
+    isLaterLife(known, row);
+  if (isNews) storeRow(state, row, now);
+  if (!state.linked.has(node)) {
+    state.linked.add(node);
+    state.isIndexStale = true;
   }
-  const effects = addNode(state, node, now);
-  state.linked.add(node);
-  state.seenAt.set(node, now);
-  state.isIndexStale = true;
-  return effects;
+  state.failures.delete(node);
+  return [
+    ...clearLost(state, row),
+    ...(isNews ? [forward(row, node)] : []),
+    ...(isOutdated ? [correct(node, known)] : []),
+  ];
 }
 
 /**
@@ -127,46 +136,112 @@
   row: NodeRow,
   now: MonotonicMs,
 ): readonly FleetEffect[] {
-  const known = state.rows.get(row.node)?.row;
-  const effects = known?.life === row.life
-    ? []
-    : requestRow(state, row.node, now);
-  return [...effects, ...applyRows(state, [row], now)];
+  const { node } = row;
+  const known = state.rows.get(node)?.row;
+  const effects = known?.life === row.life ? [] : requestRow(state, node);
+  const applied = applyRows(state, { rows: [row], from: node, now });
+  const isOutdated = known !== undefined && known.life !== row.life &&
+    isLaterLife(known, row);
+  const mark = state.lost.get(node);
+  const isLost = mark?.life === row.life && mark.revision >= row.revision;
+  return [
+    ...effects,
+    ...applied,
+    ...(isOutdated ? [correct(node, known)] : []),
+    ...(isLost ? [correct(node, undefined, mark)] : []),
+  ];
 }
 
 /** Stops sending calls to a node until it has sent its row again. */
 function requestRow(
   state: FleetState,
   node: NodeId,
-  now: MonotonicMs,
 ): readonly FleetEffect[] {
-  if (!state.linked.delete(node)) return [];
-  state.seenAt.set(node, now);
-  state.isIndexStale = true;
+  if (!unlink(state, node)) return [];
   return [{ type: "send-hello", node }];
 }
 
-function addNode(
+function unlink(state: FleetState, node: NodeId): boolean {
+  if (!state.linked.delete(node)) return false;
+  state.isIndexStale = true;
+  return true;
+}
+
+function countFailure(
   state: FleetState,
   node: NodeId,
   now: MonotonicMs,
 ): readonly FleetEffect[] {
-  if (node === state.self || state.seenAt.has(node)) return [];
-  state.seenAt.set(node, now);
-  return [{ type: "dial", node }];
+  const known = state.failures.get(node);
+  const count = (known?.count ?? 0) + 1;
+  const isUnreachable = count >= MAX_DIAL_FAILURES;
+  const mayReport = now - (known?.reportedAt ?? -Infinity) >=
+    RETRY_NODE_AFTER_MS;
+  const isReported = isUnreachable && mayReport && state.rows.has(node);
+  state.failures.set(node, {
+    count,
+    retryAt: now + RETRY_NODE_AFTER_MS,
+    reportedAt: isReported ? now : known?.reportedAt ?? -Infinity,
+  });
+  // A node of which only the address is known is replaced after one attempt.
+  if (isUnreachable || !state.rows.has(node)) state.isPlanStale = true;
+  return isReported ? reportLost(state, node, now) : [];
 }
 
-function forgetUnlinked(
+function compareDigests(
   state: FleetState,
-  now: MonotonicMs,
+  event: Extract<FleetEvent, { type: "digest-received" }>,
 ): readonly FleetEffect[] {
+  const { from, domains, isAnswer } = event;
+  const own = digestRows(state);
+  const missing = differingDomains(own, domains);
+  // The peer requests the rows that it lacks in turn.
+  const isAnswerDue = !isAnswer && differingDomains(domains, own).length > 0;
   const effects: FleetEffect[] = [];
-  for (const [node, seenAt] of state.seenAt) {
-    if (state.linked.has(node) || now - seenAt < FORGET_AFTER_MS) continue;
-    state.seenAt.delete(node);
+  if (missing.length > 0) {
+    effects.push({ type: "request-rows", node: from, domains: missing });
+  }
+  if (isAnswerDue) effects.push({ type: "send-digest", node: from });
+  return effects;
+}
+
+function tick(
+  state: FleetState,
+  { leaders, now }: Extract<FleetEvent, { type: "ticked" }>,
+): readonly FleetEffect[] {
+  const isDue = state.isPlanStale || now - state.plannedAt >= PLAN_INTERVAL_MS;
+  if (!isDue) return [];
+  state.isPlanStale = false;
+  state.plannedAt = now;
+  forgetLost(state, now);
+  forgetDemands(state, now);
+  return planLinks(state, { leaders, now });
+}
+
+function forgetLost(state: FleetState, now: MonotonicMs) {
+  for (const [node, mark] of state.lost) {
+    if (now - mark.at < FORGET_AFTER_MS) continue;
+    state.lost.delete(node);
+    if (!mark.isApplied) continue;
     state.rows.delete(node);
+    state.seeds.delete(node);
     state.gone.delete(node);
-    effects.push({ type: "remove-link", node });
   }
-  return effects;
+  for (const [node, { retryAt }] of state.failures) {
+    if (now - retryAt < FORGET_AFTER_MS) continue;
+    state.failures.delete(node);
+    if (!state.rows.has(node)) state.seeds.delete(node);
+  }
+}
+
+function forward(row: NodeRow, from: NodeId): FleetEffect {
+  return { type: "forward-rows", rows: [row], except: from };
+}
+
+function correct(
+  node: NodeId,
+  row: NodeRow | undefined,
+  notice?: LostNotice,
+): FleetEffect {
+  return { type: "correct", node, row, notice };
 }
--- a/src/fleet/index_candidates.ts
+++ b/src/fleet/index_candidates.ts
@@ -14,11 +14,11 @@
   state: Pick<FleetState, "self" | "rows" | "linked">,
 ): CandidateIndex {
   const byService = new Map<string, Map<string, Candidate[]>>();
-  for (const [node, { row, receivedAt }] of state.rows) {
-    const { endpoint } = row;
-    const isReachable = node === state.self || state.linked.has(node);
-    if (endpoint === undefined || !isReachable) continue;
-    const { service, version, slots, coldMs } = endpoint;
+  for (const node of [state.self, ...state.linked]) {
+    const known = state.rows.get(node);
+    if (known?.row.endpoint === undefined) continue;
+    const { row, receivedAt } = known;
+    const { service, version, slots, coldMs } = known.row.endpoint;
     let versions = byService.get(service);
     if (versions === undefined) {
       versions = new Map();
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -12,14 +12,29 @@
 } from "../metrics/create_work_meter.ts";
 import type { QueueReport } from "../queue/state.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
-import type { Gossip, LinkMessage, NodeStatus } from "./messages.ts";
+import {
+  type Gossip,
+  type LinkMessage,
+  type NodeStatus,
+  PROTOCOL_VERSION,
+} from "./messages.ts";
 import { serveLink } from "./serve_link.ts";
+import { MAX_UNSENT_BYTES } from "./state.ts";
 
 /**
  * Maximum size of a message, in bytes. Bodies are sent in much smaller parts.
  */
 const MAX_MESSAGE_BYTES = 16 * 1_024 * 1_024;
 
+/**
+ * Time without any message after which a link is closed, in milliseconds. The
+ * node that opened a link pings it more often than this.
+ */
+const MAX_SILENCE_MS = 90_000;
+
+/** Time between checks of all links, in milliseconds. */
+const CHECK_INTERVAL_MS = 2_000;
+
 /** Options of `acceptLinks`. */
 export interface AcceptLinksOptions {
   readonly home: Home;
@@ -45,6 +60,11 @@
    */
   readonly isOtherDomain: (domain: string) => boolean;
   readonly onError: (reason: string, from: NodeId | undefined) => void;
+  /** Called when a link closes whose sender has sent its hello. */
+  readonly onClosed: (
+    from: NodeId,
+    reply: (message: Gossip) => void,
+  ) => void;
 }
 
 export interface AcceptedLinks {
@@ -67,7 +87,15 @@
   });
   // The caller makes the HTTP server listen and reports its errors.
   wss.on("error", () => {});
-  wss.on("connection", (socket) => serve(socket, opts));
+  const links = new Set<AcceptedLink>();
+  wss.on("connection", (socket) => {
+    const link = serve(socket, opts);
+    links.add(link);
+    socket.on("close", () => links.delete(link));
+  });
+  const checker = setInterval(() => {
+    for (const link of links) link.check();
+  }, CHECK_INTERVAL_MS);
   return {
     server,
     unsentBytes() {
@@ -76,6 +104,7 @@
       return bytes;
     },
     close() {
+      clearInterval(checker);
       for (const socket of wss.clients) socket.terminate();
       wss.close();
       server.close();
@@ -83,9 +112,15 @@
   };
 }
 
-function serve(socket: WebSocket, opts: AcceptLinksOptions) {
+interface AcceptedLink {
+  /** Closes the link if its peer sends nothing or does not read. */
+  check(): void;
+}
+
+function serve(socket: WebSocket, opts: AcceptLinksOptions): AcceptedLink {
   let from: NodeId | undefined;
   let isOtherDomain = false;
+  let receivedAt = opts.now();
   const pack = createPacker({ isCompressing: () => isOtherDomain });
   const unpack = createUnpacker();
   const send = (message: LinkMessage) => {
@@ -119,10 +154,18 @@
         send({ type: "pong", ...opts.status() });
         break;
       case "hello":
+        if (message.protocol !== PROTOCOL_VERSION) {
+          throw new TypeError(
+            `peer speaks protocol ${message.protocol}, not ${PROTOCOL_VERSION}`,
+          );
+        }
         from = message.row.node;
         isOtherDomain = opts.isOtherDomain(message.row.domain);
         break;
       case "rows":
+      case "lost":
+      case "digest":
+      case "beats":
       case "recall":
       case "ask-rows":
       case "ask-operator":
@@ -136,6 +179,7 @@
   }
 
   socket.on("message", (data) => {
+    receivedAt = now();
     const work = meter.begin();
     let type = "unreadable";
     try {
@@ -155,5 +199,19 @@
     }
   });
   socket.on("error", (err) => opts.onError(err.message, from));
-  socket.on("close", () => calls.close());
+  socket.on("close", () => {
+    calls.close();
+    if (from !== undefined) opts.onClosed(from, send);
+  });
+  return {
+    check() {
+      const isSilent = now() - receivedAt >= MAX_SILENCE_MS;
+      if (!isSilent && socket.bufferedAmount <= MAX_UNSENT_BYTES) return;
+      opts.onError(
+        isSilent ? "peer sends nothing" : "peer does not read",
+        from,
+      );
+      socket.terminate();
+    },
+  };
 }
--- a/src/links/create_packer.ts
+++ b/src/links/create_packer.ts
@@ -124,6 +124,9 @@
     case "ping":
     case "pong":
     case "rows":
+    case "lost":
+    case "digest":
+    case "beats":
     case "recall":
     case "ask-rows":
     case "ask-operator":
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -21,7 +21,7 @@
 import { createPacker, createUnpacker } from "./create_packer.ts";
 import type { Gossip, LinkKey, LinkMessage } from "./messages.ts";
 import { isLastEvent } from "./serve_link.ts";
-import type { LinkHealth } from "./state.ts";
+import { type LinkHealth, MAX_UNSENT_BYTES } from "./state.ts";
 
 /** Timeout for a connection and its handshake, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -35,6 +35,9 @@
 /** Reason for closing a link on which no answer to a ping was received. */
 export const UNRESPONSIVE_REASON = "silent";
 
+/** Reason for closing a link whose peer does not read what is sent to it. */
+const UNREAD_REASON = "peer does not read";
+
 /** Options of `dialLink`. */
 export interface DialLinkOptions {
   readonly node: NodeId;
@@ -61,6 +64,11 @@
   readonly onGossip: (message: Gossip) => void;
   readonly onOpen: () => void;
   readonly onClose: (reason: string) => void;
+  /**
+   * Called when an attempt to open the link fails, and when an open link becomes
+   * unresponsive. Attempts are repeated.
+   */
+  readonly onDialFailed: () => void;
 }
 
 export interface DialledLink extends Home {
@@ -74,6 +82,8 @@
   probe(): void;
   /** Connects immediately instead of after the backoff. */
   connectNow(): void;
+  isOpen(): boolean;
+  hasCalls(): boolean;
   close(): void;
 }
 
@@ -114,7 +124,6 @@
     let reason = "closed by the other side";
     newSocket.on("open", () => {
       isOpen = true;
-      failures = 0;
       health = createHealth(now());
       send(opts.hello());
       opts.onOpen();
@@ -126,6 +135,7 @@
       try {
         const message = unpack(data as Buffer);
         ({ type } = message);
+        failures = 0;
         handleMessage(message);
       } catch (err) {
         reason = err instanceof Error ? err.message : String(err);
@@ -153,6 +163,9 @@
     if (wasOpen) opts.onClose(reason);
     failAll(reason);
     if (isClosed) return;
+    if (!wasOpen || reason === UNRESPONSIVE_REASON) opts.onDialFailed();
+    // The report of a failure may have closed this link.
+    if (isClosed) return;
     const delayMs = backoffWithHalfJitter(
       REDIAL_BACKOFF,
       failures,
@@ -200,6 +213,9 @@
       case "hello":
       case "ping":
       case "rows":
+      case "lost":
+      case "digest":
+      case "beats":
       case "recall":
       case "ask-rows":
       case "ask-operator":
@@ -229,6 +245,9 @@
 
   function check() {
     if (!isOpen) return;
+    if ((socket?.bufferedAmount ?? 0) > MAX_UNSENT_BYTES) {
+      return drop(UNREAD_REASON);
+    }
     const linkCheck = checkLink(health, {
       hasCalls: pendingCalls.size > 0,
       idleMs: opts.idleMs(),
@@ -241,15 +260,17 @@
         return;
       case "ping":
         return ping();
-      case "give-up": {
-        const unresponsive = socket;
-        handleLoss(UNRESPONSIVE_REASON);
-        unresponsive?.terminate();
-        return;
-      }
+      case "give-up":
+        return drop(UNRESPONSIVE_REASON);
     }
   }
 
+  function drop(reason: string) {
+    const dropped = socket;
+    handleLoss(reason);
+    dropped?.terminate();
+  }
+
   connect();
   return {
     attempt(call, onEvent): Attempt {
@@ -285,6 +306,8 @@
       failures = 0;
       connect();
     },
+    isOpen: () => isOpen,
+    hasCalls: () => pendingCalls.size > 0,
     close() {
       isClosed = true;
       clearTimeout(redialTimer);
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -12,6 +12,18 @@
 import type { QueueReport } from "../queue/state.ts";
 import type { ReaderStatus } from "../reader_election/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
+import {
+  beatFields,
+  beatOf,
+  digestFields,
+  digestOf,
+  listOf,
+  noticeFields,
+  noticeOf,
+  numberOf,
+  rowFields,
+  rowOf,
+} from "./encode_fleet.ts";
 import type { LinkMessage, NodeStatus } from "./messages.ts";
 
 /** First element of an encoded message. */
@@ -25,6 +37,11 @@
   Pong: 6,
   Named: 7,
   Operator: 8,
+  Hello: 9,
+  Rows: 10,
+  Lost: 11,
+  Digest: 12,
+  Beats: 13,
 } as const;
 
 const EventKind = {
@@ -82,7 +99,20 @@
     case "pong":
       return [Kind.Pong, ...statusFields(message)];
     case "hello":
+      return [
+        Kind.Hello,
+        message.protocol,
+        message.isNeighbor,
+        rowFields(message.row),
+      ];
     case "rows":
+      return [Kind.Rows, message.rows.map(rowFields)];
+    case "lost":
+      return [Kind.Lost, ...noticeFields(message.notice)];
+    case "digest":
+      return [Kind.Digest, message.isAnswer, message.domains.map(digestFields)];
+    case "beats":
+      return [Kind.Beats, message.beats.map(beatFields)];
     case "recall":
     case "ask-rows":
     case "ask-operator":
@@ -124,7 +154,26 @@
     case Kind.Pong:
       return { type: "pong", ...statusOf(fields) };
     case Kind.Named:
-      return fields[1] as LinkMessage;
+      return namedMessage(fields[1]);
+    case Kind.Hello:
+      return {
+        type: "hello",
+        protocol: numberOf(fields[1]),
+        isNeighbor: fields[2] === true,
+        row: rowOf(fields[3]),
+      };
+    case Kind.Rows:
+      return { type: "rows", rows: listOf(fields[1]).map(rowOf) };
+    case Kind.Lost:
+      return { type: "lost", notice: noticeOf(fields) };
+    case Kind.Digest:
+      return {
+        type: "digest",
+        isAnswer: fields[1] === true,
+        domains: listOf(fields[2]).map(digestOf),
+      };
+    case Kind.Beats:
+      return { type: "beats", beats: listOf(fields[1]).map(beatOf) };
     case Kind.Operator:
       return {
         type: "operator",
@@ -137,6 +186,26 @@
   }
 }
 
+/** Messages that are rare, and so are sent with the names of their fields. */
+const NAMED_TYPES: ReadonlySet<unknown> = new Set([
+  "recall",
+  "ask-rows",
+  "ask-operator",
+  "move-step",
+  "move-report",
+  "move-fault",
+]);
+
+function namedMessage(value: unknown): LinkMessage {
+  const { type } = value as LinkMessage;
+  if (!NAMED_TYPES.has(type)) {
+    throw new TypeError(
+      `message "${String(type)}" is from another version of the protocol`,
+    );
+  }
+  return value as LinkMessage;
+}
+
 /**
  * Compresses operators' records. A routing table is repetitive, and one node
  * sends it to each node of its failure domain.
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -4,9 +4,10 @@
  */
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import type { Offset } from "../core/types.ts";
-import type { NodeRow } from "../fleet/state.ts";
+import type { DomainDigest, LostNotice, NodeRow } from "../fleet/messages.ts";
 import type { StoppedInstance } from "../local_endpoint/state.ts";
 import type { QueueReport } from "../queue/state.ts";
+import type { ReaderBeat } from "../reader_election/apply_beat.ts";
 import type { ReaderStatus } from "../reader_election/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
 import type {
@@ -15,6 +16,12 @@
   ShiftStep,
 } from "../traffic_shift/state.ts";
 
+/**
+ * Version of the messages. Nodes with different versions refuse each other's
+ * links, since they would misread each other's messages.
+ */
+export const PROTOCOL_VERSION = 2;
+
 /** Identifies a call on one link. */
 export type LinkKey = number;
 
@@ -54,18 +61,43 @@
 
 /** Messages between nodes that are not about calls. */
 export type Gossip =
-  /** First message on a link, with the sender's gossip row. */
-  | { readonly type: "hello"; readonly row: NodeRow }
+  /**
+   * First message on a link, with the sender's gossip row. It is sent again when
+   * `isNeighbor` changes, or to request the receiver's row.
+   */
+  | {
+    readonly type: "hello";
+    readonly protocol: number;
+    readonly row: NodeRow;
+    /** Whether the nodes exchange the state of the fleet over this link. */
+    readonly isNeighbor: boolean;
+  }
   | ({ readonly type: "ping" } & NodeStatus)
   | ({ readonly type: "pong" } & NodeStatus)
   | { readonly type: "rows"; readonly rows: readonly NodeRow[] }
+  | { readonly type: "lost"; readonly notice: LostNotice }
+  | {
+    readonly type: "digest";
+    readonly domains: readonly DomainDigest[];
+    /** Whether it answers the receiver's digest. */
+    readonly isAnswer: boolean;
+  }
+  | { readonly type: "beats"; readonly beats: readonly ReaderBeat[] }
   /**
    * Answer to a hello: the stopped endpoint processes that an earlier process
    * of the hello's sender had announced.
    */
   | { readonly type: "recall"; readonly gone: readonly StoppedInstance[] }
-  | { readonly type: "ask-rows" }
-  | { readonly type: "ask-operator" }
+  | {
+    readonly type: "ask-rows";
+    /** Failure domains whose rows are requested. Undefined requests all. */
+    readonly domains: readonly string[] | undefined;
+  }
+  | {
+    readonly type: "ask-operator";
+    /** Offset after which records are requested. If negative, all keys. */
+    readonly from: Offset;
+  }
   | {
     readonly type: "operator";
     /**
--- a/src/links/state.ts
+++ b/src/links/state.ts
@@ -4,6 +4,12 @@
  */
 import type { MonotonicMs } from "../core/types.ts";
 
+/**
+ * Bytes that may wait to be read by the peer, before the link is closed. Answers
+ * of running calls count, and the largest take some megabytes.
+ */
+export const MAX_UNSENT_BYTES = 33_554_432;
+
 export interface LinkHealth {
   /** When the last message was received. */
   receivedAt: MonotonicMs;
--- a/src/load_balancing/record_home.ts
+++ b/src/load_balancing/record_home.ts
@@ -116,3 +116,8 @@
   if (view.failing === 0) return 0;
   return view.failing * 0.5 ** ((now - view.failingAt) / FAILURE_HALF_LIFE_MS);
 }
+
+/** Forgets a home that this node has no link to, once no attempt is open. */
+export function forgetHome(state: LoadBalancingState, home: NodeId) {
+  if (state.views.get(home)?.inFlight === 0) state.views.delete(home);
+}
--- /dev/null
+++ b/src/reader_election/apply_beat.ts
@@ -0,0 +1,96 @@
+/**
+ * Keeps the statuses that the readers of the operators' topic announce to the
+ * whole fleet.
+ * @module
+ */
+import type { MonotonicMs, NodeId, Offset, WallMs } from "../core/types.ts";
+import { ReaderStatus } from "./state.ts";
+
+/** Time that the status of a reader is valid, in milliseconds. */
+const BEAT_TTL_MS = 6_000;
+
+/** Number of nodes whose statuses are kept. There are far fewer readers. */
+const MAX_BEATS = 2_000;
+
+/**
+ * Of this many beats of a reader, one is sent to other failure domains, where a
+ * silent reader may be detected later.
+ */
+export const BEATS_PER_REMOTE_BEAT = 4;
+
+/** Status of a reader. Each node forwards it once. */
+export interface ReaderBeat {
+  readonly node: NodeId;
+  readonly domain: string;
+  /** When the reader's process started, by its own clock. */
+  readonly startedAt: WallMs;
+  /** Increases with each beat of the process. */
+  readonly seq: number;
+  readonly readerStatus: ReaderStatus;
+  /** Offset up to which the reader has read the operators' topic. */
+  readonly end: Offset;
+}
+
+interface KnownBeat {
+  readonly beat: ReaderBeat;
+  readonly receivedAt: MonotonicMs;
+}
+
+export interface BeatState {
+  readonly beats: Map<NodeId, KnownBeat>;
+}
+
+export function createBeatState(): BeatState {
+  return { beats: new Map() };
+}
+
+/**
+ * Stores a beat if it is newer than the known one of its node. Returns whether
+ * it is.
+ */
+export function applyBeat(
+  state: BeatState,
+  beat: ReaderBeat,
+  now: MonotonicMs,
+): boolean {
+  const known = state.beats.get(beat.node)?.beat;
+  if (known !== undefined && !isLater(beat, known)) return false;
+  if (known === undefined && state.beats.size >= MAX_BEATS) return false;
+  state.beats.set(beat.node, { beat, receivedAt: now });
+  return true;
+}
+
+/** Returns whether a beat is sent to the nodes of a failure domain. */
+export function isForwardedTo(
+  beat: ReaderBeat,
+  domain: string | undefined,
+): boolean {
+  return domain === beat.domain || beat.seq % BEATS_PER_REMOTE_BEAT === 0;
+}
+
+/** Returns the nodes that recently announced successful reads of the store. */
+export function healthyReaders(state: BeatState, now: MonotonicMs): NodeId[] {
+  return [...state.beats].flatMap(([node, { beat, receivedAt }]) =>
+    beat.readerStatus === ReaderStatus.Healthy &&
+      now - receivedAt < BEAT_TTL_MS
+      ? [node]
+      : []
+  );
+}
+
+/** Returns a node's last announced status. Other nodes don't read. */
+export function statusOfNode(
+  state: BeatState,
+  node: NodeId,
+  now: MonotonicMs,
+): ReaderStatus {
+  const known = state.beats.get(node);
+  return known === undefined || now - known.receivedAt >= BEAT_TTL_MS
+    ? ReaderStatus.Idle
+    : known.beat.readerStatus;
+}
+
+function isLater(a: ReaderBeat, b: ReaderBeat): boolean {
+  if (a.startedAt !== b.startedAt) return a.startedAt > b.startedAt;
+  return a.seq > b.seq;
+}
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -1,5 +1,6 @@
 /**
- * Sends this node's state to its peers and handles the messages they send.
+ * Exchanges the state of the fleet with the neighbors of this node, and keeps
+ * the links to home nodes.
  *
  * The home node of an endpoint is the node on the same VM, the only one that
  * opens connections to it.
@@ -10,10 +11,14 @@
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { decideFleet } from "../fleet/decide_fleet.ts";
+import { digestRows } from "../fleet/digest_rows.ts";
+import { isHomeExpected } from "../fleet/is_home_expected.ts";
+import type { NodeRow } from "../fleet/messages.ts";
 import {
   type FleetEffect,
   type FleetEvent,
   type FleetState,
+  liveRows,
   ownRow,
 } from "../fleet/state.ts";
 import type { LocalHome } from "../endpoint_proxy/create_home.ts";
@@ -23,18 +28,29 @@
   dialLink,
   UNRESPONSIVE_REASON,
 } from "../links/dial_link.ts";
-import type { Gossip, NodeStatus } from "../links/messages.ts";
+import {
+  type Gossip,
+  type NodeStatus,
+  PROTOCOL_VERSION,
+} from "../links/messages.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
 import {
+  forgetHome,
   recordNetworkTime,
   recordReport,
 } from "../load_balancing/record_home.ts";
 import type { LoadBalancingState } from "../load_balancing/state.ts";
-import { RELAY_NODE_COUNT } from "../reader_election/decide_reader_election.ts";
-import { ReaderStatus } from "../reader_election/state.ts";
 import type { ShiftDescription } from "../traffic_shift/describe_shifts.ts";
+import {
+  createShiftNewsState,
+  isNewFault,
+  isNewStep,
+} from "../traffic_shift/select_news.ts";
 import type { TrafficShiftEvent } from "../traffic_shift/state.ts";
+import { createBeatService } from "./create_beat_service.ts";
+import { createLinkTable } from "./create_link_table.ts";
+import { createOutbox, splitRows } from "./create_outbox.ts";
 import type { FeedPeers, OperatorFeed } from "./feed_operator.ts";
 import { findLeaders } from "./find_leaders.ts";
 
@@ -55,8 +71,11 @@
   perLinkMs: 100,
 };
 
-/** Upper bounds on that time for a node that reads the operators' topic. */
-const READER_IDLE_MS = { sameDomainMs: 1_000, otherDomainMs: 2_500 };
+/**
+ * Upper bounds on that time for neighbors, which report lost nodes to the whole
+ * fleet.
+ */
+const NEIGHBOR_IDLE_MS = { sameDomainMs: 1_000, otherDomainMs: 2_500 };
 
 /**
  * Minimum time between probes of all links after a link became unresponsive, in
@@ -67,8 +86,8 @@
 /** Time between health checks of all links, in milliseconds. */
 const CHECK_INTERVAL_MS = 200;
 
-/** Time that a peer's report on its store reads is valid, in milliseconds. */
-const READER_STATUS_TTL_MS = 6_000;
+/** Time between digests, each of which is sent to the next neighbor. */
+const DIGEST_INTERVAL_MS = 3_000;
 
 /** Options of `createGossipService`. */
 export interface CreateGossipServiceOptions {
@@ -100,67 +119,132 @@
     message: Gossip,
     reply: (message: Gossip) => void,
   ): void;
-  /** Sends a message to all linked nodes. */
-  sendToAll(message: Gossip): void;
+  /** Handles the end of a link that a peer opened. */
+  handleClosed(from: NodeId, reply: (message: Gossip) => void): void;
+  /** Sends a message to the neighbors, which forward it to the whole fleet. */
+  broadcast(message: Gossip): void;
   /**
-   * Sends a message only to this failure domain, the node that leads traffic
-   * shifts and its successors. Used for run counts, which change all the time,
-   * since traffic between domains is expensive.
+   * Sends a message to the nodes that lead traffic shifts, or would lead them
+   * next.
    */
-  sendToDomainAndLeaders(message: Gossip): void;
+  sendToLeaders(message: Gossip): void;
+  /**
+   * Calls back once a link to a home of the service opens. Returns a function
+   * that cancels the callback, or undefined if no such link is expected.
+   */
+  awaitHome(service: string, onReady: () => void): (() => void) | undefined;
   /** Applies an event to the fleet state and carries out its effects. */
   applyEvent(event: FleetEvent): void;
   /** Status of this node, as sent in pings. */
   status(): NodeStatus;
-  /** Linked nodes that recently reported successful reads of the store. */
+  /** Nodes that recently announced successful reads of the store. */
   healthyNodes(): readonly NodeId[];
   close(): void;
 }
 
-/** Creates the service. It opens a link to each node the fleet state learns. */
+/** Creates the service. It opens links as the fleet state plans them. */
 export function createGossipService(
   opts: CreateGossipServiceOptions,
 ): GossipService {
   const { self, fleet, now, meter } = opts;
-  const links = new Map<NodeId, DialledLink>();
-  /** Last reader status that each linked node sent. */
-  const readerStatuses = new Map<NodeId, ReaderStatus>();
+  const links = createLinkTable();
+  const outbox = createOutbox({
+    neighbors: links.neighbors,
+    send: links.send,
+    domainOf,
+    now,
+  });
+  const beats = createBeatService({ ...opts, outbox, canSend: links.canSend });
+  const shiftNews = createShiftNewsState();
   /** When a status message of each node last arrived. */
   const exchangedAt = new Map<NodeId, MonotonicMs>();
+  /** Calls that wait for a link to a home. */
+  const homeWaits = new Set<{ service: string; onReady: () => void }>();
   let sameDomainLinks = 0;
+  let otherDomainLinks = 0;
   let probedAt = -Infinity;
+  let digestSentAt = now();
+  let digestTurn = 0;
   let hasRequestedRows = false;
   // One timer serves all links, because each wake-up of a timer has a cost.
   const checker = setInterval(() => {
     const work = meter.begin();
-    sameDomainLinks = [...links.keys()].filter(isSameDomain).length;
-    for (const link of links.values()) link.check();
-    opts.operator.tick();
+    tick();
     meter.end(work, Duty.Timers);
   }, CHECK_INTERVAL_MS);
 
+  function tick() {
+    decide({ type: "ticked", leaders: leaders(), now: now() });
+    const dialled = [...fleet.links.keys()];
+    sameDomainLinks = dialled.filter(isSameDomain).length;
+    otherDomainLinks = dialled.length - sameDomainLinks;
+    links.check();
+    beats.tick();
+    opts.operator.tick();
+    if (now() - digestSentAt < DIGEST_INTERVAL_MS) return;
+    digestSentAt = now();
+    const neighbors = links.neighbors();
+    const next = neighbors[digestTurn++ % neighbors.length];
+    if (next !== undefined) links.send(next, digest(false));
+  }
+
   function decide(event: FleetEvent) {
     for (const effect of decideFleet(fleet, event)) apply(effect);
+    if (event.type === "confirmed") callBackWaiting();
+  }
+
+  function callBackWaiting() {
+    for (const waiting of [...homeWaits]) {
+      if (fleet.byService.has(waiting.service)) waiting.onReady();
+    }
   }
 
   function apply(effect: FleetEffect) {
     switch (effect.type) {
-      case "dial":
-        links.set(effect.node, dial(effect.node));
+      case "dial": {
+        const { node, isNeighbor } = effect;
+        return links.add(node, isNeighbor, () => dial(node));
+      }
+      case "set-neighbor":
+        links.setNeighbor(effect.node, effect.isNeighbor);
+        links.find(effect.node)?.send(hello(effect.node));
+        if (effect.isNeighbor) links.send(effect.node, digest(false));
         return;
       case "remove-link":
-        links.get(effect.node)?.close();
-        links.delete(effect.node);
-        readerStatuses.delete(effect.node);
-        exchangedAt.delete(effect.node);
-        opts.operator.handlePeerLost(effect.node);
+        forgetHome(opts.loadBalancing, effect.node);
+        return links.retire(effect.node);
+      case "send-hello":
+        links.find(effect.node)?.send(hello(effect.node));
         return;
-      case "send-row":
-        sendToAll({ type: "rows", rows: [effect.row] });
+      case "send-own-row": {
+        const message: Gossip = { type: "rows", rows: [effect.row] };
+        for (const node of links.linkedNodes()) links.send(node, message);
         return;
-      case "send-hello":
-        send(effect.node, hello());
+      }
+      case "forward-rows":
+        for (const row of effect.rows) outbox.addRow(row, effect.except);
+        return;
+      case "forward-lost":
+        opts.log.write("fleet", LogLevel.Info, "node reported as lost", {
+          ...effect.notice,
+          from: effect.except,
+        });
+        return forward({ type: "lost", notice: effect.notice }, effect.except);
+      case "correct": {
+        const { node, row, notice } = effect;
+        if (row !== undefined) links.send(node, { type: "rows", rows: [row] });
+        if (notice !== undefined) links.send(node, { type: "lost", notice });
         return;
+      }
+      case "request-rows": {
+        const { node, domains } = effect;
+        return links.send(node, { type: "ask-rows", domains });
+      }
+      case "send-digest":
+        return links.send(effect.node, digest(true));
+      case "node-lost":
+        beats.forget(effect.node);
+        return opts.operator.handlePeerLost(effect.node);
       default:
         exhausted(effect);
     }
@@ -170,13 +254,13 @@
     return dialLink({
       node,
       idleMs: () => idleMs(node),
-      exchangedAt: () => exchangedAtOf(node),
+      exchangedAt: () => exchangedAt.get(node) ?? -Infinity,
       lagMs: opts.lagMs,
       now,
       random: opts.random,
       meter,
       isOtherDomain: () => fleet.rows.has(node) && !isSameDomain(node),
-      hello,
+      hello: () => hello(node),
       ping: () => ({ type: "ping", ...status() }),
       onReport: (report, route) =>
         recordReport(opts.loadBalancing, {
@@ -196,35 +280,51 @@
         opts.log.write("fleet", LogLevel.Info, "link to peer opened", {
           peer: node,
         });
-        requestRows(node);
+        greet(node);
       },
       onClose(reason) {
         const fields = { peer: node, reason };
         opts.log.write("fleet", LogLevel.Warn, "link to peer lost", fields);
-        readerStatuses.delete(node);
+        exchangedAt.delete(node);
         opts.operator.handlePeerLost(node);
         if (reason === UNRESPONSIVE_REASON) probeLinks();
         decide({ type: "unlinked", node, now: now() });
       },
+      onDialFailed: () => decide({ type: "dial-failed", node, now: now() }),
     });
   }
 
   /**
-   * Requests the rows of all nodes from the first peer. The store, which lists
-   * the nodes, may be unreachable at the start.
+   * Sends a peer what it may lack. The rows of all nodes are requested from the
+   * first peer, since the store, which lists the nodes, may be unreachable at
+   * the start.
    */
-  function requestRows(node: NodeId) {
-    if (hasRequestedRows) return;
-    hasRequestedRows = true;
-    send(node, { type: "ask-rows" });
+  function greet(node: NodeId) {
+    const send = (message: Gossip) => links.send(node, message);
+    sendShifts(send);
+    if (!hasRequestedRows) {
+      hasRequestedRows = true;
+      send({ type: "ask-rows", domains: undefined });
+    } else if (links.isNeighbor(node)) {
+      send(digest(false));
+    }
   }
 
   function domainOf(node: NodeId): string | undefined {
     return fleet.rows.get(node)?.row.domain;
   }
 
-  function hello(): Gossip {
-    return { type: "hello", row: ownRow(fleet) };
+  function hello(node: NodeId): Gossip {
+    return {
+      type: "hello",
+      protocol: PROTOCOL_VERSION,
+      row: ownRow(fleet),
+      isNeighbor: links.isNeighbor(node),
+    };
+  }
+
+  function digest(isAnswer: boolean): Gossip {
+    return { type: "digest", domains: digestRows(fleet), isAnswer };
   }
 
   function isSameDomain(node: NodeId): boolean {
@@ -232,22 +332,16 @@
   }
 
   function idleMs(node: NodeId): number {
-    const isReader = opts.operator.readerStatus() === ReaderStatus.Healthy;
-    if (isSameDomain(node)) {
-      return isReader
-        ? Math.min(
-          READER_IDLE_MS.sameDomainMs,
-          scaled(SAME_DOMAIN_IDLE_MS, sameDomainLinks),
-        )
-        : scaled(SAME_DOMAIN_IDLE_MS, sameDomainLinks);
-    }
-    const otherDomainMs = scaled(
-      OTHER_DOMAIN_IDLE_MS,
-      links.size - sameDomainLinks,
-    );
-    return isReader
-      ? Math.min(READER_IDLE_MS.otherDomainMs, otherDomainMs)
-      : otherDomainMs;
+    const isNeighbor = links.isNeighbor(node);
+    return isSameDomain(node)
+      ? Math.min(
+        scaled(SAME_DOMAIN_IDLE_MS, sameDomainLinks),
+        isNeighbor ? NEIGHBOR_IDLE_MS.sameDomainMs : Infinity,
+      )
+      : Math.min(
+        scaled(OTHER_DOMAIN_IDLE_MS, otherDomainLinks),
+        isNeighbor ? NEIGHBOR_IDLE_MS.otherDomainMs : Infinity,
+      );
   }
 
   /**
@@ -256,7 +350,7 @@
   function probeLinks() {
     if (now() - probedAt < PROBE_INTERVAL_MS) return;
     probedAt = now();
-    for (const link of links.values()) link.probe();
+    links.probe();
   }
 
   function status(): NodeStatus {
@@ -268,12 +362,19 @@
     };
   }
 
-  function send(node: NodeId, message: Gossip) {
-    links.get(node)?.send(message);
+  function forward(message: Gossip, except: NodeId | undefined) {
+    for (const node of links.neighbors()) {
+      if (node !== except) links.send(node, message);
+    }
   }
 
-  function sendToAll(message: Gossip) {
-    for (const link of links.values()) link.send(message);
+  /** The nodes that lead traffic shifts, while there are any. */
+  function leaders(): ReadonlySet<NodeId> {
+    if (opts.shifts().length === 0) return new Set();
+    const statuses = new Map(
+      liveRows(fleet).map(({ row: { node } }) => [node, beats.statusOf(node)]),
+    );
+    return findLeaders(statuses);
   }
 
   /**
@@ -283,30 +384,15 @@
    */
   function handleLinkMessage(node: NodeId, message: Gossip) {
     if (message.type !== "rows") {
-      return handleMessage(node, message, (reply) => send(node, reply));
+      const reply = (answer: Gossip) => links.send(node, answer);
+      return handleMessage(node, message, reply);
     }
     const { rows } = message;
-    decide({ type: "rows-received", rows, now: now() });
+    decide({ type: "rows-received", rows, from: node, now: now() });
     const own = rows.find((row) => row.node === node);
     if (own !== undefined) decide({ type: "confirmed", row: own, now: now() });
   }
 
-  function sendToDomain(message: Gossip) {
-    for (const [id, link] of links) if (isSameDomain(id)) link.send(message);
-  }
-
-  function sendToRemoteRelays(message: Gossip) {
-    const sentTo = new Map<string, number>();
-    for (const node of [...fleet.linked].toSorted()) {
-      const domain = domainOf(node);
-      if (domain === undefined || domain === opts.domain) continue;
-      const count = sentTo.get(domain) ?? 0;
-      if (count >= RELAY_NODE_COUNT) continue;
-      sentTo.set(domain, count + 1);
-      send(node, message);
-    }
-  }
-
   /**
    * Queues a message by priority. Messages that may roll a version back come
    * first. The status of a peer is not queued, but recorded immediately.
@@ -336,34 +422,38 @@
   ) {
     switch (message.type) {
       case "hello":
-        decide({ type: "hello-received", row: message.row, now: now() });
-        // A node that has just started is dialled without backoff.
-        links.get(message.row.node)?.connectNow();
-        reply({ type: "rows", rows: [ownRow(fleet)] });
-        recallFor(message.row.node, reply);
-        return sendShifts(reply);
-      case "rows":
+        return handleHello(message.row, message.isNeighbor, reply);
+      case "rows": {
+        const { rows } = message;
+        return decide({ type: "rows-received", rows, from, now: now() });
+      }
+      case "lost": {
+        const { notice } = message;
+        return decide({ type: "lost-received", notice, from, now: now() });
+      }
+      case "digest":
+        if (from === undefined) return;
         return decide({
-          type: "rows-received",
-          rows: message.rows,
-          now: now(),
+          type: "digest-received",
+          from,
+          domains: message.domains,
+          isAnswer: message.isAnswer,
         });
+      case "beats":
+        return beats.handle(message.beats, from);
       case "recall":
         return opts.onRecall(message.gone);
       case "ask-rows":
-        reply({
-          type: "rows",
-          rows: [...fleet.rows.values()].map(({ row }) => row),
-        });
-        return;
+        return sendRows(message.domains, reply);
       case "ping":
       case "pong":
         return handleStatus(from, message);
       case "ask-operator":
-        return reply(opts.operator.page());
+        return reply(opts.operator.page(message.from));
       case "operator":
         return opts.operator.handlePage(message, from);
       case "move-step":
+        if (isNewStep(shiftNews, message.step)) forward(message, from);
         return opts.onShift({
           type: "step-received",
           step: message.step,
@@ -376,19 +466,40 @@
           now: now(),
         });
       case "move-fault":
+        if (isNewFault(shiftNews, message.fault)) forward(message, from);
         return opts.onShift({ type: "fault-received", fault: message.fault });
       default:
         exhausted(message);
     }
   }
 
-  /**
-   * Sends a node the stopped instances that its earlier process announced. A
-   * process that has just started does not have them.
-   */
-  function recallFor(node: NodeId, reply: (message: Gossip) => void) {
-    const gone = fleet.gone.get(node);
+  function handleHello(
+    row: NodeRow,
+    isNeighbor: boolean,
+    reply: (message: Gossip) => void,
+  ) {
+    links.accept(row.node, isNeighbor, reply);
+    decide({ type: "hello-received", row, now: now() });
+    // A node that has just started is dialled without backoff.
+    links.find(row.node)?.connectNow();
+    reply({ type: "rows", rows: [ownRow(fleet)] });
+    const gone = fleet.gone.get(row.node);
+    // A process that has just started does not know which instances stopped
+    // during an earlier process of its node.
     if (gone !== undefined) reply({ type: "recall", gone });
+    sendShifts(reply);
+  }
+
+  function sendRows(
+    domains: readonly string[] | undefined,
+    reply: (message: Gossip) => void,
+  ) {
+    const rows = liveRows(fleet).flatMap(({ row, receivedAt }) =>
+      domains === undefined || domains.includes(row.domain)
+        ? [reduceColdTime(row, now() - receivedAt)]
+        : []
+    );
+    for (const part of splitRows(rows)) reply({ type: "rows", rows: part });
   }
 
   function sendShifts(reply: (message: Gossip) => void) {
@@ -399,55 +510,62 @@
     }
   }
 
-  function exchangedAtOf(node: NodeId): MonotonicMs {
-    return exchangedAt.get(node) ?? -Infinity;
-  }
-
-  function healthyNodes(): NodeId[] {
-    return [...readerStatuses].flatMap(([node, readerStatus]) =>
-      readerStatus === ReaderStatus.Healthy &&
-        now() - exchangedAtOf(node) < READER_STATUS_TTL_MS
-        ? [node]
-        : []
-    );
-  }
-
   function handleStatus(from: NodeId | undefined, message: NodeStatus) {
     if (from === undefined) return;
     exchangedAt.set(from, now());
     const { report } = message;
     recordReport(opts.loadBalancing, { home: from, report, now: now() });
     const { readerStatus, operatorEnd: end } = message;
-    readerStatuses.set(from, readerStatus);
     const domain = domainOf(from);
     opts.operator.handlePeerStatus({ node: from, domain, readerStatus, end });
   }
 
+  function broadcast(message: Gossip) {
+    if (message.type === "move-step") isNewStep(shiftNews, message.step);
+    if (message.type === "move-fault") isNewFault(shiftNews, message.fault);
+    forward(message, undefined);
+  }
+
   return {
-    homeOf: (node) => node === self ? opts.home : links.get(node),
+    homeOf: (node) => node === self ? opts.home : links.find(node),
     handleMessage,
+    handleClosed(from, reply) {
+      links.acceptedClosed(from, reply);
+      if (!links.canSend(from)) exchangedAt.delete(from);
+    },
     domainOf,
-    send,
-    sendToAll,
-    sendToDomain,
-    sendToRemoteRelays,
-    pingDomain: () => sendToDomain({ type: "ping", ...status() }),
+    canSend: links.canSend,
+    send: links.send,
+    neighbors: links.neighbors,
+    sendStatus: beats.send,
+    broadcast,
     status,
-    sendToDomainAndLeaders(message) {
-      const leaders = findLeaders(readerStatuses);
-      for (const [node, link] of links) {
-        if (leaders.has(node) || isSameDomain(node)) link.send(message);
-      }
+    sendToLeaders(message) {
+      for (const node of leaders()) links.send(node, message);
+    },
+    awaitHome(service, onReady) {
+      if (!isHomeExpected(fleet, service)) return undefined;
+      const waiting = { service, onReady };
+      homeWaits.add(waiting);
+      return () => homeWaits.delete(waiting);
     },
     applyEvent: decide,
-    healthyNodes,
+    healthyNodes: beats.healthyNodes,
     close() {
       clearInterval(checker);
-      for (const link of links.values()) link.close();
+      outbox.close();
+      links.close();
     },
   };
 }
 
+/** Returns a row with the time that is left of its endpoint's cold start. */
+function reduceColdTime(row: NodeRow, elapsedMs: number): NodeRow {
+  if (row.endpoint === undefined || row.endpoint.coldMs === 0) return row;
+  const coldMs = Math.max(0, row.endpoint.coldMs - elapsedMs);
+  return { ...row, endpoint: { ...row.endpoint, coldMs } };
+}
+
 function scaled(bounds: typeof SAME_DOMAIN_IDLE_MS, count: number): number {
   const ms = count * bounds.perLinkMs;
   return Math.min(bounds.longestMs, Math.max(bounds.shortestMs, ms));
@@ -459,6 +577,7 @@
     case "move-step":
       return Priority.Rollback;
     case "rows":
+    case "lost":
     case "hello":
     case "recall":
       return Priority.Drain;
@@ -466,6 +585,8 @@
       return Priority.Config;
     case "ping":
     case "pong":
+    case "beats":
+    case "digest":
     case "ask-rows":
     case "ask-operator":
     case "move-report":
--- a/src/sidecar/drive_traffic_shift.ts
+++ b/src/sidecar/drive_traffic_shift.ts
@@ -47,10 +47,10 @@
         elapsedMs: Math.round(elapsed.ms),
         ...effect.runs,
       });
-      return gossip.sendToAll({ type: "move-step", step: effect.step });
+      return gossip.broadcast({ type: "move-step", step: effect.step });
     }
     case "send-report":
-      return gossip.sendToDomainAndLeaders({
+      return gossip.sendToLeaders({
         type: "move-report",
         report: effect.report,
       });
@@ -58,7 +58,7 @@
       log.write("move", LogLevel.Warn, "target version found faulty", {
         ...effect.fault,
       });
-      return gossip.sendToAll({ type: "move-fault", fault: effect.fault });
+      return gossip.broadcast({ type: "move-fault", fault: effect.fault });
     default:
       exhausted(effect);
   }
--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -23,16 +23,22 @@
 /** Message that carries operators' records between nodes. */
 type OperatorPage = Extract<Gossip, { type: "operator" }>;
 
+/**
+ * Time after a request for records in which no neighbor is asked for the same
+ * records, in milliseconds.
+ */
+const REQUEST_TIMEOUT_MS = 300;
+
 /** How the feed sends messages to other nodes. */
 export interface FeedPeers {
   domainOf(node: NodeId): string | undefined;
+  /** Whether a message can be sent to a node. */
+  canSend(node: NodeId): boolean;
   send(node: NodeId, message: Gossip): void;
-  /** Sends a message to all linked nodes of this failure domain. */
-  sendToDomain(message: Gossip): void;
-  /** Sends a message to the first linked nodes of each other failure domain. */
-  sendToRemoteRelays(message: Gossip): void;
-  /** Pings all linked nodes of this failure domain. */
-  pingDomain(): void;
+  /** Nodes that this node exchanges the state of the fleet with. */
+  neighbors(): readonly NodeId[];
+  /** Announces this node's status to the whole fleet. */
+  sendStatus(): void;
 }
 
 /** Options of `createOperatorFeed`. */
@@ -61,10 +67,8 @@
 export interface OperatorFeed {
   readerStatus(): ReaderStatus;
   end(): Offset;
-  /**
-   * Page with the newest record of each key, for a node that has no records.
-   */
-  page(): OperatorPage;
+  /** Page with the newest record of each key that came after an offset. */
+  page(from: Offset): OperatorPage;
   handlePeerStatus(status: PeerReaderStatus): void;
   handlePeerLost(node: NodeId): void;
   handlePage(page: OperatorPage, from: NodeId | undefined): void;
@@ -80,13 +84,16 @@
   const { operator, log, now } = opts;
   const { self, domain } = opts;
   const state = createReaderElectionState({ self, domain });
+  /** Offset that the neighbors were last told of. */
+  let announcedEnd = -1;
+  let requestedAt = -Infinity;
 
   const follower = followTopic({
     store: opts.store,
     topic: opts.topic,
     from: operator.end,
     onRecords: (records, end) =>
-      acceptRecords(records, end, RecordSource.Store),
+      acceptRecords(records, end, RecordSource.Store, undefined),
     onHealth(err) {
       if (err === undefined) log.write("store", LogLevel.Info, "reads succeed");
       else {
@@ -105,6 +112,7 @@
     records: readonly KeyedRecord[],
     end: Offset,
     source: RecordSource,
+    sender: NodeId | undefined,
   ) {
     const from = operator.end();
     if (end <= from) return;
@@ -115,6 +123,32 @@
     });
     operator.applyRecords(records, end);
     decide({ type: "records-applied", source, from, end, now: now() });
+    if (source !== RecordSource.Store) announceEnd(sender);
+  }
+
+  /** Tells the neighbors of the newest offset; they request what they lack. */
+  function announceEnd(except: NodeId | undefined) {
+    const end = operator.end();
+    if (end <= announcedEnd) return;
+    announcedEnd = end;
+    const { send, neighbors } = opts.peers();
+    for (const node of neighbors()) {
+      if (node !== except) send(node, pageFrom(end));
+    }
+  }
+
+  function request(node: NodeId) {
+    requestedAt = now();
+    const from = operator.end();
+    opts.peers().send(node, { type: "ask-operator", from });
+  }
+
+  /** Returns the node, or a neighbor if no message can be sent to it. */
+  function reachable(node: NodeId): NodeId | undefined {
+    const { canSend, neighbors, domainOf } = opts.peers();
+    if (canSend(node)) return node;
+    const all = neighbors();
+    return all.find((one) => domainOf(one) === domain) ?? all[0];
   }
 
   function decide(event: ReaderElectionEvent) {
@@ -144,7 +178,7 @@
         );
         return follower.reconnect();
       case "send-status":
-        return opts.peers().pingDomain();
+        return opts.peers().sendStatus();
       case "request": {
         const { node } = effect;
         log.write(
@@ -153,12 +187,12 @@
           "peer has newer records; requesting them",
           { peer: node },
         );
-        return opts.peers().send(node, { type: "ask-operator" });
+        const target = reachable(node);
+        if (target !== undefined) request(target);
+        return;
       }
       case "forward":
-        opts.peers().sendToDomain(pageFrom(effect.from));
-        // A page without records only states the newest offset.
-        return opts.peers().sendToRemoteRelays(pageFrom(operator.end()));
+        return announceEnd(undefined);
       default:
         exhausted(effect);
     }
@@ -172,7 +206,7 @@
   return {
     readerStatus: () => state.status,
     end: operator.end,
-    page: () => pageFrom(-1),
+    page: pageFrom,
     handlePeerStatus: (status) =>
       decide({ type: "peer-status-received", ...status, now: now() }),
     handlePeerLost: (node) => decide({ type: "peer-lost", node, now: now() }),
@@ -181,13 +215,19 @@
         ? undefined
         : opts.peers().domainOf(node);
       // A page that begins after this node's offset is not applied, but shows
-      // that the sender has newer records.
+      // that the sender has newer records. Records of other domains are requested
+      // later, since traffic between domains is expensive.
       if (page.from <= operator.end()) {
         const isSameDomain = domain === opts.domain;
         const source = isSameDomain
           ? RecordSource.SameDomain
           : RecordSource.OtherDomain;
-        acceptRecords(page.records, page.end, source);
+        acceptRecords(page.records, page.end, source, node);
+      } else if (
+        node !== undefined && domain === opts.domain &&
+        now() - requestedAt >= REQUEST_TIMEOUT_MS
+      ) {
+        request(node);
       }
       if (node === undefined) return;
       const readerStatus = state.peers.get(node)?.readerStatus ??
--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -6,7 +6,7 @@
 import { formatError } from "../core/errors.ts";
 import { isAddress } from "../core/is_address.ts";
 import { backoffWithHalfJitter } from "../core/backoff_with_half_jitter.ts";
-import type { NodeId } from "../core/types.ts";
+import type { Member } from "../fleet/state.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import {
   decodeOrderTime,
@@ -18,13 +18,16 @@
 /** Delays after failed calls to the store, in milliseconds. */
 const RETRY_BACKOFF_MS = { firstMs: 150, longestMs: 1_500 };
 
+/** Limit for the name of a failure domain. Other values come from others. */
+const MAX_DOMAIN_BYTES = 256;
+
 /** Options of `registerNode`. */
 export interface RegisterNodeOptions {
   readonly settings: SidecarSettings;
   readonly platform: Platform;
   readonly log: Log;
   readonly random: () => number;
-  readonly onNodes: (nodes: readonly NodeId[]) => void;
+  readonly onNodes: (nodes: readonly Member[]) => void;
   readonly onStatus: (status: ShiftStatus) => void;
   readonly onOrderTime: (time: OrderTime) => void;
 }
@@ -88,11 +91,11 @@
       "find nodes",
       () => newest(topics.nodes),
     );
-    const keys = (nodes ?? []).map(({ key }) => key);
+    const records = nodes ?? [];
     // Other programs write to the store too.
-    const malformed = keys.filter((key) => !isAddress(key));
+    const malformed = records.filter(({ key }) => !isAddress(key));
     if (malformed.length > 0) {
-      const fields = { count: malformed.length, first: malformed[0] };
+      const fields = { count: malformed.length, first: malformed[0]?.key };
       log.write(
         "store",
         LogLevel.Warn,
@@ -100,7 +103,11 @@
         fields,
       );
     }
-    opts.onNodes(keys.filter(isAddress));
+    opts.onNodes(
+      records.flatMap(({ key: node, value }) =>
+        isAddress(node) ? [{ node, domain: decodeDomain(value) }] : []
+      ),
+    );
   }
 
   async function readStatuses() {
@@ -120,3 +127,9 @@
   void readStatuses();
   return { close: () => closing.abort() };
 }
+
+/** Returns an empty name if the value can't be the name of a domain. */
+function decodeDomain(value: Buffer | undefined): string {
+  if (value === undefined || value.length > MAX_DOMAIN_BYTES) return "";
+  return value.toString();
+}
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -81,9 +81,6 @@
 /** Time between log lines that sum up the work, in milliseconds. */
 const WORK_LOG_INTERVAL_MS = 5_000;
 
-/** Time between ticks of the fleet state, which removes lost nodes. */
-const FLEET_TICK_MS = 5_000;
-
 /** Time between ticks of the shutdown, in milliseconds. */
 const SHUTDOWN_TICK_MS = 50;
 
@@ -120,6 +117,7 @@
     self: settings.node,
     domain: settings.domain,
     life: randomBytes(INCARNATION_BYTES).toString("hex"),
+    startedAt: Date.now(),
   });
   const source = `${settings.node} ${Date.now()}`;
   const trafficShift = createTrafficShiftState({ self: settings.node, source });
@@ -210,6 +208,8 @@
   function applyTable(table: RouteTable, bytes: number) {
     if (!adoptTable(routes, table)) return;
     callers.setLimits(table.limits);
+    const services = [...table.services.keys()];
+    gossip.applyEvent({ type: "services-listed", services, now: now() });
     metrics.setTableVersion(table.version);
     log.write("config", LogLevel.Info, "new route table in force", {
       version: table.version,
@@ -262,6 +262,9 @@
     homes: gossip,
     verifyHome: (node) =>
       gossip.applyEvent({ type: "suspected", node, now: now() }),
+    awaitHome: gossip.awaitHome,
+    recordDemand: (service, isFull) =>
+      gossip.applyEvent({ type: "called", service, isFull, now: now() }),
     ownReport: home.report,
     isRunningHere: home.isRunning,
     recordNestedFailure: home.recordNestedFailure,
@@ -322,6 +325,7 @@
     meter,
     canAccept,
     onGossip: gossip.handleMessage,
+    onClosed: gossip.handleClosed,
     isOtherDomain: (domain) => domain !== settings.domain,
     onError: (reason, peer) =>
       log.write("fleet", LogLevel.Warn, "incoming link failed", {
@@ -361,7 +365,14 @@
       rank: mayLead ? precedingPeers.length : undefined,
       exposure: settings.exposure,
       loadOf: (service, version) =>
-        sumVersionLoad({ fleet, loadBalancing, home, service, version }),
+        sumVersionLoad({
+          fleet,
+          loadBalancing,
+          home,
+          service,
+          version,
+          now: now(),
+        }),
     });
     meter.end(work, Duty.Timers);
   }, SHIFT_TICK_MS);
@@ -371,10 +382,6 @@
     const fields = { processorMs, ...meter.summary() };
     log.write("process", LogLevel.Info, "work since the previous line", fields);
   }, WORK_LOG_INTERVAL_MS);
-  const fleetTimer = setInterval(
-    () => gossip.applyEvent({ type: "ticked", now: now() }),
-    FLEET_TICK_MS,
-  );
 
   await listen(callers.server, settings.callerAddress);
   await listen(links.server, settings.node);
@@ -455,7 +462,6 @@
     callers.close();
     clearInterval(shiftTimer);
     clearInterval(workTimer);
-    clearInterval(fleetTimer);
     feed.close();
     recorder.close();
     registration.close();
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -4,7 +4,7 @@
  */
 import { formatError } from "../core/errors.ts";
 import type { MonotonicMs, WallMs } from "../core/types.ts";
-import type { RowEndpoint } from "../fleet/state.ts";
+import type { RowEndpoint } from "../fleet/messages.ts";
 import type { LocalHome } from "../endpoint_proxy/create_home.ts";
 import { decideLocalEndpoint } from "../local_endpoint/decide_local_endpoint.ts";
 import { stoppedInstances } from "../local_endpoint/stopped_instances.ts";
