fix(endpoint_proxy): endless answers to slow callers no longer use up memory

Cause: each answer was bounded (16 MB), their sum was not. 18 slots of answers without end that nobody reads took 272 MB of a VM's 250 MB. Change: a node that holds 32 MB of unread answers aborts those that continue, at the home node and at the caller's node.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -58,6 +58,8 @@
   refuseUnsentCalls(): void;
   /** Number of requests whose answers are not completely sent. */
   open(): number;
+  /** Bytes of answers that callers have not read yet. */
+  unsentBytes(): number;
   /** Aborts the remaining calls and closes all connections. */
   close(): void;
 }
@@ -262,6 +264,11 @@
       }
     },
     open: () => unsent,
+    unsentBytes() {
+      let bytes = 0;
+      for (const socket of connections.keys()) bytes += socket.writableLength;
+      return bytes;
+    },
     close() {
       for (const [socket, { calls }] of connections) {
         for (const call of [...calls]) call.abort();
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -16,6 +16,7 @@
   type AttemptEvent,
   type HeaderList,
   LOWEST_SERVER_ERROR,
+  MAX_UNSENT_ANSWER_BYTES,
   type Refusal,
   RefusedBy,
 } from "../calls/state.ts";
@@ -265,7 +266,11 @@
         recordArrival(open);
         return handleAnswer(open, event.head, event.body);
       case "chunk":
-        if (streaming === open) res.write(event.chunk);
+        if (streaming !== open) return;
+        if (ctx.unsentBytes() > MAX_UNSENT_ANSWER_BYTES) {
+          return abortStreaming("too many bytes of answers are unread");
+        }
+        res.write(event.chunk);
         return;
       case "ended":
         if (streaming === open) finish(CallResult.Served, 200);
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -54,6 +54,8 @@
   readonly recordNestedFailure: (callId: string) => void;
   /** Queue report of the endpoint on this VM, for a route. */
   readonly ownReport: (route: string) => QueueReport;
+  /** Bytes of answers that their receivers have not read yet. */
+  readonly unsentBytes: () => number;
   readonly dialect: CallDialect;
   readonly log: Log;
   readonly metrics: Metrics;
--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -5,6 +5,13 @@
  */
 import type { NodeId } from "../core/types.ts";
 
+/**
+ * Bytes of answers that a node holds because callers or other nodes have not
+ * read them yet. Above it, the node aborts answers that continue: a faulty
+ * endpoint may send without end.
+ */
+export const MAX_UNSENT_ANSWER_BYTES = 33_554_432;
+
 /** Header names, each followed by its value, as received. */
 export type HeaderList = readonly string[];
 
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -8,6 +8,7 @@
   type AttemptEvent,
   type Home,
   LOWEST_SERVER_ERROR,
+  MAX_UNSENT_ANSWER_BYTES,
   type OfferedCall,
   RefusedBy,
 } from "../calls/state.ts";
@@ -85,6 +86,8 @@
   ) => void;
   /** Called when the endpoint can't be used at its announced address. */
   readonly onUnusableEndpoint: (reason: string) => void;
+  /** Bytes of answers that their receivers have not read yet. */
+  readonly unsentBytes: () => number;
   /** Called for a call whose service or version the endpoint does not run. */
   readonly onMisdirected: (call: OfferedCall, present: Instance) => void;
 }
@@ -210,6 +213,9 @@
   function handleRunEvent(key: number, entry: OpenCall, event: RunEvent) {
     switch (event.type) {
       case "chunk":
+        if (opts.unsentBytes() > MAX_UNSENT_ANSWER_BYTES) {
+          return abortRun(key, entry, "too many bytes of answers are unread");
+        }
         entry.onEvent(event);
         return;
       case "answered": {
@@ -257,11 +263,19 @@
   }
 
   function expire(key: number, entry: OpenCall) {
+    abortRun(key, entry, "its time is over", true);
+  }
+
+  function abortRun(
+    key: number,
+    entry: OpenCall,
+    reason: string,
+    isTimeout = false,
+  ) {
     entry.run?.cancel();
     recordRun(entry, true);
     end(key, entry, false);
-    const failure = { reason: "its time is over", isTimeout: true };
-    entry.onEvent({ type: "failed", failure });
+    entry.onEvent({ type: "failed", failure: { reason, isTimeout } });
   }
 
   function end(key: number, entry: OpenCall, isAnswered: boolean) {
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -137,10 +137,12 @@
   let stop: ShutdownState | undefined;
   let closed: Promise<void> | undefined;
 
+  const unsentBytes = () => links.unsentBytes() + callers.unsentBytes();
   const home = createHome({
     endpointAddress: settings.endpointAddress,
     dialect: platform.dialect,
     now,
+    unsentBytes,
     onRun(run) {
       countRun(trafficShift, run);
       metrics.countVersionRun(run);
@@ -268,6 +270,7 @@
     ownReport: home.report,
     isRunningHere: home.isRunning,
     recordNestedFailure: home.recordNestedFailure,
+    unsentBytes,
     dialect: platform.dialect,
     log,
     metrics,
--- a/src/testing/create_test_home.ts
+++ b/src/testing/create_test_home.ts
@@ -30,6 +30,7 @@
     onLateRun: () => {},
     onUntrustedAnswer: () => {},
     onUnusableEndpoint: () => {},
+    unsentBytes: () => 0,
     onMisdirected: () => {},
   });
   home.setInstance(ANNOUNCED_INSTANCE, "");
