perf(fleet): reader statuses travel when they change, not each half second

Cause: beats of readers were forwarded by each node to each neighbor twice a second: 89 messages and 15.7 KB a second at each of 80 nodes (budget 9 KB). Change: a beat is forwarded when its status changes; numbers of repeated beats go with the digests. The neighbors of a reader that becomes silent announce that, and the reader contradicts them by its next beat. Links are pinged only when nothing arrived for a while. A page that only states an offset is not compressed. Ticks of traffic shifts begin with the first order.

--- a/src/fleet/apply_lost.ts
+++ b/src/fleet/apply_lost.ts
@@ -60,7 +60,7 @@
   const effects: FleetEffect[] = [
     { type: "forward-lost", notice: { node, life, revision }, except: from },
   ];
-  if (isApplied) effects.push({ type: "node-lost", node });
+  effects.push({ type: isApplied ? "node-lost" : "probe", node });
   return effects;
 }
 
--- a/src/fleet/state.ts
+++ b/src/fleet/state.ts
@@ -232,6 +232,8 @@
   }
   /** Answer a node's digest with that of this node. */
   | { readonly type: "send-digest"; readonly node: NodeId }
+  /** Find out whether a linked node that is reported as lost answers. */
+  | { readonly type: "probe"; readonly node: NodeId }
   /** A node is reported as lost. */
   | { readonly type: "node-lost"; readonly node: NodeId };
 
--- a/src/links/check_link.ts
+++ b/src/links/check_link.ts
@@ -58,8 +58,10 @@
       : { type: "wait" };
   }
   const sinceReceivedMs = now - health.receivedAt;
-  const sincePingMs = now - Math.max(health.lastPingAt, opts.exchangedAt);
-  const isDue = sincePingMs >= idleMs ||
+  // Any message shows that the peer answers.
+  const sinceExchangeMs = now -
+    Math.max(health.lastPingAt, health.receivedAt, opts.exchangedAt);
+  const isDue = sinceExchangeMs >= idleMs ||
     sinceReceivedMs >= idleMs * MAX_IDLE_PERIODS ||
     (opts.hasCalls && sinceReceivedMs >= BUSY_LINK_PING_MS);
   return isDue ? { type: "ping" } : { type: "wait" };
--- a/src/reader_election/apply_beat.ts
+++ b/src/reader_election/apply_beat.ts
@@ -6,17 +6,22 @@
 import type { MonotonicMs, NodeId, Offset, WallMs } from "../core/types.ts";
 import { ReaderStatus } from "./state.ts";
 
-/** Time that the status of a reader is valid, in milliseconds. */
-const BEAT_TTL_MS = 6_000;
-
-/** Number of nodes whose statuses are kept. There are far fewer readers. */
-const MAX_BEATS = 2_000;
+/**
+ * Time that the status of a reader is valid, in milliseconds. Beats are sent
+ * when a status changes; the repeated ones pass from neighbor to neighbor, which
+ * takes some rounds in a large fleet. The neighbors of a reader that becomes
+ * silent announce that.
+ */
+const BEAT_TTL_MS = 60_000;
 
 /**
- * Of this many beats of a reader, one is sent to other failure domains, where a
- * silent reader may be detected later.
+ * Added to the number of the last known beat of a reader that its neighbor
+ * announces as silent. The reader's next beat has a higher number.
  */
-export const BEATS_PER_REMOTE_BEAT = 4;
+const SILENCE_SEQ = 0.5;
+
+/** Number of nodes whose statuses are kept. There are far fewer readers. */
+const MAX_BEATS = 2_000;
 
 /** Status of a reader. Each node forwards it once. */
 export interface ReaderBeat {
@@ -60,12 +65,27 @@
   return true;
 }
 
-/** Returns whether a beat is sent to the nodes of a failure domain. */
-export function isForwardedTo(
-  beat: ReaderBeat,
-  domain: string | undefined,
-): boolean {
-  return domain === beat.domain || beat.seq % BEATS_PER_REMOTE_BEAT === 0;
+/**
+ * Returns the beat by which a neighbor of a reader announces that the reader is
+ * silent, or undefined if the node is not known to read.
+ */
+export function silenceOf(
+  state: BeatState,
+  node: NodeId,
+): ReaderBeat | undefined {
+  const known = state.beats.get(node)?.beat;
+  if (known === undefined || known.readerStatus === ReaderStatus.Idle) {
+    return undefined;
+  }
+  const seq = Math.floor(known.seq) + SILENCE_SEQ;
+  return { ...known, seq, readerStatus: ReaderStatus.Idle };
+}
+
+/** Drops the beats that are not valid any more. */
+export function dropOldBeats(state: BeatState, now: MonotonicMs) {
+  for (const [node, { receivedAt }] of state.beats) {
+    if (now - receivedAt >= BEAT_TTL_MS) state.beats.delete(node);
+  }
 }
 
 /** Returns the nodes that recently announced successful reads of the store. */
--- a/src/sidecar/create_beat_service.ts
+++ b/src/sidecar/create_beat_service.ts
@@ -7,21 +7,31 @@
 import { type FleetState, liveRows, ownRow } from "../fleet/state.ts";
 import {
   applyBeat,
-  BEATS_PER_REMOTE_BEAT,
   createBeatState,
+  dropOldBeats,
   healthyReaders,
   type ReaderBeat,
+  silenceOf,
   statusOfNode,
 } from "../reader_election/apply_beat.ts";
 import { ReaderStatus } from "../reader_election/state.ts";
 import type { Outbox } from "./create_outbox.ts";
 import type { OperatorFeed } from "./feed_operator.ts";
 
-/** Time between the beats of a reader, in milliseconds. */
-const BEAT_INTERVAL_MS = 500;
+/**
+ * Time after which a reader numbers a new beat, in milliseconds. Neighbors pass
+ * it on with their digests.
+ */
+const BEAT_INTERVAL_MS = 5_000;
+
+/**
+ * Time after the start in which this node announces nothing, in milliseconds. A
+ * node reads once at its start, and most nodes stop then.
+ */
+const QUIET_START_MS = 2_400;
 
-/** Time between counts of the nodes that do not read, in milliseconds. */
-const COUNT_INTERVAL_MS = 1_000;
+/** Time between counts of the nodes of this domain, in milliseconds. */
+const COUNT_INTERVAL_MS = 500;
 
 /** Offset of a node whose offset is not known. */
 const UNKNOWN_END = -1;
@@ -40,11 +50,14 @@
 
 export interface BeatService {
   handle(beats: readonly ReaderBeat[], from: NodeId | undefined): void;
-  /** Sends a beat if one is due. Called a few times a second. */
+  /** Counts the readers. Called a few times a second. */
   tick(): void;
-  /** Sends a beat now, since this node's status has changed. */
+  /** Announces this node's status, which has changed. */
   send(): void;
-  forget(node: NodeId): void;
+  /** Announces that a node does not answer, if it is a reader. */
+  announceSilence(node: NodeId): void;
+  /** The beats of all readers, for a neighbor. */
+  all(): readonly ReaderBeat[];
   healthyNodes(): readonly NodeId[];
   statusOf(node: NodeId): ReaderStatus;
 }
@@ -53,44 +66,58 @@
   const { self, domain, fleet, operator, now } = opts;
   const state = createBeatState();
   let seq = 0;
-  let sentAt = -Infinity;
-  let sentStatus: ReaderStatus = ReaderStatus.Idle;
+  let numberedAt = -Infinity;
+  let announced: ReaderStatus = ReaderStatus.Idle;
+  const createdAt = now();
   let countedAt = -Infinity;
 
-  function send() {
-    const readerStatus = operator.readerStatus();
-    // All failure domains learn of a changed status.
-    seq += readerStatus === sentStatus
-      ? 1
-      : BEATS_PER_REMOTE_BEAT - seq % BEATS_PER_REMOTE_BEAT;
-    sentAt = now();
-    sentStatus = readerStatus;
+  function ownBeat(): ReaderBeat {
     const { startedAt } = ownRow(fleet);
+    const readerStatus = operator.readerStatus();
     const end = operator.end();
-    const beat = { node: self, domain, startedAt, seq, readerStatus, end };
-    opts.outbox.addBeat(beat, undefined);
+    return { node: self, domain, startedAt, seq, readerStatus, end };
+  }
+
+  function send() {
+    if (now() - createdAt < QUIET_START_MS) return;
+    seq++;
+    numberedAt = now();
+    announced = operator.readerStatus();
+    opts.outbox.addBeat(ownBeat(), undefined);
   }
 
   function handleBeat(beat: ReaderBeat, from: NodeId | undefined) {
-    if (beat.node === self || !applyBeat(state, beat, now())) return;
-    opts.outbox.addBeat(beat, from);
-    const { node, readerStatus } = beat;
+    if (beat.node === self) return refute(beat);
+    const before = statusOfNode(state, beat.node, now());
+    if (!applyBeat(state, beat, now())) return;
+    if (beat.readerStatus !== before) opts.outbox.addBeat(beat, from);
+    reportStatus(beat);
+  }
+
+  /** A neighbor announced that this node is silent, or an earlier process. */
+  function refute(beat: ReaderBeat) {
+    const isOutdated = beat.startedAt === ownRow(fleet).startedAt &&
+      beat.seq > seq && operator.readerStatus() !== ReaderStatus.Idle;
+    if (isOutdated) send();
+  }
+
+  function reportStatus({ node, domain, readerStatus, end }: ReaderBeat) {
     // Only a linked node can be asked for newer records.
-    const end = opts.canSend(node) ? beat.end : UNKNOWN_END;
-    operator.handlePeerStatus({ node, domain: beat.domain, readerStatus, end });
+    const knownEnd = opts.canSend(node) ? end : UNKNOWN_END;
+    operator.handlePeerStatus({ node, domain, readerStatus, end: knownEnd });
   }
 
   /**
-   * Counts the nodes of this domain that neither read nor have a link to this
-   * node. They may have to read before this node does.
+   * Reports the nodes that have no link to this node, so that the reader
+   * election counts them. Their statuses are valid until they change.
    */
-  function countIdleNodes() {
+  function countNodes() {
     for (const { row: { node, domain } } of liveRows(fleet)) {
-      if (domain !== opts.domain || node === self || opts.canSend(node)) {
+      if (node === self || opts.canSend(node)) continue;
+      const readerStatus = statusOfNode(state, node, now());
+      if (domain !== opts.domain && readerStatus === ReaderStatus.Idle) {
         continue;
       }
-      const readerStatus = statusOfNode(state, node, now());
-      if (readerStatus !== ReaderStatus.Idle) continue;
       operator.handlePeerStatus({
         node,
         domain,
@@ -105,15 +132,26 @@
       for (const beat of beats) handleBeat(beat, from);
     },
     tick() {
-      const isAnnounced = operator.readerStatus() !== ReaderStatus.Idle ||
-        sentStatus !== ReaderStatus.Idle;
-      if (isAnnounced && now() - sentAt >= BEAT_INTERVAL_MS) send();
+      const isReader = operator.readerStatus() !== ReaderStatus.Idle;
+      if (isReader && now() - numberedAt >= BEAT_INTERVAL_MS) {
+        seq++;
+        numberedAt = now();
+      }
+      if (operator.readerStatus() !== announced) send();
       if (now() - countedAt < COUNT_INTERVAL_MS) return;
       countedAt = now();
-      countIdleNodes();
+      dropOldBeats(state, now());
+      countNodes();
+    },
+    announceSilence(node) {
+      const beat = silenceOf(state, node);
+      if (beat !== undefined) handleBeat(beat, undefined);
+    },
+    all() {
+      const known = [...state.beats.values()].map(({ beat }) => beat);
+      return announced === ReaderStatus.Idle ? known : [...known, ownBeat()];
     },
     send,
-    forget: (node) => state.beats.delete(node),
     healthyNodes: () => healthyReaders(state, now()),
     statusOf: (node) =>
       node === self
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -62,13 +62,13 @@
  */
 const SAME_DOMAIN_IDLE_MS = {
   shortestMs: 600,
-  longestMs: 3_000,
-  perLinkMs: 100,
+  longestMs: 5_000,
+  perLinkMs: 150,
 };
 const OTHER_DOMAIN_IDLE_MS = {
   shortestMs: 1_500,
   longestMs: 10_000,
-  perLinkMs: 100,
+  perLinkMs: 250,
 };
 
 /**
@@ -151,8 +151,6 @@
   const outbox = createOutbox({
     neighbors: links.neighbors,
     send: links.send,
-    domainOf,
-    now,
   });
   const beats = createBeatService({ ...opts, outbox, canSend: links.canSend });
   const shiftNews = createShiftNewsState();
@@ -185,7 +183,9 @@
     digestSentAt = now();
     const neighbors = links.neighbors();
     const next = neighbors[digestTurn++ % neighbors.length];
-    if (next !== undefined) links.send(next, digest(false));
+    if (next === undefined) return;
+    links.send(next, digest(false));
+    links.send(next, { type: "beats", beats: beats.all() });
   }
 
   function decide(event: FleetEvent) {
@@ -242,8 +242,10 @@
       }
       case "send-digest":
         return links.send(effect.node, digest(true));
+      case "probe":
+        return links.find(effect.node)?.probe();
       case "node-lost":
-        beats.forget(effect.node);
+        beats.announceSilence(effect.node);
         return opts.operator.handlePeerLost(effect.node);
       default:
         exhausted(effect);
@@ -287,6 +289,7 @@
         opts.log.write("fleet", LogLevel.Warn, "link to peer lost", fields);
         exchangedAt.delete(node);
         opts.operator.handlePeerLost(node);
+        beats.announceSilence(node);
         if (reason === UNRESPONSIVE_REASON) probeLinks();
         decide({ type: "unlinked", node, now: now() });
       },
@@ -302,6 +305,7 @@
   function greet(node: NodeId) {
     const send = (message: Gossip) => links.send(node, message);
     sendShifts(send);
+    if (links.isNeighbor(node)) send({ type: "beats", beats: beats.all() });
     if (!hasRequestedRows) {
       hasRequestedRows = true;
       send({ type: "ask-rows", domains: undefined });
@@ -487,6 +491,7 @@
     // A process that has just started does not know which instances stopped
     // during an earlier process of its node.
     if (gone !== undefined) reply({ type: "recall", gone });
+    if (isNeighbor) reply({ type: "beats", beats: beats.all() });
     sendShifts(reply);
   }
 
--- a/src/sidecar/create_outbox.ts
+++ b/src/sidecar/create_outbox.ts
@@ -3,20 +3,13 @@
  * come in bursts, and each message has a cost.
  * @module
  */
-import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { NodeId } from "../core/types.ts";
 import type { NodeRow } from "../fleet/messages.ts";
 import type { Gossip } from "../links/messages.ts";
-import {
-  isForwardedTo,
-  type ReaderBeat,
-} from "../reader_election/apply_beat.ts";
+import type { ReaderBeat } from "../reader_election/apply_beat.ts";
 
-/**
- * Time for which rows and beats are collected, in milliseconds. Beats are
- * repeated all the time, and are not urgent.
- */
-const COLLECT_ROWS_MS = 50;
-const COLLECT_BEATS_MS = 100;
+/** Time for which changes are collected, in milliseconds. */
+const COLLECT_MS = 50;
 
 /** Number of rows in one message. */
 export const MAX_ROWS_PER_MESSAGE = 500;
@@ -25,8 +18,6 @@
 export interface CreateOutboxOptions {
   readonly neighbors: () => readonly NodeId[];
   readonly send: (node: NodeId, message: Gossip) => void;
-  readonly domainOf: (node: NodeId) => string | undefined;
-  readonly now: () => MonotonicMs;
 }
 
 export interface Outbox {
@@ -46,18 +37,13 @@
   const rows = new Map<NodeId, Item<NodeRow>>();
   const beats = new Map<NodeId, Item<ReaderBeat>>();
   let timer: NodeJS.Timeout | undefined;
-  let dueAt = Infinity;
 
-  function schedule(delayMs: number) {
-    const at = opts.now() + delayMs;
-    if (at >= dueAt) return;
-    clearTimeout(timer);
-    dueAt = at;
-    timer = setTimeout(flush, delayMs);
+  function schedule() {
+    timer ??= setTimeout(flush, COLLECT_MS);
   }
 
   function flush() {
-    dueAt = Infinity;
+    timer = undefined;
     const [newRows, newBeats] = [[...rows.values()], [...beats.values()]];
     rows.clear();
     beats.clear();
@@ -65,9 +51,7 @@
       for (const part of splitRows(valuesFor(newRows, node))) {
         opts.send(node, { type: "rows", rows: part });
       }
-      const domain = opts.domainOf(node);
-      const nodeBeats = valuesFor(newBeats, node)
-        .filter((beat) => isForwardedTo(beat, domain));
+      const nodeBeats = valuesFor(newBeats, node);
       if (nodeBeats.length > 0) {
         opts.send(node, { type: "beats", beats: nodeBeats });
       }
@@ -77,11 +61,11 @@
   return {
     addRow(row, from) {
       rows.set(row.node, { value: row, from });
-      schedule(COLLECT_ROWS_MS);
+      schedule();
     },
     addBeat(beat, from) {
       beats.set(beat.node, { value: beat, from });
-      schedule(COLLECT_BEATS_MS);
+      schedule();
     },
     close: () => clearTimeout(timer),
   };
--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -29,6 +29,9 @@
  */
 const REQUEST_TIMEOUT_MS = 300;
 
+/** Records of a page that only states an offset. */
+const NO_RECORDS: readonly KeyedRecord[] = [];
+
 /** How the feed sends messages to other nodes. */
 export interface FeedPeers {
   domainOf(node: NodeId): string | undefined;
@@ -132,9 +135,13 @@
     if (end <= announcedEnd) return;
     announcedEnd = end;
     const { send, neighbors } = opts.peers();
-    for (const node of neighbors()) {
-      if (node !== except) send(node, pageFrom(end));
-    }
+    const page = {
+      type: "operator",
+      from: end,
+      end,
+      records: NO_RECORDS,
+    } as const;
+    for (const node of neighbors()) if (node !== except) send(node, page);
   }
 
   function request(node: NodeId) {
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -204,6 +204,7 @@
         isNew,
         now: now(),
       });
+      startShiftTimer();
     },
   });
 
@@ -353,8 +354,14 @@
     res.end(await metrics.text());
   });
 
-  const shiftTimer = setInterval(() => {
-    if (trafficShift.shifts.size === 0) return;
+  let shiftTimer: NodeJS.Timeout | undefined;
+
+  /** Starts the ticks of the traffic shifts. Most nodes never see an order. */
+  function startShiftTimer() {
+    shiftTimer ??= setInterval(tickShifts, SHIFT_TICK_MS);
+  }
+
+  function tickShifts() {
     const work = meter.begin();
     const peers = gossip.healthyNodes();
     const waitMs = peers.length === 0 ? LEAD_ALONE_AFTER_MS : LEAD_AFTER_MS;
@@ -378,7 +385,7 @@
         }),
     });
     meter.end(work, Duty.Timers);
-  }, SHIFT_TICK_MS);
+  }
   const workTimer = setInterval(() => {
     const { user, system } = process.cpuUsage();
     const processorMs = Math.round((user + system) / 1_000);
--- a/src/testing/create_fleet_simulation.ts
+++ b/src/testing/create_fleet_simulation.ts
@@ -239,6 +239,7 @@
         return requestRows(node, effect.node, effect.domains);
       case "send-digest":
         return sendDigest(node, effect.node, true);
+      case "probe":
       case "node-lost":
         return;
       default:
