fix(sidecar): a link that is no longer needed closes without an alarm

Cause: closing an unused link counted as a lost link, so its node was announced as a silent reader, and other nodes began to read the store in its place. Linked readers were counted only by pings, which have become rarer. Change: closing a link reports no loss; readers are counted by what they announced last. Statuses of traffic shifts are read from the store once an order is known, not at each start.

--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -63,6 +63,7 @@
   readonly onNetworkTime: (networkMs: number) => void;
   readonly onGossip: (message: Gossip) => void;
   readonly onOpen: () => void;
+  /** Called when an open link is lost, but not after `close`. */
   readonly onClose: (reason: string) => void;
   /**
    * Called when an attempt to open the link fails, and when an open link becomes
@@ -160,7 +161,7 @@
     const wasOpen = isOpen;
     isOpen = false;
     socket = undefined;
-    if (wasOpen) opts.onClose(reason);
+    if (wasOpen && !isClosed) opts.onClose(reason);
     failAll(reason);
     if (isClosed) return;
     if (!wasOpen || reason === UNRESPONSIVE_REASON) opts.onDialFailed();
--- a/src/sidecar/create_beat_service.ts
+++ b/src/sidecar/create_beat_service.ts
@@ -33,9 +33,6 @@
 /** Time between counts of the nodes of this domain, in milliseconds. */
 const COUNT_INTERVAL_MS = 500;
 
-/** Offset of a node whose offset is not known. */
-const UNKNOWN_END = -1;
-
 /** Options of `createBeatService`. */
 export interface CreateBeatServiceOptions {
   readonly self: NodeId;
@@ -103,27 +100,22 @@
 
   function reportStatus({ node, domain, readerStatus, end }: ReaderBeat) {
     // Only a linked node can be asked for newer records.
-    const knownEnd = opts.canSend(node) ? end : UNKNOWN_END;
+    const knownEnd = opts.canSend(node) ? end : undefined;
     operator.handlePeerStatus({ node, domain, readerStatus, end: knownEnd });
   }
 
   /**
-   * Reports the nodes that have no link to this node, so that the reader
-   * election counts them. Their statuses are valid until they change.
+   * Reports the readers, and the nodes of this domain that have no link to this
+   * node, so that the reader election counts them. Their statuses are valid
+   * until they change.
    */
   function countNodes() {
     for (const { row: { node, domain } } of liveRows(fleet)) {
-      if (node === self || opts.canSend(node)) continue;
+      if (node === self) continue;
       const readerStatus = statusOfNode(state, node, now());
-      if (domain !== opts.domain && readerStatus === ReaderStatus.Idle) {
-        continue;
-      }
-      operator.handlePeerStatus({
-        node,
-        domain,
-        readerStatus,
-        end: UNKNOWN_END,
-      });
+      const isKnownByPings = domain !== opts.domain || opts.canSend(node);
+      if (readerStatus === ReaderStatus.Idle && isKnownByPings) continue;
+      operator.handlePeerStatus({ node, domain, readerStatus, end: undefined });
     }
   }
 
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -211,6 +211,7 @@
         if (effect.isNeighbor) links.send(effect.node, digest(false));
         return;
       case "remove-link":
+        exchangedAt.delete(effect.node);
         forgetHome(opts.loadBalancing, effect.node);
         return links.retire(effect.node);
       case "send-hello":
--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -63,8 +63,11 @@
   /** Failure domain, once its row is known. */
   readonly domain: string | undefined;
   readonly readerStatus: ReaderStatus;
-  /** Offset up to which the peer has read the operators' topic. */
-  readonly end: Offset;
+  /**
+   * Offset up to which the peer has read the operators' topic. Undefined keeps
+   * the one known before.
+   */
+  readonly end: Offset | undefined;
 }
 
 export interface OperatorFeed {
@@ -214,8 +217,10 @@
     readerStatus: () => state.status,
     end: operator.end,
     page: pageFrom,
-    handlePeerStatus: (status) =>
-      decide({ type: "peer-status-received", ...status, now: now() }),
+    handlePeerStatus(status) {
+      const end = status.end ?? state.peers.get(status.node)?.end ?? -1;
+      decide({ type: "peer-status-received", ...status, end, now: now() });
+    },
     handlePeerLost: (node) => decide({ type: "peer-lost", node, now: now() }),
     handlePage(page, node) {
       const domain = node === undefined
--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -33,6 +33,11 @@
 }
 
 export interface Registration {
+  /**
+   * Reads the statuses of earlier traffic shifts, once. Without an order they
+   * don't matter, and each call to the store has a cost.
+   */
+  readStatuses(): void;
   close(): void;
 }
 
@@ -110,6 +115,8 @@
     );
   }
 
+  let reading: Promise<void> | undefined;
+
   async function readStatuses() {
     const records = await retryUntilDone(
       "read statuses",
@@ -124,8 +131,10 @@
   }
 
   void run();
-  void readStatuses();
-  return { close: () => closing.abort() };
+  return {
+    readStatuses: () => void (reading ??= readStatuses()),
+    close: () => closing.abort(),
+  };
 }
 
 /** Returns an empty name if the value can't be the name of a domain. */
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -50,7 +50,7 @@
 import { createOperatorFeed } from "./feed_operator.ts";
 import { createOperatorReader } from "./read_operator.ts";
 import { createShiftRecorder } from "./record_shifts.ts";
-import { registerNode } from "./register_node.ts";
+import { registerNode, type Registration } from "./register_node.ts";
 import { watchInstance } from "./watch_instance.ts";
 
 /**
@@ -136,6 +136,8 @@
   const lag = createLagMeter({ now });
   let stop: ShutdownState | undefined;
   let closed: Promise<void> | undefined;
+  let registration: Registration | undefined = undefined;
+  let shiftTimer: NodeJS.Timeout | undefined;
 
   const unsentBytes = () => links.unsentBytes() + callers.unsentBytes();
   const home = createHome({
@@ -205,6 +207,7 @@
         now: now(),
       });
       startShiftTimer();
+      registration?.readStatuses();
     },
   });
 
@@ -354,8 +357,6 @@
     res.end(await metrics.text());
   });
 
-  let shiftTimer: NodeJS.Timeout | undefined;
-
   /** Starts the ticks of the traffic shifts. Most nodes never see an order. */
   function startShiftTimer() {
     shiftTimer ??= setInterval(tickShifts, SHIFT_TICK_MS);
@@ -401,7 +402,7 @@
     ),
   );
   const metricsServer = await listenPolka(metricsApp, settings.metricsAddress);
-  const registration = registerNode({
+  registration = registerNode({
     settings,
     platform,
     log,
@@ -417,6 +418,8 @@
       handleShiftEvent({ type: "order-time-read", ...time, now: now() });
     },
   });
+  // Orders may have arrived before.
+  if (trafficShift.shifts.size > 0) registration.readStatuses();
   log.write("process", LogLevel.Info, "sidecar started", {
     pid: process.pid,
     service: settings.service,
@@ -474,7 +477,7 @@
     clearInterval(workTimer);
     feed.close();
     recorder.close();
-    registration.close();
+    registration?.close();
     control.close();
     gossip.close();
     links.close();
