--- /dev/null
+++ b/src/links/dial_link_test.ts
@@ -0,0 +1,127 @@
+import { once } from "node:events";
+import type { AddressInfo } from "node:net";
+import { test, type TestContext } from "node:test";
+import assert from "node:assert/strict";
+import { type WebSocket, WebSocketServer } from "ws";
+import type { AttemptEvent } from "../calls/state.ts";
+import { createWorkMeter } from "../metrics/create_work_meter.ts";
+import { ReaderStatus } from "../reader_election/state.ts";
+import { offeredCall } from "../testing/offered_call.ts";
+import { createPacker, createUnpacker } from "./create_packer.ts";
+import { dialLink } from "./dial_link.ts";
+import { type LinkMessage, PROTOCOL_VERSION } from "./messages.ts";
+
+const REPORT = { running: 0, waiting: 0, meanMs: 0, routeMs: 0 };
+const STATUS = {
+  report: REPORT,
+  operatorEnd: 0,
+  readerStatus: ReaderStatus.Idle,
+  lagMs: 0,
+};
+
+/** A peer that answers nothing by itself. */
+async function startSilentPeer(t: TestContext) {
+  const server = new WebSocketServer({ port: 0, host: "127.0.0.1" });
+  await once(server, "listening");
+  t.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const waiting: ((socket: WebSocket) => void)[] = [];
+  const offers: { socket: WebSocket; key: number }[] = [];
+  let wake = () => {};
+  server.on("connection", (socket) => {
+    const unpack = createUnpacker();
+    waiting.shift()?.(socket);
+    socket.on("message", (data) => {
+      const message = unpack(data as Buffer);
+      if (message.type === "offer") offers.push({ socket, key: message.key });
+      wake();
+    });
+  });
+  return {
+    node: `127.0.0.1:${port}`,
+    connection: () =>
+      new Promise<WebSocket>((resolve) => waiting.push(resolve)),
+    async offer(count: number) {
+      while (offers.length < count) {
+        await new Promise<void>((resolve) => wake = resolve);
+      }
+      const offer = offers[count - 1];
+      assert.ok(offer);
+      return offer;
+    },
+  };
+}
+
+function answer(socket: WebSocket, key: number) {
+  const pack = createPacker({ isCompressing: () => false });
+  const message: LinkMessage = {
+    type: "event",
+    key,
+    event: {
+      type: "answered",
+      head: { status: 200, headers: [] },
+      body: Buffer.from("late"),
+    },
+    report: REPORT,
+    heldMs: 0,
+    lagMs: 0,
+  };
+  socket.send(pack(message));
+}
+
+test("call at a peer that was silent for a while gets its answer", async (t) => {
+  const peer = await startSilentPeer(t);
+  let now = 0;
+  let opened = () => {};
+  const isOpen = () => new Promise<void>((resolve) => opened = resolve);
+  const [first, firstOpen] = [peer.connection(), isOpen()];
+  const link = dialLink({
+    node: peer.node,
+    idleMs: () => 1_000,
+    exchangedAt: () => -Infinity,
+    lagMs: () => 0,
+    now: () => now,
+    random: () => 0,
+    meter: createWorkMeter({ now: () => now }),
+    isOtherDomain: () => false,
+    hello: () => ({
+      type: "hello",
+      protocol: PROTOCOL_VERSION,
+      row: { node: "a:1", domain: "d1", life: "l", startedAt: 0, revision: 0 },
+      isNeighbor: false,
+    }),
+    ping: () => ({ type: "ping", ...STATUS }),
+    onReport() {},
+    onNetworkTime() {},
+    onGossip() {},
+    onOpen: () => opened(),
+    onClose() {},
+    onDialFailed() {},
+  });
+  t.after(() => link.close());
+  await firstOpen;
+  const events: AttemptEvent["type"][] = [];
+  let hasAnswer = () => {};
+  const answered = new Promise<void>((resolve) => hasAnswer = resolve);
+  link.attempt(offeredCall({}), (event) => {
+    events.push(event.type);
+    if (event.type === "answered") hasAnswer();
+  });
+  const offer = await peer.offer(1);
+  const [second, secondOpen] = [peer.connection(), isOpen()];
+  now = 400;
+  link.check();
+  now = 1_300;
+  link.check();
+  assert.ok(!link.isOpen());
+  assert.deepEqual(events, ["overdue"]);
+  await secondOpen;
+  link.attempt(offeredCall({}), () => {});
+  const next = await peer.offer(2);
+  assert.equal(next.socket, await second);
+  const closed = once(await first, "close");
+  answer(offer.socket, offer.key);
+  await answered;
+  assert.deepEqual(events, ["overdue", "answered"]);
+  await closed;
+});
