fix(traffic_shift): a leader that was paused asks for its lease again

Cause (reported by other operators; shown here by a test): a leader that had been stopped or suspended for seconds raised the share of a version, or recorded its end, under a lease that another node could have taken meanwhile. Steps of an older lease are ignored by nodes that know a newer one, and the store fences records, but before the next leader's first step nothing held the old one back. Change: before each tick a leader that did not run for 300 ms, the time after which the next node may act, drops its lease. The monotonic clock stands still while a VM is suspended, so jumps of the wall clock count too. Test: leader that was paused requests the lease again before it acts.

--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -370,6 +370,7 @@
       feed.readerStatus() === ReaderStatus.Healthy &&
       stop === undefined;
     const precedingPeers = peers.filter((peer) => peer < settings.node);
+    handleShiftEvent({ type: "ran", now: now(), wall: Date.now() });
     handleShiftEvent({
       type: "ticked",
       now: now(),
--- a/src/traffic_shift/decide_traffic_shift.ts
+++ b/src/traffic_shift/decide_traffic_shift.ts
@@ -22,6 +22,7 @@
 } from "./state.ts";
 import { findShift } from "./find_shift.ts";
 import { isRenewalDue } from "./plan_share.ts";
+import { URGENT_DELAY_PER_RANK_MS } from "./lead_shift.ts";
 import { createBake } from "./analyze_bake.ts";
 import { applyStep, isValidTransition, stepShift } from "./step_shift.ts";
 import { recordElapsed } from "./record_elapsed.ts";
@@ -70,6 +71,9 @@
     case "leased":
       state.epoch = event.epoch;
       return [];
+    case "ran":
+      dropLeaseAfterPause(state, event);
+      return [];
     case "ticked":
       return [...state.shifts.values()]
         .flatMap((shift) => tickShift(state, shift, event));
@@ -78,6 +82,23 @@
   }
 }
 
+/**
+ * Drops the lease of a leader that did not run for a while: another node may
+ * have taken over, and this node must not act before the store has granted the
+ * lease again. The monotonic clock stands still while a VM is suspended, so the
+ * wall clock counts too.
+ */
+function dropLeaseAfterPause(
+  state: TrafficShiftState,
+  { now, wall }: Extract<TrafficShiftEvent, { type: "ran" }>,
+) {
+  const { ranAt } = state;
+  state.ranAt = { now, wall };
+  if (ranAt === undefined) return;
+  const pausedMs = Math.max(now - ranAt.now, Math.abs(wall - ranAt.wall));
+  if (pausedMs >= URGENT_DELAY_PER_RANK_MS) state.epoch = undefined;
+}
+
 function handleOrder(
   state: TrafficShiftState,
   event: Extract<TrafficShiftEvent, { type: "ordered" }>,
--- a/src/traffic_shift/lead_shift.ts
+++ b/src/traffic_shift/lead_shift.ts
@@ -31,7 +31,7 @@
 import { sumRuns } from "./sum_runs.ts";
 
 /** Delay per rank before a node requests the lease for an urgent action. */
-const URGENT_DELAY_PER_RANK_MS = 300;
+export const URGENT_DELAY_PER_RANK_MS = 300;
 
 /** Delay per rank before a node requests the lease for any other action. */
 const DELAY_PER_RANK_MS = 2_000;
--- a/src/traffic_shift/lead_shift_test.ts
+++ b/src/traffic_shift/lead_shift_test.ts
@@ -92,3 +92,22 @@
   shift.fault = undefined;
   assert.deepEqual(tick(200), []);
 });
+
+test("leader that was paused requests the lease again before it acts", () => {
+  const pauses = [
+    { name: "stopped", now: 5_000, wall: 5_000 },
+    { name: "suspended", now: 100, wall: 5_000 },
+    { name: "clock set back", now: 100, wall: -5_000 },
+  ];
+  for (const { name, now, wall } of pauses) {
+    const state = createLeader();
+    decideTrafficShift(state, { type: "ran", now: 0, wall: 0 });
+    decideTrafficShift(state, { type: "ran", now: 100, wall: 100 });
+    assert.equal(state.epoch, 1, name);
+    const later = { now: 100 + now, wall: 100 + wall };
+    decideTrafficShift(state, { type: "ran", ...later });
+    const effects = decideTrafficShift(state, tickOf(later.now, 0));
+    const types = effects.map((effect) => effect.type);
+    assert.deepEqual(types, ["lease"], name);
+  }
+});
--- a/src/traffic_shift/state.ts
+++ b/src/traffic_shift/state.ts
@@ -2,7 +2,7 @@
  * State, events and effects of traffic shifts of services to new versions.
  * @module
  */
-import type { MonotonicMs, NodeId } from "../core/types.ts";
+import type { MonotonicMs, NodeId, WallMs } from "../core/types.ts";
 import type { Finding, RouteCounts } from "../rollout/messages.ts";
 import type { AnalysisState, Evidence, Inbox } from "../rollout/state.ts";
 import type { ExposureTerms } from "./plan_share.ts";
@@ -171,6 +171,8 @@
    * End of the time in which this node does not lead, after it was replaced.
    */
   steppedDownUntil: MonotonicMs;
+  /** When this node last found that it runs. Undefined before the first time. */
+  ranAt: { readonly now: MonotonicMs; readonly wall: WallMs } | undefined;
   /** Time that the store took for this node's last write, in milliseconds. */
   storeMs: number;
   readonly shifts: Map<string, TrafficShift>;
@@ -240,6 +242,12 @@
   | { readonly type: "record-failed"; readonly status: ShiftStatus }
   /** The lease was granted or lost. */
   | { readonly type: "leased"; readonly epoch: number | undefined }
+  /** This node runs. Received before each tick. */
+  | {
+    readonly type: "ran";
+    readonly now: MonotonicMs;
+    readonly wall: WallMs;
+  }
   | {
     readonly type: "ticked";
     readonly now: MonotonicMs;
@@ -303,6 +311,7 @@
     ...opts,
     epoch: undefined,
     steppedDownUntil: -Infinity,
+    ranAt: undefined,
     storeMs: 0,
     shifts: new Map(),
     base: new Map(),
