fix(sidecar): a start that fails closes what it has opened

Cause: runSidecar rejected when an address was taken, and left its timers, listeners and store reads open. Change: all parts are closed before the rejection.

--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -395,14 +395,20 @@
     log.write("process", LogLevel.Info, "work since the previous line", fields);
   }, WORK_LOG_INTERVAL_MS);
 
-  await listen(callers.server, settings.callerAddress);
-  await listen(links.server, settings.node);
-  const pingServers = await Promise.all(
-    [...new Set([settings.pingAddress, settings.readyAddress])].map((address) =>
-      listenPolka(pings, address)
-    ),
-  );
-  const metricsServer = await listenPolka(metricsApp, settings.metricsAddress);
+  /** Servers of pings and metrics. */
+  const servers: Server[] = [];
+  try {
+    await listen(callers.server, settings.callerAddress);
+    await listen(links.server, settings.node);
+    const { pingAddress, readyAddress, metricsAddress } = settings;
+    for (const address of new Set([pingAddress, readyAddress])) {
+      servers.push(await listenPolka(pings, address));
+    }
+    servers.push(await listenPolka(metricsApp, metricsAddress));
+  } catch (err) {
+    await closeParts();
+    throw err;
+  }
   registration = registerNode({
     settings,
     platform,
@@ -473,6 +479,13 @@
       waiting,
       unsentLinkBytes: links.unsentBytes(),
     });
+    await closeParts();
+    log.write("process", LogLevel.Info, "sidecar stopped");
+    log.close();
+  }
+
+  /** Closes all parts, also those that have not been started. */
+  async function closeParts() {
     callers.close();
     clearInterval(shiftTimer);
     clearInterval(workTimer);
@@ -482,7 +495,7 @@
     control.close();
     gossip.close();
     links.close();
-    for (const server of [...pingServers, metricsServer]) {
+    for (const server of servers) {
       server.closeAllConnections();
       server.close();
     }
@@ -490,8 +503,6 @@
     collections.close();
     await home.close();
     await platform.store.close();
-    log.write("process", LogLevel.Info, "sidecar stopped");
-    log.close();
   }
 
   function applyEffect(effect: ShutdownEffect) {
