perf(fleet): hash each row once, look for leaders twice a second

Cause: digests hashed all rows each few seconds, and reports of a traffic shift sorted the whole fleet for each message: some 5 ms each at 6,200 nodes. Change: hashes are kept with their rows, leaders for half a second; what is known of the load of a node that has closed its link is dropped.

--- a/src/fleet/digest_rows.ts
+++ b/src/fleet/digest_rows.ts
@@ -6,6 +6,9 @@
 import type { DomainDigest, NodeRow } from "./messages.ts";
 import { type FleetState, liveRows } from "./state.ts";
 
+/** Hashes of rows, which are compared every few seconds and change rarely. */
+const hashes = new WeakMap<NodeRow, number>();
+
 /** Digests the rows of each failure domain. Rows of lost nodes don't count. */
 export function digestRows(state: FleetState): readonly DomainDigest[] {
   const digests = new Map<string, DomainDigest>();
@@ -31,5 +34,9 @@
 }
 
 function hashRow(row: NodeRow): number {
-  return hashText(`${row.node} ${row.life} ${row.revision}`);
+  const known = hashes.get(row);
+  if (known !== undefined) return known;
+  const hash = hashText(`${row.node} ${row.life} ${row.revision}`);
+  hashes.set(row, hash);
+  return hash;
 }
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -89,6 +89,11 @@
 /** Time between digests, each of which is sent to the next neighbor. */
 const DIGEST_INTERVAL_MS = 3_000;
 
+/** Time for which the leaders are not looked for again, in milliseconds. */
+const LEADERS_TTL_MS = 500;
+
+const NO_LEADERS: ReadonlySet<NodeId> = new Set();
+
 /** Options of `createGossipService`. */
 export interface CreateGossipServiceOptions {
   readonly self: NodeId;
@@ -164,6 +169,8 @@
   let digestSentAt = now();
   let digestTurn = 0;
   let hasRequestedRows = false;
+  let knownLeaders = NO_LEADERS;
+  let leadersFoundAt = -Infinity;
   // One timer serves all links, because each wake-up of a timer has a cost.
   const checker = setInterval(() => {
     const work = meter.begin();
@@ -375,11 +382,14 @@
 
   /** The nodes that lead traffic shifts, while there are any. */
   function leaders(): ReadonlySet<NodeId> {
-    if (opts.shifts().length === 0) return new Set();
+    if (opts.shifts().length === 0) return NO_LEADERS;
+    if (now() - leadersFoundAt < LEADERS_TTL_MS) return knownLeaders;
+    leadersFoundAt = now();
     const statuses = new Map(
       liveRows(fleet).map(({ row: { node } }) => [node, beats.statusOf(node)]),
     );
-    return findLeaders(statuses);
+    knownLeaders = findLeaders(statuses);
+    return knownLeaders;
   }
 
   /**
@@ -537,7 +547,9 @@
     handleMessage,
     handleClosed(from, reply) {
       links.acceptedClosed(from, reply);
-      if (!links.canSend(from)) exchangedAt.delete(from);
+      if (links.canSend(from)) return;
+      exchangedAt.delete(from);
+      forgetHome(opts.loadBalancing, from);
     },
     domainOf,
     canSend: links.canSend,
