fix(store): acquiring the lease fences the earlier holder at once

Change: the append of the lease carries the new epoch, so the store rejects the earlier holder from then on. Ruled out: an empty append first, which sets the epoch too: of two nodes that try at once, the loser would fence the winner.

--- a/src/sidecar/record_shifts.ts
+++ b/src/sidecar/record_shifts.ts
@@ -7,7 +7,7 @@
 import { formatError } from "../core/errors.ts";
 import { backoffWithHalfJitter } from "../core/backoff_with_half_jitter.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
-import { acquireLease } from "../store/acquire_lease.ts";
+import { acquireLease, FIRST_RECORD_SEQ } from "../store/acquire_lease.ts";
 import type { KeyedStore } from "../store/state.ts";
 import { encodeOrderTime } from "../traffic_shift/order_time.ts";
 import type {
@@ -61,7 +61,7 @@
   let isRequestingLease = false;
   let failures = 0;
   let nextRequestAt = -Infinity;
-  let seq = 0;
+  let seq = FIRST_RECORD_SEQ;
 
   /** Aborts a call when the recorder is closed, or after the timeout. */
   async function callWithTimeout<T>(
@@ -90,6 +90,7 @@
         acquireLease({
           store: opts.store,
           topic: opts.topic,
+          producer: PRODUCER,
           holder: opts.self,
           signal,
         }),
@@ -109,7 +110,7 @@
       return;
     }
     const { epoch, records } = acquired.value;
-    seq = 0;
+    seq = FIRST_RECORD_SEQ;
     opts.log.write("move", LogLevel.Info, "lease for traffic shifts acquired", {
       epoch,
     });
--- a/src/store/acquire_lease.ts
+++ b/src/store/acquire_lease.ts
@@ -16,10 +16,16 @@
   holder: v.string(),
 });
 
+/** Numbers of a holder's appends under its lease: of the lease, then records. */
+const LEASE_SEQ = 0;
+export const FIRST_RECORD_SEQ = LEASE_SEQ + 1;
+
 /** Options of `acquireLease`. */
 export interface AcquireLeaseOptions {
   readonly store: KeyedStore;
   readonly topic: string;
+  /** Name under which the store fences the holders. */
+  readonly producer: string;
   readonly holder: NodeId;
   readonly signal: AbortSignal;
 }
@@ -34,7 +40,8 @@
 /**
  * Acquires the lease with the next epoch, regardless of its current holder. If
  * two nodes try at the same time, one of the appends fails with a conflict,
- * since each is conditional on the end of the topic.
+ * since each is conditional on the end of the topic. The same append fences the
+ * earlier holder: from then on the store rejects its records.
  */
 export async function acquireLease(
   opts: AcquireLeaseOptions,
@@ -49,7 +56,13 @@
   const appended = await store.append({
     topic,
     records: [{ key: LEASE_KEY, value }],
-    condition: { type: "at-end", end: page.value.next },
+    condition: {
+      type: "at-end-fenced",
+      end: page.value.next,
+      producer: opts.producer,
+      epoch,
+      seq: LEASE_SEQ,
+    },
     signal: opts.signal,
   });
   return appended.isErr() ? err(appended.error) : ok({ epoch, records });
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -51,6 +51,14 @@
     readonly epoch: number;
     /** Grows by one with each append of the epoch. */
     readonly seq: number;
+  }
+  /** Both: the topic ends there, and no higher epoch has written. */
+  | {
+    readonly type: "at-end-fenced";
+    readonly end: Offset;
+    readonly producer: string;
+    readonly epoch: number;
+    readonly seq: number;
   };
 
 /** Options of `KeyedStore.append`. */
--- a/src/testing/check_property.ts
+++ b/src/testing/check_property.ts
@@ -20,12 +20,24 @@
   property: fc.IRawProperty<Ts>,
   opts: CheckPropertyOptions,
 ) {
+  fc.assert(property as fc.IProperty<Ts>, parametersOf(opts));
+}
+
+/** Checks an asynchronous property in the same way. */
+export async function checkAsyncProperty<Ts>(
+  property: fc.IAsyncProperty<Ts>,
+  opts: CheckPropertyOptions,
+) {
+  await fc.assert(property, parametersOf(opts));
+}
+
+function parametersOf(opts: CheckPropertyOptions) {
   const { env } = process;
-  fc.assert(property as fc.IProperty<Ts>, {
+  return {
     seed: Number(env.LAGOON_TEST_SEED ?? FIXED_SEED),
     numRuns: Number(env.LAGOON_TEST_RUNS ?? opts.runs),
     ...(env.LAGOON_TEST_PATH === undefined
       ? {}
       : { path: env.LAGOON_TEST_PATH }),
-  });
+  };
 }
