--- a/src/reader_election/decide_reader_election.ts
+++ b/src/reader_election/decide_reader_election.ts
@@ -29,9 +29,9 @@
 const REMOTE_CATCH_UP_DELAY_MS = 1_000;
 
 /**
- * Number of relay nodes: the first nodes of a failure domain by address. Nodes
- * of other domains send them the offset of their newest record. Relay nodes
- * request missing records for their domain if its reader does not deliver them.
+ * Number of relay nodes: the first nodes of a failure domain by address. They
+ * are the first to request records from nodes of other domains if the reader of
+ * their own domain does not deliver them.
  */
 export const RELAY_NODE_COUNT = 3;
 
--- a/src/reader_election/state.ts
+++ b/src/reader_election/state.ts
@@ -119,9 +119,8 @@
   /** Request the newest record of each key from a node. */
   | { readonly type: "request"; readonly node: NodeId }
   /**
-   * Forward the records after an offset to the failure domain, and send the
-   * offset of the newest record to the relay nodes of the other failure
-   * domains.
+   * Tell the neighbors of the newest offset. They request the records after it
+   * that they lack, those after `from` among them.
    */
   | { readonly type: "forward"; readonly from: Offset };
 
