fix(sidecar): records that follow an answer at once are requested at once

Cause: after a request for records, further announcements of newer ones were ignored for 300 ms, also when the answer had come; the next version then waited for another neighbor's announcement, or 600 ms. Change: an answer ends the wait.

--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -24,8 +24,8 @@
 type OperatorPage = Extract<Gossip, { type: "operator" }>;
 
 /**
- * Time after a request for records in which no neighbor is asked for the same
- * records, in milliseconds.
+ * Time for which the answer to a request for records is awaited before another
+ * neighbor is asked, in milliseconds.
  */
 const REQUEST_TIMEOUT_MS = 300;
 
@@ -128,6 +128,7 @@
       end,
     });
     operator.applyRecords(records, end);
+    requestedAt = -Infinity;
     decide({ type: "records-applied", source, from, end, now: now() });
     if (source !== RecordSource.Store) announceEnd(sender);
   }
