test(fleet): keep the check of the links' growth that fails, as known red

When the check first failed (41.6 to 54.6 links from 102 to 300 nodes, 1.31 times against the issue's 1.3), it was replaced before its first commit by absolute bounds (24 for control, 84 in all), which was wrong: a check that fails for a real shortfall stays. Run again: 41.7 to 54.9, 1.32 times: fails. The absolute bounds stay beside it.

--- a/src/fleet/fleet_simulation_test.ts
+++ b/src/fleet/fleet_simulation_test.ts
@@ -60,6 +60,15 @@
   });
 });
 
+// The target is that of a node's connections from 30 to 300 machines.
+test("number of links does not grow with the fleet", () => {
+  const mean = (sim: FleetSimulation) =>
+    sim.nodes.reduce((sum, _, index) => sum + sim.degree(index).all, 0) /
+    sim.nodes.length;
+  const [small, large] = [startFleet(6, 17), startFleet(6, 50)];
+  assert.ok(mean(large) <= 1.3 * mean(small), `${mean(small)} ${mean(large)}`);
+});
+
 test("change reaches all others after a third of the nodes died", () => {
   const sim = startFleet(6, 20);
   sim.nodes.forEach((_, index) => {
