--- a/review/lib/endpoint.mjs
+++ b/review/lib/endpoint.mjs
@@ -119,18 +119,17 @@
       server.once("error", reject);
       server.listen(port, "127.0.0.1", resolve);
     });
-    void ping();
+    ping();
     // Endpoints do not ping at the same moment.
     timer = setTimeout(() => {
       timer = setInterval(ping, opts.heartbeatMs);
-      void ping();
+      ping();
     }, Math.random() * opts.heartbeatMs);
   }
 
-  async function ping() {
-    if (thaw !== undefined) return;
-    const url = `http://${control}/v1/instances/${id}/heartbeat`;
-    const body = {
+  /** Describes the endpoint in its next ping. */
+  function describe() {
+    return {
       service,
       address: `127.0.0.1:${port}`,
       zone,
@@ -141,6 +140,11 @@
       sequence: ++sequence,
       born,
     };
+  }
+
+  /** Sends a ping or a leave message. Resolves with the status, if any. */
+  async function send(body, verb = "heartbeat") {
+    const url = `http://${control}/v1/instances/${id}/${verb}`;
     const answered = await fetch(url, {
       method: "POST",
       headers: { "content-type": "application/json" },
@@ -148,7 +152,24 @@
       signal: AbortSignal.timeout(1_000),
     }).catch(() => undefined);
     await answered?.arrayBuffer().catch(() => undefined);
-    opts.onPing?.(answered?.status);
+    record.write(
+      "said",
+      id,
+      verb,
+      `sequence=${body.sequence}`,
+      answered?.status,
+    );
+    return answered?.status;
+  }
+
+  function ping() {
+    if (thaw === undefined) void send(describe());
+  }
+
+  /** Tells the node that the endpoint leaves, and pings no more. */
+  function leave() {
+    clearTimeout(timer);
+    return send({ born }, "leave");
   }
 
   function stop() {
@@ -175,6 +196,9 @@
     id,
     stop,
     crash,
+    describe,
+    send,
+    leave,
     freeze() {
       thaw = new Promise((resolve) => endFreeze = resolve);
     },
