fix(callers): a wait for a link starts no attempt after the first one

A request that finds no linked home node waits once, up to 100 ms, for a link. If a home becomes usable meanwhile without a new link (a ping of the local endpoint, a row of a linked node), the end of the body made the first attempt, but left the wait open. Its end, by the timer or by a link, called attemptNext again, past every check of the route's kind, of maxAttempts and of the budget.

The end of the body and the end of the wait now both go through attemptFirst, which starts an attempt only before the first one, and sending a call closes the wait, so its timer and its entry among the waiting calls are released too.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -107,11 +107,15 @@
   hasArrived: boolean;
 }
 
-/** A wait for a link to a home of the service. */
-interface LinkWait {
-  readonly cancel: () => void;
-  readonly timer: NodeJS.Timeout;
-}
+/** The wait for a link to a home of the service, before the first attempt. */
+type LinkWait =
+  | { readonly type: "unused" }
+  | {
+    readonly type: "open";
+    readonly cancel: () => void;
+    readonly timer: NodeJS.Timeout;
+  }
+  | { readonly type: "over" };
 
 /** Starts serving a request. A small body is read before the first attempt. */
 export function serveCall(opts: ServeCallOptions): ServedCall {
@@ -136,7 +140,7 @@
   let lastAttemptAt = startedAt;
   let isDone = false;
   let streaming: OpenAttempt | undefined;
-  let linkWait: LinkWait | undefined;
+  let linkWait: LinkWait = { type: "unused" };
   const deadline = setTimeout(
     handleDeadline,
     Math.max(0, deadlineAt - startedAt),
@@ -146,9 +150,7 @@
   const body = !hasBody(req) ? undefined : readBody({
     req,
     maxBytes: opts.maxBodyBytes,
-    onComplete() {
-      if (offers === 0) attemptNext(false);
-    },
+    onComplete: attemptFirst,
     onTooLarge() {
       giveUp(413, "the body is too large");
       req.destroy();
@@ -157,7 +159,15 @@
   const isSmall = (body?.declaredBytes ?? Infinity) <= INLINE_BODY_BYTES;
   // A larger body is sent after the admission, so the attempt does not wait for
   // it.
-  if (body === undefined || !isSmall) attemptNext(false);
+  if (body === undefined || !isSmall) attemptFirst();
+
+  /**
+   * Makes the first attempt. The end of the body and the end of the wait for a
+   * link each call this, in any order; only one of them may start an attempt.
+   */
+  function attemptFirst() {
+    if (offers === 0) attemptNext(false);
+  }
 
   function attemptNext(mayBeLate: boolean): void {
     if (isDone) return;
@@ -183,21 +193,25 @@
    * none is expected.
    */
   function waitForLink(): boolean {
-    if (offers > 0 || linkWait !== undefined) return false;
+    if (offers > 0 || linkWait.type !== "unused") return false;
     const cancel = ctx.awaitHome(service, endLinkWait);
     if (cancel === undefined) return false;
-    linkWait = { cancel, timer: setTimeout(endLinkWait, LINK_WAIT_MS) };
+    const timer = setTimeout(endLinkWait, LINK_WAIT_MS);
+    linkWait = { type: "open", cancel, timer };
     return true;
   }
 
   function endLinkWait() {
-    cancelLinkWait();
-    attemptNext(false);
+    closeLinkWait();
+    attemptFirst();
   }
 
-  function cancelLinkWait() {
-    linkWait?.cancel();
-    clearTimeout(linkWait?.timer);
+  function closeLinkWait() {
+    if (linkWait.type === "open") {
+      linkWait.cancel();
+      clearTimeout(linkWait.timer);
+    }
+    linkWait = { type: "over" };
   }
 
   function findHome(): Choice | undefined {
@@ -209,6 +223,7 @@
     search.recordTried(node);
     const home = ctx.homes.homeOf(node);
     if (home === undefined) return attemptNext(mayBeLate);
+    closeLinkWait();
     offers++;
     lastAttemptAt = ctx.now();
     if (offers === 1) firstAttemptAt = lastAttemptAt;
@@ -427,7 +442,7 @@
     if (isDone) return;
     isDone = true;
     clearTimeout(deadline);
-    cancelLinkWait();
+    closeLinkWait();
     const isLost = result === CallResult.Unknown;
     if (isNested && isFailure(result)) ctx.recordNestedFailure(parentId);
     for (const open of attempts) {
--- /dev/null
+++ b/src/callers/serve_call_test.ts
@@ -0,0 +1,78 @@
+import { request } from "node:http";
+import { test, type TestContext } from "node:test";
+import assert from "node:assert/strict";
+import {
+  CALLER_HOST,
+  startTestCallers,
+  type TestCallers,
+} from "../testing/start_test_callers.ts";
+import { waitFor } from "../../tools/wait_for.ts";
+import { INLINE_BODY_BYTES } from "./describe_call.ts";
+
+const LIMIT_MS = 60_000;
+
+/** Longer than a body that is sent within the message of an attempt. */
+const UPLOAD = Buffer.alloc(INLINE_BODY_BYTES + 1);
+
+/** Begins an upload that finds no linked home node, and so waits for a link. */
+async function beginUpload(t: TestContext, callers: TestCallers) {
+  const req = request({
+    port: callers.port,
+    method: "POST",
+    path: "/x",
+    agent: false,
+    headers: {
+      host: CALLER_HOST,
+      "call-id": "c-1",
+      "wait-ms": "60000",
+      "content-length": UPLOAD.length,
+    },
+  });
+  const status = new Promise<number>((resolve) => {
+    req.on("response", (res) => resolve(res.statusCode ?? 0));
+    req.on("error", () => resolve(0));
+  });
+  t.after(() => req.destroy());
+  req.write(UPLOAD.subarray(1));
+  const isTrue = () => callers.waiting() > 0;
+  await waitFor({
+    what: "the call waits for a link",
+    limitMs: LIMIT_MS,
+    isTrue,
+  });
+  return { req, status };
+}
+
+/** Ends the body and waits until the call was sent to a home node. */
+async function endUpload(
+  callers: TestCallers,
+  req: { end(last: Buffer): void },
+) {
+  req.end(UPLOAD.subarray(0, 1));
+  const isTrue = () => callers.attempts.length > 0;
+  await waitFor({ what: "an attempt was made", limitMs: LIMIT_MS, isTrue });
+}
+
+// An upload ran at two endpoints: the wait for a link to a home node outlived
+// the first attempt and started another.
+test("upload runs once when a link opens after its first attempt", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const callers = await startTestCallers(t, { isIdempotent: false });
+  const { req } = await beginUpload(t, callers);
+  callers.addHome("10.0.0.2:1");
+  callers.addHome("10.0.0.3:1");
+  await endUpload(callers, req);
+  callers.reportLink();
+  assert.equal(callers.attempts.length, 1);
+});
+
+test("upload runs once when its wait ends after its first attempt", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const callers = await startTestCallers(t, { isIdempotent: false });
+  const { req } = await beginUpload(t, callers);
+  callers.addHome("10.0.0.2:1");
+  callers.addHome("10.0.0.3:1");
+  await endUpload(callers, req);
+  t.mock.timers.tick(1_000);
+  assert.equal(callers.attempts.length, 1);
+});
