--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -190,15 +190,24 @@
 
   /**
    * Waits once for a link to a home, if one is being opened. Returns false if
-   * none is expected.
+   * none is expected, or if the wait is over.
    */
   function waitForLink(): boolean {
-    if (offers > 0 || linkWait.type !== "unused") return false;
-    const cancel = ctx.awaitHome(service, endLinkWait);
-    if (cancel === undefined) return false;
-    const timer = setTimeout(endLinkWait, LINK_WAIT_MS);
-    linkWait = { type: "open", cancel, timer };
-    return true;
+    switch (linkWait.type) {
+      case "open":
+        return true;
+      case "over":
+        return false;
+      case "unused": {
+        const cancel = ctx.awaitHome(service, endLinkWait);
+        if (cancel === undefined) return false;
+        const timer = setTimeout(endLinkWait, LINK_WAIT_MS);
+        linkWait = { type: "open", cancel, timer };
+        return true;
+      }
+      default:
+        return exhausted(linkWait);
+    }
   }
 
   function endLinkWait() {
--- a/src/callers/serve_call_test.ts
+++ b/src/callers/serve_call_test.ts
@@ -28,10 +28,11 @@
       "content-length": UPLOAD.length,
     },
   });
-  const status = new Promise<number>((resolve) => {
-    req.on("response", (res) => resolve(res.statusCode ?? 0));
-    req.on("error", () => resolve(0));
+  const isRead = new Promise<void>((resolve) => {
+    callers.server.once("request", (received) => received.once("end", resolve));
   });
+  // The server closes the connection when the test ends.
+  req.on("error", () => {});
   t.after(() => req.destroy());
   req.write(UPLOAD.subarray(1));
   const isTrue = () => callers.waiting() > 0;
@@ -40,17 +41,13 @@
     limitMs: LIMIT_MS,
     isTrue,
   });
-  return { req, status };
+  return { req, isRead };
 }
 
-/** Ends the body and waits until the call was sent to a home node. */
-async function endUpload(
-  callers: TestCallers,
-  req: { end(last: Buffer): void },
-) {
-  req.end(UPLOAD.subarray(0, 1));
-  const isTrue = () => callers.attempts.length > 0;
-  await waitFor({ what: "an attempt was made", limitMs: LIMIT_MS, isTrue });
+/** Ends the body and waits until the server has handled its end. */
+async function endUpload(upload: Awaited<ReturnType<typeof beginUpload>>) {
+  upload.req.end(UPLOAD.subarray(0, 1));
+  await upload.isRead;
 }
 
 // An upload ran at two endpoints: the wait for a link to a home node outlived
@@ -58,10 +55,10 @@
 test("upload runs once when a link opens after its first attempt", async (t) => {
   t.mock.timers.enable({ apis: ["setTimeout"] });
   const callers = await startTestCallers(t, { isIdempotent: false });
-  const { req } = await beginUpload(t, callers);
+  const upload = await beginUpload(t, callers);
   callers.addHome("10.0.0.2:1");
   callers.addHome("10.0.0.3:1");
-  await endUpload(callers, req);
+  await endUpload(upload);
   callers.reportLink();
   assert.equal(callers.attempts.length, 1);
 });
@@ -69,10 +66,21 @@
 test("upload runs once when its wait ends after its first attempt", async (t) => {
   t.mock.timers.enable({ apis: ["setTimeout"] });
   const callers = await startTestCallers(t, { isIdempotent: false });
-  const { req } = await beginUpload(t, callers);
+  const upload = await beginUpload(t, callers);
   callers.addHome("10.0.0.2:1");
   callers.addHome("10.0.0.3:1");
-  await endUpload(callers, req);
+  await endUpload(upload);
   t.mock.timers.tick(1_000);
   assert.equal(callers.attempts.length, 1);
 });
+
+// A call that waited for a link was refused as soon as its body had ended.
+test("upload that ends without a home waits on for its link", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const callers = await startTestCallers(t, { isIdempotent: false });
+  const upload = await beginUpload(t, callers);
+  await endUpload(upload);
+  callers.addHome("10.0.0.2:1");
+  callers.reportLink();
+  assert.equal(callers.attempts.length, 1);
+});
--- a/src/testing/start_test_callers.ts
+++ b/src/testing/start_test_callers.ts
@@ -3,6 +3,7 @@
  * A home node is the node on an endpoint's VM.
  * @module
  */
+import type { Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import type { TestContext } from "node:test";
 import { createCallerServer } from "../callers/create_caller_server.ts";
@@ -38,6 +39,7 @@
 }
 
 export interface TestCallers {
+  readonly server: Server;
   readonly port: number;
   readonly ctx: CallContext;
   readonly attempts: readonly TestAttempt[];
@@ -115,6 +117,7 @@
   );
   t.after(() => callers.close());
   return {
+    server: callers.server,
     port: (callers.server.address() as AddressInfo).port,
     ctx,
     attempts,
