fix(sidecar): instances that stopped are kept in the store

Only nodes remembered what had left, the endpoint's own node and its peers. After a kill of all of them nobody did, and a ping that was sent before the leave message and came late was taken for that of a new endpoint.

A node now writes the instances that announced that they stop (a leave message or a first draining ping) to the store, under its own key in the topic of the nodes, and confirms once the record is stored, or after 500 ms while the store does not answer; then it writes later, and peers remember meanwhile. A process that starts finds the record in the page of nodes that it reads anyway, so a start costs no further call. On the same path: a leave message that came before any ping was kept, but told to nobody; it counts as a change now, and is announced and recorded.

--- a/src/local_endpoint/decide_local_endpoint.ts
+++ b/src/local_endpoint/decide_local_endpoint.ts
@@ -115,10 +115,7 @@
   // that start; the time of the message then stands for the start time.
   const bornAt = current?.id === id ? current.bornAt : saidAt;
   recordStopped(state, { id, bornAt });
-  if (current?.id !== id) {
-    return { type: "none", reason: "the current endpoint is not concerned" };
-  }
-  state.current = undefined;
+  if (current?.id === id) state.current = undefined;
   return { type: "left", id };
 }
 
--- a/src/local_endpoint/local_endpoint_test.ts
+++ b/src/local_endpoint/local_endpoint_test.ts
@@ -8,6 +8,7 @@
   InstancePhase,
   type InstancePing,
 } from "./state.ts";
+import { stoppedInstances } from "./stopped_instances.ts";
 
 function pingOf(fields: Partial<InstancePing>): InstancePing {
   return {
@@ -79,8 +80,11 @@
 
 test("leave message of an unknown endpoint sets no current endpoint", () => {
   const state = createLocalEndpointState();
-  decideLocalEndpoint(state, { type: "left", id: "i-9", saidAt: 0 });
+  const left = { type: "left", id: "i-9", saidAt: 7 } as const;
+  // A change, so that peers and the store are told of it.
+  assert.equal(decideLocalEndpoint(state, left).type, "left");
   assert.equal(state.current, undefined);
+  assert.deepEqual(stoppedInstances(state), [{ id: "i-9", bornAt: 7 }]);
 });
 
 test("newest ping of the latest instance is kept, in any order of receipt", () => {
--- a/src/local_endpoint/state.ts
+++ b/src/local_endpoint/state.ts
@@ -95,6 +95,7 @@
   /** An instance started, or its service, version or slots changed. */
   | { readonly type: "started"; readonly instance: Instance }
   | { readonly type: "draining"; readonly instance: Instance }
+  /** An instance left, which need not be the current one. */
   | { readonly type: "left"; readonly id: string };
 
 export function createLocalEndpointState(): LocalEndpointState {
--- a/src/sidecar/create_ping_server.ts
+++ b/src/sidecar/create_ping_server.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import polka from "polka";
 import type { PingCall } from "./platform_port.ts";
+import type { InstanceWatch } from "./watch_instance.ts";
 
 /** Limit on the size of a ping. */
 const MAX_PING_BYTES = 16_384;
@@ -13,9 +14,8 @@
 export interface CreatePingServerOptions {
   readonly match: (method: string, path: string) => PingCall;
   readonly isReady: () => boolean;
-  /** Returns why a ping is refused, or undefined if it is accepted. */
-  readonly onPing: (id: string, body: Buffer) => string | undefined;
-  readonly onLeave: (id: string) => void;
+  readonly onPing: InstanceWatch["ping"];
+  readonly onLeave: InstanceWatch["leave"];
 }
 
 /** Creates the server. The caller of this function makes it listen. */
@@ -28,8 +28,7 @@
         return answer(res, opts.isReady() ? 200 : 503);
       case "leave":
         req.resume();
-        opts.onLeave(call.id);
-        return answer(res, 200);
+        return void opts.onLeave(call.id).then(() => answer(res, 200));
       case "ping":
         return readPing(req, res, call.id);
       case "unknown":
@@ -47,8 +46,9 @@
     });
     req.on("end", () => {
       if (size > MAX_PING_BYTES) return answer(res, 413);
-      const refusal = opts.onPing(id, Buffer.concat(parts));
-      answer(res, refusal === undefined ? 200 : 400);
+      const result = opts.onPing(id, Buffer.concat(parts));
+      if (result.type === "refused") return answer(res, 400);
+      void result.recorded.then(() => answer(res, 200));
     });
   }
 
--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -7,7 +7,14 @@
 import { isAddress } from "../core/is_address.ts";
 import { backoffWithHalfJitter } from "../core/backoff_with_half_jitter.ts";
 import type { Member } from "../fleet/state.ts";
+import {
+  decodeStopped,
+  isStoppedRecord,
+  keyOfStopped,
+} from "../local_endpoint/messages.ts";
+import type { StoppedInstance } from "../local_endpoint/state.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
+import type { KeyedRecord } from "../store/state.ts";
 import {
   decodeOrderTime,
   type OrderTime,
@@ -28,6 +35,8 @@
   readonly log: Log;
   readonly random: () => number;
   readonly onNodes: (nodes: readonly Member[]) => void;
+  /** Called with the instances that stopped beside an earlier process here. */
+  readonly onStopped: (stopped: readonly StoppedInstance[]) => void;
   readonly onStatus: (status: ShiftStatus) => void;
   readonly onOrderTime: (time: OrderTime) => void;
 }
@@ -96,7 +105,8 @@
       "find nodes",
       () => newest(topics.nodes),
     );
-    const records = nodes ?? [];
+    const records = (nodes ?? []).filter((one) => !isStoppedRecord(one));
+    recallStopped(nodes ?? []);
     // Other programs write to the store too.
     const malformed = records.filter(({ key }) => !isAddress(key));
     if (malformed.length > 0) {
@@ -115,6 +125,16 @@
     );
   }
 
+  function recallStopped(records: readonly KeyedRecord[]) {
+    const key = keyOfStopped(settings.node);
+    const own = records.find((record) => record.key === key);
+    if (own === undefined) return;
+    const stopped = decodeStopped(own);
+    if (stopped !== undefined) return opts.onStopped(stopped);
+    const text = "malformed entry of stopped endpoints ignored";
+    log.write("store", LogLevel.Warn, text, { key });
+  }
+
   let reading: Promise<void> | undefined;
 
   async function readStatuses() {
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -50,6 +50,7 @@
 import { createOperatorFeed } from "./feed_operator.ts";
 import { createOperatorReader } from "./read_operator.ts";
 import { createShiftRecorder } from "./record_shifts.ts";
+import { createStoppedRecorder } from "./record_stopped.ts";
 import { registerNode, type Registration } from "./register_node.ts";
 import { watchInstance } from "./watch_instance.ts";
 
@@ -302,6 +303,13 @@
     driveTrafficShift({ state: trafficShift, recorder, gossip, log }, event);
   }
 
+  const stoppedRecorder = createStoppedRecorder({
+    self: settings.node,
+    store: platform.store,
+    topic: platform.topics.nodes,
+    log,
+    random,
+  });
   const instance = watchInstance({
     decodePing: platform.decodePing,
     service: settings.service,
@@ -312,6 +320,7 @@
     wall: Date.now,
     onEndpoint: (endpoint, gone) =>
       gossip.applyEvent({ type: "row-changed", endpoint, gone, now: now() }),
+    onStopped: stoppedRecorder.record,
   });
 
   function isBusy(): boolean {
@@ -416,6 +425,7 @@
     random,
     onNodes: (nodes) =>
       gossip.applyEvent({ type: "nodes-found", nodes, now: now() }),
+    onStopped: instance.recall,
     onStatus: (status) =>
       handleShiftEvent({ type: "status-read", status, now: now() }),
     onOrderTime({ service, target, orderedAt }) {
@@ -491,6 +501,7 @@
     clearInterval(workTimer);
     feed.close();
     recorder.close();
+    stoppedRecorder.close();
     registration?.close();
     control.close();
     gossip.close();
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -39,12 +39,23 @@
     endpoint: RowEndpoint | undefined,
     gone: readonly StoppedInstance[],
   ) => void;
+  /**
+   * Called with the stopped instances after the endpoint announced that one
+   * stops. The announcement is confirmed when the promise resolves.
+   */
+  readonly onStopped: (gone: readonly StoppedInstance[]) => Promise<void>;
 }
 
+/** What became of a ping. */
+export type PingResult =
+  | { readonly type: "refused"; readonly reason: string }
+  /** To be confirmed when `recorded` resolves. */
+  | { readonly type: "accepted"; readonly recorded: Promise<void> };
+
 export interface InstanceWatch {
-  /** Handles a ping. Returns why it is refused, or undefined. */
-  ping(id: string, body: Buffer): string | undefined;
-  leave(id: string): void;
+  ping(id: string, body: Buffer): PingResult;
+  /** Resolves when the leave message may be confirmed. */
+  leave(id: string): Promise<void>;
   /** Applies the stopped instances that an earlier process here announced. */
   recall(gone: readonly StoppedInstance[]): void;
   /** Hides the endpoint from other nodes; this node still uses it. */
@@ -79,6 +90,13 @@
     log.write("endpoint", LogLevel.Info, text, fields);
   }
 
+  /** Applies what the endpoint itself announced, and records that it stops. */
+  async function applyAnnounced(change: LocalEndpointChange) {
+    applyChange(change);
+    const isStop = change.type === "draining" || change.type === "left";
+    if (isStop) await opts.onStopped(stoppedInstances(state));
+  }
+
   function updateEndpoint() {
     const { current } = state;
     const isReady = current?.phase === InstancePhase.Ready;
@@ -95,9 +113,9 @@
     );
   }
 
-  function refuse(reason: string): string {
+  function refuse(reason: string): PingResult {
     log.write("endpoint", LogLevel.Warn, "endpoint ping refused", { reason });
-    return reason;
+    return { type: "refused", reason };
   }
 
   return {
@@ -119,12 +137,12 @@
         return refuse(`start time of ${id} is too far in the future`);
       }
       const event = { type: "pinged", ping: ping.value, now: now() } as const;
-      applyChange(decideLocalEndpoint(state, event));
-      return undefined;
+      const recorded = applyAnnounced(decideLocalEndpoint(state, event));
+      return { type: "accepted", recorded };
     },
     leave(id) {
       const event = { type: "left", id, saidAt: opts.wall() } as const;
-      applyChange(decideLocalEndpoint(state, event));
+      return applyAnnounced(decideLocalEndpoint(state, event));
     },
     recall: (gone) =>
       applyChange(
