fix(quarantine): requests that crash endpoints are refused on the sidecars too

The slice that decides on such requests (src/quarantine) served the product's own nodes only; its isolated runs need an arbiter that all nodes reach, which the bounded links of the sidecars don't give.

The home node of an endpoint now tells a crash from a closed connection (it probes the address before it reports the end of the run) and records all requests that the endpoint ran, by caller, service, method, path and body. The rows go from neighbor to neighbor, once. A complete answer clears a request on all nodes. A request whose runs crashed three endpoints one after the other is refused unsent (503), for as long as its row is kept. A crash counts as the next one only if its run began when the ones before were known: endpoints that all end at one moment, such as an earlier version's at the end of a shift, prove nothing against what they all run. The count goes along with a call, so the attempts of one call count too, and reach three endpoints at most. Messages between nodes have a new type: protocol 3.

Not recognized: bodies that are sent on in chunks without a length, or are too long for the home node's buffer.

is_endpoint_up.ts moves to the endpoint's slice; only a refused connection counts as a crash now, not an error of this node's own such as too many open files.

--- a/src/adapters/drive_quarantine.ts
+++ b/src/adapters/drive_quarantine.ts
@@ -19,7 +19,7 @@
   SuspicionLevel,
 } from "../quarantine/state.ts";
 import type { ControlContext } from "./control_context.ts";
-import { isEndpointUp } from "./is_endpoint_up.ts";
+import { isEndpointUp } from "../endpoint_proxy/is_endpoint_up.ts";
 
 const logger = createDebug("lagoon:quarantine");
 
--- a/src/callers/describe_call.ts
+++ b/src/callers/describe_call.ts
@@ -8,6 +8,7 @@
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { Route } from "../routes/state.ts";
 import type { RequestBody } from "./request_body.ts";
+import type { CheckedCall } from "../quarantine/fingerprint_of.ts";
 import type { CallContext } from "./state.ts";
 
 /** Bodies up to this size are sent within the message of the attempt. */
@@ -28,6 +29,7 @@
   readonly deadlineAt: MonotonicMs;
   readonly objectiveAt: MonotonicMs;
   readonly mayBeLate: boolean;
+  readonly crashes: number;
 }
 
 /**
@@ -35,26 +37,38 @@
  * call.
  */
 export function describeCall(opts: DescribeCallOptions): OfferedCall {
-  const { ctx, req, route, body } = opts;
-  const fullBody = body === undefined ? Buffer.alloc(0) : body.complete();
-  const isInline = fullBody !== undefined &&
-    fullBody.length <= INLINE_BODY_BYTES;
+  const { ctx, route, body } = opts;
+  const checked = describeChecked(opts);
+  const isInline = checked.body !== undefined &&
+    checked.body.length <= INLINE_BODY_BYTES;
   const now = ctx.now();
   return {
+    ...checked,
     id: opts.id,
-    method: req.method ?? "GET",
-    target: req.url ?? "/",
     headers: opts.headers,
-    service: opts.service,
     version: ctx.fleet.rows.get(opts.node)?.row.endpoint?.version ?? "",
     route: route.name,
     urgency: route.urgency,
     isNested: opts.isNested,
-    callerService: ctx.service,
     leftMs: opts.deadlineAt - now,
     objectiveLeftMs: opts.objectiveAt - now,
     mayBeLate: opts.mayBeLate,
-    body: isInline ? fullBody : undefined,
+    body: isInline ? checked.body : undefined,
     bodyBytes: body?.declaredBytes,
+    crashes: opts.crashes,
+  };
+}
+
+/** Describes what a request is recognized by when it comes again. */
+export function describeChecked(
+  opts: Pick<DescribeCallOptions, "ctx" | "req" | "service" | "body">,
+): CheckedCall {
+  const { ctx, req, service, body } = opts;
+  return {
+    method: req.method ?? "GET",
+    target: req.url ?? "/",
+    service,
+    callerService: ctx.service,
+    body: body === undefined ? Buffer.alloc(0) : body.complete(),
   };
 }
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -32,13 +32,21 @@
   recordAttempt,
   recordAttemptEnd,
 } from "../load_balancing/record_home.ts";
+import {
+  CRASHES_TO_REFUSE,
+  QUARANTINE_RETRY_MS,
+} from "../quarantine/crash_chain.ts";
 import { RefusalReason } from "../queue/state.ts";
 import { pickService } from "../routes/pick_service.ts";
 import type { Route } from "../routes/state.ts";
 import { Rejection } from "./admit_request.ts";
 import { answerLocally, forwardAnswer } from "./answer_caller.ts";
 import { createHomeSearch } from "./create_home_search.ts";
-import { describeCall, INLINE_BODY_BYTES } from "./describe_call.ts";
+import {
+  describeCall,
+  describeChecked,
+  INLINE_BODY_BYTES,
+} from "./describe_call.ts";
 import { recordAnswerBytes } from "./find_next_home.ts";
 import {
   type BodySink,
@@ -133,6 +141,11 @@
   /** Number of endpoints that the call has reached. */
   let arrivals = 0;
   let mayHaveRun = false;
+  /**
+   * Number of endpoints that crashed one after the other while they ran this
+   * request.
+   */
+  let crashes = 0;
   let wasFull = false;
   let isHedged = false;
   let minWaitMs = Infinity;
@@ -171,6 +184,12 @@
 
   function attemptNext(mayBeLate: boolean): void {
     if (isDone) return;
+    if (isQuarantined()) {
+      if (attempts.size > 0) return;
+      minWaitMs = QUARANTINE_RETRY_MS;
+      ctx.metrics.countRefusal(RefusalReason.Quarantined);
+      return giveUp(mayHaveRun ? 502 : 503, "it crashed endpoints");
+    }
     // A home that refused because of a late answer may still be the best choice
     // when a late answer is acceptable.
     if (mayBeLate) search.allowLateAnswers();
@@ -188,6 +207,15 @@
     giveUp(mayHaveRun ? 502 : 503, reason);
   }
 
+  /** Whether the request crashed the endpoints that ran it. */
+  function isQuarantined(): boolean {
+    const known = ctx.countCrashes(() =>
+      describeChecked({ ctx, req, service, body })
+    );
+    crashes = Math.max(crashes, known);
+    return crashes >= CRASHES_TO_REFUSE;
+  }
+
   /**
    * Waits once for a link to a home, if one is being opened. Returns false if
    * none is expected, or if the wait is over.
@@ -250,6 +278,7 @@
       deadlineAt,
       objectiveAt,
       mayBeLate,
+      crashes,
     });
     const attempt = home.attempt(call, (event) => handleEvent(open, event));
     const sink = {
@@ -284,6 +313,7 @@
         if (streaming === open) return abortStreaming(event.failure.reason);
         closeAttempt(open, true);
         mayHaveRun = true;
+        crashes = Math.max(crashes, event.failure.crashes);
         if (attempts.size > 0) return;
         return handleEnd({ type: "failed", failure: event.failure });
       case "answered":
--- a/src/callers/serve_call_test.ts
+++ b/src/callers/serve_call_test.ts
@@ -84,3 +84,45 @@
   callers.reportLink();
   assert.equal(callers.attempts.length, 1);
 });
+
+/** Sends a request without a body. Resolves with the status of its answer. */
+function sendSafe(callers: TestCallers): Promise<number> {
+  return new Promise((resolve, reject) => {
+    request({
+      port: callers.port,
+      path: "/x",
+      agent: false,
+      headers: { host: CALLER_HOST, "call-id": "c-1", "wait-ms": "60000" },
+    }, (res) => {
+      res.resume();
+      resolve(res.statusCode ?? 0);
+    }).on("error", reject).end();
+  });
+}
+
+// A request that crashed three endpoints was sent on to the next ones.
+test("call is not sent again after it crashed three endpoints", async (t) => {
+  const callers = await startTestCallers(t, { maxAttempts: 9 });
+  for (const host of [2, 3, 4, 5]) callers.addHome(`10.0.0.${host}:1`);
+  const status = sendSafe(callers);
+  for (const crashes of [1, 2, 3]) {
+    await waitFor({
+      what: "the next attempt was made",
+      limitMs: LIMIT_MS,
+      isTrue: () => callers.attempts.length === crashes,
+    });
+    const attempt = callers.attempts.at(-1);
+    assert.equal(attempt?.call.crashes, crashes - 1);
+    const failure = { reason: "reset", isTimeout: false, crashes };
+    attempt?.emit({ type: "failed", failure });
+  }
+  assert.equal(await status, 502);
+  assert.equal(callers.attempts.length, 3);
+});
+
+test("request that is known to crash endpoints is refused unsent", async (t) => {
+  const callers = await startTestCallers(t, {}, { countCrashes: () => 3 });
+  callers.addHome("10.0.0.2:1");
+  assert.equal(await sendSafe(callers), 503);
+  assert.equal(callers.attempts.length, 0);
+});
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -16,6 +16,7 @@
 import type { QueueReport } from "../queue/state.ts";
 import type { RoutesState } from "../routes/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
+import type { CheckedCall } from "../quarantine/fingerprint_of.ts";
 import type { TrafficShiftState } from "../traffic_shift/state.ts";
 
 /** The parts of the node that a request is served with. */
@@ -52,6 +53,11 @@
   readonly isRunningHere: (callId: string) => boolean;
   /** Records that a nested call of the run with this id failed. */
   readonly recordNestedFailure: (callId: string) => void;
+  /**
+   * Number of endpoints that crashed one after the other while they ran the
+   * request.
+   */
+  readonly countCrashes: (describe: () => CheckedCall) => number;
   /** Queue report of the endpoint on this VM, for a route. */
   readonly ownReport: (route: string) => QueueReport;
   /** Bytes of answers that their receivers have not read yet. */
--- a/src/calls/calls_test.ts
+++ b/src/calls/calls_test.ts
@@ -14,7 +14,7 @@
 });
 const failed = (isTimeout = false): AttemptEnd => ({
   type: "failed",
-  failure: { reason: "reset", isTimeout },
+  failure: { reason: "reset", isTimeout, crashes: 0 },
 });
 
 function next(end: AttemptEnd, change: object = {}) {
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -110,7 +110,8 @@
 
 function afterRefusal(opts: DecideNextOptions, refusal: Refusal): NextStep {
   const isLate = refusal.reason === RefusalReason.Late;
-  const mayAttempt = !areHomesFull(opts, refusal) && opts.canResend &&
+  const mayAttempt = refusal.reason !== RefusalReason.Quarantined &&
+    !areHomesFull(opts, refusal) && opts.canResend &&
     opts.leftMs > 0 &&
     opts.offers < MAX_HOME_ATTEMPTS && mayReachAnotherEndpoint(opts, refusal);
   const strict = opts.wasFull ? STRICT_ATTEMPTS_WHEN_FULL : STRICT_ATTEMPTS;
--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -48,6 +48,11 @@
   readonly body: Buffer | undefined;
   /** Length of a body that follows, or undefined when it is chunked. */
   readonly bodyBytes: number | undefined;
+  /**
+   * Number of endpoints that crashed one after the other while they ran this
+   * request, as far as the sender knows.
+   */
+  readonly crashes: number;
 }
 
 /** Lowest HTTP status that counts as a failure of the endpoint. */
@@ -85,6 +90,11 @@
   readonly reason: string;
   /** Whether the deadline passed while the call ran. */
   readonly isTimeout: boolean;
+  /**
+   * Number of endpoints that crashed one after the other while they ran this
+   * request, with the one of this attempt. 0 if its endpoint has not crashed.
+   */
+  readonly crashes: number;
 }
 
 /**
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -6,6 +6,7 @@
 import {
   type Attempt,
   type AttemptEvent,
+  type Failure,
   type Home,
   LOWEST_SERVER_ERROR,
   MAX_UNSENT_ANSWER_BYTES,
@@ -29,6 +30,10 @@
   type QueueReport,
   RefusalReason,
 } from "../queue/state.ts";
+import {
+  CRASHES_TO_REFUSE,
+  QUARANTINE_RETRY_MS,
+} from "../quarantine/crash_chain.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import { createEndpointConnector } from "./connect_endpoint.ts";
@@ -37,6 +42,7 @@
   createEndpointPool,
   type EndpointPool,
 } from "./create_endpoint_pool.ts";
+import { isEndpointUp } from "./is_endpoint_up.ts";
 import { isSameSoftware } from "./is_same_software.ts";
 import { describeLateRun, type LateRun } from "./describe_late_run.ts";
 import {
@@ -90,6 +96,7 @@
   readonly unsentBytes: () => number;
   /** Called for a call whose service or version the endpoint does not run. */
   readonly onMisdirected: (call: OfferedCall, present: Instance) => void;
+  readonly suspects: SuspectRecords;
 }
 
 export interface LocalHome extends Home {
@@ -112,6 +119,28 @@
   close(): Promise<void>;
 }
 
+/** What is known of requests that crash the endpoints that run them. */
+export interface SuspectRecords {
+  /**
+   * Number of endpoints that crashed one after the other while they ran the
+   * request.
+   */
+  crashesOf(call: OfferedCall): number;
+  /**
+   * Records that the endpoint crashed while it ran these calls. Each comes with
+   * the crashes that were known when its run began.
+   */
+  recordCrash(runs: readonly CrashedCall[]): void;
+  /** Records that the endpoint answered the call completely. */
+  recordAnswer(call: OfferedCall): void;
+}
+
+/** A call whose run ended with its endpoint. */
+export interface CrashedCall {
+  readonly call: OfferedCall;
+  readonly crashes: number;
+}
+
 interface OpenCall {
   call: OfferedCall;
   readonly arrivedAt: MonotonicMs;
@@ -126,6 +155,8 @@
   startedAt?: MonotonicMs;
   /** The endpoint's announcement that was current when the run began. */
   runningOn?: Instance;
+  /** Crashes of endpoints by this request that were known then. */
+  knownCrashes?: number;
   hasNestedFailure?: boolean;
 }
 
@@ -142,6 +173,9 @@
   let pool: EndpointPool | undefined;
   let ticker: NodeJS.Timeout | undefined;
   let reopener: NodeJS.Timeout | undefined;
+  /** Calls whose connections the endpoint closed, until it is known why. */
+  const cut = new Set<OpenCall>();
+  let crashCheck: Promise<boolean> | undefined;
 
   function apply(effects: readonly QueueEffect[]) {
     for (const effect of effects) applyOne(effect);
@@ -189,6 +223,12 @@
       throw new TypeError("queue started a call while no endpoint is set");
     }
     entry.body?.close();
+    const knownCrashes = crashesOf(entry);
+    if (knownCrashes >= CRASHES_TO_REFUSE) {
+      end(key, entry, false);
+      return refuse(entry, RefusalReason.Quarantined, QUARANTINE_RETRY_MS);
+    }
+    entry.knownCrashes = knownCrashes;
     entry.runningOn = instance;
     const leftMs = entry.deadlineAt - now();
     entry.startedAt = now();
@@ -223,6 +263,7 @@
         entry.onEvent(event);
         if (event.body === undefined) return;
         recordRun(entry, isFailed);
+        opts.suspects.recordAnswer(entry.call);
         reportLateRun(entry);
         end(key, entry, !isFailed);
         return;
@@ -230,6 +271,7 @@
       case "ended":
         entry.onEvent(event);
         recordRun(entry, false);
+        opts.suspects.recordAnswer(entry.call);
         reportLateRun(entry);
         return end(key, entry, true);
       case "not-run":
@@ -250,13 +292,8 @@
         return refuse(entry, RefusalReason.NoTime, reportQueue(queue).meanMs);
       case "failed":
         if (event.rejected) opts.onUntrustedAnswer(entry.call, event.rejected);
-        recordRun(entry, true);
-        end(key, entry, false);
-        entry.onEvent({
-          type: "failed",
-          failure: { reason: event.reason, isTimeout: false },
-        });
-        return;
+        if (event.isCut) return void endCutRun(key, entry, event.reason);
+        return endFailedRun(key, entry, { reason: event.reason });
       default:
         exhausted(event);
     }
@@ -273,9 +310,58 @@
     isTimeout = false,
   ) {
     entry.run?.cancel();
+    endFailedRun(key, entry, { reason, isTimeout });
+  }
+
+  function endFailedRun(
+    key: number,
+    entry: OpenCall,
+    failure: Pick<Failure, "reason"> & Partial<Failure>,
+  ) {
     recordRun(entry, true);
     end(key, entry, false);
-    entry.onEvent({ type: "failed", failure: { reason, isTimeout } });
+    entry.onEvent({
+      type: "failed",
+      failure: { isTimeout: false, crashes: 0, ...failure },
+    });
+  }
+
+  /**
+   * Ends a run whose connection the endpoint closed, once it is known whether
+   * the endpoint has crashed: the caller must know before it sends the call to
+   * another endpoint.
+   */
+  async function endCutRun(key: number, entry: OpenCall, reason: string) {
+    cut.add(entry);
+    crashCheck ??= checkCrash();
+    const hasCrashed = await crashCheck;
+    // The deadline may have passed, or the caller may have left.
+    if (openCalls.get(key) !== entry) return;
+    const crashes = hasCrashed ? (entry.knownCrashes ?? 0) + 1 : 0;
+    endFailedRun(key, entry, { reason, crashes });
+  }
+
+  /** Finds out whether the endpoint has crashed, and records what it ran. */
+  async function checkCrash(): Promise<boolean> {
+    const isUp = await isEndpointUp(opts.endpointAddress);
+    crashCheck = undefined;
+    // An endpoint that announced its stop ends without a crash.
+    const hasCrashed = !isUp && instance !== undefined;
+    if (hasCrashed) {
+      const ended = new Set([...cut, ...running.values()]);
+      const runs = [...ended].map(({ call, knownCrashes = 0 }) => ({
+        call,
+        crashes: knownCrashes,
+      }));
+      opts.suspects.recordCrash(runs);
+      suspend("the endpoint takes no connection");
+    }
+    cut.clear();
+    return hasCrashed;
+  }
+
+  function crashesOf({ call }: OpenCall): number {
+    return Math.max(call.crashes, opts.suspects.crashesOf(call));
   }
 
   function end(key: number, entry: OpenCall, isAnswered: boolean) {
@@ -348,6 +434,10 @@
     if (instance !== undefined && !isSameSoftware(call, instance)) {
       return refuseMisdirected(key, entry, instance);
     }
+    if (crashesOf(entry) >= CRASHES_TO_REFUSE) {
+      releaseCall(key, entry);
+      return refuse(entry, RefusalReason.Quarantined, QUARANTINE_RETRY_MS);
+    }
     if (!bodyBuffer.fits(call)) {
       const event = { type: "arrived", ...queueEntry, now: now() } as const;
       return apply(decideQueue(queue, event));
--- a/src/endpoint_proxy/endpoint_proxy_test.ts
+++ b/src/endpoint_proxy/endpoint_proxy_test.ts
@@ -8,6 +8,7 @@
   RefusedBy,
 } from "../calls/state.ts";
 import { RefusalReason } from "../queue/state.ts";
+import type { SuspectRecords } from "./create_home.ts";
 import { ANNOUNCED_INSTANCE } from "../testing/announced_instance.ts";
 import {
   createTestHome,
@@ -446,3 +447,77 @@
   await expectAnswer("r-3");
   assert.notEqual(sockets[2], sockets[0]);
 });
+
+/** Records of suspects that remember what the home reports. */
+function recordSuspects(counts: Record<string, number> = {}) {
+  const crashed: { id: string; crashes: number }[] = [];
+  const suspects: SuspectRecords = {
+    crashesOf: ({ target }) => counts[target] ?? 0,
+    recordCrash: (runs) =>
+      void crashed.push(
+        ...runs.map(({ call, crashes }) => ({ id: call.id, crashes })),
+      ),
+    recordAnswer: () => {},
+  };
+  return { suspects, crashed };
+}
+
+// A request that crashed its endpoint was sent to the next one as any other.
+test("crash is recorded with all that the endpoint ran", async (t) => {
+  const { suspects, crashed } = recordSuspects({ "/b": 1 });
+  const sockets: Socket[] = [];
+  const { home, server } = await startHome(t, (socket) => {
+    sockets.push(socket);
+    if (sockets.length < 2) return;
+    server.close();
+    for (const one of sockets) one.destroy();
+  }, { suspects });
+  const known: number[] = [];
+  const run = async (change: Partial<OfferedCall>) => {
+    const event = await attemptCall(home, change);
+    known.push(crashed.length);
+    return event.type === "failed" ? event.failure.crashes : event.type;
+  };
+  const one = run({ id: "r-1", crashes: 0 });
+  const two = run({ id: "r-2", target: "/b", crashes: 0 });
+  assert.deepEqual(await Promise.all([one, two]), [1, 2]);
+  const ids = crashed.map(({ id, crashes }) => `${id} ${crashes}`).sort();
+  assert.deepEqual(ids, ["r-1 0", "r-2 1"]);
+  // The crash is recorded before a caller can send its call elsewhere.
+  assert.deepEqual(known, [2, 2]);
+});
+
+test("connection that a running endpoint closes is no crash", async (t) => {
+  const { suspects, crashed } = recordSuspects();
+  const { home } = await startHome(t, (socket) => socket.destroy(), {
+    suspects,
+  });
+  const event = await attemptCall(home);
+  assert.equal(event.type === "failed" && event.failure.crashes, 0);
+  assert.deepEqual(crashed, []);
+});
+
+test("endpoint that announced its stop ends without a crash", async (t) => {
+  const { suspects, crashed } = recordSuspects();
+  const { home, server } = await startHome(t, (socket) => {
+    home.setInstance(undefined, "the endpoint is leaving");
+    server.close();
+    socket.destroy();
+  }, { suspects });
+  const event = await attemptCall(home);
+  assert.equal(event.type === "failed" && event.failure.crashes, 0);
+  assert.deepEqual(crashed, []);
+});
+
+test("request that crashed three endpoints is not run", async (t) => {
+  const { suspects } = recordSuspects({ "/bad": 3 });
+  let received = 0;
+  const { home } = await startHome(t, () => void received++, { suspects });
+  const byRecord = await attemptCall(home, { target: "/bad" });
+  const byCaller = await attemptCall(home, { crashes: 3 });
+  for (const event of [byRecord, byCaller]) {
+    assert.equal(event.type, "refused");
+    assert.equal(event.refusal.reason, RefusalReason.Quarantined);
+  }
+  assert.equal(received, 0);
+});
--- a/src/adapters/is_endpoint_up.ts
+++ b/src/endpoint_proxy/is_endpoint_up.ts
@@ -1,5 +1,5 @@
 /**
- * Distinguishes a broken connection from a crashed upstream.
+ * Distinguishes a broken connection from a crashed endpoint.
  * @module
  */
 import { connect } from "node:net";
@@ -8,8 +8,9 @@
 const CONNECT_TIMEOUT_MS = 200;
 
 /**
- * Resolves with false when the endpoint refuses a connection. A timeout doesn't
- * prove a crash: a starved event loop or a lost packet looks the same.
+ * Resolves with false when `endpoint` (`host:port`) refuses a connection. A
+ * timeout doesn't prove a crash: a starved event loop or a lost packet looks the
+ * same.
  */
 export function isEndpointUp(endpoint: EndpointId): Promise<boolean> {
   const { hostname, port } = new URL(`http://${endpoint}`);
@@ -21,6 +22,10 @@
     };
     socket.setTimeout(CONNECT_TIMEOUT_MS, () => finish(true));
     socket.once("connect", () => finish(true));
-    socket.once("error", () => finish(false));
+    // Other errors are this node's own, such as too many open files.
+    socket.once(
+      "error",
+      (err: NodeJS.ErrnoException) => finish(err.code !== "ECONNREFUSED"),
+    );
   });
 }
--- a/src/endpoint_proxy/run_call.ts
+++ b/src/endpoint_proxy/run_call.ts
@@ -57,6 +57,8 @@
   | {
     readonly type: "failed";
     readonly reason: string;
+    /** Whether the endpoint closed the connection before a complete answer. */
+    readonly isCut: boolean;
     /** Answer that was not forwarded because it can't be trusted. */
     readonly rejected?: UntrustedAnswer;
   };
@@ -132,7 +134,8 @@
       case "doubt": {
         const { defect } = verdict;
         const reason = `the endpoint's answer proves nothing: ${defect}`;
-        emit({ type: "failed", reason, rejected: { status, defect } });
+        const rejected = { status, defect };
+        emit({ type: "failed", reason, isCut: false, rejected });
         return abort(reason);
       }
       default:
@@ -146,7 +149,7 @@
     if (head === undefined || isOver) return;
     if (size > MAX_ANSWER_BYTES) {
       const reason = "the answer is too long";
-      emit({ type: "failed", reason });
+      emit({ type: "failed", reason, isCut: false });
       return abort(reason);
     }
     if (isStreaming) return emit({ type: "chunk", chunk });
@@ -165,7 +168,8 @@
     clearTimeout(refusalTimer);
     if (head === undefined) return;
     if (!isFramed(framingOf(head)) && opts.isReset()) {
-      return emit({ type: "failed", reason: "the answer was reset" });
+      const reason = "the answer was reset";
+      return emit({ type: "failed", reason, isCut: true });
     }
     if (isStreaming) emit({ type: "ended" });
     else emit({ type: "answered", head, body: Buffer.concat(parts, size) });
@@ -173,7 +177,9 @@
 
   function handleError(err: Error) {
     clearTimeout(refusalTimer);
-    if (isSent) return emit({ type: "failed", reason: err.message });
+    if (isSent) {
+      return emit({ type: "failed", reason: err.message, isCut: true });
+    }
     emit({
       type: "not-run",
       reason: `no connection to the endpoint: ${err.message}`,
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -173,6 +173,7 @@
       case "move-step":
       case "move-report":
       case "move-fault":
+      case "quarantine/rows":
         break;
     }
     opts.onGossip(from, message, send);
--- a/src/links/create_packer.ts
+++ b/src/links/create_packer.ts
@@ -134,6 +134,7 @@
     case "move-step":
     case "move-report":
     case "move-fault":
+    case "quarantine/rows":
       return false;
     default:
       return exhausted(message);
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -7,8 +7,10 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Packr } from "msgpackr";
+import * as v from "valibot";
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
+import { quarantineSchema } from "../quarantine/messages.ts";
 import type { QueueReport } from "../queue/state.ts";
 import type { ReaderStatus } from "../reader_election/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
@@ -119,6 +121,7 @@
     case "move-step":
     case "move-report":
     case "move-fault":
+    case "quarantine/rows":
       return [Kind.Named, message];
     case "operator": {
       const { from, end, records } = message;
@@ -194,6 +197,7 @@
   "move-step",
   "move-report",
   "move-fault",
+  "quarantine/rows",
 ]);
 
 function namedMessage(value: unknown): LinkMessage {
@@ -203,6 +207,7 @@
       `message "${String(type)}" is from another version of the protocol`,
     );
   }
+  if (type === "quarantine/rows") v.assert(quarantineSchema, value);
   return value as LinkMessage;
 }
 
@@ -273,6 +278,7 @@
     call.mayBeLate,
     call.body,
     call.bodyBytes,
+    call.crashes,
   ];
 }
 
@@ -293,6 +299,7 @@
     mayBeLate: fields[12] as boolean,
     body: (fields[13] ?? undefined) as Buffer | undefined,
     bodyBytes: (fields[14] ?? undefined) as number | undefined,
+    crashes: fields[15] as number,
   };
 }
 
@@ -307,8 +314,8 @@
       return [EventKind.Refused, by, reason, waitMs];
     }
     case "failed": {
-      const { reason, isTimeout } = event.failure;
-      return [EventKind.Failed, reason, isTimeout];
+      const { reason, isTimeout, crashes } = event.failure;
+      return [EventKind.Failed, reason, isTimeout, crashes];
     }
     case "answered":
       return [
@@ -337,8 +344,13 @@
       return { type: "refused", refusal: { by, reason, waitMs } };
     }
     case EventKind.Failed: {
-      const [, reason, isTimeout] = fields as [number, string, boolean];
-      return { type: "failed", failure: { reason, isTimeout } };
+      const [, reason, isTimeout, crashes] = fields as [
+        number,
+        string,
+        boolean,
+        number,
+      ];
+      return { type: "failed", failure: { reason, isTimeout, crashes } };
     }
     case EventKind.Answered:
       return {
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -27,7 +27,7 @@
   { type: "admitted" },
   { type: "overdue" },
   { type: "refused", refusal: { by: "link", reason: "late", waitMs: 9 } },
-  { type: "failed", failure: { reason: "reset", isTimeout: true } },
+  { type: "failed", failure: { reason: "reset", isTimeout: true, crashes: 2 } },
   {
     type: "answered",
     head: { status: 200, headers: ["A", "b"] },
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -6,6 +6,7 @@
 import type { Offset } from "../core/types.ts";
 import type { DomainDigest, LostNotice, NodeRow } from "../fleet/messages.ts";
 import type { StoppedInstance } from "../local_endpoint/state.ts";
+import type { QuarantineMessage } from "../quarantine/messages.ts";
 import type { QueueReport } from "../queue/state.ts";
 import type { ReaderBeat } from "../reader_election/apply_beat.ts";
 import type { ReaderStatus } from "../reader_election/state.ts";
@@ -20,7 +21,7 @@
  * Version of the messages. Nodes with different versions refuse each other's
  * links, since they would misread each other's messages.
  */
-export const PROTOCOL_VERSION = 2;
+export const PROTOCOL_VERSION = 3;
 
 /** Identifies a call on one link. */
 export type LinkKey = number;
@@ -112,6 +113,8 @@
   }
   | { readonly type: "move-step"; readonly step: ShiftStep }
   | { readonly type: "move-report"; readonly report: ShiftReport }
-  | { readonly type: "move-fault"; readonly fault: ShiftFault };
+  | { readonly type: "move-fault"; readonly fault: ShiftFault }
+  /** Crashes of requests that the receiver may not know. */
+  | Extract<QuarantineMessage, { type: "quarantine/rows" }>;
 
 export type LinkMessage = CallMessage | EventMessage | Gossip;
--- a/src/links/open_channel.ts
+++ b/src/links/open_channel.ts
@@ -127,7 +127,11 @@
     const lost = [...pendingCalls.values()];
     pendingCalls.clear();
     for (const { onEvent } of lost) {
-      const failure = { reason: `link lost: ${reason}`, isTimeout: false };
+      const failure = {
+        reason: `link lost: ${reason}`,
+        isTimeout: false,
+        crashes: 0,
+      };
       onEvent({ type: "failed", failure });
     }
   }
@@ -182,6 +186,7 @@
       case "move-step":
       case "move-report":
       case "move-fault":
+      case "quarantine/rows":
         if (!isAbandoned) opts.onGossip(message);
         return;
     }
--- a/src/quarantine/fingerprint_of.ts
+++ b/src/quarantine/fingerprint_of.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { createHash } from "node:crypto";
+import type { OfferedCall } from "../calls/state.ts";
 import type { Fingerprint } from "./messages.ts";
 
 /** Header that carries the fingerprint of a call between nodes. */
@@ -25,6 +26,28 @@
   readonly content: string;
 }
 
+/** What a request is recognized by when it comes again with another id. */
+export type CheckedCall = Pick<
+  OfferedCall,
+  "callerService" | "service" | "method" | "target" | "body"
+>;
+
+/**
+ * Returns the fingerprint of a call, or undefined if its body is not known
+ * completely.
+ */
+export function fingerprintOfCall(call: CheckedCall): Fingerprint | undefined {
+  const { callerService, service, method, target, body } = call;
+  if (body === undefined) return undefined;
+  return fingerprintOf({
+    customer: callerService,
+    service,
+    method,
+    path: target,
+    content: createHash("sha256").update(body).digest("base64url"),
+  });
+}
+
 /** Returns the fingerprint of a request: 96 bits of SHA-256 in base64url. */
 export function fingerprintOf(opts: FingerprintOfOptions): Fingerprint {
   const { customer, service, method, path, content } = opts;
--- a/src/quarantine/merge_row.ts
+++ b/src/quarantine/merge_row.ts
@@ -25,9 +25,12 @@
 /** Limit on the crash ids in each list of a row. The oldest are dropped. */
 const MAX_CRASH_IDS = 8;
 
+/** The part of a node's state that rows are merged into. */
+export type KnownSuspects = Pick<QuarantineState, "suspects">;
+
 /** Merges a row into the state. Returns whether the state changed. */
 export function mergeRow(
-  state: QuarantineState,
+  state: KnownSuspects,
   row: SuspectRow,
   now: MonotonicMs,
 ): boolean {
@@ -50,7 +53,7 @@
 
 /** Returns the row of a fingerprint, empty when none is stored. */
 export function rowOf(
-  state: QuarantineState,
+  state: KnownSuspects,
   fingerprint: Fingerprint,
 ): SuspectRow {
   return state.suspects.get(fingerprint)?.row ??
@@ -59,7 +62,7 @@
 
 /** Returns the suspicion level of a fingerprint. */
 export function levelOf(
-  state: QuarantineState,
+  state: KnownSuspects,
   fingerprint: Fingerprint,
 ): SuspicionLevel {
   const known = state.suspects.get(fingerprint);
@@ -83,7 +86,7 @@
  * Evicts the least recently changed row whose request is not quarantined. When
  * all requests are quarantined, evicts the least recently changed row.
  */
-function evictOldest(state: QuarantineState) {
+function evictOldest(state: KnownSuspects) {
   let oldest: Fingerprint | undefined;
   for (const fingerprint of state.suspects.keys()) {
     oldest ??= fingerprint;
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -106,6 +106,8 @@
   NoTime: "no-time",
   /** The call is for another service or version than the endpoint runs. */
   Misdirected: "misdirected",
+  /** The request crashed the endpoints that ran it. */
+  Quarantined: "quarantined",
 } as const;
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason];
 
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -38,6 +38,7 @@
 import { createPeerDialer } from "./create_peer_dialer.ts";
 import type { FeedPeers, OperatorFeed } from "./feed_operator.ts";
 import { findLeaders } from "./find_leaders.ts";
+import type { SuspectWatch } from "./watch_suspects.ts";
 
 /** Time between health checks of all links, in milliseconds. */
 const CHECK_INTERVAL_MS = 200;
@@ -68,6 +69,7 @@
   readonly onRecall: (gone: readonly StoppedInstance[]) => void;
   readonly shifts: () => readonly ShiftDescription[];
   readonly onShift: (event: TrafficShiftEvent) => void;
+  readonly suspects: Pick<SuspectWatch, "receive" | "summary">;
 }
 
 export interface GossipService extends Homes, FeedPeers {
@@ -79,8 +81,11 @@
   ): void;
   /** Handles the end of a link that a peer opened. */
   handleClosed(from: NodeId, reply: (message: Gossip) => void): void;
-  /** Sends a message to the neighbors, which forward it to the whole fleet. */
-  broadcast(message: Gossip): void;
+  /**
+   * Sends a message to the neighbors, which forward it to the whole fleet, but
+   * not to the one that it came from.
+   */
+  broadcast(message: Gossip, except?: NodeId): void;
   /**
    * Sends a message to the nodes that lead traffic shifts, or would lead them
    * next.
@@ -126,7 +131,7 @@
     status,
     onGossip: handleLinkMessage,
     onOpen(node) {
-      sendShifts((message) => links.send(node, message));
+      sendNews((message) => links.send(node, message));
       if (links.isNeighbor(node)) links.send(node, allBeats());
       exchange.greet(node);
     },
@@ -295,6 +300,8 @@
       case "move-fault":
         if (isNewFault(shiftNews, message.fault)) forward(message, from);
         return opts.onShift({ type: "fault-received", fault: message.fault });
+      case "quarantine/rows":
+        return opts.suspects.receive(message.rows, from);
       default:
         exhausted(message);
     }
@@ -315,10 +322,13 @@
     // during an earlier process of its node.
     if (gone !== undefined) reply({ type: "recall", gone });
     if (isNeighbor) reply(allBeats());
-    sendShifts(reply);
+    sendNews(reply);
   }
 
-  function sendShifts(reply: (message: Gossip) => void) {
+  /** Sends what a process that has just started does not know. */
+  function sendNews(reply: (message: Gossip) => void) {
+    const suspects = opts.suspects.summary();
+    if (suspects !== undefined) reply(suspects);
     for (const { step, report, fault } of opts.shifts()) {
       reply({ type: "move-step", step });
       reply({ type: "move-report", report });
@@ -336,10 +346,10 @@
     opts.operator.handlePeerStatus({ node: from, domain, readerStatus, end });
   }
 
-  function broadcast(message: Gossip) {
+  function broadcast(message: Gossip, except?: NodeId) {
     if (message.type === "move-step") isNewStep(shiftNews, message.step);
     if (message.type === "move-fault") isNewFault(shiftNews, message.fault);
-    forward(message, undefined);
+    forward(message, except);
   }
 
   return {
@@ -381,6 +391,7 @@
     case "lost":
     case "hello":
     case "recall":
+    case "quarantine/rows":
       return Priority.Drain;
     case "operator":
       return Priority.Config;
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -53,6 +53,7 @@
 import { createStoppedRecorder } from "./record_stopped.ts";
 import { registerNode, type Registration } from "./register_node.ts";
 import { watchInstance } from "./watch_instance.ts";
+import { watchSuspects } from "./watch_suspects.ts";
 
 /**
  * Maximum number of queued messages of peers. Further gossip is dropped; its
@@ -114,10 +115,11 @@
   const collections = watchGarbageCollection(meter);
   const routes = createRoutesState();
   const loadBalancing = createLoadBalancingState();
+  const life = randomBytes(INCARNATION_BYTES).toString("hex");
   const fleet = createFleetState({
     self: settings.node,
     domain: settings.domain,
-    life: randomBytes(INCARNATION_BYTES).toString("hex"),
+    life,
     startedAt: Date.now(),
   });
   const source = `${settings.node} ${Date.now()}`;
@@ -140,12 +142,19 @@
   let registration: Registration | undefined = undefined;
   let shiftTimer: NodeJS.Timeout | undefined;
 
+  const suspects = watchSuspects({
+    boot: life,
+    log,
+    now,
+    forward: (message, except) => gossip.broadcast(message, except),
+  });
   const unsentBytes = () => links.unsentBytes() + callers.unsentBytes();
   const home = createHome({
     endpointAddress: settings.endpointAddress,
     dialect: platform.dialect,
     now,
     unsentBytes,
+    suspects,
     onRun(run) {
       countRun(trafficShift, run);
       metrics.countVersionRun(run);
@@ -251,6 +260,7 @@
     operator: feed,
     onRecall: (gone) => instance.recall(gone),
     shifts: () => describeShifts(trafficShift, now()),
+    suspects,
     onShift: handleShiftEvent,
   });
 
@@ -275,6 +285,7 @@
     ownReport: home.report,
     isRunningHere: home.isRunning,
     recordNestedFailure: home.recordNestedFailure,
+    countCrashes: suspects.countCrashes,
     unsentBytes,
     dialect: platform.dialect,
     log,
--- a/src/testing/create_test_home.ts
+++ b/src/testing/create_test_home.ts
@@ -4,7 +4,11 @@
  * @module
  */
 import type { TestContext } from "node:test";
-import { createHome, type LocalHome } from "../endpoint_proxy/create_home.ts";
+import {
+  createHome,
+  type LocalHome,
+  type SuspectRecords,
+} from "../endpoint_proxy/create_home.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import { ANNOUNCED_INSTANCE } from "./announced_instance.ts";
 import { testDialect } from "./test_dialect.ts";
@@ -15,8 +19,15 @@
   readonly address: string;
   readonly onRun?: (run: Run) => void;
   readonly now?: () => number;
+  readonly suspects?: SuspectRecords;
 }
 
+const NO_SUSPECTS: SuspectRecords = {
+  crashesOf: () => 0,
+  recordCrash: () => {},
+  recordAnswer: () => {},
+};
+
 /** Creates the call path of a home node and closes it after the test. */
 export function createTestHome(
   t: TestContext,
@@ -32,6 +43,7 @@
     onUnusableEndpoint: () => {},
     unsentBytes: () => 0,
     onMisdirected: () => {},
+    suspects: opts.suspects ?? NO_SUSPECTS,
   });
   home.setInstance(ANNOUNCED_INSTANCE, "");
   t.after(() => home.close());
--- a/src/testing/offered_call.ts
+++ b/src/testing/offered_call.ts
@@ -24,6 +24,7 @@
     mayBeLate: false,
     body: Buffer.alloc(0),
     bodyBytes: undefined,
+    crashes: 0,
     ...change,
   };
 }
--- a/src/testing/start_test_callers.ts
+++ b/src/testing/start_test_callers.ts
@@ -55,6 +55,7 @@
 export async function startTestCallers(
   t: TestContext,
   fields: Partial<Route> = {},
+  change: Partial<CallContext> = {},
 ): Promise<TestCallers> {
   const now = () => performance.now();
   const attempts: TestAttempt[] = [];
@@ -87,6 +88,7 @@
     recordDemand: () => {},
     isRunningHere: () => false,
     recordNestedFailure: () => {},
+    countCrashes: () => 0,
     ownReport: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
     unsentBytes: () => 0,
     dialect: testDialect,
@@ -95,6 +97,7 @@
     lagMs: () => 0,
     now,
     random: () => 0.5,
+    ...change,
   };
 
   function playAttempt(
