--- a/src/callers/serve_call_test.ts
+++ b/src/callers/serve_call_test.ts
@@ -50,26 +50,27 @@
   await upload.isRead;
 }
 
-// An upload ran at two endpoints: the wait for a link to a home node outlived
-// the first attempt and started another.
-test("upload runs once when a link opens after its first attempt", async (t) => {
+/** Starts an upload whose first attempt is made while a wait is open. */
+async function startWaitedUpload(t: TestContext): Promise<TestCallers> {
   t.mock.timers.enable({ apis: ["setTimeout"] });
   const callers = await startTestCallers(t, { isIdempotent: false });
   const upload = await beginUpload(t, callers);
   callers.addHome("10.0.0.2:1");
   callers.addHome("10.0.0.3:1");
   await endUpload(upload);
+  return callers;
+}
+
+// An upload ran at two endpoints: the wait for a link to a home node outlived
+// the first attempt and started another.
+test("upload runs once when a link opens after its first attempt", async (t) => {
+  const callers = await startWaitedUpload(t);
   callers.reportLink();
   assert.equal(callers.attempts.length, 1);
 });
 
 test("upload runs once when its wait ends after its first attempt", async (t) => {
-  t.mock.timers.enable({ apis: ["setTimeout"] });
-  const callers = await startTestCallers(t, { isIdempotent: false });
-  const upload = await beginUpload(t, callers);
-  callers.addHome("10.0.0.2:1");
-  callers.addHome("10.0.0.3:1");
-  await endUpload(upload);
+  const callers = await startWaitedUpload(t);
   t.mock.timers.tick(1_000);
   assert.equal(callers.attempts.length, 1);
 });
