fix(callers): one head for an answer that is being forwarded

Forwarding an answer now cancels the other attempts, and while it is forwarded no attempt is started, no other answer is taken, and giving up aborts it: a body that grew too large meanwhile wrote a second head too.

Without the change both tests fail: the other attempt is not cancelled, and a second attempt is made.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -304,8 +304,10 @@
         return;
       case "overdue":
         recordArrival(open);
-        return hedge();
+        // Once a head is written, no other answer can take its place.
+        return streaming === undefined ? hedge() : undefined;
       case "refused":
+        if (streaming !== undefined) return;
         if (event.refusal.by === RefusedBy.Endpoint) recordArrival(open);
         closeAttempt(open, event.refusal.by !== RefusedBy.Home);
         return handleRefusal(open, event.refusal);
@@ -318,6 +320,7 @@
         if (attempts.size > 0) return;
         return handleEnd({ type: "failed", failure: event.failure });
       case "answered":
+        if (streaming !== undefined) return;
         recordArrival(open);
         return handleAnswer(open, event.head, event.body);
       case "chunk":
@@ -370,6 +373,10 @@
         return attemptNext(step.mayBeLate);
       }
     }
+    for (const other of attempts) {
+      other.attempt.cancel();
+      closeAttempt(other, false);
+    }
     if (fullBody !== undefined) recordAnswerBytes(ctx, route, fullBody.length);
     if (opts.mayClose()) res.shouldKeepAlive = false;
     forwardAnswer(res, ctx.dialect, head, fullBody);
@@ -450,6 +457,7 @@
 
   function giveUp(status: number, reason: string) {
     if (isDone) return;
+    if (streaming !== undefined) return abortStreaming(reason);
     const leftMs = deadlineAt - ctx.now();
     const retryMs = retryAfterMs({
       waitMs: Number.isFinite(minWaitMs) ? minWaitMs : NO_HOME_WAIT_MS,
--- a/src/callers/serve_call_test.ts
+++ b/src/callers/serve_call_test.ts
@@ -127,3 +127,38 @@
   assert.equal(await sendSafe(callers), 503);
   assert.equal(callers.attempts.length, 0);
 });
+
+const HEAD = { status: 200, headers: [] };
+
+/** Starts a call whose answer is being forwarded, by its first attempt. */
+async function startForwarded(t: TestContext, isHedged: boolean) {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const callers = await startTestCallers(t, { maxAttempts: 3 });
+  callers.addHome("10.0.0.2:1");
+  callers.addHome("10.0.0.3:1");
+  void sendSafe(callers);
+  const isTrue = () => callers.attempts.length === 1;
+  await waitFor({ what: "the call was sent", limitMs: LIMIT_MS, isTrue });
+  const [first] = callers.attempts;
+  assert.ok(first);
+  if (isHedged) first.emit({ type: "overdue" });
+  first.emit({ type: "answered", head: HEAD, body: undefined });
+  return { attempts: callers.attempts, first };
+}
+
+// A second head ended the process, with all calls on it.
+test("answer that is being forwarded cancels the other attempt", async (t) => {
+  const { attempts, first } = await startForwarded(t, true);
+  const [, second] = attempts;
+  assert.equal(second?.isCancelled, true);
+  second?.emit({ type: "answered", head: HEAD, body: Buffer.from("x") });
+  first.emit({ type: "ended" });
+});
+
+test("overdue answer that is being forwarded is not hedged", async (t) => {
+  const { attempts, first } = await startForwarded(t, false);
+  first.emit({ type: "overdue" });
+  assert.equal(attempts.length, 1);
+  first.emit({ type: "answered", head: HEAD, body: Buffer.from("x") });
+  first.emit({ type: "ended" });
+});
