fix(callers): an answer that is being forwarded ends soon after its deadline

The deadline did nothing once a head was written, since the home node ends a run at its deadline; one that is silent doesn't, and its link is kept for its calls. The deadline now starts a time of 200 ms in which the answer may still end; then it is aborted, so that it does not look complete. Without the change the test fails: the attempt is not cancelled.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -75,6 +75,12 @@
 /** Time that a call waits for a link to a home that is being opened. */
 const LINK_WAIT_MS = 100;
 
+/**
+ * Time after the deadline in which an answer that is being forwarded may end, in
+ * milliseconds. The home node ends it earlier, unless it is silent.
+ */
+const STREAM_GRACE_MS = 200;
+
 /** Options of `serveCall`. */
 export interface ServeCallOptions {
   readonly ctx: CallContext;
@@ -153,6 +159,7 @@
   let lastAttemptAt = startedAt;
   let isDone = false;
   let streaming: OpenAttempt | undefined;
+  let graceTimer: NodeJS.Timeout | undefined;
   let linkWait: LinkWait = { type: "unused" };
   const deadline = setTimeout(
     handleDeadline,
@@ -450,7 +457,15 @@
   }
 
   function handleDeadline() {
-    if (isDone || streaming !== undefined) return;
+    if (isDone) return;
+    // The home node ends a run at its deadline, but may be silent.
+    if (streaming !== undefined) {
+      graceTimer = setTimeout(
+        () => abortStreaming("its time is over"),
+        STREAM_GRACE_MS,
+      );
+      return;
+    }
     // With an attempt still open, it is unknown whether the call has run.
     giveUp(attempts.size > 0 || mayHaveRun ? 504 : 503, "its time is over");
   }
@@ -490,6 +505,7 @@
     if (isDone) return;
     isDone = true;
     clearTimeout(deadline);
+    clearTimeout(graceTimer);
     closeLinkWait();
     const isLost = result === CallResult.Unknown;
     if (isNested && isFailure(result)) ctx.recordNestedFailure(parentId);
--- a/src/callers/serve_call_test.ts
+++ b/src/callers/serve_call_test.ts
@@ -86,8 +86,14 @@
   assert.equal(callers.attempts.length, 1);
 });
 
-/** Sends a request without a body. Resolves with the status of its answer. */
-function sendSafe(callers: TestCallers): Promise<number> {
+/**
+ * Sends a request without a body. Resolves with the status of its answer.
+ * `onClose` learns whether the answer was complete.
+ */
+function sendSafe(
+  callers: TestCallers,
+  onClose: (isComplete: boolean) => void = () => {},
+): Promise<number> {
   return new Promise((resolve, reject) => {
     request({
       port: callers.port,
@@ -96,6 +102,8 @@
       headers: { host: CALLER_HOST, "call-id": "c-1", "wait-ms": "60000" },
     }, (res) => {
       res.resume();
+      res.on("error", () => {});
+      res.on("close", () => onClose(res.complete));
       resolve(res.statusCode ?? 0);
     }).on("error", reject).end();
   });
@@ -136,14 +144,18 @@
   const callers = await startTestCallers(t, { maxAttempts: 3 });
   callers.addHome("10.0.0.2:1");
   callers.addHome("10.0.0.3:1");
-  void sendSafe(callers);
+  let close: (isComplete: boolean) => void = () => {};
+  const isComplete = new Promise<boolean>((resolve) => close = resolve);
+  const status = sendSafe(callers, close);
   const isTrue = () => callers.attempts.length === 1;
   await waitFor({ what: "the call was sent", limitMs: LIMIT_MS, isTrue });
   const [first] = callers.attempts;
   assert.ok(first);
   if (isHedged) first.emit({ type: "overdue" });
   first.emit({ type: "answered", head: HEAD, body: undefined });
-  return { attempts: callers.attempts, first };
+  first.emit({ type: "chunk", chunk: Buffer.from("part") });
+  assert.equal(await status, 200);
+  return { attempts: callers.attempts, first, isComplete };
 }
 
 // A second head ended the process, with all calls on it.
@@ -162,3 +174,13 @@
   first.emit({ type: "answered", head: HEAD, body: Buffer.from("x") });
   first.emit({ type: "ended" });
 });
+
+// Callers held an answer of a silent home node until the node woke.
+test("answer that is not ended after the deadline is aborted", async (t) => {
+  const { first, isComplete } = await startForwarded(t, false);
+  t.mock.timers.tick(60_000);
+  assert.equal(first.isCancelled, false);
+  t.mock.timers.tick(1_000);
+  assert.equal(first.isCancelled, true);
+  assert.equal(await isComplete, false);
+});
