fix(links): an error in the handling of one call ends that call only

Events of calls are delivered one by one now: an error ends its call, or its sender is told that it failed, and is logged with the call's id as 'handling of a call failed'.

Two tests make a handler throw, on the calling and on the serving side of a link.

--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -60,6 +60,8 @@
    */
   readonly isOtherDomain: (domain: string) => boolean;
   readonly onError: (reason: string, from: NodeId | undefined) => void;
+  /** Called with an error that the handling of a call threw. */
+  readonly onCallFault: (callId: string, err: unknown) => void;
   /** Called when a link closes whose sender has sent its hello. */
   readonly onClosed: (
     from: NodeId,
@@ -138,6 +140,7 @@
     now,
     canAccept,
     send,
+    onCallFault: opts.onCallFault,
   });
 
   function handleMessage(message: LinkMessage) {
--- a/src/links/accept_links_test.ts
+++ b/src/links/accept_links_test.ts
@@ -32,6 +32,7 @@
     canAccept: () => true,
     onGossip: (from) => hellos.push(from),
     isOtherDomain: () => false,
+    onCallFault: (_id, err) => assert.fail(String(err)),
     onError: (reason) => reasons.push(reason),
     onClosed() {},
   });
--- a/src/links/dial_link_test.ts
+++ b/src/links/dial_link_test.ts
@@ -8,7 +8,7 @@
 import { ReaderStatus } from "../reader_election/state.ts";
 import { offeredCall } from "../testing/offered_call.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
-import { dialLink } from "./dial_link.ts";
+import { dialLink, type DialLinkOptions } from "./dial_link.ts";
 import { type LinkMessage, PROTOCOL_VERSION } from "./messages.ts";
 
 const REPORT = { running: 0, waiting: 0, meanMs: 0, routeMs: 0 };
@@ -69,20 +69,20 @@
   socket.send(pack(message));
 }
 
-test("call at a peer that was silent for a while gets its answer", async (t) => {
-  const peer = await startSilentPeer(t);
-  let now = 0;
-  let opened = () => {};
-  const isOpen = () => new Promise<void>((resolve) => opened = resolve);
-  const [first, firstOpen] = [peer.connection(), isOpen()];
+/** Opens a link to a peer. `change` replaces some of the options. */
+function openLink(
+  t: TestContext,
+  node: string,
+  change: Partial<DialLinkOptions>,
+) {
   const link = dialLink({
-    node: peer.node,
+    node,
     idleMs: () => 1_000,
     exchangedAt: () => -Infinity,
     lagMs: () => 0,
-    now: () => now,
+    now: () => 0,
     random: () => 0,
-    meter: createWorkMeter({ now: () => now }),
+    meter: createWorkMeter({ now: () => 0 }),
     isOtherDomain: () => false,
     hello: () => ({
       type: "hello",
@@ -94,11 +94,26 @@
     onReport() {},
     onNetworkTime() {},
     onGossip() {},
-    onOpen: () => opened(),
+    onCallFault: (_id, err) => assert.fail(String(err)),
+    onOpen() {},
     onClose() {},
     onDialFailed() {},
+    ...change,
   });
   t.after(() => link.close());
+  return link;
+}
+
+test("call at a peer that was silent for a while gets its answer", async (t) => {
+  const peer = await startSilentPeer(t);
+  let now = 0;
+  let opened = () => {};
+  const isOpen = () => new Promise<void>((resolve) => opened = resolve);
+  const [first, firstOpen] = [peer.connection(), isOpen()];
+  const link = openLink(t, peer.node, {
+    now: () => now,
+    onOpen: () => opened(),
+  });
   await firstOpen;
   const events: AttemptEvent["type"][] = [];
   let hasAnswer = () => {};
@@ -125,3 +140,30 @@
   assert.deepEqual(events, ["overdue", "answered"]);
   await closed;
 });
+
+// An error in the handler of one call closed the link, and with it all calls.
+test("error in the handler of one call leaves the link to the others", async (t) => {
+  const peer = await startSilentPeer(t);
+  let opened = () => {};
+  const isOpen = new Promise<void>((resolve) => opened = resolve);
+  const faults: string[] = [];
+  const link = openLink(t, peer.node, {
+    onOpen: () => opened(),
+    onCallFault: (id) => faults.push(id),
+    onClose: () => assert.fail("the link was closed"),
+  });
+  await isOpen;
+  link.attempt(offeredCall({ id: "r-1" }), () => {
+    throw new Error("thrown by a handler");
+  });
+  const answered = new Promise<AttemptEvent>((resolve) =>
+    link.attempt(offeredCall({ id: "r-2" }), resolve)
+  );
+  for (const count of [1, 2]) {
+    const { socket, key } = await peer.offer(count);
+    answer(socket, key);
+  }
+  assert.equal((await answered).type, "answered");
+  assert.deepEqual(faults, ["r-1"]);
+  assert.ok(link.isOpen());
+});
--- a/src/links/open_channel.ts
+++ b/src/links/open_channel.ts
@@ -33,6 +33,8 @@
    * milliseconds.
    */
   readonly onNetworkTime: (networkMs: number) => void;
+  /** Called with an error that the handler of a call's events threw. */
+  readonly onCallFault: (callId: string, err: unknown) => void;
   /** Called for each message that is not about a call. */
   readonly onGossip: (message: Gossip) => void;
   readonly onOpen: () => void;
@@ -63,6 +65,7 @@
 
 /** A call that was sent to the home node and has not ended. */
 interface PendingCall {
+  readonly id: string;
   readonly route: string;
   readonly sentAt: MonotonicMs;
   /** Whether no event of the call has been received. */
@@ -126,13 +129,22 @@
     opts.onEnd(reason);
     const lost = [...pendingCalls.values()];
     pendingCalls.clear();
-    for (const { onEvent } of lost) {
+    for (const call of lost) {
       const failure = {
         reason: `link lost: ${reason}`,
         isTimeout: false,
         crashes: 0,
       };
-      onEvent({ type: "failed", failure });
+      deliver(call, { type: "failed", failure });
+    }
+  }
+
+  /** An error in the handling of one call must not end the others. */
+  function deliver({ id, onEvent }: PendingCall, event: AttemptEvent) {
+    try {
+      onEvent(event);
+    } catch (err) {
+      opts.onCallFault(id, err);
     }
   }
 
@@ -161,7 +173,7 @@
         }
         call.isNew = false;
         if (isLastEvent(message.event)) forget(message.key);
-        call.onEvent(message.event);
+        deliver(call, message.event);
         return;
       }
       case "offer":
@@ -208,8 +220,9 @@
     send,
     attempt(call, onEvent) {
       const key = ++lastKey;
-      const { route } = call;
-      pendingCalls.set(key, { route, sentAt: now(), isNew: true, onEvent });
+      const { id, route } = call;
+      const sentAt = now();
+      pendingCalls.set(key, { id, route, sentAt, isNew: true, onEvent });
       send({ type: "offer", key, call });
       return {
         send: (chunk) => send({ type: "body", key, chunk }),
@@ -224,8 +237,8 @@
     abandon() {
       isAbandoned = true;
       if (pendingCalls.size === 0) return close("abandoned");
-      for (const { onEvent } of [...pendingCalls.values()]) {
-        onEvent({ type: "overdue" });
+      for (const call of [...pendingCalls.values()]) {
+        deliver(call, { type: "overdue" });
       }
     },
     close,
--- a/src/links/serve_link.ts
+++ b/src/links/serve_link.ts
@@ -25,6 +25,8 @@
   /** Whether a call with `leftMs` until its deadline is still accepted. */
   readonly canAccept: (leftMs: number) => boolean;
   readonly send: (message: LinkMessage) => void;
+  /** Called with an error that the handling of a call threw. */
+  readonly onCallFault: (callId: string, err: unknown) => void;
 }
 
 export interface ServedLink {
@@ -33,9 +35,14 @@
   close(): void;
 }
 
+interface ServedAttempt {
+  readonly callId: string;
+  readonly attempt: Attempt;
+}
+
 /** Serves the calls of one link. */
 export function serveLink(opts: ServeLinkOptions): ServedLink {
-  const attempts = new Map<LinkKey, Attempt>();
+  const attempts = new Map<LinkKey, ServedAttempt>();
 
   function sendEvent(
     key: LinkKey,
@@ -49,6 +56,29 @@
     opts.send({ type: "event", key, event, report, heldMs, lagMs });
   }
 
+  /** An error in the handling of one call must not end the others. */
+  function guard(key: LinkKey, callId: string, handle: () => void) {
+    try {
+      handle();
+    } catch (err) {
+      opts.onCallFault(callId, err);
+      attempts.delete(key);
+      // It is not known whether the call has run.
+      const failure = {
+        reason: "the home node failed to handle it",
+        isTimeout: false,
+        crashes: 0,
+      };
+      sendEvent(key, "", { type: "failed", failure }, 0);
+    }
+  }
+
+  function handleAttempt(key: LinkKey, handle: (attempt: Attempt) => void) {
+    const served = attempts.get(key);
+    if (served === undefined) return;
+    guard(key, served.callId, () => handle(served.attempt));
+  }
+
   function startCall(key: LinkKey, call: OfferedCall): Attempt | undefined {
     const hasLaterBody = call.body === undefined;
     const readAt = opts.now();
@@ -67,7 +97,9 @@
       // The sender needs the admission only when it has a body to send after
       // it.
       if (event.type === "admitted" && !hasLaterBody) return;
-      sendEvent(key, call.route, event, opts.now() - readAt);
+      guard(key, call.id, () => {
+        sendEvent(key, call.route, event, opts.now() - readAt);
+      });
     });
   }
 
@@ -76,18 +108,20 @@
       const { key } = message;
       switch (message.type) {
         case "offer": {
-          const attempt = startCall(key, message.call);
-          if (attempt !== undefined) attempts.set(key, attempt);
+          const { call } = message;
+          guard(key, call.id, () => {
+            const attempt = startCall(key, call);
+            if (attempt === undefined) return;
+            attempts.set(key, { callId: call.id, attempt });
+          });
           return;
         }
         case "body":
-          attempts.get(key)?.send(message.chunk);
-          return;
+          return handleAttempt(key, (one) => one.send(message.chunk));
         case "body-end":
-          attempts.get(key)?.finish();
-          return;
+          return handleAttempt(key, (one) => one.finish());
         case "cancel":
-          attempts.get(key)?.cancel();
+          handleAttempt(key, (one) => one.cancel());
           attempts.delete(key);
           return;
         default:
@@ -95,7 +129,9 @@
       }
     },
     close() {
-      for (const attempt of attempts.values()) attempt.cancel();
+      for (const key of [...attempts.keys()]) {
+        handleAttempt(key, (one) => one.cancel());
+      }
       attempts.clear();
     },
   };
--- a/src/links/serve_link_test.ts
+++ b/src/links/serve_link_test.ts
@@ -18,6 +18,7 @@
     lagMs: () => 1_900,
     now: () => 0,
     canAccept: () => true,
+    onCallFault: (_id, err) => assert.fail(String(err)),
     send() {},
   });
   const call = offeredCall({ leftMs: 200, objectiveLeftMs: 60 });
@@ -41,6 +42,7 @@
     lagMs: () => 40,
     now: () => now,
     canAccept: () => true,
+    onCallFault: (_id, err) => assert.fail(String(err)),
     send: (message) => sent.push(message),
   });
   link.handle({ type: "offer", key: 1, call: offeredCall({}) });
@@ -58,6 +60,7 @@
     lagMs: () => 0,
     now: () => 0,
     canAccept: (leftMs) => leftMs <= 1_000,
+    onCallFault: (_id, err) => assert.fail(String(err)),
     send: (message) => sent.push(message),
   });
   const call = offeredCall({ leftMs: 1_100 });
@@ -66,3 +69,39 @@
   assert.ok(message?.type === "event" && message.event.type === "refused");
   assert.equal(message.event.refusal.by, RefusedBy.Home);
 });
+
+test("error in the handling of one call fails that call only", () => {
+  const sent: LinkMessage[] = [];
+  const faults: string[] = [];
+  const link = serveLink({
+    home: {
+      attempt(call) {
+        if (call.id === "r-1") throw new Error("thrown by the home");
+        return {
+          send() {
+            throw new Error("thrown by the attempt");
+          },
+          finish() {},
+          cancel() {},
+        };
+      },
+    },
+    report: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
+    lagMs: () => 0,
+    now: () => 0,
+    canAccept: () => true,
+    onCallFault: (id) => faults.push(id),
+    send: (message) => sent.push(message),
+  });
+  for (const key of [1, 2, 3]) {
+    const call = offeredCall({ id: `r-${key}` });
+    link.handle({ type: "offer", key, call });
+  }
+  link.handle({ type: "body", key: 2, chunk: Buffer.from("part") });
+  link.handle({ type: "body-end", key: 3 });
+  assert.deepEqual(faults, ["r-1", "r-2"]);
+  const failed = sent.flatMap((one) =>
+    one.type === "event" && one.event.type === "failed" ? [one.key] : []
+  );
+  assert.deepEqual(failed, [1, 2]);
+});
--- a/src/sidecar/create_peer_dialer.ts
+++ b/src/sidecar/create_peer_dialer.ts
@@ -16,6 +16,7 @@
 } from "../load_balancing/record_home.ts";
 import type { LoadBalancingState } from "../load_balancing/state.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
+import { writeCallFault } from "../logs/write_call_fault.ts";
 import type { WorkMeter } from "../metrics/create_work_meter.ts";
 import type { LinkTable } from "./create_link_table.ts";
 
@@ -138,6 +139,7 @@
             networkMs,
             now: now(),
           }),
+        onCallFault: (callId, err) => writeCallFault(opts.log, callId, err),
         onGossip: (message) => opts.onGossip(node, message),
         onOpen() {
           const fields = { peer: node };
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -19,6 +19,7 @@
 import { createHome } from "../endpoint_proxy/create_home.ts";
 import { acceptLinks } from "../links/accept_links.ts";
 import { createLog, LogLevel } from "../logs/create_log.ts";
+import { writeCallFault } from "../logs/write_call_fault.ts";
 import { createMetrics } from "../metrics/create_metrics.ts";
 import { createWorkMeter, Duty } from "../metrics/create_work_meter.ts";
 import { meterStore } from "../metrics/meter_store.ts";
@@ -354,6 +355,7 @@
     onGossip: gossip.handleMessage,
     onClosed: gossip.handleClosed,
     isOtherDomain: (domain) => domain !== settings.domain,
+    onCallFault: (callId, err) => writeCallFault(log, callId, err),
     onError: (reason, peer) =>
       log.write("fleet", LogLevel.Warn, "incoming link failed", {
         reason,
