feat(core): types of accounts, pace of endpoints, limits on cold starts

Cause: calls carry no client account, home nodes report neither the pace of their endpoint nor how many calls a cold endpoint still tolerates, and nothing names an evacuation or an allowance. Change: these types, their encoding between nodes (protocol 4) and the settings that hold their bounds. Nothing sets or reads the new fields yet.

--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -3,6 +3,7 @@
  * the node on an endpoint's VM, which alone opens connections to the endpoint.
  * @module
  */
+import type { CallAccount } from "../accounts/state.ts";
 import type { NodeId } from "../core/types.ts";
 
 /**
@@ -53,6 +54,8 @@
    * request, as far as the sender knows.
    */
   readonly crashes: number;
+  /** Client account of the call. Undefined for calls without an API key. */
+  readonly account?: CallAccount | undefined;
 }
 
 /** Lowest HTTP status that counts as a failure of the endpoint. */
--- a/src/links/encode_fleet.ts
+++ b/src/links/encode_fleet.ts
@@ -130,7 +130,7 @@
   return value;
 }
 
-function textOf(value: unknown): string {
+export function textOf(value: unknown): string {
   if (typeof value !== "string") throw new TypeError("a text is expected");
   return value;
 }
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -8,6 +8,7 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Packr } from "msgpackr";
 import * as v from "valibot";
+import type { CallAccount } from "../accounts/state.ts";
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
 import { quarantineSchema } from "../quarantine/messages.ts";
@@ -25,6 +26,7 @@
   numberOf,
   rowFields,
   rowOf,
+  textOf,
 } from "./encode_fleet.ts";
 import type { LinkMessage, NodeStatus } from "./messages.ts";
 
@@ -148,9 +150,9 @@
         type: "event",
         key,
         report: reportOf(fields, 2),
-        heldMs: fields[6] as number,
-        lagMs: fields[7] as number,
-        event: eventOf(fields.slice(8)),
+        heldMs: fields[8] as number,
+        lagMs: fields[9] as number,
+        event: eventOf(fields.slice(10)),
       };
     case Kind.Ping:
       return { type: "ping", ...statusOf(fields) };
@@ -242,14 +244,21 @@
 function statusOf(fields: Fields): NodeStatus {
   return {
     report: reportOf(fields, 1),
-    operatorEnd: fields[5] as number,
-    readerStatus: fields[6] as ReaderStatus,
-    lagMs: fields[7] as number,
+    operatorEnd: fields[7] as number,
+    readerStatus: fields[8] as ReaderStatus,
+    lagMs: fields[9] as number,
   };
 }
 
 function reportFields(report: QueueReport): Fields {
-  return [report.running, report.waiting, report.meanMs, report.routeMs];
+  return [
+    report.running,
+    report.waiting,
+    report.meanMs,
+    report.routeMs,
+    report.pacePercent,
+    report.startsLeft,
+  ];
 }
 
 function reportOf(fields: Fields, at: number): QueueReport {
@@ -258,6 +267,8 @@
     waiting: fields[at + 1] as number,
     meanMs: fields[at + 2] as number,
     routeMs: fields[at + 3] as number,
+    pacePercent: (fields[at + 4] ?? undefined) as number | undefined,
+    startsLeft: (fields[at + 5] ?? undefined) as number | undefined,
   };
 }
 
@@ -279,6 +290,7 @@
     call.body,
     call.bodyBytes,
     call.crashes,
+    accountFields(call.account),
   ];
 }
 
@@ -300,6 +312,24 @@
     body: (fields[13] ?? undefined) as Buffer | undefined,
     bodyBytes: (fields[14] ?? undefined) as number | undefined,
     crashes: fields[15] as number,
+    account: accountOf(fields[16]),
+  };
+}
+
+function accountFields(account: CallAccount | undefined): Fields | undefined {
+  if (account === undefined) return undefined;
+  const { name, urgency, keyHash, tableVersion } = account;
+  return [name, urgency, keyHash, tableVersion];
+}
+
+function accountOf(value: unknown): CallAccount | undefined {
+  if (value === undefined || value === null) return undefined;
+  const [name, urgency, keyHash, tableVersion] = listOf(value);
+  return {
+    name: textOf(name),
+    urgency: numberOf(urgency),
+    keyHash: numberOf(keyHash),
+    tableVersion: numberOf(tableVersion),
   };
 }
 
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -21,7 +21,7 @@
  * Version of the messages. Nodes with different versions refuse each other's
  * links, since they would misread each other's messages.
  */
-export const PROTOCOL_VERSION = 3;
+export const PROTOCOL_VERSION = 4;
 
 /** Identifies a call on one link. */
 export type LinkKey = number;
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -138,6 +138,16 @@
    * that runs only long calls is not a slow endpoint.
    */
   readonly routeMs: number;
+  /**
+   * How long runs take on the endpoint's VM now, in percent of their usual time.
+   * `meanMs` and `routeMs` are usual times. Undefined if it is not known.
+   */
+  readonly pacePercent?: number | undefined;
+  /**
+   * Calls that may still start within the next second. Undefined while no limit
+   * on starts applies (see `src/cold_start`).
+   */
+  readonly startsLeft?: number | undefined;
 }
 
 export function createQueueState(): QueueState {
--- a/src/routes/state.ts
+++ b/src/routes/state.ts
@@ -3,6 +3,8 @@
  * @module
  */
 
+import type { AccountTable } from "../accounts/state.ts";
+
 /** A service of a route and its weight among the services of the route. */
 export interface WeightedService {
   readonly service: string;
@@ -26,6 +28,8 @@
   /** 0 is the most urgent. */
   readonly urgency: number;
   readonly parts: readonly WeightedService[];
+  /** Whether requests need no API key, though the table has accounts. */
+  readonly isAnonymous?: boolean;
 }
 
 /** Limits on the size and time of client requests. */
@@ -45,6 +49,11 @@
    */
   readonly maxConnections: number;
   readonly healthPath: string;
+  /**
+   * Requests per second that an endpoint tolerates while it is cold. Undefined
+   * or 0 if a cold endpoint needs no limit.
+   */
+  readonly coldPerSecond?: number | undefined;
 }
 
 /** A complete configuration. Immutable: a change replaces the whole table. */
@@ -55,6 +64,8 @@
   readonly hosts: ReadonlyMap<string, ReadonlyMap<string, Route>>;
   readonly services: ReadonlyMap<string, ServiceTerms>;
   readonly limits: ClientLimits;
+  /** Undefined if requests need no API key. */
+  readonly accounts?: AccountTable | undefined;
 }
 
 /** Current route table and the round-robin state of split routes. */
--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Result } from "neverthrow";
+import type { AllowanceTerms } from "../allowance/state.ts";
 import type { RetryBudgetTerms } from "../retry_budget/state.ts";
 import type { HeaderList } from "../calls/state.ts";
 import type { LagoonError } from "../core/errors.ts";
@@ -33,12 +34,22 @@
   readonly exposure: ExposureTerms;
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly graceMs: number;
+  /** Number of failure domains of the deployment. */
+  readonly domainCount: number;
+  /** Bounds on the requests of an account. Undefined if none are set. */
+  readonly allowance?: AllowanceTerms | undefined;
 }
 
 /** A decoded record of an operator. */
 export type OperatorRecord =
   | { readonly type: "table"; readonly table: RouteTable }
   | { readonly type: "order"; readonly order: ShiftOrder }
+  /** Whether endpoints of a failure domain get no calls. */
+  | {
+    readonly type: "evacuation";
+    readonly domain: string;
+    readonly isActive: boolean;
+  }
   | { readonly type: "other" };
 
 /** A call as the caller's headers describe it. */
@@ -51,6 +62,17 @@
   readonly parentId: string | undefined;
   /** Time that the caller waits for the answer, in milliseconds. */
   readonly waitMs: number | undefined;
+  /** API key; undefined if the call states none, or several. */
+  readonly apiKey?: string | undefined;
+}
+
+/** Load that an endpoint states. Each part is undefined if it is not known. */
+export interface EndpointLoad {
+  readonly running: number | undefined;
+  readonly waiting: number | undefined;
+  readonly slots: number | undefined;
+  /** How long runs take now, in percent of their usual time. */
+  readonly pacePercent: number | undefined;
 }
 
 /** What the status and headers of an answer state. */
@@ -67,6 +89,10 @@
    * Call id in the answer's headers. Undefined without an id or with several.
    */
   readonly callId: string | undefined;
+  /** Load of the endpoint. Undefined if the answer does not state it. */
+  readonly load?: EndpointLoad | undefined;
+  /** Remaining time of a cold start, in milliseconds, if it is stated. */
+  readonly coldMs?: number | undefined;
 }
 
 /** Options of `CallDialect.endpointHeaders`. */
@@ -76,6 +102,8 @@
   readonly instanceId: string;
   readonly callerService: string;
   readonly leftMs: number;
+  /** Client account of the call, if it has one. */
+  readonly accountName?: string | undefined;
 }
 
 /** Format of calls towards callers and endpoints. */
--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -69,6 +69,7 @@
       case "order":
         opts.onOrder(decoded.value.order, isNew);
         return true;
+      case "evacuation":
       case "other":
         return true;
     }
