--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -15,8 +15,16 @@
   objectiveLeftMs: -5,
   mayBeLate: true,
   body: Buffer.from("body"),
+  account: { name: "acme", urgency: 1, keyHash: 2 ** 40 + 1, tableVersion: 7 },
 });
-const report = { running: 1, waiting: 2, meanMs: 3.5, routeMs: 4.5 };
+const report = {
+  running: 1,
+  waiting: 2,
+  meanMs: 3.5,
+  routeMs: 4.5,
+  pacePercent: 250,
+  startsLeft: 3,
+};
 const status = {
   report,
   operatorEnd: 12,
@@ -49,6 +57,7 @@
 const messages: LinkMessage[] = [
   { type: "offer", key: 1, call },
   { type: "offer", key: 2, call: { ...call, body: undefined, bodyBytes: 7 } },
+  { type: "offer", key: 3, call: { ...call, account: undefined } },
   { type: "body", key: 1, chunk: Buffer.from("more") },
   { type: "body-end", key: 1 },
   { type: "cancel", key: 1 },
--- a/src/testing/offered_call.ts
+++ b/src/testing/offered_call.ts
@@ -25,6 +25,7 @@
     body: Buffer.alloc(0),
     bodyBytes: undefined,
     crashes: 0,
+    account: undefined,
     ...change,
   };
 }
