fix(endpoint_proxy): answers that end during the upload, and undefined statuses

Cause: callers got part of an answer as complete when an endpoint answered an upload early, without a length, and reset the connection: the check for a reset writes to the socket, where unsent bytes of the upload delayed the failure. Statuses above 599 were passed on. Change: an answer without a length that ends while the request is being written has failed; a final status lies from 200 to 599.

--- a/src/endpoint_proxy/check_answer.ts
+++ b/src/endpoint_proxy/check_answer.ts
@@ -8,6 +8,9 @@
 /** Lowest HTTP status that reports a failure, of the client or the server. */
 const LOWEST_FAILURE_STATUS = 400;
 
+/** Final statuses. Lower ones are interim or malformed, higher ones undefined. */
+const FINAL_STATUSES = { lowest: 200, highest: 599 } as const;
+
 /** Why an answer can't be attributed to its call, or contradicts itself. */
 export const AnswerDefect = {
   /** The answer carries no call id, or several. */
@@ -21,6 +24,8 @@
    * the not-run header.
    */
   Unmarked: "unmarked",
+  /** The status is not one of a final answer. */
+  NotFinal: "not_final",
 } as const;
 export type AnswerDefect = typeof AnswerDefect[keyof typeof AnswerDefect];
 
@@ -55,6 +60,9 @@
 
 function findDefect(opts: CheckAnswerOptions): AnswerDefect | undefined {
   const { status, marks, callId } = opts;
+  if (status < FINAL_STATUSES.lowest || status > FINAL_STATUSES.highest) {
+    return AnswerDefect.NotFinal;
+  }
   if (marks.callId === undefined) return AnswerDefect.Unnamed;
   if (marks.callId !== callId) return AnswerDefect.Foreign;
   const isFailure = status >= LOWEST_FAILURE_STATUS;
--- a/src/endpoint_proxy/connect_endpoint.ts
+++ b/src/endpoint_proxy/connect_endpoint.ts
@@ -19,8 +19,9 @@
   connect(opts: ConnectorOptions, callback: ConnectCallback): void;
   /**
    * Whether the connection whose end the HTTP client is handling right now was
-   * reset. Writes an empty line to the connection to find out, so it may be
-   * called only where the end of the connection marks the end of the answer.
+   * reset, or ended while the request was still being written. Writes an empty
+   * line to the connection to find out, so it may be called only where the end
+   * of the connection marks the end of the answer.
    */
   isReset(): boolean;
 }
@@ -91,8 +92,14 @@
   };
 }
 
-/** A write fails immediately on a reset connection, but not on a closed one. */
+/**
+ * A write fails immediately on a reset connection, but not on a closed one.
+ * Behind unsent bytes of the request it would wait instead of failing. An
+ * endpoint that ends a connection without reading the whole request usually
+ * resets it, so the answer counts as cut off then.
+ */
 function failsToWrite(socket: Socket): boolean {
+  if (socket.writableLength > 0) return true;
   socket.write("\r\n");
   return socket.errored !== null;
 }
