feat(store): nodes keep what they know when the store comes back from a copy

Cause: nothing read the era of the store. After a restore a reader went on from an offset that had been given out again, leases of the lost seconds fenced nobody, and what the nodes had written stayed lost. Change: positions join era and offset; answers of an earlier era decide nothing; epochs of leases have the era as their upper part; nodes write their addresses, stopped instances and statuses again. A node that starts after a restore gets the older table of the copy: not solved yet.

--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -17,7 +17,9 @@
   RecordSource,
 } from "../reader_election/state.ts";
 import { followTopic } from "../store/follow_topic.ts";
-import type { KeyedRecord, KeyedStore } from "../store/state.ts";
+import { eraOf } from "../store/position.ts";
+import type { KeyedRecord } from "../store/state.ts";
+import type { EraStore } from "../store/track_era.ts";
 import type { OperatorReader } from "./read_operator.ts";
 
 /** Message that carries operators' records between nodes. */
@@ -48,7 +50,7 @@
 export interface CreateOperatorFeedOptions {
   readonly self: NodeId;
   readonly domain: string;
-  readonly store: KeyedStore;
+  readonly store: EraStore;
   readonly topic: string;
   readonly operator: OperatorReader;
   readonly peers: () => FeedPeers;
@@ -79,6 +81,8 @@
   handlePeerLost(node: NodeId): void;
   handlePage(page: OperatorPage, from: NodeId | undefined): void;
   tick(): void;
+  /** Reads the newest record of each key again, if this node reads. */
+  restart(): void;
   start(): void;
   close(): void;
 }
@@ -122,6 +126,9 @@
   ) {
     const from = operator.end();
     if (end <= from) return;
+    // A node that does not read the store learns from peers that it was
+    // restored.
+    opts.store.observe(eraOf(end));
     log.write("config", LogLevel.Info, "operator records applied", {
       source,
       from,
@@ -256,6 +263,7 @@
       });
     },
     tick: () => decide({ type: "ticked", now: now() }),
+    restart: () => follower.reconnect(),
     start: () => decide({ type: "started", now: now() }),
     close: () => follower.close(),
   };
--- a/src/sidecar/record_stopped.ts
+++ b/src/sidecar/record_stopped.ts
@@ -38,6 +38,8 @@
    * peers remember the instances, and the record is written later.
    */
   record(stopped: readonly StoppedInstance[]): Promise<void>;
+  /** Writes the list again after the store has lost it. */
+  writeAgain(): void;
   close(): void;
 }
 
@@ -104,6 +106,13 @@
         log.write("store", LogLevel.Warn, text, { stopped });
       }
     },
+    writeAgain() {
+      if (wanted.length === 0) return;
+      storedValue = undefined;
+      writing ??= write().finally(() => {
+        writing = undefined;
+      });
+    },
     close: () => closing.abort(),
   };
 }
--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -47,6 +47,8 @@
    * don't matter, and each call to the store has a cost.
    */
   readStatuses(): void;
+  /** Writes the node's address again after the store has lost it. */
+  writeAgain(): void;
   close(): void;
 }
 
@@ -91,7 +93,7 @@
     return undefined;
   }
 
-  async function run() {
+  async function writeAddress() {
     const value = Buffer.from(settings.domain);
     await retryUntilDone("register", async () => {
       const appended = await store.append({
@@ -101,6 +103,10 @@
       });
       return appended.isOk() ? true : undefined;
     });
+  }
+
+  async function run() {
+    await writeAddress();
     const nodes = await retryUntilDone(
       "find nodes",
       () => newest(topics.nodes),
@@ -152,6 +158,7 @@
 
   void run();
   return {
+    writeAgain: () => void writeAddress(),
     readStatuses: () => void (reading ??= readStatuses()),
     close: () => closing.abort(),
   };
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -46,6 +46,7 @@
 import { createGossipService } from "./create_gossip_service.ts";
 import { createPingServer } from "./create_ping_server.ts";
 import { driveTrafficShift } from "./drive_traffic_shift.ts";
+import { trackEra } from "../store/track_era.ts";
 import { sumVersionLoad } from "./sum_version_load.ts";
 import type { Platform, SidecarSettings } from "./platform_port.ts";
 import { createOperatorFeed } from "./feed_operator.ts";
@@ -84,6 +85,12 @@
 /** Time between log lines that sum up the work, in milliseconds. */
 const WORK_LOG_INTERVAL_MS = 5_000;
 
+/**
+ * Time over which the nodes write to a restored store again, in milliseconds.
+ * At 6,200 nodes it takes as many writes a second as the store allows.
+ */
+const RESTORE_SPREAD_MS = 2_000;
+
 /** Time between ticks of the shutdown, in milliseconds. */
 const SHUTDOWN_TICK_MS = 50;
 
@@ -107,7 +114,10 @@
   let settings = opts.settings;
   const now = () => performance.now();
   const meter = createWorkMeter({ now });
-  const store = meterStore(opts.platform.store, meter);
+  const store = trackEra({
+    store: meterStore(opts.platform.store, meter),
+    onRestored: handleRestored,
+  });
   const platform = { ...opts.platform, store };
   const startedAt = now();
   const random = () => randomInt(2 ** 32) / 2 ** 32;
@@ -142,6 +152,7 @@
   let closed: Promise<void> | undefined;
   let registration: Registration | undefined = undefined;
   let shiftTimer: NodeJS.Timeout | undefined;
+  let restoreTimer: NodeJS.Timeout | undefined;
 
   const suspects = watchSuspects({
     boot: life,
@@ -222,6 +233,23 @@
     },
   });
 
+  /**
+   * The store has lost what was written since its copy. Each node writes again
+   * what it alone owns, after a random delay: all nodes find out at about the
+   * same time.
+   */
+  function handleRestored(era: number, before: number) {
+    const text = "store restored from an older copy";
+    log.write("store", LogLevel.Warn, text, { era, before });
+    feed.restart();
+    handleShiftEvent({ type: "store-restored" });
+    restoreTimer ??= setTimeout(() => {
+      restoreTimer = undefined;
+      registration?.writeAgain();
+      stoppedRecorder.writeAgain();
+    }, random() * RESTORE_SPREAD_MS);
+  }
+
   function applyTable(table: RouteTable, bytes: number) {
     if (!adoptTable(routes, table)) return;
     callers.setLimits(table.limits);
@@ -511,6 +539,7 @@
   async function closeParts() {
     callers.close();
     clearInterval(shiftTimer);
+    clearTimeout(restoreTimer);
     clearInterval(workTimer);
     feed.close();
     recorder.close();
--- a/src/store/acquire_lease.ts
+++ b/src/store/acquire_lease.ts
@@ -6,6 +6,7 @@
 import * as v from "valibot";
 import { parseJson } from "../core/parse_json.ts";
 import type { NodeId } from "../core/types.ts";
+import { eraOf } from "./position.ts";
 import type { KeyedRecord, KeyedStore, StoreError } from "./state.ts";
 
 /** Key of the lease, in the same topic as the records that it protects. */
@@ -16,6 +17,13 @@
   holder: v.string(),
 });
 
+/**
+ * Epochs of one era of the store. A restored store has forgotten the newest
+ * epochs; with the era as their upper part, those of the next era are higher
+ * than all that any node holds.
+ */
+const EPOCHS_PER_ERA = 2 ** 20;
+
 /** Numbers of a holder's appends under its lease: of the lease, then records. */
 const LEASE_SEQ = 0;
 export const FIRST_RECORD_SEQ = LEASE_SEQ + 1;
@@ -51,7 +59,8 @@
   if (page.isErr()) return err(page.error);
   const { records } = page.value;
   const leaseRecord = records.find((record) => record.key === LEASE_KEY);
-  const epoch = epochOf(leaseRecord?.value) + 1;
+  const firstEpoch = eraOf(page.value.next) * EPOCHS_PER_ERA;
+  const epoch = Math.max(epochOf(leaseRecord?.value), firstEpoch) + 1;
   const value = Buffer.from(JSON.stringify({ epoch, holder }));
   const appended = await store.append({
     topic,
--- a/src/store/lease_race_test.ts
+++ b/src/store/lease_race_test.ts
@@ -77,7 +77,9 @@
     append: ({ records, condition }) =>
       ResultAsync.fromSafePromise(append(records, condition)).andThen(
         (fault) =>
-          fault === undefined ? okAsync(0) : errAsync(storeError(fault)),
+          fault === undefined
+            ? okAsync({ offset: 0 })
+            : errAsync(storeError(fault)),
       ),
     newest: () =>
       ResultAsync.fromSafePromise(
--- a/src/store/state.ts
+++ b/src/store/state.ts
@@ -17,6 +17,16 @@
   readonly records: readonly KeyedRecord[];
   /** Offset of the next read. */
   readonly next: Offset;
+  /** Era of the store, if its answer states one. */
+  readonly era?: number | undefined;
+}
+
+/** Result of an append. */
+export interface Appended {
+  /** Offset of the first record. */
+  readonly offset: Offset;
+  /** Era of the store, if its answer states one. */
+  readonly era?: number | undefined;
 }
 
 /** Why a call to the store failed. */
@@ -37,6 +47,8 @@
 
 export interface StoreError extends LagoonError {
   readonly fault: StoreFault;
+  /** Era of the store, if it answered and states one. */
+  readonly era?: number | undefined;
 }
 
 /** Condition under which the store carries out an append. */
@@ -81,7 +93,7 @@
 
 /** Client of the store. */
 export interface KeyedStore {
-  append(opts: AppendOptions): ResultAsync<Offset, StoreError>;
+  append(opts: AppendOptions): ResultAsync<Appended, StoreError>;
   /**
    * Reads records from `from` on. Returns an empty page if none arrives in
    * time.
--- a/src/traffic_shift/decide_traffic_shift.ts
+++ b/src/traffic_shift/decide_traffic_shift.ts
@@ -24,7 +24,12 @@
 import { isRenewalDue } from "./plan_share.ts";
 import { URGENT_DELAY_PER_RANK_MS } from "./lead_shift.ts";
 import { createBake } from "./analyze_bake.ts";
-import { applyStep, isValidTransition, stepShift } from "./step_shift.ts";
+import {
+  applyStep,
+  isOlderPhase,
+  isValidTransition,
+  stepShift,
+} from "./step_shift.ts";
 import { recordElapsed } from "./record_elapsed.ts";
 import { applyReport } from "./apply_report.ts";
 import { tickShift } from "./tick_shift.ts";
@@ -71,6 +76,9 @@
     case "leased":
       state.epoch = event.epoch;
       return [];
+    case "store-restored":
+      forgetRecorded(state);
+      return [];
     case "ran":
       dropLeaseAfterPause(state, event);
       return [];
@@ -99,6 +107,19 @@
   if (pausedMs >= URGENT_DELAY_PER_RANK_MS) state.epoch = undefined;
 }
 
+/**
+ * Forgets what the store has confirmed, so that the leader records it again.
+ * The phases stay as this node knows them. A leader needs a new lease first,
+ * since the store has forgotten which epoch is the newest.
+ */
+function forgetRecorded(state: TrafficShiftState) {
+  state.epoch = undefined;
+  for (const shift of state.shifts.values()) {
+    shift.recorded = undefined;
+    shift.isStatusLost = shift.step.phase !== ShiftPhase.Running;
+  }
+}
+
 function handleOrder(
   state: TrafficShiftState,
   event: Extract<TrafficShiftEvent, { type: "ordered" }>,
@@ -136,6 +157,7 @@
     fault: undefined,
     recorded: isOver ? status.phase : undefined,
     recording: undefined,
+    isStatusLost: false,
     isRenewed: false,
     pendingAction: undefined,
     shareRemainder: 0,
@@ -164,9 +186,16 @@
   now: MonotonicMs,
 ): readonly TrafficShiftEffect[] {
   const { phase } = status;
+  const known = findShift(state, status);
+  if (known !== undefined && isOlderPhase(phase, known.step.phase)) {
+    // The store was restored from a copy in which the traffic shift runs.
+    known.isStatusLost = true;
+    return [];
+  }
   const shift = saveStatus(state, status);
   if (shift === undefined) return [];
   shift.recorded = phase;
+  if (phase === shift.step.phase) shift.isStatusLost = false;
   if (
     phase === shift.step.phase || !isValidTransition(shift.step.phase, phase)
   ) {
@@ -206,7 +235,10 @@
   recordElapsed(shift, step.elapsed, now);
   const isNewer = step.epoch > shift.step.epoch ||
     (step.epoch === shift.step.epoch && step.seq > shift.step.seq);
-  if (!isNewer || !isValidTransition(shift.step.phase, step.phase)) return;
+  if (!isNewer) return;
+  // The leader has recorded the end once more, in a restored store.
+  if (step.phase === shift.step.phase) shift.isStatusLost = false;
+  if (!isValidTransition(shift.step.phase, step.phase)) return;
   applyStep(shift, step, now);
   if (step.epoch > 0) setRecordedPhase(shift, step.phase, now);
   if (state.epoch === undefined || step.epoch <= state.epoch) return;
@@ -224,6 +256,7 @@
   now: MonotonicMs,
 ) {
   shift.recorded = phase;
+  shift.isStatusLost = false;
   const leftMs = shift.order.durationMs - (now - shift.orderedAt);
   if (isRenewalDue(leftMs)) shift.isRenewed = true;
 }
--- a/src/traffic_shift/state.ts
+++ b/src/traffic_shift/state.ts
@@ -138,6 +138,11 @@
   recorded: ShiftPhase | undefined;
   /** Phase whose write to the store is pending. */
   recording: ShiftPhase | undefined;
+  /**
+   * Whether the store may have lost the status of an ended traffic shift, which
+   * the leader then records again.
+   */
+  isStatusLost: boolean;
   /** Whether the leader has renewed its lease shortly before the full share. */
   isRenewed: boolean;
   /**
@@ -242,6 +247,11 @@
   | { readonly type: "record-failed"; readonly status: ShiftStatus }
   /** The lease was granted or lost. */
   | { readonly type: "leased"; readonly epoch: number | undefined }
+  /**
+   * The store was restored from an older copy: leases and statuses of the time
+   * since the copy are gone.
+   */
+  | { readonly type: "store-restored" }
   /** This node runs. Received before each tick. */
   | {
     readonly type: "ran";
--- a/src/traffic_shift/step_shift.ts
+++ b/src/traffic_shift/step_shift.ts
@@ -55,6 +55,11 @@
   if (isNew && step.phase === ShiftPhase.Completed) shift.fault = undefined;
 }
 
+/** Returns whether a phase comes before another. */
+export function isOlderPhase(phase: ShiftPhase, than: ShiftPhase): boolean {
+  return phase !== than && isValidTransition(phase, than);
+}
+
 /**
  * Returns whether a phase may follow another. A completed traffic shift may
  * still be rolled back, but no phase returns to an earlier phase.
--- a/src/traffic_shift/tick_shift.ts
+++ b/src/traffic_shift/tick_shift.ts
@@ -60,7 +60,7 @@
     case ShiftPhase.Completed:
       return tickCompleted(state, shift, event);
     case ShiftPhase.RolledBack:
-      return [];
+      return recordAgain(state, shift, event);
     default:
       return exhausted(shift.step.phase);
   }
@@ -114,7 +114,9 @@
   const { now } = event;
   const { bake } = shift;
   const isOver = bake === undefined || isBaked(shift, bake, now);
-  if (isOver && shift.fault === undefined) return [];
+  if (isOver && shift.fault === undefined) {
+    return recordAgain(state, shift, event);
+  }
   const effects: TrafficShiftEffect[] = reportLocal(state, shift, now);
   if (shift.fault === undefined && bake !== undefined) {
     const finding = analyzeBake({
@@ -125,12 +127,26 @@
     });
     if (finding !== undefined) effects.push(markFaulty(shift, finding));
   }
+  const lost = shift.isStatusLost
+    ? { share: undefined, phase: shift.step.phase }
+    : undefined;
   const action = shift.fault === undefined
-    ? undefined
+    ? lost
     : { share: undefined, phase: ShiftPhase.RolledBack };
   return [...effects, ...leadShift({ state, shift, action, event })];
 }
 
+/** Records the end of a traffic shift again after the store has lost it. */
+function recordAgain(
+  state: TrafficShiftState,
+  shift: TrafficShift,
+  event: ShiftTickedEvent,
+): readonly TrafficShiftEffect[] {
+  if (!shift.isStatusLost) return [];
+  const action = { share: undefined, phase: shift.step.phase };
+  return leadShift({ state, shift, action, event });
+}
+
 /**
  * Returns whether the bake is over. It is extended until a first window is
  * complete, which takes long where requests are few, and while the latest
