--- /dev/null
+++ b/src/accounts/create_account_table.ts
@@ -0,0 +1,101 @@
+/**
+ * Compiles the accounts of a configuration into a table.
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { err, ok, type Result } from "neverthrow";
+import { hashKey } from "./hash_key.ts";
+import type { Account, AccountTable, KeyEntry } from "./state.ts";
+
+/**
+ * Maximum length of an API key, in bytes. Requests state it in a header, and
+ * the headers of a request are limited to some tens of kilobytes.
+ */
+const MAX_KEY_BYTES = 4_096;
+
+/** Maximum length of an account name, in bytes; endpoints get it in a header. */
+const MAX_NAME_BYTES = 1_024;
+
+/** Characters that can't be sent in a header. */
+// deno-lint-ignore no-control-regex
+const CONTROL_CHARACTERS = /[\u0000-\u001f\u007f]/;
+
+/** An account with its API keys, as a configuration lists it. */
+export interface ListedAccount {
+  readonly account: Account;
+  readonly keys: readonly string[];
+}
+
+/**
+ * Returns the table of the listed accounts, or why they are contradictory. The
+ * reason contains no key.
+ *
+ * Accounts and keys that are unchanged since the table `previous` are taken
+ * from it: hashing all keys again takes tens of milliseconds of processor time.
+ */
+export function createAccountTable(
+  listed: readonly ListedAccount[],
+  previous: AccountTable | undefined,
+): Result<AccountTable, string> {
+  const byKey = new Map<string, KeyEntry>();
+  const byName = new Map<string, Account>();
+  const keyHashes = new Set<number>();
+  for (const { account: decoded, keys } of listed) {
+    const { name } = decoded;
+    const problem = findNameProblem(name);
+    if (problem !== undefined) return err(problem);
+    if (byName.has(name)) return err(`two accounts have the name ${name}`);
+    const known = previous?.byName.get(name);
+    const account = known !== undefined && isSameAccount(known, decoded)
+      ? known
+      : decoded;
+    byName.set(name, account);
+    for (const key of keys) {
+      const owner = byKey.get(key)?.account;
+      if (owner === account) continue;
+      if (owner !== undefined) {
+        return err(`accounts ${owner.name} and ${name} have the same key`);
+      }
+      const keyProblem = findKeyProblem(key);
+      if (keyProblem !== undefined) return err(`${name}: ${keyProblem}`);
+      const entry = entryOf(key, account, previous?.byKey.get(key));
+      byKey.set(key, entry);
+      keyHashes.add(entry.keyHash);
+    }
+  }
+  return ok({ byKey, byName, keyHashes });
+}
+
+function findNameProblem(name: string): string | undefined {
+  if (name.trim() === "") return "an account has no name";
+  if (Buffer.byteLength(name) > MAX_NAME_BYTES) {
+    return `the name of an account has over ${MAX_NAME_BYTES} B`;
+  }
+  return CONTROL_CHARACTERS.test(name)
+    ? "the name of an account has control characters"
+    : undefined;
+}
+
+function findKeyProblem(key: string): string | undefined {
+  if (key === "") return "a key is empty";
+  return Buffer.byteLength(key) > MAX_KEY_BYTES
+    ? `a key has over ${MAX_KEY_BYTES} B`
+    : undefined;
+}
+
+function entryOf(
+  key: string,
+  account: Account,
+  known: KeyEntry | undefined,
+): KeyEntry {
+  if (known === undefined) return { account, keyHash: hashKey(key) };
+  return known.account === account
+    ? known
+    : { account, keyHash: known.keyHash };
+}
+
+function isSameAccount(a: Account, b: Account): boolean {
+  return a.urgency === b.urgency &&
+    a.allowance?.perSecond === b.allowance?.perSecond &&
+    a.allowance?.burst === b.allowance?.burst;
+}
--- a/src/accounts/state.ts
+++ b/src/accounts/state.ts
@@ -20,13 +20,28 @@
   readonly allowance: Allowance | undefined;
 }
 
+/** What an API key stands for. */
+export interface KeyEntry {
+  readonly account: Account;
+  /** Hash of the key (see `hashKey`). */
+  readonly keyHash: number;
+}
+
 /** The accounts of one configuration. Immutable, as its route table. */
 export interface AccountTable {
   /** Accounts by API key. No key belongs to two accounts. */
-  readonly byKey: ReadonlyMap<string, Account>;
+  readonly byKey: ReadonlyMap<string, KeyEntry>;
   readonly byName: ReadonlyMap<string, Account>;
+  /** Hashes of all keys. */
+  readonly keyHashes: ReadonlySet<number>;
 }
 
+/** API key that a request states. */
+export type StatedKey =
+  | { readonly type: "none" }
+  | { readonly type: "one"; readonly key: string }
+  | { readonly type: "several" };
+
 /** What a call tells home nodes of its account. */
 export interface CallAccount {
   readonly name: string;
