feat(callers): check API keys, name the account to endpoints

Cause: keys of clients were forwarded to endpoints, and revoked and unknown keys were served. Change: the caller's node checks the key before it looks for a home node (401, or 503 while no table or no parent is known), strips `Api-Key` and `X-Tenant` where the table has accounts, and sends the account with the call; the home node sets `X-Tenant`. Unsent calls are checked again when a table is adopted and before each attempt. A home node refuses a waiting call whose key a newer table lacks (`Revoked`), which ends in 401 without another home. A call that ends no longer removes the record of a running call with the same id, which its nested calls are recognized by. Metric `lagoon_key_refusals_total`.

--- a/src/callers/answer_caller.ts
+++ b/src/callers/answer_caller.ts
@@ -17,7 +17,7 @@
   head: AnswerHead,
   body: Buffer | undefined,
 ) {
-  const headers = dialect.sentHeaders(head.headers);
+  const headers = dialect.sentHeaders(head.headers, false);
   const hasLength = head.status !== NO_CONTENT && head.status !== NOT_MODIFIED;
   if (body !== undefined && hasLength) {
     // The answer to HEAD states the length of a body that is not sent.
--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -9,16 +9,19 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import { checkKey, Parent } from "../accounts/check_key.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import { LogLevel } from "../logs/create_log.ts";
 import { CallResult } from "../metrics/create_metrics.ts";
 import { findRoute } from "../routes/find_route.ts";
-import type { ClientLimits } from "../routes/state.ts";
+import type { ClientLimits, Route } from "../routes/state.ts";
 import { retryAfterMs } from "../calls/retry_after.ts";
 import type { ShutdownState } from "../shutdown/state.ts";
+import type { CallerHead } from "../sidecar/platform_port.ts";
 import { admitRequest, Rejection } from "./admit_request.ts";
 import { answerLocally } from "./answer_caller.ts";
 import { createAcceptMeter } from "./create_accept_meter.ts";
+import { describeKeyRefusal, type KeyRefusal } from "./describe_key_refusal.ts";
 import { estimateAgeMs } from "./estimate_age.ts";
 import { isNestedCall } from "./is_nested_call.ts";
 import { serveCall, type ServedCall } from "./serve_call.ts";
@@ -31,8 +34,11 @@
  */
 const MAX_HEAD_BYTES = 65_536;
 
-/** Retry delay for requests that arrive before the first route table. */
-const NO_TABLE_RETRY_MS = 200;
+/**
+ * Retry delay for requests that arrive before the first route table, or before
+ * their parent call is known to run here.
+ */
+const NOT_KNOWN_RETRY_MS = 200;
 
 /** Time that idle connections are kept beyond the limit in the route table. */
 const IDLE_SLACK_MS = 500;
@@ -56,6 +62,11 @@
   drain(state: ShutdownState): void;
   /** Refuses the requests that have not been sent to any home node yet. */
   refuseUnsentCalls(): void;
+  /**
+   * Refuses the requests whose API keys the new route table lacks, unless they
+   * have been sent to a home node.
+   */
+  recheckUnsentCalls(): void;
   /** Number of requests whose answers are not completely sent. */
   open(): number;
   /** Bytes of answers that callers have not read yet. */
@@ -97,7 +108,7 @@
 
   function handleRequest(req: IncomingMessage, res: ServerResponse) {
     const connection = connections.get(req.socket) ?? watch(req.socket, res);
-    const caller = ctx.dialect.readCaller(req.headers);
+    const caller = ctx.dialect.readCaller(req.headers, req.rawHeaders);
     // The previous answer closes the connection, so the caller sends this
     // request again on a new connection.
     if (isClosing(connection.latest)) {
@@ -117,16 +128,19 @@
     if (caller === undefined) {
       return refuse(req, res, 400, "the request has no id");
     }
-    if (table === undefined) {
-      const headers = ctx.dialect.refusalHeaders(caller.id, NO_TABLE_RETRY_MS);
-      return refuse(req, res, 503, "no route table is known yet", headers);
+    const hasParentHere = isNestedCall(caller, ctx.isRunningHere);
+    const { route, check } = checkRequest(req, caller, hasParentHere);
+    const keyRefusal = describeKeyRefusal(check);
+    if (keyRefusal !== undefined) {
+      return refuseForKey(req, res, caller, keyRefusal);
     }
-    const route = findRoute(table, req.headers.host ?? "", req.url ?? "/");
-    if (route === undefined) {
+    if (table === undefined || route === undefined) {
       ctx.metrics.countCall("", CallResult.NoRoute, 0);
       return refuse(req, res, 404, "no route matches");
     }
-    const isNested = isNestedCall(caller, ctx.isRunningHere);
+    const account = check.type === "account" ? check.account : undefined;
+    // Nested calls carry no key.
+    const isNested = hasParentHere && account === undefined;
     const waitedMs = unreadTimeMs(req.socket);
     const limitMs = Math.min(caller.waitMs ?? Infinity, route.timeoutMs);
     const waitMs = limitMs - waitedMs;
@@ -158,6 +172,8 @@
       res,
       id: caller.id,
       route,
+      account,
+      recheckKey: () => checkRequest(req, caller, hasParentHere, route).check,
       parentId: isNested ? caller.parentId : undefined,
       waitMs,
       ageMs,
@@ -171,6 +187,36 @@
     if (!isDone) calls.add(call);
   }
 
+  /** Checks a request's API key by the route table in force. */
+  function checkRequest(
+    req: IncomingMessage,
+    caller: CallerHead,
+    hasParentHere: boolean,
+    fallback?: Route,
+  ) {
+    const { table } = ctx.routes;
+    const host = req.headers.host ?? "";
+    const found = table && findRoute(table, host, req.url ?? "/");
+    const route = found ?? fallback;
+    const { key, parentId } = caller;
+    const unlessHere = parentId === undefined ? Parent.None : Parent.Unknown;
+    const parent = hasParentHere ? Parent.RunsHere : unlessHere;
+    return { route, check: checkKey({ table, route, key, parent }) };
+  }
+
+  function refuseForKey(
+    req: IncomingMessage,
+    res: ServerResponse,
+    caller: CallerHead,
+    { status, reason, fault }: KeyRefusal,
+  ) {
+    if (fault !== undefined) ctx.metrics.countKeyRefusal(fault);
+    const headers = status === 503
+      ? ctx.dialect.refusalHeaders(caller.id, NOT_KNOWN_RETRY_MS)
+      : {};
+    refuse(req, res, status, reason, headers);
+  }
+
   /** A connection is closed after its newest request, never before. */
   function mayClose(res: ServerResponse): boolean {
     const latest = connections.get(res.req.socket)?.latest;
@@ -215,7 +261,7 @@
     ctx.log.write("call", LogLevel.Warn, "request refused", {
       status,
       reason,
-      id: ctx.dialect.readCaller(req.headers)?.id,
+      id: ctx.dialect.readCaller(req.headers, req.rawHeaders)?.id,
       host: req.headers.host,
       target: req.url,
       table: ctx.routes.table?.version,
@@ -263,6 +309,11 @@
         for (const call of [...calls]) call.refuseUnsent();
       }
     },
+    recheckUnsentCalls() {
+      for (const { calls } of connections.values()) {
+        for (const call of [...calls]) call.recheckUnsent();
+      }
+    },
     open: () => unsent,
     unsentBytes() {
       let bytes = 0;
--- a/src/callers/describe_call.ts
+++ b/src/callers/describe_call.ts
@@ -4,6 +4,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import type { CallAccount } from "../accounts/state.ts";
 import type { HeaderList, OfferedCall } from "../calls/state.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import type { Route } from "../routes/state.ts";
@@ -30,6 +31,7 @@
   readonly objectiveAt: MonotonicMs;
   readonly mayBeLate: boolean;
   readonly crashes: number;
+  readonly account: CallAccount | undefined;
 }
 
 /**
@@ -60,6 +62,7 @@
     body: isInline ? checked.body : undefined,
     bodyBytes: body?.declaredBytes,
     crashes: opts.crashes,
+    account: opts.account,
   };
 }
 
--- a/src/callers/is_nested_call_test.ts
+++ b/src/callers/is_nested_call_test.ts
@@ -5,7 +5,7 @@
 const isRunningHere = (callId: string) => callId === "parent";
 
 function headOf(parentId: string | undefined) {
-  return { id: "call", parentId, waitMs: 100 };
+  return { id: "call", parentId, waitMs: 100, key: { type: "none" } } as const;
 }
 
 test("a call is nested only if its parent runs here", () => {
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -7,6 +7,8 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { type KeyCheck, KeyFault } from "../accounts/check_key.ts";
+import type { CallAccount } from "../accounts/state.ts";
 import { addRequest, spendRetry } from "../retry_budget/spend_retry.ts";
 import { type AttemptEnd, decideNext } from "../calls/decide_next.ts";
 import { describeEnd } from "../calls/describe_end.ts";
@@ -42,6 +44,7 @@
 import { Rejection } from "./admit_request.ts";
 import { answerLocally, forwardAnswer } from "./answer_caller.ts";
 import { createHomeSearch } from "./create_home_search.ts";
+import { describeFault, describeKeyRefusal } from "./describe_key_refusal.ts";
 import {
   describeCall,
   describeChecked,
@@ -88,6 +91,10 @@
   readonly res: ServerResponse;
   readonly id: string;
   readonly route: Route;
+  /** Client account of the call, if it has one. */
+  readonly account: CallAccount | undefined;
+  /** Checks the call's API key by the route table in force. */
+  readonly recheckKey: () => KeyCheck;
   /** Id of the parent call, if the endpoint on this VM runs it. */
   readonly parentId: string | undefined;
   /** Time to the caller's deadline or the route's timeout, in milliseconds. */
@@ -107,6 +114,11 @@
   abandon(): void;
   /** Refuses the call on shutdown, unless it was sent to a home node. */
   refuseUnsent(): void;
+  /**
+   * Refuses the call if the new route table lacks its API key, unless it was
+   * sent to a home node.
+   */
+  recheckUnsent(): void;
   /** Ends the call on shutdown, before its connection is closed. */
   abort(): void;
 }
@@ -139,7 +151,10 @@
   const deadlineAt = startedAt + opts.waitMs;
   const objectiveAt = startedAt + route.objectiveMs - opts.ageMs - DELIVERY_MS;
   const service = pickService(ctx.routes, route);
-  const headers = ctx.dialect.sentHeaders(req.rawHeaders);
+  /** Route table by which the API key was last checked. */
+  let checkedTable = ctx.routes.table;
+  let { account } = opts;
+  let headers = readHeaders();
   const search = createHomeSearch({ ctx, service, route });
   const attempts = new Set<OpenAttempt>();
   /** Number of home nodes that the call was sent to. */
@@ -264,7 +279,41 @@
     return search.find({ bodyBytes: bytesOf(body), objectiveLeftMs });
   }
 
+  function readHeaders(): HeaderList {
+    const isAccountSet = checkedTable?.accounts !== undefined;
+    return ctx.dialect.sentHeaders(req.rawHeaders, isAccountSet);
+  }
+
+  /**
+   * Checks the API key again if the route table was replaced. Returns false if
+   * the call must not be sent; it is then refused, unless an attempt is open.
+   */
+  function checkAgain(): boolean {
+    if (ctx.routes.table === checkedTable) return true;
+    checkedTable = ctx.routes.table;
+    headers = readHeaders();
+    // The parent of a nested call may have ended; that revokes nothing.
+    if (isNested) return true;
+    const check = opts.recheckKey();
+    const refusal = describeKeyRefusal(check);
+    if (refusal === undefined) {
+      account = check.type === "account" ? check.account : undefined;
+      return true;
+    }
+    if (attempts.size > 0) return false;
+    if (refusal.fault === undefined) {
+      giveUp(mayHaveRun ? 502 : refusal.status, refusal.reason);
+      return false;
+    }
+    const isRevoked = account !== undefined;
+    const fault = isRevoked ? KeyFault.Revoked : refusal.fault;
+    ctx.metrics.countKeyRefusal(fault);
+    giveUp(mayHaveRun ? 502 : refusal.status, describeFault(fault));
+    return false;
+  }
+
   function sendTo(node: NodeId, mayBeLate: boolean): void {
+    if (!checkAgain()) return;
     search.recordTried(node);
     const home = ctx.homes.homeOf(node);
     if (home === undefined) return attemptNext(mayBeLate);
@@ -287,6 +336,7 @@
       objectiveAt,
       mayBeLate,
       crashes,
+      account,
     });
     const attempt = home.attempt(call, (event) => handleEvent(open, event));
     const sink = {
@@ -356,6 +406,9 @@
     minWaitMs = Math.min(minWaitMs, refusal.waitMs);
     if (refusal.reason === RefusalReason.Late) search.recordLate(open.home);
     if (refusal.reason === RefusalReason.Misdirected) ctx.verifyHome(open.home);
+    if (refusal.reason === RefusalReason.Revoked) {
+      ctx.metrics.countKeyRefusal(KeyFault.Revoked);
+    }
     const isDown = refusal.reason === RefusalReason.Closed ||
       refusal.by === RefusedBy.Link;
     if (isDown) ejectHome(ctx.loadBalancing, open.home, ctx.now() + EJECT_MS);
@@ -479,14 +532,15 @@
       leftMs,
       random: ctx.random(),
     });
-    const isNotRun = status === 503;
-    const headers = isNotRun ? ctx.dialect.refusalHeaders(id, retryMs) : {};
+    const mayRetry = status === 503;
+    const isNotRun = mayRetry || status === 401;
+    const headers = mayRetry ? ctx.dialect.refusalHeaders(id, retryMs) : {};
     if (opts.mayClose()) res.shouldKeepAlive = false;
     answerLocally(res, { status, headers, reason });
     log(LogLevel.Warn, isNotRun ? "call refused" : "call failed", {
       status,
       reason,
-      ...(isNotRun ? { retryMs: Math.round(retryMs) } : {}),
+      ...(mayRetry ? { retryMs: Math.round(retryMs) } : {}),
     });
     finish(isNotRun ? CallResult.NotRun : CallResult.Unknown, status);
   }
@@ -558,6 +612,9 @@
     refuseUnsent() {
       if (offers === 0) giveUp(503, Rejection.Stopping);
     },
+    recheckUnsent() {
+      if (offers === 0 && !isDone) checkAgain();
+    },
     abort() {
       if (isDone) return;
       log(LogLevel.Error, "call aborted by shutdown", {
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -79,7 +79,7 @@
   | { readonly type: "attempt"; readonly mayBeLate: boolean }
   /** Forward the answer to the caller. */
   | { readonly type: "forward" }
-  | { readonly type: "give-up"; readonly status: 502 | 503 | 504 };
+  | { readonly type: "give-up"; readonly status: 401 | 502 | 503 | 504 };
 
 /**
  * Decides whether a call is sent to another home.
@@ -110,14 +110,16 @@
 
 function afterRefusal(opts: DecideNextOptions, refusal: Refusal): NextStep {
   const isLate = refusal.reason === RefusalReason.Late;
+  const isRevoked = refusal.reason === RefusalReason.Revoked;
   const mayAttempt = refusal.reason !== RefusalReason.Quarantined &&
-    !areHomesFull(opts, refusal) && opts.canResend &&
+    !isRevoked && !areHomesFull(opts, refusal) && opts.canResend &&
     opts.leftMs > 0 &&
     opts.offers < MAX_HOME_ATTEMPTS && mayReachAnotherEndpoint(opts, refusal);
   const strict = opts.wasFull ? STRICT_ATTEMPTS_WHEN_FULL : STRICT_ATTEMPTS;
   const mayBeLate = !isLate || opts.offers >= strict;
   if (mayAttempt) return { type: "attempt", mayBeLate };
-  return { type: "give-up", status: opts.mayHaveRun ? 502 : 503 };
+  if (opts.mayHaveRun) return { type: "give-up", status: 502 };
+  return { type: "give-up", status: isRevoked ? 401 : 503 };
 }
 
 /** Whether no other home is expected to have a free slot either. */
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -3,6 +3,7 @@
  * the only one that opens connections to it.
  * @module
  */
+import { isKeyRevoked } from "../accounts/is_key_revoked.ts";
 import {
   type Attempt,
   type AttemptEvent,
@@ -34,6 +35,7 @@
   CRASHES_TO_REFUSE,
   QUARANTINE_RETRY_MS,
 } from "../quarantine/crash_chain.ts";
+import type { RouteTable } from "../routes/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import { createEndpointConnector } from "./connect_endpoint.ts";
@@ -97,6 +99,8 @@
   /** Called for a call whose service or version the endpoint does not run. */
   readonly onMisdirected: (call: OfferedCall, present: Instance) => void;
   readonly suspects: SuspectRecords;
+  /** Route table in force, by which API keys are found to be revoked. */
+  readonly table: () => RouteTable | undefined;
 }
 
 export interface LocalHome extends Home {
@@ -228,6 +232,10 @@
       end(key, entry, false);
       return refuse(entry, RefusalReason.Quarantined, QUARANTINE_RETRY_MS);
     }
+    if (isKeyRevoked(entry.call.account, opts.table())) {
+      end(key, entry, false);
+      return refuse(entry, RefusalReason.Revoked, 0);
+    }
     entry.knownCrashes = knownCrashes;
     entry.runningOn = instance;
     const leftMs = entry.deadlineAt - now();
@@ -366,7 +374,8 @@
 
   function end(key: number, entry: OpenCall, isAnswered: boolean) {
     releaseCall(key, entry);
-    running.delete(entry.call.id);
+    // A call that was sent again with the same id may run by now.
+    if (running.get(entry.call.id) === entry) running.delete(entry.call.id);
     apply(decideQueue(queue, { type: "ended", key, isAnswered, now: now() }));
   }
 
@@ -517,9 +526,12 @@
       const entry: OpenCall = { call, arrivedAt: at, deadlineAt, onEvent };
       openCalls.set(key, entry);
       const { route, urgency, isNested, mayBeLate } = call;
+      const account = call.account?.name;
+      const accountUrgency = call.account?.urgency;
       const objectiveAt = at + call.objectiveLeftMs;
       const times = { arrivedAt: at, objectiveAt, deadlineAt };
-      const queued = { key, route, urgency, isNested, ...times };
+      const rank = { urgency, account, accountUrgency };
+      const queued = { key, route, isNested, ...rank, ...times };
       const queueEntry = { call: queued, mayBeLate };
       // Deferred until everything read in this turn is handled: on an
       // overloaded node, a caller that has left withdraws its call before the
--- a/src/endpoint_proxy/run_call.ts
+++ b/src/endpoint_proxy/run_call.ts
@@ -252,6 +252,7 @@
     headers: call.headers,
     callId: call.id,
     callerService: call.callerService,
+    accountName: call.account?.name,
     instanceId,
     leftMs: opts.deadlineAt - opts.now(),
   });
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { KeyFault } from "../accounts/check_key.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import type { WorkMeter } from "./create_work_meter.ts";
 import { exposeWork } from "./expose_work.ts";
@@ -43,6 +44,8 @@
 export interface Metrics {
   countCall(route: string, result: CallResult, tookMs: number): void;
   countRefusal(reason: string): void;
+  /** Counts a request that is refused for its API key, by the key's fault. */
+  countKeyRefusal(fault: KeyFault): void;
   /** Counts a further attempt of a call that the retry budget allowed. */
   countRetry(service: string): void;
   /** Counts a call that reached an endpoint of another service or version. */
@@ -84,6 +87,12 @@
     labelNames: ["reason"],
     registers,
   });
+  const keyRefusals = new Counter({
+    name: "lagoon_key_refusals_total",
+    help: "Requests refused for their API key, by the key's fault.",
+    labelNames: ["fault"],
+    registers,
+  });
   const retries = new Counter({
     name: "lagoon_repeats_total",
     help: "Requests sent to a further endpoint.",
@@ -123,6 +132,7 @@
     countCall: (route, result, tookMs) =>
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
+    countKeyRefusal: (fault) => keyRefusals.inc({ fault }),
     countRetry: (service) => retries.inc({ service }),
     countMisdirected: (expected, present) =>
       misdirected.inc({ expected, present }),
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -26,6 +26,12 @@
   readonly objectiveAt: MonotonicMs;
   /** When the caller stops waiting. */
   readonly deadlineAt: MonotonicMs;
+  /** Client account of the call. Undefined if it has none. */
+  readonly account?: string | undefined;
+  /**
+   * Urgency of the account, compared before `urgency`; 0 is the most urgent.
+   */
+  readonly accountUrgency?: number | undefined;
 }
 
 /** A call that the endpoint runs. */
@@ -108,6 +114,8 @@
   Misdirected: "misdirected",
   /** The request crashed the endpoints that ran it. */
   Quarantined: "quarantined",
+  /** The API key of the call was revoked after its sender had checked it. */
+  Revoked: "revoked",
 } as const;
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason];
 
--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Result } from "neverthrow";
+import type { StatedKey } from "../accounts/state.ts";
 import type { AllowanceTerms } from "../allowance/state.ts";
 import type { RetryBudgetTerms } from "../retry_budget/state.ts";
 import type { HeaderList } from "../calls/state.ts";
@@ -62,8 +63,7 @@
   readonly parentId: string | undefined;
   /** Time that the caller waits for the answer, in milliseconds. */
   readonly waitMs: number | undefined;
-  /** API key; undefined if the call states none, or several. */
-  readonly apiKey?: string | undefined;
+  readonly key: StatedKey;
 }
 
 /** Load that an endpoint states. Each part is undefined if it is not known. */
@@ -108,9 +108,16 @@
 
 /** Format of calls towards callers and endpoints. */
 export interface CallDialect {
-  readCaller(headers: Record<string, unknown>): CallerHead | undefined;
-  /** End-to-end headers of a call, without those that the sidecar sets. */
-  sentHeaders(raw: readonly string[]): string[];
+  /** `raw` are the same headers as received, in which duplicates are apart. */
+  readCaller(
+    headers: Record<string, unknown>,
+    raw: HeaderList,
+  ): CallerHead | undefined;
+  /**
+   * End-to-end headers of a call, without those that the sidecar sets. With
+   * `isAccountSet`, the sidecar also sets those of the account and its key.
+   */
+  sentHeaders(raw: HeaderList, isAccountSet: boolean): string[];
   endpointHeaders(opts: EndpointHeadersOptions): string[];
   readAnswer(status: number, headers: HeaderList): AnswerMarks;
   /** Headers of a refusal after which the caller may retry. */
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -156,6 +156,7 @@
     now,
     unsentBytes,
     suspects,
+    table: () => routes.table,
     onRun(run) {
       countRun(trafficShift, run);
       metrics.countVersionRun(run);
@@ -225,12 +226,15 @@
   function applyTable(table: RouteTable, bytes: number) {
     if (!adoptTable(routes, table)) return;
     callers.setLimits(table.limits);
+    callers.recheckUnsentCalls();
     const services = [...table.services.keys()];
     gossip.applyEvent({ type: "services-listed", services, now: now() });
     metrics.setTableVersion(table.version);
     log.write("config", LogLevel.Info, "new route table in force", {
       version: table.version,
       bytes,
+      accounts: table.accounts?.byName.size,
+      keys: table.accounts?.byKey.size,
     });
   }
 
--- a/src/testing/create_test_home.ts
+++ b/src/testing/create_test_home.ts
@@ -9,6 +9,7 @@
   type LocalHome,
   type SuspectRecords,
 } from "../endpoint_proxy/create_home.ts";
+import type { RouteTable } from "../routes/state.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import { ANNOUNCED_INSTANCE } from "./announced_instance.ts";
 import { testDialect } from "./test_dialect.ts";
@@ -20,6 +21,7 @@
   readonly onRun?: (run: Run) => void;
   readonly now?: () => number;
   readonly suspects?: SuspectRecords;
+  readonly table?: () => RouteTable | undefined;
 }
 
 const NO_SUSPECTS: SuspectRecords = {
@@ -44,6 +46,7 @@
     unsentBytes: () => 0,
     onMisdirected: () => {},
     suspects: opts.suspects ?? NO_SUSPECTS,
+    table: opts.table ?? (() => undefined),
   });
   home.setInstance(ANNOUNCED_INSTANCE, "");
   t.after(() => home.close());
--- a/src/testing/start_test_callers.ts
+++ b/src/testing/start_test_callers.ts
@@ -47,6 +47,8 @@
   addHome(node: NodeId): void;
   /** Number of calls that wait for a link to a home. */
   waiting(): number;
+  /** Checks the API keys of unsent calls by the table in force. */
+  recheckUnsentCalls(): void;
   /** Reports to the waiting calls that a link to a home has opened. */
   reportLink(): void;
 }
@@ -136,6 +138,7 @@
       decideFleet(fleet, { type: "confirmed", row, now: now() });
     },
     waiting: () => linkWaits.size,
+    recheckUnsentCalls: callers.recheckUnsentCalls,
     reportLink() {
       for (const onReady of [...linkWaits]) onReady();
     },
--- a/src/testing/test_dialect.ts
+++ b/src/testing/test_dialect.ts
@@ -12,7 +12,13 @@
     const id = headers["call-id"];
     if (typeof id !== "string") return undefined;
     const waitMs = Number(headers["wait-ms"]);
-    return { id, parentId: undefined, waitMs: waitMs > 0 ? waitMs : undefined };
+    const { key } = headers;
+    return {
+      id,
+      parentId: undefined,
+      waitMs: waitMs > 0 ? waitMs : undefined,
+      key: typeof key === "string" ? { type: "one", key } : { type: "none" },
+    };
   },
   sentHeaders(raw) {
     const sent: string[] = [];
