fix(callers): keep a revoked call unsent after a withheld hedge

Cause: a hedge that was withheld since the key had been revoked recorded the new table as checked, so the attempt after it was sent. Change: the table counts as checked only when the call may be sent. Tests for this, and for a running call whose id another call has that ends.

--- a/src/callers/revoked_key_test.ts
+++ b/src/callers/revoked_key_test.ts
@@ -77,9 +77,11 @@
   assert.equal(await status, 200);
 });
 
+// A hedge that was withheld for a revoked key let the next attempt pass.
 test("refused call is not sent again after its key is revoked", async (t) => {
   const { callers, status } = await startCall(t, HOMES);
   adoptKeys(callers, 3, ["k-2"]);
+  callers.attempts[0]?.emit({ type: "overdue" });
   refuseFirst(callers, RefusalReason.Closed);
   assert.equal(await status, 401);
   assert.equal(callers.attempts.length, 1);
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -44,7 +44,11 @@
 import { Rejection } from "./admit_request.ts";
 import { answerLocally, forwardAnswer } from "./answer_caller.ts";
 import { createHomeSearch } from "./create_home_search.ts";
-import { describeFault, describeKeyRefusal } from "./describe_key_refusal.ts";
+import {
+  describeFault,
+  describeKeyRefusal,
+  type KeyRefusal,
+} from "./describe_key_refusal.ts";
 import {
   describeCall,
   describeChecked,
@@ -289,27 +293,29 @@
    * the call must not be sent; it is then refused, unless an attempt is open.
    */
   function checkAgain(): boolean {
-    if (ctx.routes.table === checkedTable) return true;
-    checkedTable = ctx.routes.table;
-    headers = readHeaders();
-    // The parent of a nested call may have ended; that revokes nothing.
-    if (isNested) return true;
-    const check = opts.recheckKey();
-    const refusal = describeKeyRefusal(check);
-    if (refusal === undefined) {
+    const { table } = ctx.routes;
+    if (table === checkedTable) return true;
+    // The parent of a nested call may have ended, which revokes nothing.
+    if (!isNested) {
+      const check = opts.recheckKey();
+      const refusal = describeKeyRefusal(check);
+      if (refusal !== undefined) {
+        if (attempts.size === 0) refuseForKey(refusal);
+        return false;
+      }
       account = check.type === "account" ? check.account : undefined;
-      return true;
     }
-    if (attempts.size > 0) return false;
-    if (refusal.fault === undefined) {
-      giveUp(mayHaveRun ? 502 : refusal.status, refusal.reason);
-      return false;
-    }
-    const isRevoked = account !== undefined;
-    const fault = isRevoked ? KeyFault.Revoked : refusal.fault;
-    ctx.metrics.countKeyRefusal(fault);
-    giveUp(mayHaveRun ? 502 : refusal.status, describeFault(fault));
-    return false;
+    checkedTable = table;
+    headers = readHeaders();
+    return true;
+  }
+
+  function refuseForKey({ status, reason, fault }: KeyRefusal) {
+    const wasKnown = fault !== undefined && account !== undefined;
+    const actual = wasKnown ? KeyFault.Revoked : fault;
+    if (actual !== undefined) ctx.metrics.countKeyRefusal(actual);
+    const text = actual === undefined ? reason : describeFault(actual);
+    giveUp(mayHaveRun ? 502 : status, text);
   }
 
   function sendTo(node: NodeId, mayBeLate: boolean): void {
--- a/src/endpoint_proxy/endpoint_proxy_test.ts
+++ b/src/endpoint_proxy/endpoint_proxy_test.ts
@@ -166,6 +166,18 @@
   );
 });
 
+// A nested call whose parent was sent twice to the home node, and withdrawn
+// once, got 503: its parent was no longer known to run.
+test("a call stays known while one with its id is withdrawn", async (t) => {
+  let requests = 0;
+  const { home } = await startHome(t, () => void requests++);
+  const first = home.attempt(call, () => {});
+  home.attempt(call, () => {});
+  while (requests < 2) await nextTurn();
+  first.cancel();
+  assert.ok(home.isRunning(call.id));
+});
+
 test("a run that times out counts for the version that ran it", async (t) => {
   const runs: Run[] = [];
   const { home } = await startHome(t, () => {
