--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -7,6 +7,8 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { type KeyCheck, KeyFault } from "../accounts/check_key.ts";
+import type { CallAccount } from "../accounts/state.ts";
 import { addRequest, spendRetry } from "../retry_budget/spend_retry.ts";
 import { type AttemptEnd, decideNext } from "../calls/decide_next.ts";
 import { describeEnd } from "../calls/describe_end.ts";
@@ -42,6 +44,11 @@
 import { Rejection } from "./admit_request.ts";
 import { answerLocally, forwardAnswer } from "./answer_caller.ts";
 import { createHomeSearch } from "./create_home_search.ts";
+import {
+  describeFault,
+  describeKeyRefusal,
+  type KeyRefusal,
+} from "./describe_key_refusal.ts";
 import {
   describeCall,
   describeChecked,
@@ -88,6 +95,10 @@
   readonly res: ServerResponse;
   readonly id: string;
   readonly route: Route;
+  /** Client account of the call, if it has one. */
+  readonly account: CallAccount | undefined;
+  /** Checks the call's API key by the route table in force. */
+  readonly recheckKey: () => KeyCheck;
   /** Id of the parent call, if the endpoint on this VM runs it. */
   readonly parentId: string | undefined;
   /** Time to the caller's deadline or the route's timeout, in milliseconds. */
@@ -107,6 +118,11 @@
   abandon(): void;
   /** Refuses the call on shutdown, unless it was sent to a home node. */
   refuseUnsent(): void;
+  /**
+   * Refuses the call if the new route table lacks its API key, unless it was
+   * sent to a home node.
+   */
+  recheckUnsent(): void;
   /** Ends the call on shutdown, before its connection is closed. */
   abort(): void;
 }
@@ -139,7 +155,10 @@
   const deadlineAt = startedAt + opts.waitMs;
   const objectiveAt = startedAt + route.objectiveMs - opts.ageMs - DELIVERY_MS;
   const service = pickService(ctx.routes, route);
-  const headers = ctx.dialect.sentHeaders(req.rawHeaders);
+  /** Route table by which the API key was last checked. */
+  let checkedTable = ctx.routes.table;
+  let { account } = opts;
+  let headers = readHeaders();
   const search = createHomeSearch({ ctx, service, route });
   const attempts = new Set<OpenAttempt>();
   /** Number of home nodes that the call was sent to. */
@@ -264,7 +283,43 @@
     return search.find({ bodyBytes: bytesOf(body), objectiveLeftMs });
   }
 
+  function readHeaders(): HeaderList {
+    const isAccountSet = checkedTable?.accounts !== undefined;
+    return ctx.dialect.sentHeaders(req.rawHeaders, isAccountSet);
+  }
+
+  /**
+   * Checks the API key again if the route table was replaced. Returns false if
+   * the call must not be sent; it is then refused, unless an attempt is open.
+   */
+  function checkAgain(): boolean {
+    const { table } = ctx.routes;
+    if (table === checkedTable) return true;
+    // The parent of a nested call may have ended, which revokes nothing.
+    if (!isNested) {
+      const check = opts.recheckKey();
+      const refusal = describeKeyRefusal(check);
+      if (refusal !== undefined) {
+        if (attempts.size === 0) refuseForKey(refusal);
+        return false;
+      }
+      account = check.type === "account" ? check.account : undefined;
+    }
+    checkedTable = table;
+    headers = readHeaders();
+    return true;
+  }
+
+  function refuseForKey({ status, reason, fault }: KeyRefusal) {
+    const wasKnown = fault !== undefined && account !== undefined;
+    const actual = wasKnown ? KeyFault.Revoked : fault;
+    if (actual !== undefined) ctx.metrics.countKeyRefusal(actual);
+    const text = actual === undefined ? reason : describeFault(actual);
+    giveUp(mayHaveRun ? 502 : status, text);
+  }
+
   function sendTo(node: NodeId, mayBeLate: boolean): void {
+    if (!checkAgain()) return;
     search.recordTried(node);
     const home = ctx.homes.homeOf(node);
     if (home === undefined) return attemptNext(mayBeLate);
@@ -287,6 +342,7 @@
       objectiveAt,
       mayBeLate,
       crashes,
+      account,
     });
     const attempt = home.attempt(call, (event) => handleEvent(open, event));
     const sink = {
@@ -356,6 +412,9 @@
     minWaitMs = Math.min(minWaitMs, refusal.waitMs);
     if (refusal.reason === RefusalReason.Late) search.recordLate(open.home);
     if (refusal.reason === RefusalReason.Misdirected) ctx.verifyHome(open.home);
+    if (refusal.reason === RefusalReason.Revoked) {
+      ctx.metrics.countKeyRefusal(KeyFault.Revoked);
+    }
     const isDown = refusal.reason === RefusalReason.Closed ||
       refusal.by === RefusedBy.Link;
     if (isDown) ejectHome(ctx.loadBalancing, open.home, ctx.now() + EJECT_MS);
@@ -479,14 +538,15 @@
       leftMs,
       random: ctx.random(),
     });
-    const isNotRun = status === 503;
-    const headers = isNotRun ? ctx.dialect.refusalHeaders(id, retryMs) : {};
+    const mayRetry = status === 503;
+    const isNotRun = mayRetry || status === 401;
+    const headers = mayRetry ? ctx.dialect.refusalHeaders(id, retryMs) : {};
     if (opts.mayClose()) res.shouldKeepAlive = false;
     answerLocally(res, { status, headers, reason });
     log(LogLevel.Warn, isNotRun ? "call refused" : "call failed", {
       status,
       reason,
-      ...(isNotRun ? { retryMs: Math.round(retryMs) } : {}),
+      ...(mayRetry ? { retryMs: Math.round(retryMs) } : {}),
     });
     finish(isNotRun ? CallResult.NotRun : CallResult.Unknown, status);
   }
@@ -558,6 +618,9 @@
     refuseUnsent() {
       if (offers === 0) giveUp(503, Rejection.Stopping);
     },
+    recheckUnsent() {
+      if (offers === 0 && !isDone) checkAgain();
+    },
     abort() {
       if (isDone) return;
       log(LogLevel.Error, "call aborted by shutdown", {
