feat(endpoint_proxy): evacuate failure domains, limit starts at cold endpoints

Cause: an operator's evacuation had no effect. Endpoints that may be cold got more calls than they tolerate: a ping of the same start left the home node's view of the cold start unchanged, and nothing limited the starts. Change: nodes decode `evacuate/ZONE`, leave the domain's endpoints out of the candidates and close the home node's gate; running calls finish. A complete read that lacks the record ends the evacuation, also at peers. A home node starts at most `coldPerS` calls in any second while its endpoint is or may be cold, and requests the health path once after each event that may have made it cold. Reports state how many calls may still start.

--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -13,6 +13,14 @@
   type OfferedCall,
   RefusedBy,
 } from "../calls/state.ts";
+import { decideColdStart } from "../cold_start/decide_cold_start.ts";
+import { startsLeft } from "../cold_start/start_delay.ts";
+import {
+  type ColdStartEffect,
+  type ColdStartEvent,
+  createColdStartState,
+} from "../cold_start/state.ts";
+import type { LagoonError } from "../core/errors.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import type { Instance } from "../local_endpoint/state.ts";
@@ -34,6 +42,7 @@
   CRASHES_TO_REFUSE,
   QUARANTINE_RETRY_MS,
 } from "../quarantine/crash_chain.ts";
+import type { ServiceTerms } from "../routes/state.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import { createEndpointConnector } from "./connect_endpoint.ts";
@@ -44,6 +53,7 @@
 } from "./create_endpoint_pool.ts";
 import { isEndpointUp } from "./is_endpoint_up.ts";
 import { isSameSoftware } from "./is_same_software.ts";
+import { requestHealth } from "./request_health.ts";
 import { describeLateRun, type LateRun } from "./describe_late_run.ts";
 import {
   runCall,
@@ -97,14 +107,35 @@
   /** Called for a call whose service or version the endpoint does not run. */
   readonly onMisdirected: (call: OfferedCall, present: Instance) => void;
   readonly suspects: SuspectRecords;
+  /** Called when the limit on starts at a cold endpoint begins or ends. */
+  readonly onColdLimit: (change: ColdLimitChange) => void;
+  /** Called for each call that this limit delays. */
+  readonly onStartDelayed: () => void;
+  readonly onHealthFailed: (err: LagoonError) => void;
 }
 
+export type ColdLimitChange = Exclude<
+  ColdStartEffect,
+  { readonly type: "request-health" }
+>;
+
 export interface LocalHome extends Home {
   /**
    * Opens the queue for the endpoint as last announced, or closes it for
    * `reason` when there is none.
    */
   setInstance(instance: Instance | undefined, reason: string): void;
+  /** Applies the terms of the endpoint's service, once a table is known. */
+  setTerms(terms: ServiceTerms | undefined): void;
+  /** Applies the cold start that the newest ping of the endpoint states. */
+  recordPing(ping: Pick<Instance, "coldUntil" | "heardAt">): void;
+  /** Limits starts until the endpoint states that it is warm. */
+  doubtWarmth(reason: string): void;
+  /**
+   * Refuses all calls that have not started while the failure domain of this
+   * node is evacuated.
+   */
+  setEvacuated(isEvacuated: boolean): void;
   /** State of the queue as sent to other nodes, for `route` if it is given. */
   report(route?: string): QueueReport;
   /** Whether any call runs, waits or is sending its body. */
@@ -164,7 +195,8 @@
 export function createHome(opts: CreateHomeOptions): LocalHome {
   const { dialect, now } = opts;
   const connector = createEndpointConnector({ connectMs: CONNECT_TIMEOUT_MS });
-  const queue = createQueueState();
+  const coldStart = createColdStartState(now());
+  const queue = createQueueState(coldStart);
   const bodyBuffer = createBodyBuffer({ now });
   const openCalls = new Map<number, OpenCall>();
   const running = new Map<string, OpenCall>();
@@ -173,6 +205,9 @@
   let pool: EndpointPool | undefined;
   let ticker: NodeJS.Timeout | undefined;
   let reopener: NodeJS.Timeout | undefined;
+  let terms: ServiceTerms | undefined;
+  let isEvacuated = false;
+  let healthRequests = 0;
   /** Calls whose connections the endpoint closed, until it is known why. */
   const cut = new Set<OpenCall>();
   let crashCheck: Promise<boolean> | undefined;
@@ -200,6 +235,8 @@
       case "overdue":
         entry.onEvent({ type: "overdue" });
         return;
+      case "delayed":
+        return opts.onStartDelayed();
       default:
         exhausted(effect);
     }
@@ -392,16 +429,57 @@
   /** Closes the queue for a while, or until the endpoint's next ping. */
   function suspend(reason: string) {
     opts.onUnusableEndpoint(reason);
+    decideCold({ type: "doubted", reason, now: now() });
     gate({ type: "closed", reason });
     clearTimeout(reopener);
     reopener = setTimeout(openGate, UNREACHABLE_RETRY_MS);
   }
 
   function openGate() {
-    if (instance === undefined) return;
+    if (instance === undefined || isEvacuated) return;
+    decideCold({ type: "opened" });
     gate({ type: "open", slots: instance.slots });
   }
 
+  function decideCold(event: ColdStartEvent) {
+    for (const effect of decideColdStart(coldStart, event)) {
+      switch (effect.type) {
+        case "request-health":
+          void checkHealth();
+          break;
+        case "limit-began":
+        case "limit-ended":
+          opts.onColdLimit(effect);
+          break;
+        default:
+          exhausted(effect);
+      }
+    }
+  }
+
+  async function checkHealth() {
+    if (pool === undefined || terms === undefined) return;
+    const requestedAt = now();
+    decideCold({ type: "started", now: requestedAt });
+    const coldMs = await requestHealth({
+      pool,
+      dialect,
+      path: terms.healthPath,
+      address: opts.endpointAddress,
+      id: `health ${++healthRequests}`,
+    });
+    if (coldMs.isErr()) return opts.onHealthFailed(coldMs.error);
+    recordColdUntil(now() + coldMs.value, requestedAt);
+  }
+
+  /** Applies a statement that the endpoint made after `requestedAt`. */
+  function recordColdUntil(until: MonotonicMs, requestedAt: MonotonicMs) {
+    decideCold({ type: "stated", until, requestedAt, now: now() });
+    if (instance !== undefined) instance = { ...instance, coldUntil: until };
+    const event = { type: "cold-changed", coldUntil: until } as const;
+    apply(decideQueue(queue, { ...event, now: now() }));
+  }
+
   function gate(next: Gate) {
     const coldUntil = instance?.coldUntil ?? -Infinity;
     apply(decideQueue(queue, {
@@ -480,6 +558,7 @@
       waiting: waiting + bodyBuffer.size(),
       meanMs,
       routeMs: routeMs > 0 ? routeMs + Math.round(bodyMs) : 0,
+      startsLeft: startsLeft(coldStart, queue.waiting.size, now()),
     };
   }
 
@@ -554,6 +633,29 @@
           connector,
         });
       }
+      const { coldUntil: until, heardAt: requestedAt } = next;
+      decideCold({ type: "stated", until, requestedAt, now: now() });
+      openGate();
+    },
+    setTerms(next) {
+      terms = next;
+      const perSecond = next?.coldPerSecond;
+      decideCold({ type: "terms-changed", perSecond, now: now() });
+    },
+    recordPing: ({ coldUntil, heardAt }) => recordColdUntil(coldUntil, heardAt),
+    doubtWarmth(reason) {
+      decideCold({ type: "doubted", reason, now: now() });
+      if (queue.gate.type === "open") decideCold({ type: "opened" });
+    },
+    setEvacuated(next) {
+      if (next === isEvacuated) return;
+      isEvacuated = next;
+      if (next) {
+        const reason = "the failure domain is evacuated";
+        return gate({ type: "closed", reason });
+      }
+      const reason = "the evacuation of the failure domain ended";
+      decideCold({ type: "doubted", reason, now: now() });
       openGate();
     },
     isRunning: (callId) => running.has(callId),
--- a/src/endpoint_proxy/run_call.ts
+++ b/src/endpoint_proxy/run_call.ts
@@ -274,7 +274,7 @@
 }
 
 /** Returns header names and values in turn, in the order received. */
-function toHeaderList(raw: unknown, headers: object): string[] {
+export function toHeaderList(raw: unknown, headers: object): string[] {
   if (Array.isArray(raw)) {
     return raw.map((one) =>
       Buffer.isBuffer(one) ? one.toString("latin1") : String(one)
--- a/src/fleet/choose_homes.ts
+++ b/src/fleet/choose_homes.ts
@@ -10,7 +10,7 @@
  * a node spreads its own calls only; the links of all callers together reach
  * every endpoint.
  */
-const HOMES_PER_VERSION = { sameDomain: 6, otherDomains: 4 };
+export const HOMES_PER_VERSION = { sameDomain: 6, otherDomains: 4 };
 
 /** A node with a ready endpoint of the service. */
 export interface HomeOption {
--- a/src/fleet/decide_fleet.ts
+++ b/src/fleet/decide_fleet.ts
@@ -65,6 +65,11 @@
       return applyLost(state, event);
     case "digest-received":
       return compareDigests(state, event);
+    case "evacuations-changed":
+      state.evacuated = new Set(event.domains);
+      state.isIndexStale = true;
+      state.isPlanStale = true;
+      return [];
     case "services-listed":
       recordServices(state, event.services, event.now);
       return [];
--- a/src/fleet/is_home_expected.ts
+++ b/src/fleet/is_home_expected.ts
@@ -12,6 +12,6 @@
   if (state.byService.has(service)) return false;
   return liveRows(state).some(({ row }) =>
     row.endpoint?.service === service && row.node !== state.self &&
-    !state.failures.has(row.node)
+    !state.failures.has(row.node) && !state.evacuated.has(row.domain)
   );
 }
--- a/src/fleet/plan_links.ts
+++ b/src/fleet/plan_links.ts
@@ -4,7 +4,11 @@
  */
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { hashText } from "../core/hash_text.ts";
-import { chooseHomes, type HomeOption } from "./choose_homes.ts";
+import {
+  chooseHomes,
+  type HomeOption,
+  HOMES_PER_VERSION,
+} from "./choose_homes.ts";
 import { chooseNeighbors } from "./choose_neighbors.ts";
 import { extraHomesOf } from "./record_demand.ts";
 import {
@@ -144,6 +148,7 @@
     const { node, domain, endpoint } = row;
     if (endpoint === undefined || node === state.self) continue;
     if (!isReachable(state, node, now)) continue;
+    if (state.evacuated.has(domain)) continue;
     const { version } = endpoint;
     options.get(endpoint.service)?.push({ node, domain, version });
   }
@@ -152,7 +157,10 @@
       self: state.self,
       domain: state.domain,
       options: options.get(service) ?? [],
-      extra: extraHomesOf(demand, now),
+      // The home nodes of other domains also replace those of an own domain
+      // that is evacuated.
+      extra: extraHomesOf(demand, now) +
+        (state.evacuated.has(state.domain) ? HOMES_PER_VERSION.sameDomain : 0),
     })
   );
   return homes.slice(0, MAX_HOME_LINKS);
--- a/src/fleet/state.ts
+++ b/src/fleet/state.ts
@@ -71,6 +71,8 @@
    */
   readonly linked: Set<NodeId>;
   readonly demands: Map<string, ServiceDemand>;
+  /** Failure domains whose endpoints get no calls. */
+  evacuated: ReadonlySet<string>;
   /**
    * Stopped instances that each node last reported. Kept when a node's process
    * restarts, since the new process does not know them.
@@ -165,6 +167,11 @@
     /** Whether the peer answers this node's digest. */
     readonly isAnswer: boolean;
   }
+  /** The operator evacuated other failure domains than before. */
+  | {
+    readonly type: "evacuations-changed";
+    readonly domains: ReadonlySet<string>;
+  }
   /** Calls to these services may arrive. */
   | {
     readonly type: "services-listed";
@@ -265,6 +272,7 @@
     links: new Map(),
     linked: new Set(),
     demands: new Map(),
+    evacuated: new Set(),
     gone: new Map(),
     get byService() {
       if (this.isIndexStale === true) index = indexCandidates(this);
--- a/src/load_balancing/choose_candidate.ts
+++ b/src/load_balancing/choose_candidate.ts
@@ -76,6 +76,15 @@
  */
 const STALE_REPORT_MS = 400;
 
+/**
+ * Wait assumed at a home whose cold endpoint allows no further start now, in
+ * milliseconds: the mean time until one of the last second is a second old.
+ */
+const COLD_START_WAIT_MS = 500;
+
+/** Age from which a report says nothing of the starts of the last second. */
+const STALE_STARTS_MS = 1_000;
+
 /** Options of `chooseCandidate`. */
 export interface ChooseCandidateOptions {
   /** Route of the call. */
@@ -187,5 +196,17 @@
     ? view.report.meanMs
     : INITIAL_RUN_ESTIMATE_MS;
   const runMs = meanMs * slowdownOf(candidate, now);
-  return excess <= 0 ? 0 : excess * runMs / slots;
+  return Math.max(
+    coldWaitMsOf(view, now),
+    excess <= 0 ? 0 : excess * runMs / slots,
+  );
+}
+
+/** Returns the wait for the limit on starts at a cold endpoint. */
+function coldWaitMsOf(view: HomeView, now: MonotonicMs): number {
+  const { startsLeft } = view.report;
+  if (startsLeft === undefined) return 0;
+  if (now - view.reportedAt >= STALE_STARTS_MS) return 0;
+  const sentSinceReport = view.inFlight - view.inFlightAtReport;
+  return sentSinceReport < startsLeft ? 0 : COLD_START_WAIT_MS;
 }
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -52,6 +52,9 @@
   /** Counts a run at the endpoint on this VM. */
   countVersionRun(run: Run): void;
   setTableVersion(version: number): void;
+  /** Counts a call that waited for the limit on starts at a cold endpoint. */
+  countColdDelay(): void;
+  setEvacuatedDomains(count: number): void;
   /** Replaces the numbers of ready endpoints of all services. */
   setReadyEndpoints(byService: ReadonlyMap<string, number>): void;
   /** All metrics in the text format of Prometheus. */
@@ -113,6 +116,16 @@
     help: "Version of the route table in force.",
     registers,
   });
+  const coldDelays = new Counter({
+    name: "lagoon_cold_start_delays_total",
+    help: "Calls that waited for the limit on starts at this node's endpoint.",
+    registers,
+  });
+  const evacuated = new Gauge({
+    name: "lagoon_evacuated_domains",
+    help: "Failure domains whose endpoints get no calls.",
+    registers,
+  });
   const ready = new Gauge({
     name: "lagoon_ready_endpoints",
     help: "Endpoints that this node may offer calls to, by service.",
@@ -133,6 +146,8 @@
       versionRuns.inc({ service, version, result });
     },
     setTableVersion: (version) => table.set(version),
+    countColdDelay: () => coldDelays.inc(),
+    setEvacuatedDomains: (count) => evacuated.set(count),
     setReadyEndpoints(byService) {
       ready.reset();
       for (const [service, count] of byService) ready.set({ service }, count);
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -2,6 +2,8 @@
  * Decides which calls to one endpoint start, wait or are refused.
  * @module
  */
+import { decideColdStart } from "../cold_start/decide_cold_start.ts";
+import { startDelayMs } from "../cold_start/start_delay.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import { compareCalls } from "./compare_calls.ts";
@@ -9,6 +11,7 @@
   canMeetDeadline,
   canMeetObjective,
   expectedWaitMs,
+  isColdDelayTooLong,
   keepsObjectiveMargin,
   meanRunMs,
   recordRunTime,
@@ -86,9 +89,13 @@
       return event.gate.type === "open"
         ? startWaitingCalls(state, event.now)
         : refuseAllWaiting(state, event.now);
+    case "cold-changed":
+      state.coldUntil = event.coldUntil;
+      return startWaitingCalls(state, event.now);
     case "ticked":
       return [
         ...refuseExpired(state, event.now),
+        ...startDelayedCalls(state, event.now),
         ...findOverdue(state, event.now),
       ];
     default:
@@ -124,7 +131,27 @@
   const reason = findRefusalReason(state, event);
   if (reason !== undefined) return [refuse(state, call.key, reason, now)];
   state.waiting.set(call.key, call);
-  return [...evictLateCalls(state, now), ...startWaitingCalls(state, now)];
+  return [
+    ...evictLateCalls(state, now),
+    ...startWaitingCalls(state, now),
+    ...findDelay(state, call.key),
+  ];
+}
+
+/** Finds out whether a call waits though a slot is free. */
+function findDelay(state: QueueState, key: CallKey): readonly QueueEffect[] {
+  const isDelayed = state.waiting.has(key) &&
+    state.running.size < slotsOf(state);
+  return isDelayed ? [{ type: "delayed", key }] : [];
+}
+
+/** Starts calls that waited for the limit on starts at a cold endpoint. */
+function startDelayedCalls(
+  state: QueueState,
+  now: MonotonicMs,
+): readonly QueueEffect[] {
+  // Without a limit, calls wait for a slot only, which the end of a call frees.
+  return state.coldStart.limit === 0 ? [] : startWaitingCalls(state, now);
 }
 
 /** Options of `findRefusalReason`. */
@@ -149,6 +176,9 @@
   const { gate } = state;
   if (gate.type === "closed") return RefusalReason.Closed;
   const ahead = countAhead(state, call, now);
+  if (isColdDelayTooLong(state, call, ahead, now)) {
+    return mayBeLate ? RefusalReason.QueueFull : RefusalReason.Late;
+  }
   const startAt = now + expectedWaitMs(state, ahead, now);
   if (!canMeetDeadline(state, call, startAt, now)) return RefusalReason.NoTime;
   if (!keepsObjectiveMargin(state, call, startAt - now, now)) {
@@ -229,7 +259,8 @@
   const { gate, running, waiting } = state;
   const effects: QueueEffect[] = [];
   while (
-    gate.type === "open" && running.size < gate.slots && waiting.size > 0
+    gate.type === "open" && running.size < gate.slots && waiting.size > 0 &&
+    startDelayMs(state.coldStart, 0, now) <= 0
   ) {
     const next = findNextCall(state, now);
     if (next === undefined) break;
@@ -238,6 +269,7 @@
       effects.push(refuse(state, next.key, RefusalReason.NoTime, now));
       continue;
     }
+    decideColdStart(state.coldStart, { type: "started", now });
     running.set(next.key, { ...next, startedAt: now, isOverdue: false });
     effects.push({ type: "start", key: next.key });
   }
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -2,6 +2,7 @@
  * Estimates run and wait times at one endpoint.
  * @module
  */
+import { startDelayMs } from "../cold_start/start_delay.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import type { QueuedCall, QueueState, RunTimes } from "./state.ts";
 
@@ -76,9 +77,10 @@
 ): number {
   const slots = state.gate.type === "open" ? state.gate.slots : 1;
   const free = slots - state.running.size;
-  if (ahead < free) return 0;
+  const coldMs = startDelayMs(state.coldStart, ahead, now);
+  if (ahead < free) return coldMs;
   const runMs = meanRunMs(state) * slowdownAt(state, now);
-  return (ahead - Math.max(0, free) + 1) * runMs / slots;
+  return Math.max(coldMs, (ahead - Math.max(0, free) + 1) * runMs / slots);
 }
 
 /**
@@ -108,6 +110,21 @@
   return isWaitWithinMargin(waitMs, spareMs);
 }
 
+/**
+ * Returns whether the limit on starts at a cold endpoint delays a call by more
+ * than its slack.
+ */
+export function isColdDelayTooLong(
+  state: QueueState,
+  call: QueuedCall,
+  ahead: number,
+  now: MonotonicMs,
+): boolean {
+  const delayMs = startDelayMs(state.coldStart, ahead, now);
+  const slackMs = call.objectiveAt - now - expectedRunMs(state, call, now);
+  return delayMs > Math.max(0, slackMs);
+}
+
 /** Returns whether a wait uses no more than `MAX_WAIT_SHARE` of the slack. */
 export function isWaitWithinMargin(waitMs: number, spareMs: number): boolean {
   return waitMs <= Math.max(0, spareMs) * MAX_WAIT_SHARE;
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import fc from "fast-check";
 import { checkProperty } from "../testing/check_property.ts";
+import { decideColdStart } from "../cold_start/decide_cold_start.ts";
 import { decideQueue, reportQueue } from "./decide_queue.ts";
 import {
   createQueueState,
@@ -363,3 +364,43 @@
     { runs: 200 },
   );
 });
+
+/** A queue whose endpoint is cold and tolerates `perSecond` starts. */
+function coldQueue(slots: number, perSecond: number): QueueState {
+  const state = openQueue(slots);
+  const { coldStart } = state;
+  decideColdStart(coldStart, { type: "terms-changed", perSecond, now: 0 });
+  const stated = { type: "stated", until: Infinity, requestedAt: 0 } as const;
+  decideColdStart(coldStart, { ...stated, now: 0 });
+  return state;
+}
+
+// Guards against a call that waits for a cold endpoint until a slot is freed,
+// which may never happen while none runs.
+test("cold endpoint's waiting call starts at the tick that allows it", () => {
+  const state = coldQueue(4, 1);
+  const first = callOf({ objectiveAt: 5_000, deadlineAt: 9_000 });
+  const second = callOf({ objectiveAt: 5_000, deadlineAt: 9_000 });
+  assert.deepEqual(startedKeys(offer(state, first)), [first.key]);
+  const delayed = { type: "delayed", key: second.key };
+  assert.deepEqual(offer(state, second), [delayed]);
+  assert.deepEqual(end(state, first.key, 100), []);
+  const tickAt = (now: number) =>
+    startedKeys(decideQueue(state, { type: "ticked", now }));
+  assert.deepEqual(tickAt(990), []);
+  assert.deepEqual(tickAt(1_000), [second.key]);
+});
+
+// Guards against calls that wait for a cold start in vain.
+test("call is refused if a cold start takes longer than its slack", () => {
+  const state = coldQueue(4, 1);
+  offer(state, callOf());
+  const reasonOf = (mayBeLate: boolean) => {
+    const call = callOf({ deadlineAt: 9_000 });
+    const [effect] = offer(state, call, 10, mayBeLate);
+    return effect?.type === "refuse" ? effect.reason : undefined;
+  };
+  assert.equal(reasonOf(false), "late");
+  assert.equal(reasonOf(true), "crowded");
+  assert.equal(state.waiting.size, 0);
+});
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -4,6 +4,10 @@
  * connections to the endpoint.
  * @module
  */
+import {
+  type ColdStartState,
+  createColdStartState,
+} from "../cold_start/state.ts";
 import type { MonotonicMs } from "../core/types.ts";
 
 /** Identifies a call within this node. */
@@ -56,6 +60,8 @@
   readonly timesByRoute: Map<string, RunTimes>;
   /** Run times of the calls of all routes. */
   readonly times: RunTimes;
+  /** Limit on starts while the endpoint is cold. */
+  readonly coldStart: ColdStartState;
 }
 
 export type QueueEvent =
@@ -90,6 +96,12 @@
     readonly coldUntil: MonotonicMs;
     readonly now: MonotonicMs;
   }
+  /** The endpoint stated how long it stays cold, or `coldStart` changed. */
+  | {
+    readonly type: "cold-changed";
+    readonly coldUntil: MonotonicMs;
+    readonly now: MonotonicMs;
+  }
   | { readonly type: "ticked"; readonly now: MonotonicMs };
 
 export const RefusalReason = {
@@ -121,7 +133,9 @@
     readonly waitMs: number;
   }
   /** The call has run much longer than calls of its route usually do. */
-  | { readonly type: "overdue"; readonly key: CallKey };
+  | { readonly type: "overdue"; readonly key: CallKey }
+  /** A call waits though a slot is free, since the endpoint is cold. */
+  | { readonly type: "delayed"; readonly key: CallKey };
 
 /** Load of the queue, as sent to other nodes. */
 export interface QueueReport {
@@ -144,13 +158,15 @@
    */
   readonly pacePercent?: number | undefined;
   /**
-   * Calls that may still start within the next second. Undefined while no limit
+   * Calls that may start now, besides those that wait. Undefined while no limit
    * on starts applies (see `src/cold_start`).
    */
   readonly startsLeft?: number | undefined;
 }
 
-export function createQueueState(): QueueState {
+export function createQueueState(
+  coldStart: ColdStartState = createColdStartState(-Infinity),
+): QueueState {
   return {
     gate: { type: "closed", reason: "no endpoint has announced itself" },
     coldUntil: -Infinity,
@@ -158,5 +174,6 @@
     waiting: new Map(),
     timesByRoute: new Map(),
     times: { mean: 0, samples: 0 },
+    coldStart,
   };
 }
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -10,6 +10,7 @@
 import { type ControlLoop, Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
+import { isCutOff } from "../fleet/is_cut_off.ts";
 import type { NodeRow } from "../fleet/messages.ts";
 import {
   type FleetEvent,
@@ -67,6 +68,11 @@
    * Called with instances that stopped during an earlier process of this node.
    */
   readonly onRecall: (gone: readonly StoppedInstance[]) => void;
+  /**
+   * Called when this node has a link to another failure domain again, after it
+   * lost all of them.
+   */
+  readonly onRejoined: () => void;
   readonly shifts: () => readonly ShiftDescription[];
   readonly onShift: (event: TrafficShiftEvent) => void;
   readonly suspects: Pick<SuspectWatch, "receive" | "summary">;
@@ -145,18 +151,28 @@
   const shiftNews = createShiftNewsState();
   let knownLeaders = NO_LEADERS;
   let leadersFoundAt = -Infinity;
+  let isCut = false;
+  let hasBeenLinked = false;
   // One timer serves all links, because each wake-up of a timer has a cost.
   const checker = setInterval(() => {
     const work = meter.begin();
     exchange.apply({ type: "ticked", leaders: leaders(), now: now() });
     dialer.countLinks();
     links.check();
+    checkRejoined();
     beats.tick();
     opts.operator.tick();
     exchange.tick();
     meter.end(work, Duty.Timers);
   }, CHECK_INTERVAL_MS);
 
+  function checkRejoined() {
+    const wasCutOff = isCut;
+    isCut = isCutOff(fleet);
+    if (wasCutOff && !isCut && hasBeenLinked) opts.onRejoined();
+    hasBeenLinked ||= !isCut;
+  }
+
   function forgetReader(node: NodeId) {
     beats.announceSilence(node);
     opts.operator.handlePeerLost(node);
--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -98,8 +98,11 @@
     store: opts.store,
     topic: opts.topic,
     from: operator.end,
-    onRecords: (records, end) =>
-      acceptRecords(records, end, RecordSource.Store, undefined),
+    onRecords(records, end, isComplete) {
+      const from = isComplete ? -1 : operator.end();
+      const page = { type: "operator", from, records, end } as const;
+      acceptPage(page, RecordSource.Store, undefined);
+    },
     onHealth(err) {
       if (err === undefined) log.write("store", LogLevel.Info, "reads succeed");
       else {
@@ -114,12 +117,13 @@
     random: opts.random,
   });
 
-  function acceptRecords(
-    records: readonly KeyedRecord[],
-    end: Offset,
+  /** Applies a page that begins at or before the end of the records read. */
+  function acceptPage(
+    page: OperatorPage,
     source: RecordSource,
     sender: NodeId | undefined,
   ) {
+    const { records, end } = page;
     const from = operator.end();
     if (end <= from) return;
     log.write("config", LogLevel.Info, "operator records applied", {
@@ -127,7 +131,7 @@
       from,
       end,
     });
-    operator.applyRecords(records, end);
+    operator.applyRecords(records, end, page.from < 0);
     requestedAt = -Infinity;
     decide({ type: "records-applied", source, from, end, now: now() });
     if (source !== RecordSource.Store) announceEnd(sender);
@@ -211,7 +215,10 @@
 
   function pageFrom(from: Offset): OperatorPage {
     const records = operator.since(from);
-    return { type: "operator", from, records, end: operator.end() };
+    // A page from a negative offset is complete: it holds the newest record of
+    // each key, and other keys have been removed.
+    const begin = operator.isCompleteFrom(from) ? -1 : from;
+    return { type: "operator", from: begin, records, end: operator.end() };
   }
 
   return {
@@ -235,7 +242,7 @@
         const source = isSameDomain
           ? RecordSource.SameDomain
           : RecordSource.OtherDomain;
-        acceptRecords(page.records, page.end, source, node);
+        acceptPage(page, source, node);
       } else if (
         node !== undefined && domain === opts.domain &&
         now() - requestedAt >= REQUEST_TIMEOUT_MS
--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -34,6 +34,8 @@
   readonly exposure: ExposureTerms;
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly graceMs: number;
+  /** Failure domains of the deployment. Empty if the settings name none. */
+  readonly domains: readonly string[];
   /** Number of failure domains of the deployment. */
   readonly domainCount: number;
   /** Bounds on the requests of an account. Undefined if none are set. */
--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -4,6 +4,7 @@
  */
 import type { Offset } from "../core/types.ts";
 import { formatError } from "../core/errors.ts";
+import { findRemovedKeys } from "../evacuation/find_removed_keys.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import type { RouteTable } from "../routes/state.ts";
 import type { KeyedRecord } from "../store/state.ts";
@@ -18,15 +19,27 @@
   readonly onTable: (table: RouteTable, bytes: number) => void;
   /** `isNew` is false for orders that existed before this node first read. */
   readonly onOrder: (order: ShiftOrder, isNew: boolean) => void;
+  readonly onEvacuation: (domain: string, isActive: boolean) => void;
 }
 
 export interface OperatorReader {
   /**
    * Applies records from the store or a peer. Those read before are ignored.
+   * `isComplete` tells that they are the newest records of all keys, so that
+   * evacuations without a record have ended.
    */
-  applyRecords(records: readonly KeyedRecord[], end: Offset): void;
+  applyRecords(
+    records: readonly KeyedRecord[],
+    end: Offset,
+    isComplete: boolean,
+  ): void;
   /** The newest record of each key that came after an offset, for peers. */
   since(from: Offset): readonly KeyedRecord[];
+  /**
+   * Whether the records that came after an offset are the newest of all keys.
+   * Of keys removed before the last complete read there is no record.
+   */
+  isCompleteFrom(from: Offset): boolean;
   /** Offset up to which records were applied. */
   end(): Offset;
 }
@@ -45,6 +58,10 @@
   /** `end` is the end offset of the page that contained the record. */
   const newest = new Map<string, { record: KeyedRecord; end: Offset }>();
   let readEnd: Offset = -1;
+  /** End of the last complete read. */
+  let completeEnd: Offset = -1;
+  /** Keys of the evacuations in force. */
+  const evacuationKeys = new Set<string>();
   /** Last result of `since`, since many peers request the same records. */
   let cached: CachedRecords = { from: -1, end: -1, records: [] };
 
@@ -69,14 +86,20 @@
       case "order":
         opts.onOrder(decoded.value.order, isNew);
         return true;
-      case "evacuation":
+      case "evacuation": {
+        const { domain, isActive } = decoded.value;
+        if (isActive) evacuationKeys.add(record.key);
+        else evacuationKeys.delete(record.key);
+        opts.onEvacuation(domain, isActive);
+        return true;
+      }
       case "other":
         return true;
     }
   }
 
   return {
-    applyRecords(records, end) {
+    applyRecords(records, end, isComplete) {
       // Peers and the store may both send records that were read before.
       if (end <= readEnd) return;
       const isNew = readEnd >= 0;
@@ -87,6 +110,12 @@
         if (decoded.has(record.key) || !decode(record, isNew)) continue;
         decoded.add(record.key);
       }
+      if (!isComplete) return;
+      completeEnd = end;
+      // The removal is kept like a record of it, for peers.
+      for (const key of findRemovedKeys(evacuationKeys, records)) {
+        decode({ key, value: undefined }, isNew);
+      }
     },
     since(from) {
       if (cached.from === from && cached.end === readEnd) return cached.records;
@@ -96,6 +125,7 @@
       cached = { from, end: readEnd, records };
       return records;
     },
+    isCompleteFrom: (from) => from < completeEnd,
     end: () => readEnd,
   };
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -13,7 +13,13 @@
 import type { CallContext } from "../callers/state.ts";
 import { createLagMeter } from "../control/create_lag_meter.ts";
 import { createControlLoop } from "../control/create_control_loop.ts";
+import { formatError } from "../core/errors.ts";
 import { exhausted } from "../core/exhausted.ts";
+import { decideEvacuation } from "../evacuation/decide_evacuation.ts";
+import {
+  createEvacuationState,
+  type EvacuationEffect,
+} from "../evacuation/state.ts";
 import { countReady } from "../fleet/count_ready.ts";
 import { createFleetState } from "../fleet/state.ts";
 import { createHome } from "../endpoint_proxy/create_home.ts";
@@ -182,6 +188,20 @@
         "endpoint can't be used as announced; calls paused",
         { reason },
       ),
+    onColdLimit(change) {
+      if (change.type === "limit-ended") {
+        log.write("endpoint", LogLevel.Info, "endpoint is warm");
+        return;
+      }
+      const { reason, coldMs } = change;
+      const fields = { reason, coldMs };
+      log.write("endpoint", LogLevel.Info, "starts limited", fields);
+    },
+    onStartDelayed: metrics.countColdDelay,
+    onHealthFailed: (err) =>
+      log.write("endpoint", LogLevel.Warn, "health request failed", {
+        reason: formatError(err),
+      }),
     onMisdirected(call, present) {
       metrics.countMisdirected(call.service, present.service);
       log.write(
@@ -206,6 +226,7 @@
     platform,
     log,
     onTable: applyTable,
+    onEvacuation: applyEvacuation,
     onOrder(order, isNew) {
       log.write("move", LogLevel.Info, "traffic shift ordered", {
         ...order,
@@ -222,8 +243,50 @@
     },
   });
 
+  const evacuation = createEvacuationState();
+
+  function applyEvacuation(domain: string, isActive: boolean) {
+    const { domains } = settings;
+    const isKnown = domains.length === 0 || domains.includes(domain) ||
+      domain === settings.domain ||
+      [...fleet.rows.values()].some(({ row }) => row.domain === domain);
+    const event = { type: "recorded", domain, isActive, isKnown } as const;
+    const effects = decideEvacuation(evacuation, event);
+    for (const effect of effects) writeEvacuation(effect);
+    gossip.applyEvent({
+      type: "evacuations-changed",
+      domains: evacuation.domains,
+    });
+    home.setEvacuated(evacuation.domains.has(settings.domain));
+    metrics.setEvacuatedDomains(
+      evacuation.domains.size - evacuation.unknown.size,
+    );
+  }
+
+  function writeEvacuation({ type, domain }: EvacuationEffect) {
+    switch (type) {
+      case "began":
+        log.write("config", LogLevel.Info, "evacuation began", { domain });
+        return;
+      case "ended":
+        log.write("config", LogLevel.Info, "evacuation ended", { domain });
+        return;
+      case "unknown-domain":
+        log.write(
+          "config",
+          LogLevel.Warn,
+          "evacuation names an unknown failure domain",
+          { domain },
+        );
+        return;
+      default:
+        exhausted(type);
+    }
+  }
+
   function applyTable(table: RouteTable, bytes: number) {
     if (!adoptTable(routes, table)) return;
+    home.setTerms(table.services.get(settings.service));
     callers.setLimits(table.limits);
     const services = [...table.services.keys()];
     gossip.applyEvent({ type: "services-listed", services, now: now() });
@@ -260,6 +323,7 @@
     meter,
     operator: feed,
     onRecall: (gone) => instance.recall(gone),
+    onRejoined: () => home.doubtWarmth("the node was cut off"),
     shifts: () => describeShifts(trafficShift, now()),
     suspects,
     onShift: handleShiftEvent,
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -71,7 +71,10 @@
   function applyChange(change: LocalEndpointChange) {
     switch (change.type) {
       case "none":
+        return;
       case "refreshed":
+        // An endpoint may become cold again without a new start.
+        if (state.current !== undefined) home.recordPing(state.current);
         return;
       case "started":
         write("endpoint started", { ...change.instance });
--- a/src/store/follow_topic.ts
+++ b/src/store/follow_topic.ts
@@ -53,8 +53,15 @@
    * key is read.
    */
   readonly from: () => Offset;
-  /** Receives records in order. `end` is the offset after the last of them. */
-  readonly onRecords: (records: readonly KeyedRecord[], end: Offset) => void;
+  /**
+   * Receives records in order. `end` is the offset after the last of them.
+   * `isComplete` tells that they are the newest records of all keys.
+   */
+  readonly onRecords: (
+    records: readonly KeyedRecord[],
+    end: Offset,
+    isComplete: boolean,
+  ) => void;
   /**
    * Called with the error when reads start to fail, and with undefined when
    * they first succeed or succeed again.
@@ -115,7 +122,7 @@
     isDropped = false;
     const { records, next } = page.value;
     if (records.length === 0 && from >= 0) return;
-    opts.onRecords(records, next);
+    opts.onRecords(records, next, from < 0);
     await delay(PAGE_DELAY_MS);
   }
 
--- a/src/testing/create_test_home.ts
+++ b/src/testing/create_test_home.ts
@@ -44,7 +44,11 @@
     unsentBytes: () => 0,
     onMisdirected: () => {},
     suspects: opts.suspects ?? NO_SUSPECTS,
+    onColdLimit: () => {},
+    onStartDelayed: () => {},
+    onHealthFailed: () => {},
   });
+  home.setTerms(undefined);
   home.setInstance(ANNOUNCED_INSTANCE, "");
   t.after(() => home.close());
   return home;
