--- a/src/fleet/fleet_test.ts
+++ b/src/fleet/fleet_test.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import { checkProperty } from "../testing/check_property.ts";
 import { decideFleet, FORGET_AFTER_MS } from "./decide_fleet.ts";
+import { isCutOff } from "./is_cut_off.ts";
 import type { NodeRow } from "./messages.ts";
 import { createFleetState, type FleetEffect, ownRow } from "./state.ts";
 
@@ -220,3 +221,50 @@
     { runs: 200 },
   );
 });
+
+// Guards against calls to an evacuated domain, and against a caller there that
+// keeps too few links to the others.
+test("evacuated domain has no candidates until the evacuation ends", () => {
+  const state = fleetOf();
+  for (const [index, node] of ["b", "c"].entries()) {
+    const row = { ...rowOf(node, 1, `i-${node}`), domain: `d${index + 1}` };
+    receive(state, row);
+    decideFleet(state, { type: "confirmed", row, now: 0 });
+  }
+  const evacuate = (...domains: string[]) =>
+    decideFleet(state, {
+      type: "evacuations-changed",
+      domains: new Set(domains),
+    });
+  assert.deepEqual(homesOf(state), ["b", "c"]);
+  evacuate("d1", "d9");
+  assert.deepEqual(homesOf(state), ["c"]);
+  evacuate();
+  assert.deepEqual(homesOf(state), ["b", "c"]);
+});
+
+test("caller in an evacuated domain links more homes of other domains", () => {
+  const state = fleetOf();
+  for (let index = 0; index < 30; index++) {
+    const domain = index < 15 ? "d1" : "d2";
+    receive(state, { ...rowOf(`n${index}`, 1, `i-${index}`), domain });
+  }
+  const services = ["one"];
+  decideFleet(state, { type: "services-listed", services, now: 0 });
+  const domains = new Set(["d1"]);
+  decideFleet(state, { type: "evacuations-changed", domains });
+  const homes = dialled(tick(state, 0))
+    .filter((node) => Number(node.slice(1)) >= 15);
+  assert.ok(homes.length >= 10, `${homes.length} home nodes`);
+});
+
+// Guards against a home node that does not notice the end of a partition.
+test("node is cut off when no other domain is linked", () => {
+  const state = fleetOf();
+  assert.equal(isCutOff(state), false);
+  const row = { ...rowOf("b", 1, "i-b"), domain: "d2" };
+  receive(state, row);
+  assert.equal(isCutOff(state), true);
+  decideFleet(state, { type: "confirmed", row, now: 0 });
+  assert.equal(isCutOff(state), false);
+});
--- a/src/load_balancing/load_balancing_test.ts
+++ b/src/load_balancing/load_balancing_test.ts
@@ -163,3 +163,24 @@
   assert.equal(choose(state), "far");
   assert.equal(choose(state, { now: 10_000 }), "near");
 });
+
+// Guards against calls that are sent to cold endpoints, only to wait there.
+test("home whose cold endpoint allows no more starts counts as full", () => {
+  const state = createLoadBalancingState();
+  const queue = { running: 0, waiting: 0, meanMs: 50, routeMs: 50 };
+  const reportStarts = (startsLeft: number) =>
+    recordReport(state, {
+      home: "near",
+      report: { ...queue, startsLeft },
+      route: "a",
+      now: 0,
+    });
+  report(state, "far", [0, 0, 50]);
+  reportStarts(0);
+  assert.equal(choose(state), "far");
+  assert.equal(choose(state, { now: 1_000 }), "near");
+  reportStarts(1);
+  assert.equal(choose(state), "near");
+  recordAttempt(state, "near");
+  assert.equal(choose(state), "far");
+});
--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -214,11 +214,7 @@
   }
 
   function pageFrom(from: Offset): OperatorPage {
-    const records = operator.since(from);
-    // A page from a negative offset is complete: it holds the newest record of
-    // each key, and other keys have been removed.
-    const begin = operator.isCompleteFrom(from) ? -1 : from;
-    return { type: "operator", from: begin, records, end: operator.end() };
+    return { type: "operator", ...operator.since(from) };
   }
 
   return {
--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -33,19 +33,18 @@
     end: Offset,
     isComplete: boolean,
   ): void;
-  /** The newest record of each key that came after an offset, for peers. */
-  since(from: Offset): readonly KeyedRecord[];
   /**
-   * Whether the records that came after an offset are the newest of all keys.
-   * Of keys removed before the last complete read there is no record.
+   * The newest record of each key that came after an offset, for peers. Of keys
+   * removed before the last complete read there is no record, so records from
+   * before its end are sent with those of all other keys.
    */
-  isCompleteFrom(from: Offset): boolean;
+  since(from: Offset): RecordsSince;
   /** Offset up to which records were applied. */
   end(): Offset;
 }
 
-/** Result of `since`. */
-interface CachedRecords {
+export interface RecordsSince {
+  /** Negative if the records are the newest of all keys. */
   readonly from: Offset;
   readonly end: Offset;
   readonly records: readonly KeyedRecord[];
@@ -63,7 +62,7 @@
   /** Keys of the evacuations in force. */
   const evacuationKeys = new Set<string>();
   /** Last result of `since`, since many peers request the same records. */
-  let cached: CachedRecords = { from: -1, end: -1, records: [] };
+  let cached: RecordsSince = { from: -1, end: -1, records: [] };
 
   /**
    * Returns false if the record is invalid. An earlier valid record is used
@@ -117,15 +116,15 @@
         decode({ key, value: undefined }, isNew);
       }
     },
-    since(from) {
-      if (cached.from === from && cached.end === readEnd) return cached.records;
+    since(wanted) {
+      const from = wanted < completeEnd ? -1 : wanted;
+      if (cached.from === from && cached.end === readEnd) return cached;
       const records = [...newest.values()].flatMap(({ record, end }) =>
         end > from ? [record] : []
       );
       cached = { from, end: readEnd, records };
-      return records;
+      return cached;
     },
-    isCompleteFrom: (from) => from < completeEnd,
     end: () => readEnd,
   };
 }
--- a/src/sidecar/read_operator_test.ts
+++ b/src/sidecar/read_operator_test.ts
@@ -1,16 +1,23 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
+import type { LagoonError } from "../core/errors.ts";
 import type { KeyedRecord } from "../store/state.ts";
 import { createOperatorReader } from "./read_operator.ts";
 
+const REJECTED: LagoonError = {
+  code: "LAGOON_OPERATOR_RECORD_INVALID",
+  step: "decode",
+  message: "broken",
+};
+
 /** Reader whose evacuations have the keys `out/DOMAIN`. */
 function createTestReader() {
   const evacuated = new Set<string>();
   const reader = createOperatorReader({
     platform: {
       decodeOperatorRecord: ({ key, value }) =>
-        ok(
+        value?.toString() === "broken" ? err(REJECTED) : ok(
           key.startsWith("out/")
             ? {
               type: "evacuation",
@@ -34,10 +41,8 @@
   from: ReturnType<typeof createTestReader>,
   to: ReturnType<typeof createTestReader>,
 ) {
-  const since = to.reader.end();
-  const isComplete = from.reader.isCompleteFrom(since);
-  const records = from.reader.since(since);
-  to.reader.applyRecords(records, from.reader.end(), isComplete);
+  const { records, end, from: begin } = from.reader.since(to.reader.end());
+  to.reader.applyRecords(records, end, begin < 0);
 }
 
 function recordOf(key: string, text: string | undefined = "{}"): KeyedRecord {
@@ -96,3 +101,16 @@
     assert.deepEqual([...peer.evacuated], []);
   }
 });
+
+// Guards against a peer that takes a record that this node rejected for one
+// that is gone.
+test("rejected record of an evacuation does not end it at peers", () => {
+  const first = createTestReader();
+  first.reader.applyRecords([recordOf("out/d1")], 1, true);
+  const second = createTestReader();
+  exchange(first, second);
+  first.reader.applyRecords([recordOf("out/d1", "broken")], 5, true);
+  exchange(first, second);
+  assert.equal(second.reader.end(), 5);
+  assert.deepEqual([...first.evacuated, ...second.evacuated], ["d1", "d1"]);
+});
--- a/src/testing/test_dialect.ts
+++ b/src/testing/test_dialect.ts
@@ -31,12 +31,14 @@
       ),
     );
     const [first] = ids;
+    const coldAt = headers.indexOf("cold-ms");
     const isNotRun = headers.some((name) => name.toLowerCase() === "not-run");
     return {
       isNotRun,
       readsAsNotRun: NOT_RUN_STATUSES.has(status),
       isWrongInstance: false,
       callId: ids.size === 1 ? first : undefined,
+      coldMs: coldAt < 0 ? undefined : Number(headers[coldAt + 1]),
     };
   },
   refusalHeaders: (callId, retryMs) => ({
