fix(endpoint_proxy): refuse uploads at once when a domain is evacuated

Cause: a call whose body was being received when its home node's domain was evacuated was refused only once the body was complete. Change: the home node refuses it as not run at once.

--- a/src/endpoint_proxy/cold_endpoint_test.ts
+++ b/src/endpoint_proxy/cold_endpoint_test.ts
@@ -81,6 +81,22 @@
   assert.equal(healthRequests(), 0);
 });
 
+// Guards against an upload to a home node that can't run its call any more.
+test("evacuation refuses a call whose body is being received", async (t) => {
+  const { home } = await startColdHome(t, () => {});
+  const upload = { method: "POST", body: undefined, bodyBytes: 6 };
+  const event = await new Promise<AttemptEvent>((resolve) => {
+    const attempt = home.attempt(offeredCall(upload), (event) => {
+      if (event.type !== "admitted") return resolve(event);
+      attempt.send(Buffer.from("pho"));
+      home.setEvacuated(true);
+      attempt.send(Buffer.from("to!"));
+    });
+  });
+  assert.equal(event.type === "refused" && event.refusal.reason, "closed");
+  assert.equal(home.isBusy(), false);
+});
+
 test("end of an evacuation requests the health path once", async (t) => {
   const { home, nextHealth, healthRequests } = await startColdHome(
     t,
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -490,6 +490,16 @@
     }));
   }
 
+  /** Refuses the calls whose bodies are still being received. */
+  function refuseUploads() {
+    for (const [key, entry] of openCalls) {
+      if (entry.body === undefined || entry.isBuffered) continue;
+      if (entry.run !== undefined) continue;
+      releaseCall(key, entry);
+      refuse(entry, RefusalReason.Closed, 0);
+    }
+  }
+
   /**
    * Refuses a call for another service or version: the sender has not received
    * the announcement of the present endpoint yet.
@@ -651,6 +661,7 @@
       if (next === isEvacuated) return;
       isEvacuated = next;
       if (next) {
+        refuseUploads();
         const reason = "the failure domain is evacuated";
         return gate({ type: "closed", reason });
       }
