--- a/src/cli/code_meanings.ts
+++ b/src/cli/code_meanings.ts
@@ -84,6 +84,8 @@
     "No use entry names the plan. Add one in the same edit.",
   LAGOON_EDIT_VERSION_WITHDRAWN:
     "The version was rolled back. Use a fixed one, or 'reinstate' it first.",
+  LAGOON_HEALTH_REQUEST_FAILED:
+    "The endpoint's health answer is missing or useless. Look at its own logs.",
   LAGOON_LEASE_STALE_TERM: "Another node leads the rollout now. Nothing to do.",
   LAGOON_LIST_INVALID:
     "A list file is wrong at the line given. Nothing was sent.",
