refactor(cold_start): name the event after which a statement no longer counts

Cause: "doubt" is no term of the field. A log line could say that starts are limited while the terms of the service were not known, which is no change for deployments without limits.

--- a/src/cold_start/cold_start_test.ts
+++ b/src/cold_start/cold_start_test.ts
@@ -34,7 +34,7 @@
     wanted: fc.integer({ min: 1, max: 30 }),
   }),
   fc.record({
-    type: fc.constantFrom("doubt" as const, "ping" as const),
+    type: fc.constantFrom("invalidate" as const, "ping" as const),
   }),
   fc.record({
     type: fc.constant("restart" as const),
@@ -73,8 +73,8 @@
               for (let i = 0; i < count; i++) starts.push(now);
               break;
             }
-            case "doubt":
-              decideColdStart(state, { type: "doubted", reason: "", now });
+            case "invalidate":
+              decideColdStart(state, { type: "invalidated", reason: "", now });
               break;
             case "ping":
               ping();
@@ -133,9 +133,9 @@
 
 // Guards against a health answer or a ping from before a crash that says of the
 // next process that it is warm.
-test("statement from before a doubt does not end it", () => {
+test("statement from before an invalidation does not end it", () => {
   const state = limitedTo(2, -Infinity);
-  decideColdStart(state, { type: "doubted", reason: "crash", now: 100 });
+  decideColdStart(state, { type: "invalidated", reason: "crash", now: 100 });
   const stated = { type: "stated", until: -Infinity, now: 150 } as const;
   decideColdStart(state, { ...stated, requestedAt: 90 });
   assert.equal(startsLeft(state, 0, 150), 2);
@@ -144,12 +144,12 @@
   assert.equal(startsLeft(state, 0, 150), undefined);
 });
 
-test("each doubt requests the health path once", () => {
+test("each invalidation requests the health path once", () => {
   const state = limitedTo(2, -Infinity);
   const open = () => decideColdStart(state, { type: "opened" });
   assert.deepEqual(open(), []);
   for (const now of [100, 200]) {
-    decideColdStart(state, { type: "doubted", reason: "crash", now });
+    decideColdStart(state, { type: "invalidated", reason: "crash", now });
     assert.deepEqual(open(), [{ type: "request-health" }]);
     assert.deepEqual(open(), []);
   }
@@ -164,8 +164,12 @@
     decideColdStart(state, { ...stated, now: 0 });
     assert.equal(startAllowed(state, 100, 0), 100);
     assert.equal(state.recentStarts.length, 0);
-    const doubted = { type: "doubted", reason: "crash", now: 1 } as const;
-    assert.deepEqual(decideColdStart(state, doubted), []);
+    const invalidated = {
+      type: "invalidated",
+      reason: "crash",
+      now: 1,
+    } as const;
+    assert.deepEqual(decideColdStart(state, invalidated), []);
     assert.deepEqual(decideColdStart(state, { type: "opened" }), []);
     assert.equal(startsLeft(state, 0, 2), undefined);
   }
--- a/src/cold_start/decide_cold_start.ts
+++ b/src/cold_start/decide_cold_start.ts
@@ -23,8 +23,8 @@
       return changeTerms(state, event.perSecond, event.now);
     case "stated":
       return applyStatement(state, event);
-    case "doubted":
-      return doubt(state, event);
+    case "invalidated":
+      return invalidate(state, event);
     case "opened":
       return requestHealth(state);
     case "started":
@@ -54,39 +54,39 @@
 ): readonly ColdStartEffect[] {
   const { until, requestedAt, now } = event;
   const { knowledge } = state;
-  const wasUncertain = knowledge.type === "uncertain";
+  const wasUnknown = knowledge.type === "unknown";
   // The endpoint may have made the statement before it became cold.
-  if (wasUncertain && requestedAt < knowledge.since) return [];
+  if (wasUnknown && requestedAt < knowledge.since) return [];
   const before = limitAt(state, now);
   state.knowledge = { type: "stated", until };
   if (state.limit === undefined || state.limit === 0) return [];
   const isLimited = limitAt(state, now) !== undefined;
-  if (isLimited && (before === undefined || wasUncertain)) {
+  if (isLimited && (before === undefined || wasUnknown)) {
     const reason = "the endpoint states that it is cold";
     return [{ type: "limit-began", reason, coldMs: Math.round(until - now) }];
   }
   return !isLimited && before !== undefined ? [{ type: "limit-ended" }] : [];
 }
 
-function doubt(
+function invalidate(
   state: ColdStartState,
-  { reason, now }: Extract<ColdStartEvent, { type: "doubted" }>,
+  { reason, now }: Extract<ColdStartEvent, { type: "invalidated" }>,
 ): readonly ColdStartEffect[] {
-  const wasUncertain = state.knowledge.type === "uncertain";
+  const wasUnknown = state.knowledge.type === "unknown";
   state.knowledge = {
-    type: "uncertain",
+    type: "unknown",
     since: now,
     hasRequestedHealth: false,
   };
-  if (wasUncertain || limitAt(state, now) === undefined) return [];
+  if (wasUnknown || state.limit === undefined || state.limit === 0) return [];
   return [{ type: "limit-began", reason, coldMs: undefined }];
 }
 
-/** Requests the health path once after each event that raised a doubt. */
+/** Requests the health path once after each invalidation. */
 function requestHealth(state: ColdStartState): readonly ColdStartEffect[] {
   const { limit, knowledge } = state;
   if (limit === undefined || limit === 0) return [];
-  if (knowledge.type !== "uncertain" || knowledge.hasRequestedHealth) return [];
+  if (knowledge.type !== "unknown" || knowledge.hasRequestedHealth) return [];
   state.knowledge = { ...knowledge, hasRequestedHealth: true };
   return [{ type: "request-health" }];
 }
--- a/src/cold_start/start_delay.ts
+++ b/src/cold_start/start_delay.ts
@@ -17,7 +17,7 @@
   now: MonotonicMs,
 ): number | undefined {
   if (limit === 0) return undefined;
-  const mayBeCold = knowledge.type === "uncertain" || now < knowledge.until;
+  const mayBeCold = knowledge.type === "unknown" || now < knowledge.until;
   return mayBeCold ? limit ?? UNKNOWN_TERMS_LIMIT : undefined;
 }
 
--- a/src/cold_start/state.ts
+++ b/src/cold_start/state.ts
@@ -18,7 +18,7 @@
    * not stated since that it is warm.
    */
   | {
-    readonly type: "uncertain";
+    readonly type: "unknown";
     readonly since: MonotonicMs;
     readonly hasRequestedHealth: boolean;
   };
@@ -56,7 +56,7 @@
   }
   /** The endpoint may have become cold. */
   | {
-    readonly type: "doubted";
+    readonly type: "invalidated";
     readonly reason: string;
     readonly now: MonotonicMs;
   }
--- a/src/endpoint_proxy/cold_endpoint_test.ts
+++ b/src/endpoint_proxy/cold_endpoint_test.ts
@@ -119,7 +119,7 @@
     (res) => res.writeHead(500).end(),
   );
   const answered = nextHealth();
-  home.doubtWarmth("the node was cut off");
+  home.invalidateColdTime("the node was cut off");
   await answered;
   clock.now += 1_000;
   assert.equal(home.report().startsLeft, 2);
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -129,8 +129,11 @@
   setTerms(terms: ServiceTerms | undefined): void;
   /** Applies the cold start that the newest ping of the endpoint states. */
   recordPing(ping: Pick<Instance, "coldUntil" | "heardAt">): void;
-  /** Limits starts until the endpoint states that it is warm. */
-  doubtWarmth(reason: string): void;
+  /**
+   * Limits starts until the endpoint states how long it stays cold, since what
+   * it stated before may no longer be true.
+   */
+  invalidateColdTime(reason: string): void;
   /**
    * Refuses all calls that have not started while the failure domain of this
    * node is evacuated.
@@ -429,7 +432,7 @@
   /** Closes the queue for a while, or until the endpoint's next ping. */
   function suspend(reason: string) {
     opts.onUnusableEndpoint(reason);
-    decideCold({ type: "doubted", reason, now: now() });
+    decideCold({ type: "invalidated", reason, now: now() });
     gate({ type: "closed", reason });
     clearTimeout(reopener);
     reopener = setTimeout(openGate, UNREACHABLE_RETRY_MS);
@@ -653,8 +656,8 @@
       decideCold({ type: "terms-changed", perSecond, now: now() });
     },
     recordPing: ({ coldUntil, heardAt }) => recordColdUntil(coldUntil, heardAt),
-    doubtWarmth(reason) {
-      decideCold({ type: "doubted", reason, now: now() });
+    invalidateColdTime(reason) {
+      decideCold({ type: "invalidated", reason, now: now() });
       if (queue.gate.type === "open") decideCold({ type: "opened" });
     },
     setEvacuated(next) {
@@ -666,7 +669,7 @@
         return gate({ type: "closed", reason });
       }
       const reason = "the evacuation of the failure domain ended";
-      decideCold({ type: "doubted", reason, now: now() });
+      decideCold({ type: "invalidated", reason, now: now() });
       openGate();
     },
     isRunning: (callId) => running.has(callId),
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -323,7 +323,7 @@
     meter,
     operator: feed,
     onRecall: (gone) => instance.recall(gone),
-    onRejoined: () => home.doubtWarmth("the node was cut off"),
+    onRejoined: () => home.invalidateColdTime("the node was cut off"),
     shifts: () => describeShifts(trafficShift, now()),
     suspects,
     onShift: handleShiftEvent,
