--- a/src/sidecar/feed_operator.ts
+++ b/src/sidecar/feed_operator.ts
@@ -102,8 +102,11 @@
     store: opts.store,
     topic: opts.topic,
     from: operator.end,
-    onRecords: (records, end) =>
-      acceptRecords(records, end, RecordSource.Store, undefined),
+    onRecords(records, end, isComplete) {
+      const from = isComplete ? -1 : operator.end();
+      const page = { type: "operator", from, records, end } as const;
+      acceptPage(page, RecordSource.Store, undefined);
+    },
     onHealth(err) {
       if (err === undefined) log.write("store", LogLevel.Info, "reads succeed");
       else {
@@ -118,12 +121,13 @@
     random: opts.random,
   });
 
-  function acceptRecords(
-    records: readonly KeyedRecord[],
-    end: Offset,
+  /** Applies a page that begins at or before the end of the records read. */
+  function acceptPage(
+    page: OperatorPage,
     source: RecordSource,
     sender: NodeId | undefined,
   ) {
+    const { records, end } = page;
     const from = operator.end();
     if (end <= from) return;
     // A node that does not read the store learns from peers that it was
@@ -134,7 +138,7 @@
       from,
       end,
     });
-    operator.applyRecords(records, end);
+    operator.applyRecords(records, end, page.from < 0);
     requestedAt = -Infinity;
     decide({ type: "records-applied", source, from, end, now: now() });
     if (source !== RecordSource.Store) announceEnd(sender);
@@ -217,8 +221,7 @@
   }
 
   function pageFrom(from: Offset): OperatorPage {
-    const records = operator.since(from);
-    return { type: "operator", from, records, end: operator.end() };
+    return { type: "operator", ...operator.since(from) };
   }
 
   return {
@@ -242,7 +245,7 @@
         const source = isSameDomain
           ? RecordSource.SameDomain
           : RecordSource.OtherDomain;
-        acceptRecords(page.records, page.end, source, node);
+        acceptPage(page, source, node);
       } else if (
         node !== undefined && domain === opts.domain &&
         now() - requestedAt >= REQUEST_TIMEOUT_MS
--- a/src/sidecar/read_operator.ts
+++ b/src/sidecar/read_operator.ts
@@ -5,6 +5,7 @@
 import type { Offset } from "../core/types.ts";
 import { formatError } from "../core/errors.ts";
 import { hashText } from "../core/hash_text.ts";
+import { findRemovedKeys } from "../evacuation/find_removed_keys.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
 import type { RouteTable } from "../routes/state.ts";
 import { eraOf } from "../store/position.ts";
@@ -15,6 +16,12 @@
 /** Number of replaced values of a key that are recognized. */
 const MAX_REPLACED_VALUES = 8;
 
+/**
+ * Part of an offset by which a node is ahead of a restored store that lacks
+ * records of it. Peers that have read as far as the store request them then.
+ */
+const AHEAD_OFFSET = 0.5;
+
 /** Options of `createOperatorReader`. */
 export interface CreateOperatorReaderOptions {
   readonly platform: Pick<Platform, "decodeOperatorRecord">;
@@ -23,21 +30,32 @@
   readonly onTable: (table: RouteTable, bytes: number) => void;
   /** `isNew` is false for orders that existed before this node first read. */
   readonly onOrder: (order: ShiftOrder, isNew: boolean) => void;
+  readonly onEvacuation: (domain: string, isActive: boolean) => void;
 }
 
 export interface OperatorReader {
   /**
    * Applies records from the store or a peer. Those read before are ignored.
+   * `isComplete` tells that they are the newest records of all keys, so that
+   * evacuations without a record have ended.
+   */
+  applyRecords(
+    records: readonly KeyedRecord[],
+    end: Offset,
+    isComplete: boolean,
+  ): void;
+  /**
+   * The newest record of each key that came after an offset, for peers. Of keys
+   * removed before the last complete read there is no record, so records from
+   * before its end are sent with those of all other keys.
    */
-  applyRecords(records: readonly KeyedRecord[], end: Offset): void;
-  /** The newest record of each key that came after an offset, for peers. */
-  since(from: Offset): readonly KeyedRecord[];
+  since(from: Offset): RecordsSince;
   /** Offset up to which records were applied. */
   end(): Offset;
 }
 
-/** Result of `since`. */
-interface CachedRecords {
+export interface RecordsSince {
+  /** Negative if the records are the newest of all keys. */
   readonly from: Offset;
   readonly end: Offset;
   readonly records: readonly KeyedRecord[];
@@ -54,8 +72,14 @@
   let tableVersion = -Infinity;
   /** Hashes of the values that were replaced, by key, the newest last. */
   const replaced = new Map<string, number[]>();
+  /** Keys of which this node knows a later record than a restored store. */
+  const ahead = new Set<string>();
+  /** End of the last complete read. */
+  let completeEnd: Offset = -1;
+  /** Keys of the evacuations in force. */
+  const evacuationKeys = new Set<string>();
   /** Last result of `since`, since many peers request the same records. */
-  let cached: CachedRecords = { from: -1, end: -1, records: [] };
+  let cached: RecordsSince = { from: -1, end: -1, records: [] };
 
   /**
    * Returns false if the record is invalid. An earlier valid record is used
@@ -78,6 +102,7 @@
       rememberReplaced(record);
     }
     newest.set(record.key, { record, end: readEnd });
+    ahead.delete(record.key);
     switch (decoded.value.type) {
       case "table":
         opts.onTable(decoded.value.table, record.value?.length ?? 0);
@@ -85,7 +110,13 @@
       case "order":
         opts.onOrder(decoded.value.order, isNew);
         return true;
-      case "evacuation":
+      case "evacuation": {
+        const { domain, isActive } = decoded.value;
+        if (isActive) evacuationKeys.add(record.key);
+        else evacuationKeys.delete(record.key);
+        opts.onEvacuation(domain, isActive);
+        return true;
+      }
       case "other":
         return true;
     }
@@ -106,6 +137,7 @@
     { key }: KeyedRecord,
     fields: Record<string, unknown> = {},
   ): boolean {
+    ahead.add(key);
     const text = "record ignored: this node knows a later one";
     opts.log.write("config", LogLevel.Warn, text, { key, ...fields });
     return true;
@@ -116,8 +148,26 @@
     return replaced.get(record.key)?.includes(hashOf(record)) === true;
   }
 
+  /** A restored store lacks what was written after its copy. */
+  function keepMissing(records: readonly KeyedRecord[]) {
+    const present = new Set(records.map(({ key }) => key));
+    for (const [key, { record }] of newest) {
+      if (record.value !== undefined && !present.has(key)) ahead.add(key);
+    }
+  }
+
+  /** The removal is kept like a record of it, for peers. */
+  function endMissingEvacuations(
+    records: readonly KeyedRecord[],
+    isNew: boolean,
+  ) {
+    for (const key of findRemovedKeys(evacuationKeys, records)) {
+      decode({ key, value: undefined }, isNew);
+    }
+  }
+
   return {
-    applyRecords(records, end) {
+    applyRecords(records, end, isComplete) {
       // Peers and the store may both send records that were read before.
       if (end <= readEnd) return;
       const isNew = readEnd >= 0;
@@ -133,14 +183,26 @@
         else if (!decode(record, isNew)) continue;
         decoded.add(record.key);
       }
+      if (isComplete) {
+        completeEnd = end;
+        if (isRestored) keepMissing(records);
+        else endMissingEvacuations(records, isNew);
+      }
+      if (ahead.size === 0 || !Number.isInteger(end)) return;
+      readEnd = end + AHEAD_OFFSET;
+      for (const key of ahead) {
+        const known = newest.get(key);
+        if (known !== undefined) newest.set(key, { ...known, end: readEnd });
+      }
     },
-    since(from) {
-      if (cached.from === from && cached.end === readEnd) return cached.records;
+    since(wanted) {
+      const from = wanted < completeEnd ? -1 : wanted;
+      if (cached.from === from && cached.end === readEnd) return cached;
       const records = [...newest.values()].flatMap(({ record, end }) =>
         end > from ? [record] : []
       );
       cached = { from, end: readEnd, records };
-      return records;
+      return cached;
     },
     end: () => readEnd,
   };
--- a/src/store/position.ts
+++ b/src/store/position.ts
@@ -20,7 +20,10 @@
   return position < 0 ? 0 : Math.floor(position / OFFSETS_PER_ERA);
 }
 
-/** Returns the offset that the store knows, within the era of the position. */
+/**
+ * Returns the offset that the store knows, within the era of the position. A
+ * node that is ahead of a restored store adds a fraction to its position.
+ */
 export function offsetOf(position: Offset): Offset {
-  return position < 0 ? position : position % OFFSETS_PER_ERA;
+  return position < 0 ? position : Math.floor(position % OFFSETS_PER_ERA);
 }
--- a/src/testing/create_test_home.ts
+++ b/src/testing/create_test_home.ts
@@ -47,7 +47,11 @@
     onMisdirected: () => {},
     suspects: opts.suspects ?? NO_SUSPECTS,
     table: opts.table ?? (() => undefined),
+    onColdLimit: () => {},
+    onStartDelayed: () => {},
+    onHealthFailed: () => {},
   });
+  home.setTerms(undefined);
   home.setInstance(ANNOUNCED_INSTANCE, "");
   t.after(() => home.close());
   return home;
