feat(shedding): refuse and delay the calls that lose least by it

Cause: the queue counted calls ahead instead of their work, and let a call with a long objective wait for half of it whatever came later, so histories (urgency 0, 39 ms of work) were refused behind photo uploads (urgency 2, 114 ms). Late calls were refused after a quarter of their time even where a late answer keeps half of its worth. Change: src/shedding compares calls by class (account's, then route's urgency), slack and work. A less urgent call stands back by a share of its slack, more urgent calls displace waiting ones, each class is owed a share of the starts, and calls whose deadline is over five times the objective wait until it. Offers carry lateShare and parentUsedMs; refusals have the reason "displaced".

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -16,6 +16,10 @@
 import type { ClientLimits } from "../routes/state.ts";
 import { retryAfterMs } from "../calls/retry_after.ts";
 import type { ShutdownState } from "../shutdown/state.ts";
+import {
+  lateWaitShare,
+  MIN_LATE_WAIT_SHARE,
+} from "../shedding/late_wait_share.ts";
 import { admitRequest, Rejection } from "./admit_request.ts";
 import { answerLocally } from "./answer_caller.ts";
 import { createAcceptMeter } from "./create_accept_meter.ts";
@@ -161,6 +165,9 @@
       parentId: isNested ? caller.parentId : undefined,
       waitMs,
       ageMs,
+      lateShare: isNested || caller.waitMs === undefined
+        ? undefined
+        : shareOf(route.objectiveMs, caller.waitMs + ageMs),
       maxBodyBytes: bodyBytes,
       mayClose: () => mayClose(res),
       onDone() {
@@ -293,3 +300,9 @@
 function isClosing(res: ServerResponse): boolean {
   return res.headersSent && !res.shouldKeepAlive;
 }
+
+/** Returns undefined for the least share, which home nodes assume. */
+function shareOf(objectiveMs: number, deadlineMs: number): number | undefined {
+  const share = lateWaitShare({ objectiveMs, deadlineMs });
+  return share > MIN_LATE_WAIT_SHARE ? share : undefined;
+}
--- a/src/callers/describe_call.ts
+++ b/src/callers/describe_call.ts
@@ -30,6 +30,9 @@
   readonly objectiveAt: MonotonicMs;
   readonly mayBeLate: boolean;
   readonly crashes: number;
+  readonly lateShare: number | undefined;
+  /** Id of the parent call, if the endpoint on this VM runs it. */
+  readonly parentId: string | undefined;
 }
 
 /**
@@ -60,6 +63,10 @@
     body: isInline ? checked.body : undefined,
     bodyBytes: body?.declaredBytes,
     crashes: opts.crashes,
+    lateShare: opts.lateShare,
+    parentUsedMs: opts.parentId === undefined
+      ? undefined
+      : Math.round(ctx.runMsOf(opts.parentId)),
   };
 }
 
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -94,6 +94,8 @@
   readonly waitMs: number;
   /** Time that the caller has already waited, in milliseconds. */
   readonly ageMs: number;
+  /** Fraction of its time that the call may wait once it is late. */
+  readonly lateShare: number | undefined;
   readonly maxBodyBytes: number;
   /** Whether the connection may be closed after this answer. */
   readonly mayClose: () => boolean;
@@ -287,6 +289,8 @@
       objectiveAt,
       mayBeLate,
       crashes,
+      lateShare: opts.lateShare,
+      parentId,
     });
     const attempt = home.attempt(call, (event) => handleEvent(open, event));
     const sink = {
@@ -419,6 +423,7 @@
       wasFull,
       leftMs: deadlineAt - ctx.now(),
       canResend: body?.canResend() ?? true,
+      lateShare: opts.lateShare,
       spend,
     });
   }
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -51,6 +51,8 @@
   readonly recordDemand: (service: string, isFull: boolean) => void;
   /** Whether the endpoint on this VM runs the call with this id. */
   readonly isRunningHere: (callId: string) => boolean;
+  /** How long the endpoint on this VM has run the call with this id. */
+  readonly runMsOf: (callId: string) => number;
   /** Records that a nested call of the run with this id failed. */
   readonly recordNestedFailure: (callId: string) => void;
   /**
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -6,6 +6,8 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import { RefusalReason } from "../queue/state.ts";
+import { MIN_LATE_WAIT_SHARE } from "../shedding/late_wait_share.ts";
+import { mayTryElsewhere } from "../shedding/may_try_elsewhere.ts";
 import {
   type AnswerHead,
   type Failure,
@@ -67,6 +69,8 @@
   readonly wasFull: boolean;
   /** Whether the complete body is still buffered, so that it can be resent. */
   readonly canResend: boolean;
+  /** Fraction of its time that the call may wait once it is late. */
+  readonly lateShare?: number | undefined;
   /**
    * Spends a retry of the retry budget, and returns false if the budget does
    * not allow it. Called only when all other conditions allow the retry.
@@ -111,7 +115,7 @@
 function afterRefusal(opts: DecideNextOptions, refusal: Refusal): NextStep {
   const isLate = refusal.reason === RefusalReason.Late;
   const mayAttempt = refusal.reason !== RefusalReason.Quarantined &&
-    !areHomesFull(opts, refusal) && opts.canResend &&
+    mayFindRoom(opts, refusal) && opts.canResend &&
     opts.leftMs > 0 &&
     opts.offers < MAX_HOME_ATTEMPTS && mayReachAnotherEndpoint(opts, refusal);
   const strict = opts.wasFull ? STRICT_ATTEMPTS_WHEN_FULL : STRICT_ATTEMPTS;
@@ -120,16 +124,12 @@
   return { type: "give-up", status: opts.mayHaveRun ? 502 : 503 };
 }
 
-/** Whether no other home is expected to have a free slot either. */
-function areHomesFull(opts: DecideNextOptions, refusal: Refusal): boolean {
-  switch (refusal.reason) {
-    case RefusalReason.QueueFull:
-      return true;
-    case RefusalReason.NoTime:
-      return opts.offers > STRICT_ATTEMPTS;
-    default:
-      return false;
-  }
+function mayFindRoom(opts: DecideNextOptions, refusal: Refusal): boolean {
+  return mayTryElsewhere({
+    reason: refusal.reason,
+    offers: opts.offers,
+    lateShare: opts.lateShare ?? MIN_LATE_WAIT_SHARE,
+  });
 }
 
 function mayReachAnotherEndpoint(
--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -56,6 +56,13 @@
   readonly crashes: number;
   /** Client account of the call. Undefined for calls without an API key. */
   readonly account?: CallAccount | undefined;
+  /**
+   * Fraction of its time that the call may wait once it misses its latency
+   * objective. Undefined for the least.
+   */
+  readonly lateShare?: number | undefined;
+  /** How long the parent of a nested call has run, in milliseconds. */
+  readonly parentUsedMs?: number | undefined;
 }
 
 /** Lowest HTTP status that counts as a failure of the endpoint. */
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -18,6 +18,7 @@
 import type { Instance } from "../local_endpoint/state.ts";
 import {
   decideQueue,
+  expectedStartMs,
   findRefusalReason,
   type FindRefusalReasonOptions,
   reportQueue,
@@ -83,6 +84,8 @@
   readonly now: () => MonotonicMs;
   /** Called after each run that was answered or failed. */
   readonly onRun: (run: Run) => void;
+  /** Called for each call that the queue refuses for lack of capacity. */
+  readonly onShed: (call: OfferedCall, reason: RefusalReason) => void;
   /** Called after each answer past the latency objective of its call. */
   readonly onLateRun: (run: LateRun) => void;
   /** Called for each answer that can't be trusted (see `AnswerDefect`). */
@@ -111,6 +114,8 @@
   isBusy(): boolean;
   /** Whether the endpoint runs the call with this id. */
   isRunning(callId: string): boolean;
+  /** How long the endpoint has run the call with this id, in milliseconds. */
+  runMsOf(callId: string): number;
   /**
    * Records that a nested call of the running call `callId` failed, so that a
    * failure of the run is not held against the endpoint's version.
@@ -195,8 +200,7 @@
       case "start":
         return start(effect.key, entry);
       case "refuse":
-        releaseCall(effect.key, entry);
-        return refuse(entry, effect.reason, effect.waitMs);
+        return shed(effect.key, entry, effect.reason, effect.waitMs);
       case "overdue":
         entry.onEvent({ type: "overdue" });
         return;
@@ -211,6 +215,18 @@
     entry.onEvent({ type: "refused", refusal });
   }
 
+  /** Refuses a call that the queue has no room for, or that is not open. */
+  function shed(
+    key: number,
+    entry: OpenCall,
+    reason: RefusalReason,
+    waitMs: number,
+  ) {
+    releaseCall(key, entry);
+    if (reason !== RefusalReason.Closed) opts.onShed(entry.call, reason);
+    refuse(entry, reason, waitMs);
+  }
+
   /** Frees the timer and buffered bytes of a call. */
   function releaseCall(key: number, entry: OpenCall) {
     clearTimeout(entry.timer);
@@ -454,8 +470,8 @@
     };
     const reason = findRefusalReason(queue, { ...shortened, now: now() });
     if (reason !== undefined) {
-      releaseCall(key, entry);
-      return refuse(entry, reason, report(call.route).routeMs);
+      const waitMs = expectedStartMs(queue, shortened.call, now());
+      return shed(key, entry, reason, Math.round(waitMs));
     }
     entry.timer = setTimeout(() => {
       releaseCall(key, entry);
@@ -517,9 +533,11 @@
       const entry: OpenCall = { call, arrivedAt: at, deadlineAt, onEvent };
       openCalls.set(key, entry);
       const { route, urgency, isNested, mayBeLate } = call;
+      const { lateShare, parentUsedMs } = call;
       const objectiveAt = at + call.objectiveLeftMs;
       const times = { arrivedAt: at, objectiveAt, deadlineAt };
-      const queued = { key, route, urgency, isNested, ...times };
+      const shedding = { lateShare, parentUsedMs };
+      const queued = { key, route, urgency, isNested, ...times, ...shedding };
       const queueEntry = { call: queued, mayBeLate };
       // Deferred until everything read in this turn is handled: on an
       // overloaded node, a caller that has left withdraws its call before the
@@ -557,6 +575,10 @@
       openGate();
     },
     isRunning: (callId) => running.has(callId),
+    runMsOf(callId) {
+      const startedAt = running.get(callId)?.startedAt;
+      return startedAt === undefined ? 0 : now() - startedAt;
+    },
     recordNestedFailure(callId) {
       const entry = running.get(callId);
       if (entry !== undefined) entry.hasNestedFailure = true;
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -291,10 +291,19 @@
     call.bodyBytes,
     call.crashes,
     accountFields(call.account),
+    sheddingFields(call),
   ];
 }
 
+/** Most calls have neither field, so that the message stays as short. */
+function sheddingFields(call: OfferedCall): Fields | undefined {
+  const { lateShare, parentUsedMs } = call;
+  if (lateShare === undefined && parentUsedMs === undefined) return undefined;
+  return [lateShare, parentUsedMs];
+}
+
 function callOf(fields: Fields): OfferedCall {
+  const shedding = listOf(fields[17] ?? []);
   return {
     id: fields[0] as string,
     method: fields[1] as string,
@@ -313,6 +322,8 @@
     bodyBytes: (fields[14] ?? undefined) as number | undefined,
     crashes: fields[15] as number,
     account: accountOf(fields[16]),
+    lateShare: (shedding[0] ?? undefined) as number | undefined,
+    parentUsedMs: (shedding[1] ?? undefined) as number | undefined,
   };
 }
 
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -43,6 +43,11 @@
 export interface Metrics {
   countCall(route: string, result: CallResult, tookMs: number): void;
   countRefusal(reason: string): void;
+  /**
+   * Counts a call that this node's queue refused for lack of capacity, also one
+   * that gave way to a more urgent call.
+   */
+  countShed(route: string, reason: string): void;
   /** Counts a further attempt of a call that the retry budget allowed. */
   countRetry(service: string): void;
   /** Counts a call that reached an endpoint of another service or version. */
@@ -84,6 +89,12 @@
     labelNames: ["reason"],
     registers,
   });
+  const shed = new Counter({
+    name: "lagoon_shed_calls_total",
+    help: "Calls that the queue of this node refused for lack of capacity.",
+    labelNames: ["route", "reason"],
+    registers,
+  });
   const retries = new Counter({
     name: "lagoon_repeats_total",
     help: "Requests sent to a further endpoint.",
@@ -123,6 +134,7 @@
     countCall: (route, result, tookMs) =>
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
+    countShed: (route, reason) => shed.inc({ route, reason }),
     countRetry: (service) => retries.inc({ service }),
     countMisdirected: (expected, present) =>
       misdirected.inc({ expected, present }),
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -4,12 +4,30 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
-import { compareCalls } from "./compare_calls.ts";
+import { chooseDisplaced } from "../shedding/choose_displaced.ts";
+import { classOf, NESTED_CLASS } from "../shedding/class_of.ts";
+import { delayOf } from "../shedding/delay_of.ts";
+import { estimateWait } from "../shedding/estimate_wait.ts";
+import { MIN_LATE_WAIT_SHARE } from "../shedding/late_wait_share.ts";
+import {
+  findOwedClass,
+  recordOffer,
+  recordStart,
+} from "../shedding/record_use.ts";
+import type { ClassKey } from "../shedding/state.ts";
+import {
+  compareRanks,
+  isPatient,
+  rankOf,
+  type StartRank,
+} from "./compare_calls.ts";
 import {
   canMeetDeadline,
   canMeetObjective,
+  expectedRunMs,
   expectedWaitMs,
   keepsObjectiveMargin,
+  MAX_WAIT_SHARE,
   meanRunMs,
   recordRunTime,
   slowdownAt,
@@ -34,25 +52,19 @@
 /**
  * Maximum number of waiting calls, per slot, that are expected to miss their
  * latency objective. They start only while no call waits that can still meet
- * its objective, so more of them would not get a slot.
+ * its objective, so more of them would not get a slot. Calls whose callers wait
+ * long are exempt: they are admitted only if the slots can serve them before
+ * their deadline.
  */
 const LATE_CALLS_PER_SLOT = 2;
 
 /**
- * Maximum number of calls, per slot, ahead of a new call whose wait puts its
- * latency objective at risk. With more ahead the queue is overloaded, and the
- * call is refused, since it would probably get no slot. Nested calls are
- * exempt.
- */
-const MAX_CALLS_AHEAD_PER_SLOT = 0.5;
-
-/**
- * Fraction of the time from arrival to deadline that a call may wait when it
- * can no longer meet its latency objective. It is then refused, early enough
- * for its caller to retry. A nested call may wait until it can't meet its
- * deadline.
+ * Maximum wait of a new call that puts its latency objective at risk, as a
+ * fraction of a run. With more work ahead the queue is overloaded, and the call
+ * is refused, since it would probably get no slot. Nested calls are exempt, and
+ * calls whose callers wait long may wait longer (see `lateWaitShare`).
  */
-const LATE_WAIT_SHARE = 0.25;
+const MAX_RISKY_WAIT_RUNS = 0.5;
 
 /** A run that takes longer than this many times its route's mean is overdue. */
 const OVERDUE_FACTOR = 3;
@@ -71,6 +83,7 @@
   state: QueueState,
   event: QueueEvent,
 ): readonly QueueEffect[] {
+  state.at = event.now;
   switch (event.type) {
     case "arrived":
       return handleArrived(state, event);
@@ -106,12 +119,20 @@
     : state.timesByRoute.get(route);
   return {
     running: state.running.size,
-    waiting: state.waiting.size,
+    waiting: countWaiting(state),
     meanMs: roundToTenths(meanRunMs(state)),
     routeMs: roundToTenths(routeMs?.mean ?? 0),
   };
 }
 
+function countWaiting(state: QueueState): number {
+  let count = 0;
+  for (const call of state.waiting.values()) {
+    if (!isPatient(call) || canMeetObjective(state, call, state.at)) count++;
+  }
+  return count;
+}
+
 function roundToTenths(ms: number): number {
   return Math.round(ms * 10) / 10;
 }
@@ -121,10 +142,77 @@
   event: Extract<QueueEvent, { type: "arrived" }>,
 ): readonly QueueEffect[] {
   const { call, now } = event;
-  const reason = findRefusalReason(state, event);
-  if (reason !== undefined) return [refuse(state, call.key, reason, now)];
+  recordOffer(state.shedding, classOf(call), now);
+  const { reason, waitMs } = assess(state, event);
+  const displaced = reason === undefined
+    ? []
+    : displaceLessUrgent(state, event, reason);
+  if (reason !== undefined && displaced.length === 0) {
+    return [refuse(state, call.key, reason, waitMs, now)];
+  }
   state.waiting.set(call.key, call);
-  return [...evictLateCalls(state, now), ...startWaitingCalls(state, now)];
+  return [
+    ...displaced,
+    ...evictLateCalls(state, now),
+    ...startWaitingCalls(state, now),
+  ];
+}
+
+/**
+ * Refuses waiting calls that are less urgent, if the new call is admitted in
+ * their place. A call that another home node may answer in time displaces none.
+ */
+function displaceLessUrgent(
+  state: QueueState,
+  event: FindRefusalReasonOptions,
+  reason: RefusalReason,
+): readonly QueueEffect[] {
+  const { call, now } = event;
+  const isForRoom = reason === RefusalReason.QueueFull ||
+    reason === RefusalReason.NoTime;
+  if (!isForRoom || !hasLessUrgent(state, call)) return [];
+  const rank = rankOf(state, call, now);
+  const ahead = [...state.waiting.values()]
+    .filter((other) => compareRanks(rankOf(state, other, now), rank) <= 0)
+    .map((other) => ({
+      call: other,
+      runMs: expectedRunMs(state, other, now),
+      isTimely: canMeetObjective(state, other, now),
+    }));
+  const neededMs = missingWorkMs(state, call, now);
+  const displaced = chooseDisplaced({ call, ahead, neededMs });
+  for (const { key } of displaced) state.waiting.delete(key);
+  if (assess(state, event).reason === undefined) {
+    return displaced.map((other) => {
+      const waitMs = expectedStartMs(state, other, now);
+      return refuse(state, other.key, RefusalReason.Displaced, waitMs, now);
+    });
+  }
+  for (const other of displaced) state.waiting.set(other.key, other);
+  return [];
+}
+
+function hasLessUrgent(state: QueueState, call: QueuedCall): boolean {
+  const own = classOf(call);
+  for (const other of state.waiting.values()) {
+    if (classOf(other) > own) return true;
+  }
+  return false;
+}
+
+/** Slot time ahead of a call beyond what it may wait for, in milliseconds. */
+function missingWorkMs(
+  state: QueueState,
+  call: QueuedCall,
+  now: MonotonicMs,
+): number {
+  const { waitMs } = waitOf(state, call, now);
+  const slackMs = call.objectiveAt - now - expectedRunMs(state, call, now);
+  const allowedMs = Math.max(
+    slackMs * MAX_WAIT_SHARE,
+    riskyWaitMs(state, call, now),
+  );
+  return Math.max(1, (waitMs - allowedMs) * slotsOf(state));
 }
 
 /** Options of `findRefusalReason`. */
@@ -145,56 +233,151 @@
   state: QueueState,
   opts: FindRefusalReasonOptions,
 ): RefusalReason | undefined {
+  return assess(state, opts).reason;
+}
+
+/** Whether a call is refused, and the time until it would start. */
+interface Assessment {
+  readonly reason: RefusalReason | undefined;
+  readonly waitMs: number;
+}
+
+function assess(
+  state: QueueState,
+  opts: FindRefusalReasonOptions,
+): Assessment {
   const { call, mayBeLate, now } = opts;
-  const { gate } = state;
-  if (gate.type === "closed") return RefusalReason.Closed;
-  const ahead = countAhead(state, call, now);
-  const startAt = now + expectedWaitMs(state, ahead, now);
-  if (!canMeetDeadline(state, call, startAt, now)) return RefusalReason.NoTime;
-  if (!keepsObjectiveMargin(state, call, startAt - now, now)) {
-    if (!mayBeLate) return RefusalReason.Late;
-    if (!call.isNested && ahead > MAX_CALLS_AHEAD_PER_SLOT * gate.slots) {
-      return RefusalReason.QueueFull;
+  if (state.gate.type === "closed") {
+    return { reason: RefusalReason.Closed, waitMs: 0 };
+  }
+  const { aheadMs, waitMs } = waitOf(state, call, now);
+  const refused = (reason: RefusalReason) => ({ reason, waitMs });
+  if (!canMeetDeadline(state, call, now + waitMs, now)) {
+    return refused(RefusalReason.NoTime);
+  }
+  if (!keepsObjectiveMargin(state, call, waitMs, now)) {
+    if (!mayBeLate) return refused(RefusalReason.Late);
+    if (!call.isNested && aheadMs > riskyWaitMs(state, call, now)) {
+      return refused(RefusalReason.QueueFull);
     }
   }
-  return state.waiting.size >= MAX_WAITING_CALLS
-    ? RefusalReason.QueueFull
-    : undefined;
+  const isFull = state.waiting.size >= MAX_WAITING_CALLS;
+  return { reason: isFull ? RefusalReason.QueueFull : undefined, waitMs };
 }
 
 /**
  * Refuses waiting calls that are expected to miss their latency objective, down
  * to `LATE_CALLS_PER_SLOT`: first those that are not nested, the oldest first,
- * then nested calls, the newest first. Nested calls are not exempt: the parent
- * holds a slot while its nested call waits, and an early refusal frees that
- * slot.
+ * then nested calls, those first whose parents have run for the shortest time.
+ * Nested calls are not exempt: the parent holds a slot while its nested call
+ * waits, and an early refusal frees that slot.
  */
 function evictLateCalls(state: QueueState, now: MonotonicMs): QueueEffect[] {
-  const slots = slotsOf(state);
-  if (state.waiting.size <= LATE_CALLS_PER_SLOT * slots) return [];
-  const late = [...state.waiting.values()]
-    .filter((call) => !canMeetObjective(state, call, now))
-    .toSorted((a, b) => compareCalls(state, a, b, now));
-  return late.slice(LATE_CALLS_PER_SLOT * slots).map(({ key }) => {
-    state.waiting.delete(key);
-    return refuse(state, key, RefusalReason.QueueFull, now);
+  const limit = LATE_CALLS_PER_SLOT * slotsOf(state);
+  if (state.waiting.size <= limit) return [];
+  const late: QueuedCall[] = [];
+  for (const call of state.waiting.values()) {
+    if (!isPatient(call) && !canMeetObjective(state, call, now)) {
+      late.push(call);
+    }
+  }
+  if (late.length <= limit) return [];
+  const kept = late.toSorted((a, b) => compareLoss(state, a, b, now));
+  return kept.slice(limit).map((call) => {
+    state.waiting.delete(call.key);
+    return refuse(state, call.key, RefusalReason.QueueFull, 0, now);
   });
 }
 
+function compareLoss(
+  state: QueueState,
+  a: QueuedCall,
+  b: QueuedCall,
+  now: MonotonicMs,
+): number {
+  const usedMs = a.isNested && b.isNested
+    ? (b.parentUsedMs ?? 0) - (a.parentUsedMs ?? 0)
+    : 0;
+  return usedMs ||
+    compareRanks(rankOf(state, a, now), rankOf(state, b, now));
+}
+
 function slotsOf({ gate }: QueueState): number {
   return gate.type === "open" ? gate.slots : 0;
 }
 
-function countAhead(
+/** Expected wait of a call that arrives now. */
+interface ExpectedWait {
+  /** Work of the calls ahead of it that wait now, per slot, in milliseconds. */
+  readonly aheadMs: number;
+  /** Time until it starts, with the more urgent calls that arrive later. */
+  readonly waitMs: number;
+}
+
+function waitOf(
   state: QueueState,
   call: QueuedCall,
   now: MonotonicMs,
-): number {
+): ExpectedWait {
+  const slots = Math.max(1, slotsOf(state));
+  const free = slots - state.running.size;
+  const meanMs = meanRunMs(state) * slowdownAt(state, now);
+  const rank = rankOf(state, call, now);
   let ahead = 0;
+  let workMs = 0;
   for (const other of state.waiting.values()) {
-    if (compareCalls(state, other, call, now) <= 0) ahead++;
+    if (compareRanks(rankOf(state, other, now), rank) > 0) continue;
+    ahead++;
+    workMs += state.timesByRoute.has(other.route)
+      ? expectedRunMs(state, other, now)
+      : meanMs;
   }
-  return ahead;
+  if (ahead < free) return { aheadMs: 0, waitMs: 0 };
+  const startsMs = free > 0 ? workMs * (ahead - free) / ahead : workMs;
+  const runMs = expectedRunMs(state, call, now);
+  const waitMs = estimateWait(state.shedding, {
+    key: classOf(call),
+    delayMs: delayOfCall(call, runMs),
+    runMs,
+    aheadMs: (startsMs + meanMs) / slots,
+    slots,
+    now,
+  });
+  return { aheadMs: workMs / slots, waitMs };
+}
+
+/**
+ * Returns the time until a call that arrives now is expected to start, in
+ * milliseconds.
+ */
+export function expectedStartMs(
+  state: QueueState,
+  call: QueuedCall,
+  now: MonotonicMs,
+): number {
+  return waitOf(state, call, now).waitMs;
+}
+
+function delayOfCall(call: QueuedCall, runMs: number): number {
+  return delayOf(call, call.objectiveAt - call.arrivedAt - runMs);
+}
+
+/** Longest wait that may put the call's latency objective at risk. */
+function riskyWaitMs(
+  state: QueueState,
+  call: QueuedCall,
+  now: MonotonicMs,
+): number {
+  const runMs = expectedRunMs(state, call, now);
+  const meanMs = meanRunMs(state) * slowdownAt(state, now);
+  const shortMs = Math.max(runMs, meanMs) * MAX_RISKY_WAIT_RUNS;
+  if (!isPatient(call)) return shortMs;
+  const longMs = (call.deadlineAt - now - runMs) * lateShareOf(call);
+  return Math.max(shortMs, longMs);
+}
+
+function lateShareOf(call: QueuedCall): number {
+  return call.lateShare ?? MIN_LATE_WAIT_SHARE;
 }
 
 function handleEnded(
@@ -231,28 +414,50 @@
   while (
     gate.type === "open" && running.size < gate.slots && waiting.size > 0
   ) {
-    const next = findNextCall(state, now);
+    const classes = waitingClasses(state);
+    const next = findNextCall(state, classes, now);
     if (next === undefined) break;
     waiting.delete(next.key);
     if (!canMeetDeadline(state, next, now, now)) {
-      effects.push(refuse(state, next.key, RefusalReason.NoTime, now));
+      effects.push(refuse(state, next.key, RefusalReason.NoTime, 0, now));
       continue;
     }
+    const runMs = expectedRunMs(state, next, now);
+    recordStart(state.shedding, {
+      key: classOf(next),
+      runMs,
+      delayMs: delayOfCall(next, runMs),
+      waiting: classes,
+      now,
+    });
     running.set(next.key, { ...next, startedAt: now, isOverdue: false });
     effects.push({ type: "start", key: next.key });
   }
   return effects;
 }
 
+function waitingClasses(state: QueueState): ReadonlySet<ClassKey> {
+  const classes = new Set<ClassKey>();
+  for (const call of state.waiting.values()) classes.add(classOf(call));
+  classes.delete(NESTED_CLASS);
+  return classes;
+}
+
+/** Returns the first call by order, or of the class that is owed a start. */
 function findNextCall(
   state: QueueState,
+  classes: ReadonlySet<ClassKey>,
   now: MonotonicMs,
 ): QueuedCall | undefined {
+  const owed = findOwedClass(state.shedding, classes);
   let first: QueuedCall | undefined;
+  let firstRank: StartRank | undefined;
   for (const call of state.waiting.values()) {
-    if (first === undefined || compareCalls(state, call, first, now) < 0) {
-      first = call;
-    }
+    if (owed !== undefined && classOf(call) !== owed) continue;
+    const rank = rankOf(state, call, now);
+    if (firstRank !== undefined && compareRanks(rank, firstRank) >= 0) continue;
+    first = call;
+    firstRank = rank;
   }
   return first;
 }
@@ -267,7 +472,7 @@
     const reason = findExpiryReason(state, call, now);
     if (reason === undefined) continue;
     state.waiting.delete(call.key);
-    effects.push(refuse(state, call.key, reason, now));
+    effects.push(refuse(state, call.key, reason, 0, now));
   }
   return effects;
 }
@@ -280,7 +485,7 @@
   if (!canMeetDeadline(state, call, now, now)) return RefusalReason.NoTime;
   if (call.isNested || canMeetObjective(state, call, now)) return undefined;
   const timeMs = call.deadlineAt - call.arrivedAt;
-  return now - call.arrivedAt > timeMs * LATE_WAIT_SHARE
+  return now - call.arrivedAt > timeMs * lateShareOf(call)
     ? RefusalReason.QueueFull
     : undefined;
 }
@@ -315,15 +520,18 @@
 ): readonly QueueEffect[] {
   const keys = [...state.waiting.keys()];
   state.waiting.clear();
-  return keys.map((key) => refuse(state, key, RefusalReason.Closed, now));
+  return keys.map((key) => refuse(state, key, RefusalReason.Closed, 0, now));
 }
 
+/** `startMs` is the time until the call would start, as far as it is known. */
 function refuse(
   state: QueueState,
   key: CallKey,
   reason: RefusalReason,
+  startMs: number,
   now: MonotonicMs,
 ): QueueEffect {
-  const waitMs = Math.round(expectedWaitMs(state, state.waiting.size, now));
+  const drainMs = expectedWaitMs(state, state.waiting.size, now);
+  const waitMs = Math.round(Math.max(drainMs, startMs));
   return { type: "refuse", key, reason, waitMs };
 }
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -35,7 +35,7 @@
  * its run time) that it may spend waiting. If a call could wait for all of it,
  * a queue at capacity would start each call at the last moment.
  */
-const MAX_WAIT_SHARE = 0.5;
+export const MAX_WAIT_SHARE = 0.5;
 
 /** Adds the time of one run to a moving mean. */
 export function recordRunTime(times: RunTimes, tookMs: number) {
@@ -90,7 +90,18 @@
   call: QueuedCall,
   startAt: MonotonicMs,
 ): boolean {
-  const runMs = expectedRunMs(state, call, startAt);
+  return isTimelyAfter(call, expectedRunMs(state, call, startAt), startAt);
+}
+
+/**
+ * Returns whether a call that starts at `startAt` and is expected to run for
+ * `runMs` meets its latency objective.
+ */
+export function isTimelyAfter(
+  call: QueuedCall,
+  runMs: number,
+  startAt: MonotonicMs,
+): boolean {
   return startAt + runMs * TIMELY_RUN_FACTOR <= call.objectiveAt;
 }
 
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
+import { createSheddingState, type SheddingState } from "../shedding/state.ts";
 
 /** Identifies a call within this node. */
 export type CallKey = number;
@@ -26,6 +27,20 @@
   readonly objectiveAt: MonotonicMs;
   /** When the caller stops waiting. */
   readonly deadlineAt: MonotonicMs;
+  /** Name of the client account. */
+  readonly account?: string | undefined;
+  /** Urgency of the client account, compared before `urgency`. */
+  readonly accountUrgency?: number | undefined;
+  /**
+   * Fraction of its time that the call may wait once it misses its latency
+   * objective (see `lateWaitShare`). Undefined for the least.
+   */
+  readonly lateShare?: number | undefined;
+  /**
+   * How long the parent of a nested call has run, in milliseconds. It has run
+   * in vain if the nested call is refused.
+   */
+  readonly parentUsedMs?: number | undefined;
 }
 
 /** A call that the endpoint runs. */
@@ -56,6 +71,9 @@
   readonly timesByRoute: Map<string, RunTimes>;
   /** Run times of the calls of all routes. */
   readonly times: RunTimes;
+  readonly shedding: SheddingState;
+  /** Time of the newest event. */
+  at: MonotonicMs;
 }
 
 export type QueueEvent =
@@ -102,6 +120,8 @@
   Late: "late",
   /** Too many calls wait in this queue. */
   QueueFull: "crowded",
+  /** The call was waiting, and gave way to a more urgent one. */
+  Displaced: "displaced",
   /** The call can't be answered before its deadline. */
   NoTime: "no-time",
   /** The call is for another service or version than the endpoint runs. */
@@ -126,6 +146,10 @@
 /** Load of the queue, as sent to other nodes. */
 export interface QueueReport {
   readonly running: number;
+  /**
+   * Calls that wait, without the late ones of callers who wait long: they start
+   * only when no other call waits.
+   */
   readonly waiting: number;
   /**
    * Mean run time over all routes, in milliseconds. Determines how fast the
@@ -158,5 +182,7 @@
     waiting: new Map(),
     timesByRoute: new Map(),
     times: { mean: 0, samples: 0 },
+    shedding: createSheddingState(),
+    at: -Infinity,
   };
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -25,6 +25,7 @@
 import { meterStore } from "../metrics/meter_store.ts";
 import { watchGarbageCollection } from "../metrics/watch_garbage_collection.ts";
 import { createLoadBalancingState } from "../load_balancing/state.ts";
+import { RefusalReason } from "../queue/state.ts";
 import { ReaderStatus } from "../reader_election/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type RouteTable } from "../routes/state.ts";
@@ -160,6 +161,11 @@
       countRun(trafficShift, run);
       metrics.countVersionRun(run);
     },
+    onShed({ id, route }, reason) {
+      metrics.countShed(route, reason);
+      if (reason !== RefusalReason.Displaced) return;
+      log.write("call", LogLevel.Info, "waiting call displaced", { id, route });
+    },
     onLateRun: ({ callId, ...times }) =>
       log.write("call", LogLevel.Info, "run ended past its latency objective", {
         id: callId,
@@ -285,6 +291,7 @@
       gossip.applyEvent({ type: "called", service, isFull, now: now() }),
     ownReport: home.report,
     isRunningHere: home.isRunning,
+    runMsOf: home.runMsOf,
     recordNestedFailure: home.recordNestedFailure,
     countCrashes: suspects.countCrashes,
     unsentBytes,
--- a/src/testing/create_test_home.ts
+++ b/src/testing/create_test_home.ts
@@ -38,6 +38,7 @@
     dialect: testDialect,
     now: opts.now ?? (() => performance.now()),
     onRun: opts.onRun ?? (() => {}),
+    onShed: () => {},
     onLateRun: () => {},
     onUntrustedAnswer: () => {},
     onUnusableEndpoint: () => {},
--- a/src/testing/offered_call.ts
+++ b/src/testing/offered_call.ts
@@ -26,6 +26,8 @@
     bodyBytes: undefined,
     crashes: 0,
     account: undefined,
+    lateShare: undefined,
+    parentUsedMs: undefined,
     ...change,
   };
 }
