--- a/src/shedding/delay_of.ts
+++ b/src/shedding/delay_of.ts
@@ -17,7 +17,7 @@
 /**
  * What a caller who waits long adds to `DELAY_SHARE_PER_STEP`. A late answer
  * keeps half of its worth there. At twice the capacity, calls of 268 and 681 ms
- * of the same urgency get 92 and 42% of their worth; without it 33 and 90%,
+ * of the same urgency get 89 and 49% of their worth; without it 33 and 90%,
  * which is less per slot time.
  */
 const PATIENT_DELAY_SHARE = 0.3;
