--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -18,6 +18,10 @@
 import { retryAfterMs } from "../calls/retry_after.ts";
 import type { ShutdownState } from "../shutdown/state.ts";
 import type { CallerHead } from "../sidecar/platform_port.ts";
+import {
+  lateWaitShare,
+  MIN_LATE_WAIT_SHARE,
+} from "../shedding/late_wait_share.ts";
 import { admitRequest, Rejection } from "./admit_request.ts";
 import { answerLocally } from "./answer_caller.ts";
 import { createAcceptMeter } from "./create_accept_meter.ts";
@@ -177,6 +181,9 @@
       parentId: isNested ? caller.parentId : undefined,
       waitMs,
       ageMs,
+      lateShare: isNested || caller.waitMs === undefined
+        ? undefined
+        : shareOf(route.objectiveMs, caller.waitMs + ageMs),
       maxBodyBytes: bodyBytes,
       mayClose: () => mayClose(res),
       onDone() {
@@ -344,3 +351,9 @@
 function isClosing(res: ServerResponse): boolean {
   return res.headersSent && !res.shouldKeepAlive;
 }
+
+/** Returns undefined for the least share, which home nodes assume. */
+function shareOf(objectiveMs: number, deadlineMs: number): number | undefined {
+  const share = lateWaitShare({ objectiveMs, deadlineMs });
+  return share > MIN_LATE_WAIT_SHARE ? share : undefined;
+}
--- a/src/callers/describe_call.ts
+++ b/src/callers/describe_call.ts
@@ -32,6 +32,9 @@
   readonly mayBeLate: boolean;
   readonly crashes: number;
   readonly account: CallAccount | undefined;
+  readonly lateShare: number | undefined;
+  /** Id of the parent call, if the endpoint on this VM runs it. */
+  readonly parentId: string | undefined;
 }
 
 /**
@@ -63,6 +66,10 @@
     bodyBytes: body?.declaredBytes,
     crashes: opts.crashes,
     account: opts.account,
+    lateShare: opts.lateShare,
+    parentUsedMs: opts.parentId === undefined
+      ? undefined
+      : Math.round(ctx.runMsOf(opts.parentId)),
   };
 }
 
--- a/src/cli/code_meanings.ts
+++ b/src/cli/code_meanings.ts
@@ -127,6 +127,8 @@
     "A snapshot is damaged. An older one or another node's state is used.",
   LAGOON_SNAPSHOT_NONE:
     "The log has no complete snapshot. Keep a node with the state running.",
+  LAGOON_STORE_RESTORED:
+    "The store came back from an older copy. What nodes know is written again.",
   LAGOON_TRACE_DIVERGED:
     "A replayed decision differs from the trace. If intended, record again.",
   LAGOON_TRACE_OUTCOME:
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -46,6 +46,11 @@
   countRefusal(reason: string): void;
   /** Counts a request that is refused for its API key, by the key's fault. */
   countKeyRefusal(fault: KeyFault): void;
+  /**
+   * Counts a call that this node's queue refused for lack of capacity, also one
+   * that gave way to a more urgent call.
+   */
+  countShed(route: string, reason: string): void;
   /** Counts a further attempt of a call that the retry budget allowed. */
   countRetry(service: string): void;
   /** Counts a call that reached an endpoint of another service or version. */
@@ -96,6 +101,12 @@
     labelNames: ["fault"],
     registers,
   });
+  const shed = new Counter({
+    name: "lagoon_shed_calls_total",
+    help: "Calls that the queue of this node refused for lack of capacity.",
+    labelNames: ["route", "reason"],
+    registers,
+  });
   const retries = new Counter({
     name: "lagoon_repeats_total",
     help: "Requests sent to a further endpoint.",
@@ -146,6 +157,7 @@
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
     countKeyRefusal: (fault) => keyRefusals.inc({ fault }),
+    countShed: (route, reason) => shed.inc({ route, reason }),
     countRetry: (service) => retries.inc({ service }),
     countMisdirected: (expected, present) =>
       misdirected.inc({ expected, present }),
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -9,6 +9,7 @@
   createColdStartState,
 } from "../cold_start/state.ts";
 import type { MonotonicMs } from "../core/types.ts";
+import { createSheddingState, type SheddingState } from "../shedding/state.ts";
 
 /** Identifies a call within this node. */
 export type CallKey = number;
@@ -36,6 +37,16 @@
    * Urgency of the account, compared before `urgency`; 0 is the most urgent.
    */
   readonly accountUrgency?: number | undefined;
+  /**
+   * Fraction of its time that the call may wait once it misses its latency
+   * objective (see `lateWaitShare`). Undefined for the least.
+   */
+  readonly lateShare?: number | undefined;
+  /**
+   * How long the parent of a nested call has run, in milliseconds. It has run
+   * in vain if the nested call is refused.
+   */
+  readonly parentUsedMs?: number | undefined;
 }
 
 /** A call that the endpoint runs. */
@@ -68,6 +79,9 @@
   readonly times: RunTimes;
   /** Limit on starts while the endpoint is cold. */
   readonly coldStart: ColdStartState;
+  readonly shedding: SheddingState;
+  /** Time of the newest event. */
+  at: MonotonicMs;
 }
 
 export type QueueEvent =
@@ -120,6 +134,8 @@
   Late: "late",
   /** Too many calls wait in this queue. */
   QueueFull: "crowded",
+  /** The call was waiting, and gave way to a more urgent one. */
+  Displaced: "displaced",
   /** The call can't be answered before its deadline. */
   NoTime: "no-time",
   /** The call is for another service or version than the endpoint runs. */
@@ -148,6 +164,10 @@
 /** Load of the queue, as sent to other nodes. */
 export interface QueueReport {
   readonly running: number;
+  /**
+   * Calls that wait, without the late ones of callers who wait long: they start
+   * only when no other call waits.
+   */
   readonly waiting: number;
   /**
    * Mean run time over all routes, in milliseconds. Determines how fast the
@@ -183,5 +203,7 @@
     timesByRoute: new Map(),
     times: { mean: 0, samples: 0 },
     coldStart,
+    shedding: createSheddingState(),
+    at: -Infinity,
   };
 }
