feat(fair_sharing): share slots among accounts by slot time

Cause: an account that sends many times its usual rate got as many slots as it requested, at the cost of the other accounts of its urgency. Change: src/fair_sharing measures the slot time that accounts request and get at one endpoint. While capacity is short, calls of an account over the max-min fair level stand back and may be displaced. Delays by urgency are counted from the most urgent recent class, so that deployments with one class are ordered as before.

--- a/src/queue/compare_calls.ts
+++ b/src/queue/compare_calls.ts
@@ -3,12 +3,21 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
+import { isOverShare } from "../fair_sharing/is_over_share.ts";
 import { classOf } from "../shedding/class_of.ts";
 import { delayOf } from "../shedding/delay_of.ts";
 import { patienceOf } from "../shedding/late_wait_share.ts";
 import { expectedRunMs, isTimelyAfter } from "./estimate.ts";
 import type { QueuedCall, QueueState } from "./state.ts";
 
+/**
+ * Fraction of its slack (its latency objective less its run time) by which a
+ * call is ordered as if it had arrived later while its account uses more than
+ * its fair share. Calls wait for half of their slack at most, so those of other
+ * accounts of the same urgency go ahead.
+ */
+const OVER_SHARE_DELAY = 0.6;
+
 /** Groups of waiting calls, in the order in which they start. */
 const Group = { Nested: 0, Timely: 1, PatientLate: 2, Late: 3 } as const;
 
@@ -52,19 +61,47 @@
   const runMs = expectedRunMs(state, call, now);
   if (isTimelyAfter(call, runMs, now)) {
     const slackMs = call.objectiveAt - call.arrivedAt - runMs;
-    const at = call.arrivedAt + delayOf(call, slackMs);
+    const overMs = isOver(state, call, runMs)
+      ? Math.max(0, slackMs) * OVER_SHARE_DELAY
+      : 0;
+    const at = call.arrivedAt + delayOf(state.shedding, call, slackMs) + overMs;
     return { group: Group.Timely, urgencyClass: 0, at };
   }
   if (!isPatient(call)) {
-    return { group: Group.Late, urgencyClass: 0, at: -call.arrivedAt };
+    const urgencyClass = isOver(state, call, runMs) ? 1 : 0;
+    return { group: Group.Late, urgencyClass, at: -call.arrivedAt };
   }
   return {
     group: Group.PatientLate,
-    urgencyClass: classOf(call),
+    urgencyClass: 2 * classOf(call) + (isOver(state, call, runMs) ? 1 : 0),
     at: call.deadlineAt - runMs,
   };
 }
 
+/**
+ * Returns the order in which calls displace others: by class, and within one
+ * those of accounts that use more than their fair share last.
+ */
+export function precedenceOf(
+  state: QueueState,
+  call: QueuedCall,
+  now: MonotonicMs,
+): number {
+  const runMs = expectedRunMs(state, call, now);
+  return 2 * classOf(call) + (isOver(state, call, runMs) ? 1 : 0);
+}
+
+function isOver(
+  state: QueueState,
+  call: QueuedCall,
+  runMs: number,
+): boolean {
+  const { account } = call;
+  if (account === undefined || call.isNested) return false;
+  const key = classOf(call);
+  return isOverShare(state.fairSharing, { key, account, runMs });
+}
+
 /** Whether the caller waits long, so that a late answer keeps its worth. */
 export function isPatient(call: QueuedCall): boolean {
   return patienceOf(call) > 0;
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -4,6 +4,10 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
+import {
+  recordAccountOffer,
+  recordAccountStart,
+} from "../fair_sharing/record_account_use.ts";
 import { chooseDisplaced } from "../shedding/choose_displaced.ts";
 import { classOf, NESTED_CLASS } from "../shedding/class_of.ts";
 import { delayOf } from "../shedding/delay_of.ts";
@@ -18,6 +22,7 @@
 import {
   compareRanks,
   isPatient,
+  precedenceOf,
   rankOf,
   type StartRank,
 } from "./compare_calls.ts";
@@ -143,6 +148,12 @@
 ): readonly QueueEffect[] {
   const { call, now } = event;
   recordOffer(state.shedding, classOf(call), now);
+  const { account } = call;
+  if (account !== undefined) {
+    const runMs = expectedRunMs(state, call, now);
+    const use = { key: classOf(call), account, runMs, now };
+    recordAccountOffer(state.fairSharing, use);
+  }
   const { reason, waitMs } = assess(state, event);
   const displaced = reason === undefined
     ? []
@@ -170,17 +181,19 @@
   const { call, now } = event;
   const isForRoom = reason === RefusalReason.QueueFull ||
     reason === RefusalReason.NoTime;
-  if (!isForRoom || !hasLessUrgent(state, call)) return [];
+  const precedence = precedenceOf(state, call, now);
+  if (!isForRoom || !hasHigherPrecedence(state, precedence, now)) return [];
   const rank = rankOf(state, call, now);
   const ahead = [...state.waiting.values()]
     .filter((other) => compareRanks(rankOf(state, other, now), rank) <= 0)
     .map((other) => ({
       call: other,
+      precedence: precedenceOf(state, other, now),
       runMs: expectedRunMs(state, other, now),
       isTimely: canMeetObjective(state, other, now),
     }));
   const neededMs = missingWorkMs(state, call, now);
-  const displaced = chooseDisplaced({ call, ahead, neededMs });
+  const displaced = chooseDisplaced({ precedence, ahead, neededMs });
   for (const { key } of displaced) state.waiting.delete(key);
   if (assess(state, event).reason === undefined) {
     return displaced.map((other) => {
@@ -192,10 +205,13 @@
   return [];
 }
 
-function hasLessUrgent(state: QueueState, call: QueuedCall): boolean {
-  const own = classOf(call);
+function hasHigherPrecedence(
+  state: QueueState,
+  precedence: number,
+  now: MonotonicMs,
+): boolean {
   for (const other of state.waiting.values()) {
-    if (classOf(other) > own) return true;
+    if (precedenceOf(state, other, now) > precedence) return true;
   }
   return false;
 }
@@ -337,7 +353,7 @@
   const runMs = expectedRunMs(state, call, now);
   const waitMs = estimateWait(state.shedding, {
     key: classOf(call),
-    delayMs: delayOfCall(call, runMs),
+    delayMs: delayOfCall(state, call, runMs),
     runMs,
     aheadMs: (startsMs + meanMs) / slots,
     slots,
@@ -358,8 +374,13 @@
   return waitOf(state, call, now).waitMs;
 }
 
-function delayOfCall(call: QueuedCall, runMs: number): number {
-  return delayOf(call, call.objectiveAt - call.arrivedAt - runMs);
+function delayOfCall(
+  state: QueueState,
+  call: QueuedCall,
+  runMs: number,
+): number {
+  const slackMs = call.objectiveAt - call.arrivedAt - runMs;
+  return delayOf(state.shedding, call, slackMs);
 }
 
 /** Longest wait that may put the call's latency objective at risk. */
@@ -426,10 +447,15 @@
     recordStart(state.shedding, {
       key: classOf(next),
       runMs,
-      delayMs: delayOfCall(next, runMs),
+      delayMs: delayOfCall(state, next, runMs),
       waiting: classes,
       now,
     });
+    const { account } = next;
+    if (account !== undefined) {
+      const use = { key: classOf(next), account, runMs, now };
+      recordAccountStart(state.fairSharing, use);
+    }
     running.set(next.key, { ...next, startedAt: now, isOverdue: false });
     effects.push({ type: "start", key: next.key });
   }
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -5,6 +5,10 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
+import {
+  createFairSharingState,
+  type FairSharingState,
+} from "../fair_sharing/state.ts";
 import { createSheddingState, type SheddingState } from "../shedding/state.ts";
 
 /** Identifies a call within this node. */
@@ -72,6 +76,7 @@
   /** Run times of the calls of all routes. */
   readonly times: RunTimes;
   readonly shedding: SheddingState;
+  readonly fairSharing: FairSharingState;
   /** Time of the newest event. */
   at: MonotonicMs;
 }
@@ -183,6 +188,7 @@
     timesByRoute: new Map(),
     times: { mean: 0, samples: 0 },
     shedding: createSheddingState(),
+    fairSharing: createFairSharingState(),
     at: -Infinity,
   };
 }
--- a/src/shedding/choose_displaced.ts
+++ b/src/shedding/choose_displaced.ts
@@ -2,12 +2,13 @@
  * Chooses waiting calls that make room for a more urgent call.
  * @module
  */
-import { classOf, NESTED_CLASS } from "./class_of.ts";
-import type { ClassKey, ShedCall } from "./state.ts";
+import type { ShedCall } from "./state.ts";
 
 /** A waiting call that could be displaced. */
 export interface WaitingCall<Call extends ShedCall> {
   readonly call: Call;
+  /** Calls of a higher one give way to those of a lower one. */
+  readonly precedence: number;
   /** Expected run time, in milliseconds. */
   readonly runMs: number;
   readonly isTimely: boolean;
@@ -15,8 +16,8 @@
 
 /** Options of `chooseDisplaced`. */
 export interface ChooseDisplacedOptions<Call extends ShedCall> {
-  /** The call that needs room. */
-  readonly call: ShedCall;
+  /** Precedence of the call that needs room. */
+  readonly precedence: number;
   /** Waiting calls that are ahead of it. */
   readonly ahead: readonly WaitingCall<Call>[];
   /** Slot time that has to be freed, in milliseconds. */
@@ -25,24 +26,22 @@
 
 /**
  * Returns the waiting calls whose refusal frees the slot time at the least loss
- * to their callers, or none if they don't suffice. Only calls of less urgent
- * classes are chosen, from the least urgent on: first those that miss their
- * objective, then those that need the most slot time. One call of each class
- * stays, so that no class is emptied by a stream of more urgent calls.
+ * to their callers, or none if they don't suffice. Only calls of a higher
+ * precedence are chosen, from the highest on: first those that miss their
+ * objective, then those that need the most slot time. One call of each
+ * precedence stays, so that none is emptied by a stream of others.
  */
 export function chooseDisplaced<Call extends ShedCall>(
   opts: ChooseDisplacedOptions<Call>,
 ): readonly Call[] {
-  const own = classOf(opts.call);
-  const counts = new Map<ClassKey, number>();
-  const victims = opts.ahead.filter(({ call }) => {
-    const key = classOf(call);
-    if (key <= own || key === NESTED_CLASS) return false;
-    const count = counts.get(key) ?? 0;
-    counts.set(key, count + 1);
+  const counts = new Map<number, number>();
+  const victims = opts.ahead.filter(({ call, precedence }) => {
+    if (precedence <= opts.precedence || call.isNested) return false;
+    const count = counts.get(precedence) ?? 0;
+    counts.set(precedence, count + 1);
     return count > 0;
   }).toSorted((a, b) =>
-    classOf(b.call) - classOf(a.call) ||
+    b.precedence - a.precedence ||
     Number(a.isTimely) - Number(b.isTimely) || b.runMs - a.runMs
   );
   const chosen: Call[] = [];
--- a/src/shedding/delay_of.ts
+++ b/src/shedding/delay_of.ts
@@ -4,7 +4,7 @@
  */
 import { classOf } from "./class_of.ts";
 import { patienceOf } from "./late_wait_share.ts";
-import type { ShedCall } from "./state.ts";
+import type { ShedCall, SheddingState } from "./state.ts";
 
 /**
  * Fraction of a call's slack (its latency objective less its run time) by which
@@ -15,16 +15,26 @@
 const DELAY_SHARE_PER_STEP = 0.3;
 
 /**
- * What a caller who waits long adds to `DELAY_SHARE_PER_STEP`. A late answer
+ * Steps that calls stand back for each other where callers wait long, besides
+ * twice the steps of urgency: the longer the slack, the later. A late answer
  * keeps half of its worth there. At twice the capacity, calls of 268 and 681 ms
- * of the same urgency get 89 and 49% of their worth; without it 33 and 90%,
+ * of the same urgency get 89 and 49% of their worth; without it 54 and 79%,
  * which is less per slot time.
  */
-const PATIENT_DELAY_SHARE = 0.3;
+const PATIENT_STEPS = 2;
 
-/** Returns the time by which a call stands back, in milliseconds. */
-export function delayOf(call: ShedCall, slackMs: number): number {
-  const steps = Math.max(0, classOf(call));
-  const share = DELAY_SHARE_PER_STEP + PATIENT_DELAY_SHARE * patienceOf(call);
-  return steps * share * Math.max(0, slackMs);
+/**
+ * Returns the time by which a call stands back for more urgent ones, in
+ * milliseconds. Steps are counted from the most urgent class that was offered
+ * recently. Calls of one class are not ordered by slack, except where callers wait
+ * long.
+ */
+export function delayOf(
+  state: SheddingState,
+  call: ShedCall,
+  slackMs: number,
+): number {
+  const steps = Math.max(0, classOf(call) - state.mostUrgent);
+  const all = steps + patienceOf(call) * (steps + PATIENT_STEPS);
+  return all * DELAY_SHARE_PER_STEP * Math.max(0, slackMs);
 }
--- a/src/shedding/record_use.ts
+++ b/src/shedding/record_use.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
+import { NESTED_CLASS } from "./class_of.ts";
 import type { ClassKey, ClassUse, SheddingState } from "./state.ts";
 
 /**
@@ -32,6 +33,12 @@
 /** Decaying number of offers up to which a class has few. */
 const FEW_OFFERS = 2;
 
+/**
+ * Decaying number of offers from which a class counts as offered recently: one
+ * offer counts for 3 s.
+ */
+const MIN_RECENT_OFFERS = 0.05;
+
 /** Limit of the starts that a class is owed. */
 const MAX_CREDIT = 2;
 
@@ -42,6 +49,13 @@
   now: MonotonicMs,
 ) {
   useOf(state, key, now).offered++;
+  state.mostUrgent = Infinity;
+  for (const use of state.classes.values()) {
+    if (use.key === NESTED_CLASS || use.key >= state.mostUrgent) continue;
+    if (decayed(use, now).offered >= MIN_RECENT_OFFERS) {
+      state.mostUrgent = use.key;
+    }
+  }
 }
 
 /** Options of `recordStart`. */
--- a/src/shedding/state.ts
+++ b/src/shedding/state.ts
@@ -51,8 +51,10 @@
 
 export interface SheddingState {
   readonly classes: Map<ClassKey, ClassUse>;
+  /** The most urgent class that was offered recently, without nested calls. */
+  mostUrgent: ClassKey;
 }
 
 export function createSheddingState(): SheddingState {
-  return { classes: new Map() };
+  return { classes: new Map(), mostUrgent: 0 };
 }
