fix(shedding): wait of less urgent calls counts all that go ahead of them

Cause: the iteration of the expected wait ended after four steps and at four times the work ahead, so with urgent calls at twice the capacity less urgent ones were admitted for a wait that they did not get. Change: it ends when it no longer changes, and the delays bound it.

--- a/src/shedding/estimate_wait.ts
+++ b/src/shedding/estimate_wait.ts
@@ -7,14 +7,11 @@
 import { useOf } from "./record_use.ts";
 import type { ClassKey, SheddingState } from "./state.ts";
 
-/**
- * Minimum fraction of the slots that is assumed to be left to a call. Less
- * urgent classes are owed about as much (see `recordStart`).
- */
-const MIN_LEFT_SHARE = 0.25;
+/** Change of the wait below which the iteration ends, in milliseconds. */
+const PRECISION_MS = 2;
 
-/** Steps of the iteration, which changes the wait by less than 5% after them. */
-const ITERATIONS = 4;
+/** Limit of the iteration's steps. */
+const MAX_ITERATIONS = 16;
 
 /** Options of `estimateWait`. */
 export interface EstimateWaitOptions {
@@ -45,9 +42,8 @@
   const { key, aheadMs, slots, now } = opts;
   const backMs = opts.delayMs - opts.runMs;
   if (aheadMs <= 0 || backMs <= 0) return aheadMs;
-  const longestMs = aheadMs / MIN_LEFT_SHARE;
   let waitMs = aheadMs;
-  for (let n = 0; n < ITERATIONS; n++) {
+  for (let n = 0; n < MAX_ITERATIONS; n++) {
     let nextMs = aheadMs;
     for (const one of state.classes.keys()) {
       if (one >= key || one === NESTED_CLASS) continue;
@@ -55,7 +51,8 @@
       const overtakenMs = Math.min(waitMs, Math.max(0, backMs - use.delayMs));
       nextMs += overtakenMs * use.slots / slots;
     }
-    waitMs = Math.min(longestMs, nextMs);
+    if (nextMs - waitMs < PRECISION_MS) return nextMs;
+    waitMs = nextMs;
   }
   return waitMs;
 }
--- a/src/shedding/replay_test.ts
+++ b/src/shedding/replay_test.ts
@@ -181,6 +181,5 @@
   const calls = histories.calls + photos.calls;
   const all = 1 - (histories.refused + photos.refused) / calls;
   assert.ok(servedShare(photos) > all / 4);
-  // Photos wait longer, so they also get the gaps between short histories.
-  assert.ok(servedShare(histories) > servedShare(photos) - 0.12);
+  assert.ok(servedShare(histories) > servedShare(photos) - 0.05);
 });
