feat(shedding): evict late calls of the least urgent class first

Cause: among late calls that are too many, the oldest was refused whatever its urgency. Change: the class is compared first. Tests of the fields on links, of the eviction of nested calls and of the metric.

--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -16,6 +16,8 @@
   mayBeLate: true,
   body: Buffer.from("body"),
   account: { name: "acme", urgency: 1, keyHash: 2 ** 40 + 1, tableVersion: 7 },
+  lateShare: 0.75,
+  parentUsedMs: 40,
 });
 const report = {
   running: 1,
@@ -58,6 +60,7 @@
   { type: "offer", key: 1, call },
   { type: "offer", key: 2, call: { ...call, body: undefined, bodyBytes: 7 } },
   { type: "offer", key: 3, call: { ...call, account: undefined } },
+  { type: "offer", key: 4, call: offeredCall() },
   { type: "body", key: 1, chunk: Buffer.from("more") },
   { type: "body-end", key: 1 },
   { type: "cancel", key: 1 },
--- a/src/metrics/create_metrics_test.ts
+++ b/src/metrics/create_metrics_test.ts
@@ -51,3 +51,11 @@
     );
   }
 });
+
+test("calls that the queue refused are counted by route and reason", async () => {
+  const metrics = createMetrics({ meter: createWorkMeter({ now: () => 0 }) });
+  metrics.countShed("/photos/", "displaced");
+  const labels = '{route="/photos/",reason="displaced"}';
+  const text = await metrics.text();
+  assert.ok(text.includes(`lagoon_shed_calls_total${labels} 1`));
+});
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -283,8 +283,8 @@
 
 /**
  * Refuses waiting calls that are expected to miss their latency objective, down
- * to `LATE_CALLS_PER_SLOT`: first those that are not nested, the oldest first,
- * then nested calls, those first whose parents have run for the shortest time.
+ * to `LATE_CALLS_PER_SLOT`: first the least urgent, the oldest first, and last
+ * nested calls, those first whose parents have run for the shortest time.
  * Nested calls are not exempt: the parent holds a slot while its nested call
  * waits, and an early refusal frees that slot.
  */
@@ -314,7 +314,7 @@
   const usedMs = a.isNested && b.isNested
     ? (b.parentUsedMs ?? 0) - (a.parentUsedMs ?? 0)
     : 0;
-  return usedMs ||
+  return usedMs || classOf(a) - classOf(b) ||
     compareRanks(rankOf(state, a, now), rankOf(state, b, now));
 }
 
--- a/src/shedding/shedding_test.ts
+++ b/src/shedding/shedding_test.ts
@@ -83,6 +83,19 @@
   assert.equal(tick(980).length, 1);
 });
 
+test("late nested call whose parent ran longest is kept", () => {
+  const state = openQueue(1);
+  offer(state, callOf());
+  const nested = [90, 10, 50].map((parentUsedMs) =>
+    callOf({ isNested: true, objectiveAt: 10, parentUsedMs })
+  );
+  const effects = nested.flatMap((call) => offer(state, call));
+  assert.deepEqual(
+    effects.map((one) => one.type === "refuse" && one.key),
+    [nested[1]?.key],
+  );
+});
+
 test("only deadlines far behind the objective make callers patient", () => {
   const shareOf = (objectiveMs: number, deadlineMs: number) =>
     lateWaitShare({ objectiveMs, deadlineMs });
