--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -6,6 +6,10 @@
 import { startDelayMs } from "../cold_start/start_delay.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
+import {
+  recordAccountOffer,
+  recordAccountStart,
+} from "../fair_sharing/record_account_use.ts";
 import { chooseDisplaced } from "../shedding/choose_displaced.ts";
 import { classOf, NESTED_CLASS } from "../shedding/class_of.ts";
 import { delayOf } from "../shedding/delay_of.ts";
@@ -20,6 +24,7 @@
 import {
   compareRanks,
   isPatient,
+  precedenceOf,
   rankOf,
   type StartRank,
 } from "./compare_calls.ts";
@@ -150,6 +155,12 @@
 ): readonly QueueEffect[] {
   const { call, now } = event;
   recordOffer(state.shedding, classOf(call), now);
+  const { account } = call;
+  if (account !== undefined) {
+    const runMs = expectedRunMs(state, call, now);
+    const use = { key: classOf(call), account, runMs, now };
+    recordAccountOffer(state.fairSharing, use);
+  }
   const { reason, waitMs } = assess(state, event);
   const displaced = reason === undefined
     ? []
@@ -194,17 +205,19 @@
   const { call, now } = event;
   const isForRoom = reason === RefusalReason.QueueFull ||
     reason === RefusalReason.NoTime;
-  if (!isForRoom || !hasLessUrgent(state, call)) return [];
+  const precedence = precedenceOf(state, call, now);
+  if (!isForRoom || !hasHigherPrecedence(state, precedence, now)) return [];
   const rank = rankOf(state, call, now);
   const ahead = [...state.waiting.values()]
     .filter((other) => compareRanks(rankOf(state, other, now), rank) <= 0)
     .map((other) => ({
       call: other,
+      precedence: precedenceOf(state, other, now),
       runMs: expectedRunMs(state, other, now),
       isTimely: canMeetObjective(state, other, now),
     }));
   const neededMs = missingWorkMs(state, call, now);
-  const displaced = chooseDisplaced({ call, ahead, neededMs });
+  const displaced = chooseDisplaced({ precedence, ahead, neededMs });
   for (const { key } of displaced) state.waiting.delete(key);
   if (assess(state, event).reason === undefined) {
     return displaced.map((other) => {
@@ -216,10 +229,13 @@
   return [];
 }
 
-function hasLessUrgent(state: QueueState, call: QueuedCall): boolean {
-  const own = classOf(call);
+function hasHigherPrecedence(
+  state: QueueState,
+  precedence: number,
+  now: MonotonicMs,
+): boolean {
   for (const other of state.waiting.values()) {
-    if (classOf(other) > own) return true;
+    if (precedenceOf(state, other, now) > precedence) return true;
   }
   return false;
 }
@@ -294,8 +310,8 @@
 
 /**
  * Refuses waiting calls that are expected to miss their latency objective, down
- * to `LATE_CALLS_PER_SLOT`: first those that are not nested, the oldest first,
- * then nested calls, those first whose parents have run for the shortest time.
+ * to `LATE_CALLS_PER_SLOT`: first the least urgent, the oldest first, and last
+ * nested calls, those first whose parents have run for the shortest time.
  * Nested calls are not exempt: the parent holds a slot while its nested call
  * waits, and an early refusal frees that slot.
  */
@@ -325,7 +341,7 @@
   const usedMs = a.isNested && b.isNested
     ? (b.parentUsedMs ?? 0) - (a.parentUsedMs ?? 0)
     : 0;
-  return usedMs ||
+  return usedMs || classOf(a) - classOf(b) ||
     compareRanks(rankOf(state, a, now), rankOf(state, b, now));
 }
 
@@ -367,7 +383,7 @@
   const runMs = expectedRunMs(state, call, now);
   const waitMs = estimateWait(state.shedding, {
     key: classOf(call),
-    delayMs: delayOfCall(call, runMs),
+    delayMs: delayOfCall(state, call, runMs),
     runMs,
     aheadMs: (startsMs + meanMs) / slots,
     slots,
@@ -388,8 +404,13 @@
   return waitOf(state, call, now).waitMs;
 }
 
-function delayOfCall(call: QueuedCall, runMs: number): number {
-  return delayOf(call, call.objectiveAt - call.arrivedAt - runMs);
+function delayOfCall(
+  state: QueueState,
+  call: QueuedCall,
+  runMs: number,
+): number {
+  const slackMs = call.objectiveAt - call.arrivedAt - runMs;
+  return delayOf(state.shedding, call, slackMs);
 }
 
 /** Longest wait that may put the call's latency objective at risk. */
@@ -458,10 +479,15 @@
     recordStart(state.shedding, {
       key: classOf(next),
       runMs,
-      delayMs: delayOfCall(next, runMs),
+      delayMs: delayOfCall(state, next, runMs),
       waiting: classes,
       now,
     });
+    const { account } = next;
+    if (account !== undefined) {
+      const use = { key: classOf(next), account, runMs, now };
+      recordAccountStart(state.fairSharing, use);
+    }
     running.set(next.key, { ...next, startedAt: now, isOverdue: false });
     effects.push({ type: "start", key: next.key });
   }
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -9,6 +9,10 @@
   createColdStartState,
 } from "../cold_start/state.ts";
 import type { MonotonicMs } from "../core/types.ts";
+import {
+  createFairSharingState,
+  type FairSharingState,
+} from "../fair_sharing/state.ts";
 import { createSheddingState, type SheddingState } from "../shedding/state.ts";
 
 /** Identifies a call within this node. */
@@ -80,6 +84,7 @@
   /** Limit on starts while the endpoint is cold. */
   readonly coldStart: ColdStartState;
   readonly shedding: SheddingState;
+  readonly fairSharing: FairSharingState;
   /** Time of the newest event. */
   at: MonotonicMs;
 }
@@ -204,6 +209,7 @@
     times: { mean: 0, samples: 0 },
     coldStart,
     shedding: createSheddingState(),
+    fairSharing: createFairSharingState(),
     at: -Infinity,
   };
 }
