feat(links): bytes between failure domains by cause

Change: the sender's side of each link counts bytes to another domain by cause (calls, retries, answers, fleet, configuration, other), as lagoon_other_domain_bytes_total and in the line of the process's work. Calls carry the ratio of deadline to objective, which the route's timeout hides from home nodes: one or two bytes a call.

Result: tests of links, calls and metrics pass.

--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -56,6 +56,18 @@
   readonly crashes: number;
   /** Client account of the call. Undefined for calls without an API key. */
   readonly account?: CallAccount | undefined;
+  /**
+   * Time that the caller waits in all, as a multiple of the latency objective.
+   * `leftMs` can't tell it: the route's timeout limits it, and a retry has less
+   * of it left. A nested call has the ratio of its parent call. Undefined if it
+   * is not known.
+   */
+  readonly deadlineRatio?: number | undefined;
+  /**
+   * Whether an earlier attempt of this call was sent to another home node. Not
+   * sent over links.
+   */
+  readonly isRetry?: boolean | undefined;
 }
 
 /** Lowest HTTP status that counts as a failure of the endpoint. */
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -20,6 +20,7 @@
 } from "./messages.ts";
 import { serveLink } from "./serve_link.ts";
 import { MAX_UNSENT_BYTES } from "./state.ts";
+import { trafficCauseOf } from "./traffic_cause_of.ts";
 
 /**
  * Maximum size of a message, in bytes. Bodies are sent in much smaller parts.
@@ -130,6 +131,12 @@
     const work = meter.begin();
     const packed = pack(message);
     socket.send(packed);
+    if (isOtherDomain) {
+      meter.countOtherDomainBytes(
+        trafficCauseOf(message, false),
+        packed.length,
+      );
+    }
     meter.endMessage(work, MessageDirection.Sent, message.type, packed.length);
   };
   const { home, report, lagMs, now, canAccept, meter } = opts;
--- a/src/links/dial_link_test.ts
+++ b/src/links/dial_link_test.ts
@@ -4,7 +4,7 @@
 import assert from "node:assert/strict";
 import { type WebSocket, WebSocketServer } from "ws";
 import type { AttemptEvent } from "../calls/state.ts";
-import { createWorkMeter } from "../metrics/create_work_meter.ts";
+import { createWorkMeter, TrafficCause } from "../metrics/create_work_meter.ts";
 import { ReaderStatus } from "../reader_election/state.ts";
 import { offeredCall } from "../testing/offered_call.ts";
 import { createPacker, createUnpacker } from "./create_packer.ts";
@@ -167,3 +167,34 @@
   assert.deepEqual(faults, ["r-1"]);
   assert.ok(link.isOpen());
 });
+
+test("bytes to another domain are counted by cause", async (t) => {
+  const peer = await startSilentPeer(t);
+  let isOtherDomain = true;
+  let opened = () => {};
+  const isOpen = new Promise<void>((resolve) => opened = resolve);
+  const meter = createWorkMeter({ now: () => 0 });
+  const link = openLink(t, peer.node, {
+    meter,
+    isOtherDomain: () => isOtherDomain,
+    onOpen: () => opened(),
+  });
+  await isOpen;
+  const bytesOf = (cause: TrafficCause) =>
+    meter.totals().otherDomainBytes.get(cause);
+  const hello = bytesOf(TrafficCause.Fleet) ?? 0;
+  assert.ok(hello > 0);
+  link.attempt(offeredCall({}), () => {});
+  const calls = bytesOf(TrafficCause.Calls) ?? 0;
+  assert.ok(calls > 0);
+  assert.equal(bytesOf(TrafficCause.Retries), undefined);
+  const retry = link.attempt(offeredCall({ isRetry: true }), () => {});
+  const offered = bytesOf(TrafficCause.Retries) ?? 0;
+  retry.send(Buffer.alloc(1_000));
+  const retries = bytesOf(TrafficCause.Retries) ?? 0;
+  assert.ok(offered > 0 && retries > offered + 1_000);
+  isOtherDomain = false;
+  link.attempt(offeredCall({}), () => {});
+  assert.equal(bytesOf(TrafficCause.Calls), calls);
+  assert.equal(bytesOf(TrafficCause.Fleet), hello);
+});
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -291,6 +291,9 @@
     call.bodyBytes,
     call.crashes,
     accountFields(call.account),
+    call.deadlineRatio === undefined
+      ? undefined
+      : Math.round(call.deadlineRatio * 10),
   ];
 }
 
@@ -313,9 +316,14 @@
     bodyBytes: (fields[14] ?? undefined) as number | undefined,
     crashes: fields[15] as number,
     account: accountOf(fields[16]),
+    deadlineRatio: tenthsOf(fields[17]),
   };
 }
 
+function tenthsOf(value: unknown): number | undefined {
+  return typeof value === "number" ? value / 10 : undefined;
+}
+
 function accountFields(account: CallAccount | undefined): Fields | undefined {
   if (account === undefined) return undefined;
   const { name, urgency, keyHash, tableVersion } = account;
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -16,6 +16,7 @@
   mayBeLate: true,
   body: Buffer.from("body"),
   account: { name: "acme", urgency: 1, keyHash: 2 ** 40 + 1, tableVersion: 7 },
+  deadlineRatio: 6.5,
 });
 const report = {
   running: 1,
--- a/src/links/open_channel.ts
+++ b/src/links/open_channel.ts
@@ -15,6 +15,7 @@
 import type { Gossip, LinkKey, LinkMessage } from "./messages.ts";
 import { isLastEvent } from "./serve_link.ts";
 import type { LinkHealth } from "./state.ts";
+import { trafficCauseOf } from "./traffic_cause_of.ts";
 
 /** Timeout for a connection and its handshake, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -204,11 +205,15 @@
     }
   }
 
-  function send(message: LinkMessage) {
+  function send(message: LinkMessage, isRetry = false) {
     if (!isOpen) return;
     const work = meter.begin();
     const packed = pack(message);
     socket.send(packed);
+    if (opts.isOtherDomain()) {
+      const cause = trafficCauseOf(message, isRetry);
+      meter.countOtherDomainBytes(cause, packed.length);
+    }
     meter.endMessage(work, MessageDirection.Sent, message.type, packed.length);
   }
 
@@ -217,19 +222,24 @@
     isOpen: () => isOpen,
     hasCalls: () => pendingCalls.size > 0,
     unsentBytes: () => socket.bufferedAmount,
-    send,
+    send: (message) => send(message),
     attempt(call, onEvent) {
       const key = ++lastKey;
-      const { id, route } = call;
-      const sentAt = now();
-      pendingCalls.set(key, { id, route, sentAt, isNew: true, onEvent });
-      send({ type: "offer", key, call });
+      const { id, route, isRetry = false } = call;
+      pendingCalls.set(key, {
+        id,
+        route,
+        sentAt: now(),
+        isNew: true,
+        onEvent,
+      });
+      send({ type: "offer", key, call }, isRetry);
       return {
-        send: (chunk) => send({ type: "body", key, chunk }),
-        finish: () => send({ type: "body-end", key }),
+        send: (chunk) => send({ type: "body", key, chunk }, isRetry),
+        finish: () => send({ type: "body-end", key }, isRetry),
         cancel() {
           if (!pendingCalls.has(key)) return;
-          send({ type: "cancel", key });
+          send({ type: "cancel", key }, isRetry);
           forget(key);
         },
       };
--- a/src/metrics/create_work_meter.ts
+++ b/src/metrics/create_work_meter.ts
@@ -23,6 +23,21 @@
 } as const;
 export type Duty = typeof Duty[keyof typeof Duty];
 
+/** What bytes between failure domains were sent for. */
+export const TrafficCause = {
+  /** First attempts of calls, with their bodies. */
+  Calls: "calls",
+  /** Further attempts, with their bodies. */
+  Retries: "retries",
+  /** Answers, refusals and other events of calls. */
+  Answers: "answers",
+  /** State of the fleet, and pings. */
+  Fleet: "fleet",
+  Configuration: "configuration",
+  Other: "other",
+} as const;
+export type TrafficCause = typeof TrafficCause[keyof typeof TrafficCause];
+
 /** Work in progress. */
 export interface BegunWork {
   readonly startedAt: MonotonicMs;
@@ -36,6 +51,8 @@
   readonly workMs: ReadonlyMap<string, number>;
   readonly messages: ReadonlyMap<string, MessageTotals>;
   readonly storeCalls: ReadonlyMap<string, number>;
+  /** Bytes sent to other failure domains, without frames. */
+  readonly otherDomainBytes: ReadonlyMap<TrafficCause, number>;
 }
 
 export interface MessageTotals {
@@ -56,6 +73,8 @@
     type: string,
     bytes: number,
   ): void;
+  /** Counts bytes that were sent to another failure domain. */
+  countOtherDomainBytes(cause: TrafficCause, bytes: number): void;
   addMs(duty: Duty, ms: number): void;
   countStoreCall(call: string): void;
   totals(): WorkTotals;
@@ -74,6 +93,7 @@
   const workMs = new Map<string, number>();
   const messages = new Map<string, MessageTotals>();
   const storeCalls = new Map<string, number>();
+  const otherDomainBytes = new Map<TrafficCause, number>();
   let lastSums: ReadonlyMap<string, number> = new Map();
   /** Time spent on work that began and ended within the current work. */
   let nestedMs = 0;
@@ -107,11 +127,14 @@
       totals.bytes += bytes;
       totals.ms += exclusiveMs(work);
     },
+    countOtherDomainBytes(cause, bytes) {
+      otherDomainBytes.set(cause, (otherDomainBytes.get(cause) ?? 0) + bytes);
+    },
     addMs,
     countStoreCall(call) {
       storeCalls.set(call, (storeCalls.get(call) ?? 0) + 1);
     },
-    totals: () => ({ workMs, messages, storeCalls }),
+    totals: () => ({ workMs, messages, storeCalls, otherDomainBytes }),
     summary() {
       const sums = new Map<string, number>(workMs);
       for (const [key, { count, ms }] of messages) {
@@ -119,6 +142,9 @@
         sums.set(key, count);
       }
       for (const [call, count] of storeCalls) sums.set(call, count);
+      for (const [cause, sum] of otherDomainBytes) {
+        sums.set(`other domains ${cause} bytes`, sum);
+      }
       const fields: Record<string, number> = {};
       for (const [key, sum] of sums) {
         const increase = Math.round(sum - (lastSums.get(key) ?? 0));
--- a/src/metrics/expose_work.ts
+++ b/src/metrics/expose_work.ts
@@ -52,6 +52,12 @@
     labelNames: ["call"],
     registers,
   });
+  const otherDomains = new Counter({
+    name: "lagoon_other_domain_bytes_total",
+    help: "Bytes sent to other failure domains, by cause, without frames.",
+    labelNames: ["cause"],
+    registers,
+  });
   const processor = new Counter({
     name: "lagoon_processor_seconds_total",
     help: "Processor time of the process.",
@@ -60,9 +66,16 @@
 
   function updateMetrics() {
     const totals = opts.meter.totals();
-    for (const each of [messages, bytes, seconds, work, calls, processor]) {
-      each.reset();
-    }
+    const counters = [
+      messages,
+      bytes,
+      seconds,
+      work,
+      calls,
+      otherDomains,
+      processor,
+    ];
+    for (const each of counters) each.reset();
     for (const { type, way, ...sums } of totals.messages.values()) {
       messages.inc({ type, way }, sums.count);
       bytes.inc({ type, way }, sums.bytes);
@@ -70,6 +83,9 @@
     }
     for (const [duty, ms] of totals.workMs) work.inc({ duty }, ms / 1_000);
     for (const [call, count] of totals.storeCalls) calls.inc({ call }, count);
+    for (const [cause, sum] of totals.otherDomainBytes) {
+      otherDomains.inc({ cause }, sum);
+    }
     const { user, system } = process.cpuUsage();
     processor.inc((user + system) / 1_000_000);
     memory.set(process.memoryUsage.rss());
--- a/src/testing/offered_call.ts
+++ b/src/testing/offered_call.ts
@@ -26,6 +26,7 @@
     bodyBytes: undefined,
     crashes: 0,
     account: undefined,
+    deadlineRatio: undefined,
     ...change,
   };
 }
