feat(queue): estimates follow the pace that endpoints report

Cause: VMs run 2.5 times as slowly as usual for some 600 ms. The means of run times followed within 20 runs, long after the change was over.

The home node's queue takes the pace of each answer, also of refusals. Run times are recorded as at the usual pace, also if the pace changed during the run, and estimates are multiplied by the present pace. Reports carry it.

--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -34,7 +34,8 @@
   CRASHES_TO_REFUSE,
   QUARANTINE_RETRY_MS,
 } from "../quarantine/crash_chain.ts";
-import type { CallDialect } from "../sidecar/platform_port.ts";
+import { pacePercentAt } from "../queue/pace.ts";
+import type { CallDialect, EndpointLoad } from "../sidecar/platform_port.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import { createEndpointConnector } from "./connect_endpoint.ts";
 import { type BufferedBody, createBodyBuffer } from "./create_body_buffer.ts";
@@ -111,6 +112,10 @@
   isBusy(): boolean;
   /** Whether the endpoint runs the call with this id. */
   isRunning(callId: string): boolean;
+  /** Records a load that the endpoint stated outside of a call. */
+  recordLoad(load: EndpointLoad): void;
+  /** `OfferedCall.deadlineRatio` of a running call. */
+  deadlineRatioOf(callId: string): number | undefined;
   /**
    * Records that a nested call of the running call `callId` failed, so that a
    * failure of the run is not held against the endpoint's version.
@@ -252,6 +257,8 @@
 
   function handleRunEvent(key: number, entry: OpenCall, event: RunEvent) {
     switch (event.type) {
+      case "load":
+        return recordLoad(event.load);
       case "chunk":
         if (opts.unsentBytes() > MAX_UNSENT_ANSWER_BYTES) {
           return abortRun(key, entry, "too many bytes of answers are unread");
@@ -299,6 +306,12 @@
     }
   }
 
+  function recordLoad({ pacePercent }: EndpointLoad) {
+    if (pacePercent === undefined) return;
+    const factor = pacePercent / 100;
+    apply(decideQueue(queue, { type: "paced", factor, now: now() }));
+  }
+
   function expire(key: number, entry: OpenCall) {
     abortRun(key, entry, "its time is over", true);
   }
@@ -480,6 +493,7 @@
       waiting: waiting + bodyBuffer.size(),
       meanMs,
       routeMs: routeMs > 0 ? routeMs + Math.round(bodyMs) : 0,
+      pacePercent: pacePercentAt(queue.pace, now()),
     };
   }
 
@@ -557,6 +571,8 @@
       openGate();
     },
     isRunning: (callId) => running.has(callId),
+    recordLoad,
+    deadlineRatioOf: (callId) => running.get(callId)?.call.deadlineRatio,
     recordNestedFailure(callId) {
       const entry = running.get(callId);
       if (entry !== undefined) entry.hasNestedFailure = true;
--- a/src/endpoint_proxy/endpoint_proxy_test.ts
+++ b/src/endpoint_proxy/endpoint_proxy_test.ts
@@ -521,3 +521,22 @@
   }
   assert.equal(received, 0);
 });
+
+test("pace in an answer or a refusal reaches the queue's reports", async (t) => {
+  let status = "200 OK";
+  let pace = 250;
+  const { home } = await startHome(t, (socket) => {
+    const fields = `call-id: r-1\r\npace-percent: ${pace}`;
+    socket.write(
+      `HTTP/1.1 ${status}\r\n${fields}\r\ncontent-length: 0\r\n\r\n`,
+    );
+  }, { now: () => 0 });
+  assert.equal(home.report().pacePercent, undefined);
+  await attemptCall(home);
+  assert.equal(home.report("a").pacePercent, 250);
+  pace = 180;
+  status = "503 Service Unavailable\r\nnot-run: yes";
+  const event = await attemptCall(home);
+  assert.equal(event.type, "refused");
+  assert.equal(home.report().pacePercent, 180);
+});
--- a/src/endpoint_proxy/run_call.ts
+++ b/src/endpoint_proxy/run_call.ts
@@ -8,7 +8,7 @@
 import type { AnswerHead, OfferedCall } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
 import { type Framing, isFramed } from "../core/is_framed.ts";
-import type { CallDialect } from "../sidecar/platform_port.ts";
+import type { CallDialect, EndpointLoad } from "../sidecar/platform_port.ts";
 import type { EndpointPool } from "./create_endpoint_pool.ts";
 import { type AnswerDefect, checkAnswer } from "./check_answer.ts";
 
@@ -35,6 +35,8 @@
  * "not-run", "expired" or "failed".
  */
 export type RunEvent =
+  /** The head of an answer states the load of the endpoint. */
+  | { readonly type: "load"; readonly load: EndpointLoad }
   | {
     readonly type: "answered";
     readonly head: AnswerHead;
@@ -107,7 +109,7 @@
 
   function emit(event: RunEvent) {
     if (isOver) return;
-    isOver = event.type !== "chunk" &&
+    isOver = event.type !== "load" && event.type !== "chunk" &&
       !(event.type === "answered" && event.body === undefined);
     opts.onEvent(event);
   }
@@ -115,6 +117,10 @@
   function handleHead(status: number, headers: string[]) {
     const marks = dialect.readAnswer(status, headers);
     const verdict = checkAnswer({ status, marks, callId: call.id });
+    // An answer that may belong to another call may also be old.
+    if (marks.load !== undefined && verdict.type !== "doubt") {
+      emit({ type: "load", load: marks.load });
+    }
     switch (verdict.type) {
       case "answer":
         head = { status, headers };
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -8,12 +8,13 @@
 import {
   canMeetDeadline,
   canMeetObjective,
+  coldFactorAt,
   expectedWaitMs,
   keepsObjectiveMargin,
   meanRunMs,
   recordRunTime,
-  slowdownAt,
 } from "./estimate.ts";
+import { recordPace, usualTimeAt } from "./pace.ts";
 import {
   type CallKey,
   type QueuedCall,
@@ -86,6 +87,9 @@
       return event.gate.type === "open"
         ? startWaitingCalls(state, event.now)
         : refuseAllWaiting(state, event.now);
+    case "paced":
+      recordPace(state.pace, event.factor, event.now);
+      return [];
     case "ticked":
       return [
         ...refuseExpired(state, event.now),
@@ -205,10 +209,9 @@
   if (call === undefined) return;
   state.running.delete(event.key);
   if (!event.isAnswered) return;
-  // Run times are stored as those of a warm endpoint. Estimates multiply them
-  // by the slowdown, which would otherwise count the cold start twice.
-  const tookMs = (event.now - call.startedAt) /
-    slowdownAt(state, call.startedAt);
+  // Run times are stored as those of a warm endpoint at its usual pace.
+  // Estimates multiply them by the slowdown, which would otherwise count twice.
+  const tookMs = usualRunMs(state, call, event.now);
   recordRunTime(state.times, tookMs);
   let times = state.timesByRoute.get(call.route);
   if (times === undefined) {
@@ -238,7 +241,12 @@
       effects.push(refuse(state, next.key, RefusalReason.NoTime, now));
       continue;
     }
-    running.set(next.key, { ...next, startedAt: now, isOverdue: false });
+    running.set(next.key, {
+      ...next,
+      startedAt: now,
+      startedUsualMs: usualTimeAt(state.pace, now),
+      isOverdue: false,
+    });
     effects.push({ type: "start", key: next.key });
   }
   return effects;
@@ -303,9 +311,21 @@
   const times = state.timesByRoute.get(call.route);
   if (call.isOverdue || times === undefined) return false;
   if (times.samples < MIN_OVERDUE_SAMPLES) return false;
-  const meanMs = times.mean * slowdownAt(state, call.startedAt);
-  const limitMs = Math.max(MIN_OVERDUE_MS, meanMs * OVERDUE_FACTOR);
-  return now - call.startedAt > limitMs;
+  const limitMs = Math.max(
+    MIN_OVERDUE_MS / coldFactorAt(state, call.startedAt),
+    times.mean * OVERDUE_FACTOR,
+  );
+  return usualRunMs(state, call, now) > limitMs;
+}
+
+/** Time of a run until `now`, as on a warm endpoint at its usual pace. */
+function usualRunMs(
+  state: QueueState,
+  call: RunningCall,
+  now: MonotonicMs,
+): number {
+  return (usualTimeAt(state.pace, now) - call.startedUsualMs) /
+    coldFactorAt(state, call.startedAt);
 }
 
 /** Refuses all waiting calls, when the endpoint accepts no more calls. */
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
+import { paceAt } from "./pace.ts";
 import type { QueuedCall, QueueState, RunTimes } from "./state.ts";
 
 /**
@@ -46,6 +47,11 @@
 
 /** Returns the factor by which a run that starts at `now` takes longer. */
 export function slowdownAt(state: QueueState, now: MonotonicMs): number {
+  return coldFactorAt(state, now) * paceAt(state.pace, now);
+}
+
+/** Returns the part of the slowdown that is due to a cold start. */
+export function coldFactorAt(state: QueueState, now: MonotonicMs): number {
   return now < state.coldUntil ? COLD_START_FACTOR : 1;
 }
 
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
+import { createPace, type Pace } from "./pace.ts";
 
 /** Identifies a call within this node. */
 export type CallKey = number;
@@ -31,11 +32,13 @@
 /** A call that the endpoint runs. */
 export interface RunningCall extends QueuedCall {
   readonly startedAt: MonotonicMs;
+  /** Start of the run on the clock of `usualTimeAt`. */
+  readonly startedUsualMs: number;
   /** Whether the overdue effect has been returned for this call. */
   isOverdue: boolean;
 }
 
-/** Moving mean of run times on a warm endpoint, in milliseconds. */
+/** Moving mean of usual run times on a warm endpoint, in milliseconds. */
 export interface RunTimes {
   mean: number;
   samples: number;
@@ -50,6 +53,7 @@
   gate: Gate;
   /** Time until which the endpoint is expected to be slow after its start. */
   coldUntil: MonotonicMs;
+  readonly pace: Pace;
   readonly running: Map<CallKey, RunningCall>;
   readonly waiting: Map<CallKey, QueuedCall>;
   /** Run times by route name. */
@@ -90,6 +94,12 @@
     readonly coldUntil: MonotonicMs;
     readonly now: MonotonicMs;
   }
+  /** The endpoint stated the pace of its VM. 1 is the usual pace. */
+  | {
+    readonly type: "paced";
+    readonly factor: number;
+    readonly now: MonotonicMs;
+  }
   | { readonly type: "ticked"; readonly now: MonotonicMs };
 
 export const RefusalReason = {
@@ -140,7 +150,8 @@
   readonly routeMs: number;
   /**
    * How long runs take on the endpoint's VM now, in percent of their usual time.
-   * `meanMs` and `routeMs` are usual times. Undefined if it is not known.
+   * `meanMs` and `routeMs` are usual times. Undefined if it is the usual, or not
+   * known.
    */
   readonly pacePercent?: number | undefined;
   /**
@@ -154,6 +165,7 @@
   return {
     gate: { type: "closed", reason: "no endpoint has announced itself" },
     coldUntil: -Infinity,
+    pace: createPace(),
     running: new Map(),
     waiting: new Map(),
     timesByRoute: new Map(),
--- a/src/testing/test_dialect.ts
+++ b/src/testing/test_dialect.ts
@@ -32,11 +32,17 @@
     );
     const [first] = ids;
     const isNotRun = headers.some((name) => name.toLowerCase() === "not-run");
+    const paceAt = headers.indexOf("pace-percent");
+    const pacePercent = Number(headers[paceAt + 1]);
+    const unknown = { running: undefined, waiting: undefined };
     return {
       isNotRun,
       readsAsNotRun: NOT_RUN_STATUSES.has(status),
       isWrongInstance: false,
       callId: ids.size === 1 ? first : undefined,
+      load: paceAt < 0
+        ? undefined
+        : { ...unknown, slots: undefined, pacePercent },
     };
   },
   refusalHeaders: (callId, retryMs) => ({
