feat(load_balancing): calls with long deadlines stay in their domain

Cause: a fixed cost in milliseconds for leaving the domain made calls cross for speed that nobody needs where the objective is 0.8 to 2 s.

Change: the ratio of the caller's deadline to the objective decides what a millisecond costs. Up to 4.25 the decisions are as before; from 5 on a call leaves its domain only if it is likely to be late or lost there and not elsewhere; between them the costs are mixed. A nested call has the ratio of its parent. After one refusal as late such a call is queued late; after a refusal by a full queue it goes to a home that is free. Candidates are slowed by the pace in their last report.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -19,6 +19,7 @@
 import { admitRequest, Rejection } from "./admit_request.ts";
 import { answerLocally } from "./answer_caller.ts";
 import { createAcceptMeter } from "./create_accept_meter.ts";
+import { deadlineRatioOf } from "./deadline_ratio_of.ts";
 import { estimateAgeMs } from "./estimate_age.ts";
 import { isNestedCall } from "./is_nested_call.ts";
 import { serveCall, type ServedCall } from "./serve_call.ts";
@@ -133,6 +134,14 @@
     const ageMs = isNested || caller.waitMs === undefined
       ? 0
       : estimateAgeMs(ctx.timeouts, route.name, caller.waitMs);
+    const deadlineRatio = deadlineRatioOf({
+      parentRatio: isNested
+        ? ctx.deadlineRatioOf(caller.parentId ?? "")
+        : undefined,
+      callerWaitMs: caller.waitMs,
+      ageMs,
+      route,
+    });
     const now = ctx.now();
     const reason = admitRequest({ waitedMs, isNested, waitMs, stop, now });
     if (reason !== undefined) {
@@ -161,6 +170,7 @@
       parentId: isNested ? caller.parentId : undefined,
       waitMs,
       ageMs,
+      deadlineRatio,
       maxBodyBytes: bodyBytes,
       mayClose: () => mayClose(res),
       onDone() {
--- a/src/callers/create_home_search.ts
+++ b/src/callers/create_home_search.ts
@@ -25,7 +25,11 @@
 /** What a search depends on besides the call's service and route. */
 export type FindOptions = Pick<
   FindNextHomeOptions,
-  "bodyBytes" | "objectiveLeftMs"
+  | "bodyBytes"
+  | "objectiveLeftMs"
+  | "deadlineLeftMs"
+  | "deadlineRatio"
+  | "onlyFree"
 >;
 
 export interface HomeSearch {
--- a/src/callers/describe_call.ts
+++ b/src/callers/describe_call.ts
@@ -30,6 +30,8 @@
   readonly objectiveAt: MonotonicMs;
   readonly mayBeLate: boolean;
   readonly crashes: number;
+  readonly deadlineRatio: number | undefined;
+  readonly isRetry: boolean;
 }
 
 /**
@@ -60,6 +62,8 @@
     body: isInline ? checked.body : undefined,
     bodyBytes: body?.declaredBytes,
     crashes: opts.crashes,
+    deadlineRatio: opts.deadlineRatio,
+    isRetry: opts.isRetry,
   };
 }
 
--- a/src/callers/find_next_home.ts
+++ b/src/callers/find_next_home.ts
@@ -29,6 +29,12 @@
   readonly bodyBytes: number;
   /** Time left to the end of the latency objective, in milliseconds. */
   readonly objectiveLeftMs: number;
+  /** Time left to the deadline, in milliseconds. */
+  readonly deadlineLeftMs: number;
+  /** See `OfferedCall.deadlineRatio`. */
+  readonly deadlineRatio: number | undefined;
+  /** Whether homes without a slot in time are passed over. */
+  readonly onlyFree: boolean;
 }
 
 /** Chooses the versions that a request may run on, once for each request. */
@@ -65,6 +71,10 @@
     bytes: opts.bodyBytes +
       (ctx.answerBytes.get(route.name) ?? INITIAL_ANSWER_BYTES),
     objectiveLeftMs: opts.objectiveLeftMs,
+    objectiveMs: route.objectiveMs,
+    deadlineLeftMs: opts.deadlineLeftMs,
+    deadlineRatio: opts.deadlineRatio,
+    onlyFree: opts.onlyFree,
     now: ctx.now(),
     random: ctx.random,
   });
--- a/src/callers/find_next_home_test.ts
+++ b/src/callers/find_next_home_test.ts
@@ -55,6 +55,9 @@
       tried: new Set(),
       bodyBytes: 0,
       objectiveLeftMs: 200,
+      deadlineLeftMs: 800,
+      deadlineRatio: 4,
+      onlyFree: false,
     });
   assert.equal(find(8)?.home, "other");
 });
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -94,6 +94,8 @@
   readonly waitMs: number;
   /** Time that the caller has already waited, in milliseconds. */
   readonly ageMs: number;
+  /** See `OfferedCall.deadlineRatio`. */
+  readonly deadlineRatio: number | undefined;
   readonly maxBodyBytes: number;
   /** Whether the connection may be closed after this answer. */
   readonly mayClose: () => boolean;
@@ -189,7 +191,7 @@
     if (offers === 0) attemptNext(false);
   }
 
-  function attemptNext(mayBeLate: boolean): void {
+  function attemptNext(mayBeLate: boolean, onlyFree = false): void {
     if (isDone) return;
     if (isQuarantined()) {
       if (attempts.size > 0) return;
@@ -200,10 +202,10 @@
     // A home that refused because of a late answer may still be the best choice
     // when a late answer is acceptable.
     if (mayBeLate) search.allowLateAnswers();
-    const found = findHome();
+    const found = findHome(onlyFree);
     if (found !== undefined) {
       if (offers === 0) wasFull = found.isFull;
-      return sendTo(found.home, mayBeLate);
+      return sendTo(found.home, mayBeLate || found.mayBeLate, onlyFree);
     }
     if (!mayBeLate && search.allowLateAnswers()) return attemptNext(true);
     if (attempts.size > 0 || waitForLink()) return;
@@ -259,15 +261,21 @@
     linkWait = { type: "over" };
   }
 
-  function findHome(): Choice | undefined {
-    const objectiveLeftMs = objectiveAt - ctx.now();
-    return search.find({ bodyBytes: bytesOf(body), objectiveLeftMs });
+  function findHome(onlyFree: boolean): Choice | undefined {
+    const now = ctx.now();
+    return search.find({
+      bodyBytes: bytesOf(body),
+      objectiveLeftMs: objectiveAt - now,
+      deadlineLeftMs: deadlineAt - now,
+      deadlineRatio: opts.deadlineRatio,
+      onlyFree,
+    });
   }
 
-  function sendTo(node: NodeId, mayBeLate: boolean): void {
+  function sendTo(node: NodeId, mayBeLate: boolean, onlyFree: boolean): void {
     search.recordTried(node);
     const home = ctx.homes.homeOf(node);
-    if (home === undefined) return attemptNext(mayBeLate);
+    if (home === undefined) return attemptNext(mayBeLate, onlyFree);
     closeLinkWait();
     offers++;
     lastAttemptAt = ctx.now();
@@ -287,6 +295,8 @@
       objectiveAt,
       mayBeLate,
       crashes,
+      deadlineRatio: opts.deadlineRatio,
+      isRetry: offers > 1,
     });
     const attempt = home.attempt(call, (event) => handleEvent(open, event));
     const sink = {
@@ -377,7 +387,7 @@
       const step = decideNextStep({ type: "answered", head });
       if (step.type === "attempt") {
         open.attempt.cancel();
-        return attemptNext(step.mayBeLate);
+        return attemptNext(step.mayBeLate, step.onlyFree);
       }
     }
     for (const other of attempts) {
@@ -398,7 +408,7 @@
     const step = decideNextStep(end);
     switch (step.type) {
       case "attempt":
-        return attemptNext(step.mayBeLate);
+        return attemptNext(step.mayBeLate, step.onlyFree);
       case "give-up":
         return giveUp(step.status, describeEnd(end));
       case "forward":
@@ -417,6 +427,7 @@
       maxArrivals: route.maxAttempts,
       mayHaveRun,
       wasFull,
+      deadlineRatio: opts.deadlineRatio,
       leftMs: deadlineAt - ctx.now(),
       canResend: body?.canResend() ?? true,
       spend,
@@ -443,7 +454,7 @@
     const mayHedge = route.isIdempotent && !isHedged &&
       arrivals < route.maxAttempts && (body?.canResend() ?? true) &&
       ctx.now() < deadlineAt;
-    if (!mayHedge || findHome() === undefined || !spend(true)) return;
+    if (!mayHedge || findHome(false) === undefined || !spend(true)) return;
     isHedged = true;
     log(LogLevel.Info, "call hedged: first attempt is overdue");
     attemptNext(false);
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -51,6 +51,8 @@
   readonly recordDemand: (service: string, isFull: boolean) => void;
   /** Whether the endpoint on this VM runs the call with this id. */
   readonly isRunningHere: (callId: string) => boolean;
+  /** `OfferedCall.deadlineRatio` of a call that the endpoint on this VM runs. */
+  readonly deadlineRatioOf: (callId: string) => number | undefined;
   /** Records that a nested call of the run with this id failed. */
   readonly recordNestedFailure: (callId: string) => void;
   /**
--- a/src/calls/calls_test.ts
+++ b/src/calls/calls_test.ts
@@ -1,5 +1,6 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
+import { longDeadlineShare } from "./deadline_share.ts";
 import { type AttemptEnd, decideNext } from "./decide_next.ts";
 import { retryAfterMs } from "./retry_after.ts";
 import { RefusedBy } from "./state.ts";
@@ -26,6 +27,7 @@
     maxArrivals: 2,
     mayHaveRun: false,
     wasFull: false,
+    deadlineRatio: 4,
     leftMs: 500,
     canResend: true,
     spend: () => true,
@@ -53,7 +55,11 @@
   const spend = () => assert.fail("spent");
   const change = { arrivals: 0, spend, isIdempotent: false };
   const step = next(refusedBy(RefusedBy.Home), change);
-  assert.deepEqual(step, { type: "attempt", mayBeLate: false });
+  assert.deepEqual(step, {
+    type: "attempt",
+    mayBeLate: false,
+    onlyFree: false,
+  });
 });
 
 test("misdirected call goes to another home and costs no retry budget", () => {
@@ -70,7 +76,7 @@
 test("late answer is accepted after two refusals as late", () => {
   const end = refusedBy(RefusedBy.Home);
   const step = next(end, { arrivals: 0, offers: 2 });
-  assert.deepEqual(step, { type: "attempt", mayBeLate: true });
+  assert.deepEqual(step, { type: "attempt", mayBeLate: true, onlyFree: false });
 });
 
 test("late answer is accepted after one refusal if the home was full", () => {
@@ -105,3 +111,23 @@
   assert.equal(at(1), 150);
   assert.equal(at(1, 300), 100);
 });
+
+const LONG = { arrivals: 0, deadlineRatio: 6 };
+
+test("call with a long deadline is queued after one refusal as late", () => {
+  const step = next(refusedBy(RefusedBy.Home), { ...LONG, wasFull: false });
+  assert.equal(step.type === "attempt" && step.mayBeLate, true);
+});
+
+test("call with a long deadline leaves a full queue for a free home", () => {
+  const end = refusedBy(RefusedBy.Home, "crowded");
+  const step = next(end, LONG);
+  assert.equal(step.type === "attempt" && step.onlyFree, true);
+  assert.equal(next(end, { ...LONG, offers: 4 }).type, "give-up");
+  assert.equal(next(end, { ...LONG, deadlineRatio: 4 }).type, "give-up");
+});
+
+test("share of a long deadline is continuous, and 0 up to four objectives", () => {
+  const shares = [undefined, 1.5, 4.2, 4.625, 5, 9].map(longDeadlineShare);
+  assert.deepEqual(shares, [0, 0, 0, 0.5, 1, 1]);
+});
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -6,6 +6,7 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import { RefusalReason } from "../queue/state.ts";
+import { longDeadlineShare } from "./deadline_share.ts";
 import {
   type AnswerHead,
   type Failure,
@@ -34,6 +35,13 @@
  */
 const STRICT_ATTEMPTS_WHEN_FULL = 1;
 
+/**
+ * Number of attempts after which a call whose caller waits long is given up when
+ * a queue takes no more calls: one refusal as late, one by the home that was to
+ * answer it late, and one by a home that was expected to have a slot.
+ */
+const MAX_OFFERS_OF_LONG_CALLS = 3;
+
 /**
  * Minimum time left before the deadline for a retry after a failed run, in
  * milliseconds.
@@ -65,6 +73,8 @@
    * be full.
    */
   readonly wasFull: boolean;
+  /** See `OfferedCall.deadlineRatio`. */
+  readonly deadlineRatio: number | undefined;
   /** Whether the complete body is still buffered, so that it can be resent. */
   readonly canResend: boolean;
   /**
@@ -76,11 +86,22 @@
 
 export type NextStep =
   /** Send the call to another home. */
-  | { readonly type: "attempt"; readonly mayBeLate: boolean }
+  | {
+    readonly type: "attempt";
+    readonly mayBeLate: boolean;
+    /** Whether only homes that are expected to have a slot in time qualify. */
+    readonly onlyFree: boolean;
+  }
   /** Forward the answer to the caller. */
   | { readonly type: "forward" }
   | { readonly type: "give-up"; readonly status: 502 | 503 | 504 };
 
+const LATE_ATTEMPT = {
+  type: "attempt",
+  mayBeLate: true,
+  onlyFree: false,
+} as const;
+
 /**
  * Decides whether a call is sent to another home.
  *
@@ -88,6 +109,11 @@
  * Each further endpoint that receives the call counts against the route's
  * attempts and the retry budget. After a possible run only an idempotent call
  * is retried.
+ *
+ * A call whose caller waits long is not sent from home to home until one answers
+ * it in time: after one refusal as late, the home with the least cost queues it,
+ * possibly the one that refused it. Only if a queue takes no more calls is it
+ * sent on to a home that is expected to have a slot, if there is one.
  */
 export function decideNext(opts: DecideNextOptions): NextStep {
   const { end } = opts;
@@ -95,13 +121,11 @@
     case "refused":
       return afterRefusal(opts, end.refusal);
     case "failed":
-      if (mayRetry(opts)) return { type: "attempt", mayBeLate: true };
+      if (mayRetry(opts)) return LATE_ATTEMPT;
       return { type: "give-up", status: end.failure.isTimeout ? 504 : 502 };
     case "answered": {
       const isFailed = end.head.status >= LOWEST_SERVER_ERROR;
-      return isFailed && mayRetry(opts)
-        ? { type: "attempt", mayBeLate: true }
-        : { type: "forward" };
+      return isFailed && mayRetry(opts) ? LATE_ATTEMPT : { type: "forward" };
     }
     default:
       return exhausted(end);
@@ -114,9 +138,12 @@
     !areHomesFull(opts, refusal) && opts.canResend &&
     opts.leftMs > 0 &&
     opts.offers < MAX_HOME_ATTEMPTS && mayReachAnotherEndpoint(opts, refusal);
-  const strict = opts.wasFull ? STRICT_ATTEMPTS_WHEN_FULL : STRICT_ATTEMPTS;
+  const strict = opts.wasFull || isLong(opts)
+    ? STRICT_ATTEMPTS_WHEN_FULL
+    : STRICT_ATTEMPTS;
   const mayBeLate = !isLate || opts.offers >= strict;
-  if (mayAttempt) return { type: "attempt", mayBeLate };
+  const onlyFree = refusal.reason === RefusalReason.QueueFull;
+  if (mayAttempt) return { type: "attempt", mayBeLate, onlyFree };
   return { type: "give-up", status: opts.mayHaveRun ? 502 : 503 };
 }
 
@@ -124,7 +151,7 @@
 function areHomesFull(opts: DecideNextOptions, refusal: Refusal): boolean {
   switch (refusal.reason) {
     case RefusalReason.QueueFull:
-      return true;
+      return !isLong(opts) || opts.offers > MAX_OFFERS_OF_LONG_CALLS;
     case RefusalReason.NoTime:
       return opts.offers > STRICT_ATTEMPTS;
     default:
@@ -132,6 +159,11 @@
   }
 }
 
+/** Whether a late answer keeps most of its value for the caller. */
+function isLong({ deadlineRatio }: DecideNextOptions): boolean {
+  return longDeadlineShare(deadlineRatio) === 1;
+}
+
 function mayReachAnotherEndpoint(
   opts: DecideNextOptions,
   refusal: Refusal,
--- a/src/load_balancing/choose_candidate.ts
+++ b/src/load_balancing/choose_candidate.ts
@@ -3,12 +3,14 @@
  * the node on an endpoint's VM, which alone opens connections to the endpoint.
  * @module
  */
+import { longDeadlineShare } from "../calls/deadline_share.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import {
   COLD_START_FACTOR,
   INITIAL_RUN_ESTIMATE_MS,
   isWaitWithinMargin,
 } from "../queue/estimate.ts";
+import { decayPace } from "../queue/pace.ts";
 import { failureShareOf, networkTimeOf } from "./record_home.ts";
 import {
   type Candidate,
@@ -67,6 +69,61 @@
 const RISKY_COST_PER_MS = 2;
 const SAFE_COST_PER_MS = 0.25;
 
+/**
+ * Costs of a call whose caller waits long past the objective, as multiples of
+ * the cost of a late answer. A late answer there costs half the value of the
+ * call; one that is lost costs the other half too, and a further attempt.
+ */
+const LOSS_COST = 1.5;
+
+/**
+ * Cost of the time to an answer that takes as long as the objective. It spreads
+ * calls over endpoints by expected time. It is below `MIN_CROSSING_COST`, so
+ * that no call leaves its domain for an answer that is early in both.
+ */
+const LONG_TIME_COST = 0.15;
+
+/**
+ * Costs of leaving the failure domain. A small call leaves once the risk to be
+ * late is a fifth, a call of 30 KB and more only rather than be lost. In the
+ * replay with costs of 0.2 and 0.1 per kilobyte, queues in the domain grew until
+ * the calls behind were late, for hardly fewer bytes.
+ */
+const MIN_CROSSING_COST = 0.1;
+const CROSSING_COST_PER_KILOBYTE = 0.03;
+const MAX_CROSSING_COST = 2;
+
+/**
+ * Maximum fraction of a call's slack that it may wait in another domain after
+ * its own domain refused it. With the whole margin of `isWaitWithinMargin`,
+ * calls cross during an overload of all domains to find the same wait there.
+ */
+const MAX_FAR_WAIT_SHARE = 0.25;
+
+/**
+ * Bounds of the expected time, as multiples of the time left, between which the
+ * risk to miss an objective or a deadline rises from 0 to 1. An expected time
+ * equal to the time left misses it half the time.
+ */
+const RISK_BOUNDS = { safe: 0.6, missed: 1.4 };
+
+/**
+ * Random part of the cost, against callers with the same view that all choose
+ * the same endpoint until its next report. It is worth 5% of the objective,
+ * about two calls in the queue of an endpoint. Shares from 0 to 15% made no
+ * difference in the replays.
+ */
+const LONG_RANDOM_COST = 0.05 * LONG_TIME_COST;
+
+/**
+ * Time for which the waiting calls of a report count, as a multiple of the
+ * objective. Queues of calls that may wait long change slowly, and reports from
+ * other domains are seconds old: taken for empty, those domains drew calls
+ * during an overload of all (replay: 7.6 MB with a tenth of the objective, 0.5
+ * MB with four objectives).
+ */
+const STALE_REPORT_OBJECTIVES = 4;
+
 /** Run time assumed for a home that has not run the route, in milliseconds. */
 const UNKNOWN_RUN_MS = 10;
 
@@ -88,6 +145,14 @@
   readonly bytes: number;
   /** Time left to the end of the latency objective, in milliseconds. */
   readonly objectiveLeftMs: number;
+  /** Latency objective of the route, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Time left to the deadline, in milliseconds. */
+  readonly deadlineLeftMs: number;
+  /** See `OfferedCall.deadlineRatio`. */
+  readonly deadlineRatio: number | undefined;
+  /** Whether homes without a slot in time are passed over. */
+  readonly onlyFree?: boolean | undefined;
   readonly now: MonotonicMs;
   /** Returns 0 to 1. Breaks ties between homes of nearly equal cost. */
   readonly random: () => number;
@@ -102,6 +167,11 @@
    * Whether the expected wait at the home puts the latency objective at risk.
    */
   readonly isFull: boolean;
+  /**
+   * Whether a late answer of this home is accepted: its caller waits long, and
+   * the other homes cost more than the delay.
+   */
+  readonly mayBeLate: boolean;
 }
 
 /**
@@ -111,35 +181,92 @@
  * only where waiting in that domain puts the latency objective at risk. Slow
  * and cold endpoints get fewer calls because of their run times. Endpoints that
  * fail some of their calls get those that no other endpoint has a slot for.
+ *
+ * Where callers wait long past the objective, a late answer keeps much of its
+ * value. Such a call leaves its failure domain only if it is likely to be late
+ * there, or lost, and not elsewhere. The longer the deadline, the more of the
+ * cost follows that rule.
  */
 export function chooseCandidate(
   state: LoadBalancingState,
   opts: ChooseCandidateOptions,
 ): Choice | undefined {
-  let best: Choice | undefined;
+  let best: Candidate | undefined;
   let bestCost = Infinity;
+  let isFull = false;
+  const longShare = longDeadlineShare(opts.deadlineRatio);
+  const staleMs = staleReportMs(longShare, opts.objectiveMs);
   for (const candidate of opts.candidates) {
     if (opts.tried.has(candidate.home)) continue;
     const view = viewOf(state, candidate.home);
-    const runMs = runMsOf(view, candidate, opts);
-    const waitMs = waitMsOf(view, candidate, opts.now);
+    const slowdown = slowdownOf(view, candidate, opts.now);
+    const runMs = runMsOf(view, opts.route) * slowdown;
+    const outstanding = outstandingOf(view, opts.now, staleMs);
+    const waitMs = waitMsOf(view, candidate, outstanding, slowdown);
+    const spareMs = opts.objectiveLeftMs - runMs;
+    const isWaiting = !isWaitWithinMargin(waitMs, spareMs);
+    const isFar = candidate.domain !== opts.ownDomain;
+    const mayTake = opts.onlyFree !== true ||
+      (isFar ? isFarHomeFree(waitMs, spareMs) : !isWaiting);
+    if (!mayTake) continue;
     const isEjected = opts.now < view.ejectedUntil;
-    const contention = Math.min(
-      1,
-      outstandingOf(view, opts.now) / candidate.slots,
-    );
+    const contention = Math.min(1, outstanding / candidate.slots);
     const tookMs = networkTimeOf(view, opts.now) + waitMs +
       runMs * (1 + MAX_CONTENTION_SHARE * contention);
-    const cost = timeCost(tookMs, opts.objectiveLeftMs) + opts.random() +
+    const cost = placementCost(tookMs, isFar, longShare, opts) +
       failureShareOf(state, candidate.home, opts.now) * FAILURE_COST_MS +
-      (candidate.domain === opts.ownDomain ? 0 : crossDomainCost(opts.bytes)) +
       (isEjected ? 1e6 : 0);
     if (cost >= bestCost) continue;
     bestCost = cost;
-    const isFull = !isWaitWithinMargin(waitMs, opts.objectiveLeftMs - runMs);
-    best = { home: candidate.home, isFull };
+    best = candidate;
+    isFull = isWaiting;
   }
-  return best;
+  if (best === undefined) return undefined;
+  return { home: best.home, isFull, mayBeLate: isFull && longShare === 1 };
+}
+
+/** Cost of an answer after `tookMs`, and of leaving the failure domain. */
+function placementCost(
+  tookMs: number,
+  isFar: boolean,
+  longShare: number,
+  opts: ChooseCandidateOptions,
+): number {
+  const random = opts.random();
+  const shortCost = longShare === 1 ? 0 : random +
+    timeCost(tookMs, opts.objectiveLeftMs) +
+    (isFar ? crossDomainCost(opts.bytes) : 0);
+  if (longShare === 0) return shortCost;
+  const longCost = missRisk(tookMs, opts.objectiveLeftMs) +
+    missRisk(tookMs, opts.deadlineLeftMs) * LOSS_COST +
+    tookMs / opts.objectiveMs * LONG_TIME_COST + random * LONG_RANDOM_COST +
+    (isFar && opts.onlyFree !== true ? longCrossingCost(opts.bytes) : 0);
+  // A late answer costs the short rule about a millisecond for each
+  // millisecond of the objective.
+  return shortCost * (1 - longShare) + longCost * opts.objectiveMs * longShare;
+}
+
+/** Risk, 0 to 1, that an answer expected after `tookMs` takes over `leftMs`. */
+function missRisk(tookMs: number, leftMs: number): number {
+  if (leftMs <= 0) return 1;
+  const risk = (tookMs / leftMs - RISK_BOUNDS.safe) /
+    (RISK_BOUNDS.missed - RISK_BOUNDS.safe);
+  return Math.min(1, Math.max(0, risk));
+}
+
+function longCrossingCost(bytes: number): number {
+  const cost = MIN_CROSSING_COST + bytes / 1_024 * CROSSING_COST_PER_KILOBYTE;
+  return Math.min(MAX_CROSSING_COST, cost);
+}
+
+/** Whether a home of another domain is free enough for a refused call. */
+function isFarHomeFree(waitMs: number, spareMs: number): boolean {
+  return waitMs <= Math.max(0, spareMs) * MAX_FAR_WAIT_SHARE;
+}
+
+function staleReportMs(longShare: number, objectiveMs: number): number {
+  const longMs = objectiveMs * STALE_REPORT_OBJECTIVES;
+  return STALE_REPORT_MS + Math.max(0, longMs - STALE_REPORT_MS) * longShare;
 }
 
 function timeCost(tookMs: number, objectiveLeftMs: number): number {
@@ -153,39 +280,47 @@
     largeKilobytes * EXTRA_COST_MS_PER_LARGE_KILOBYTE;
 }
 
-function runMsOf(
-  view: HomeView,
-  candidate: Candidate,
-  opts: ChooseCandidateOptions,
-): number {
+function runMsOf(view: HomeView, route: string): number {
   // A home that has not run the route is assumed to be fast, so that it gets
   // calls. With its mean over other routes it might never get one.
-  const meanMs = view.routeMs.get(opts.route) ?? UNKNOWN_RUN_MS;
-  return meanMs * slowdownOf(candidate, opts.now);
+  return view.routeMs.get(route) ?? UNKNOWN_RUN_MS;
 }
 
-function slowdownOf(candidate: Candidate, now: MonotonicMs): number {
-  return now < candidate.coldUntil ? COLD_START_FACTOR : 1;
+/** Slowdown by a cold start and by the pace that the home last reported. */
+function slowdownOf(
+  view: HomeView,
+  candidate: Candidate,
+  now: MonotonicMs,
+): number {
+  const coldFactor = now < candidate.coldUntil ? COLD_START_FACTOR : 1;
+  const { pacePercent } = view.report;
+  return pacePercent === undefined
+    ? coldFactor
+    : coldFactor * decayPace(pacePercent / 100, now - view.reportedAt);
 }
 
 /** Calls at a home: those that it reported, and those sent from here since. */
-function outstandingOf(view: HomeView, now: MonotonicMs): number {
+function outstandingOf(
+  view: HomeView,
+  now: MonotonicMs,
+  staleMs: number,
+): number {
   const { report, inFlight, inFlightAtReport, reportedAt } = view;
   const sentSinceReport = inFlight - inFlightAtReport;
-  const waiting = now - reportedAt < STALE_REPORT_MS ? report.waiting : 0;
+  const waiting = now - reportedAt < staleMs ? report.waiting : 0;
   return Math.max(inFlight, report.running + waiting + sentSinceReport);
 }
 
 function waitMsOf(
   view: HomeView,
   candidate: Candidate,
-  now: MonotonicMs,
+  outstanding: number,
+  slowdown: number,
 ): number {
   const { slots } = candidate;
-  const excess = outstandingOf(view, now) - slots + 1;
+  const excess = outstanding - slots + 1;
   const meanMs = view.report.meanMs > 0
     ? view.report.meanMs
     : INITIAL_RUN_ESTIMATE_MS;
-  const runMs = meanMs * slowdownOf(candidate, now);
-  return excess <= 0 ? 0 : excess * runMs / slots;
+  return excess <= 0 ? 0 : excess * meanMs * slowdown / slots;
 }
--- a/src/load_balancing/load_balancing_test.ts
+++ b/src/load_balancing/load_balancing_test.ts
@@ -35,6 +35,8 @@
   opts: {
     bytes?: number;
     objectiveLeftMs?: number;
+    deadlineRatio?: number;
+    onlyFree?: boolean;
     tried?: string[];
     now?: number;
   } = {},
@@ -47,6 +49,10 @@
     ownDomain: "d1",
     bytes: opts.bytes ?? 1_000,
     objectiveLeftMs: opts.objectiveLeftMs ?? 150,
+    objectiveMs: 150,
+    deadlineLeftMs: 150 * (opts.deadlineRatio ?? 4),
+    deadlineRatio: opts.deadlineRatio ?? 4,
+    onlyFree: opts.onlyFree,
     now: opts.now ?? 0,
     random: () => 0,
   })?.home;
@@ -145,6 +151,9 @@
       ownDomain: "d1",
       bytes: 0,
       objectiveLeftMs: 150,
+      objectiveMs: 150,
+      deadlineLeftMs: 600,
+      deadlineRatio: 4,
       now: 0,
       random: () => 0,
     })?.isFull;
@@ -163,3 +172,73 @@
   assert.equal(choose(state), "far");
   assert.equal(choose(state, { now: 10_000 }), "near");
 });
+
+const LONG = { deadlineRatio: 6 };
+
+test("call with a long deadline stays where it is in time", () => {
+  const state = createLoadBalancingState();
+  report(state, "near", [4, 2, 50]);
+  assert.equal(choose(state), "far");
+  assert.equal(choose(state, { ...LONG, objectiveLeftMs: 250 }), "near");
+  assert.equal(choose(state, { ...LONG, objectiveLeftMs: 90 }), "far");
+});
+
+test("call with a long deadline that is late in both domains stays", () => {
+  const state = createLoadBalancingState();
+  for (const [home, waiting] of [["near", 12], ["far", 9]] as const) {
+    report(state, home, [4, waiting, 60]);
+  }
+  assert.equal(choose(state, LONG), "near");
+  assert.equal(choose(state, { ...LONG, objectiveLeftMs: -20 }), "near");
+});
+
+test("large call with a long deadline leaves only when it would be lost", () => {
+  const state = createLoadBalancingState();
+  report(state, "near", [4, 12, 60]);
+  assert.equal(choose(state, LONG), "far");
+  assert.equal(choose(state, { ...LONG, bytes: 60_000 }), "near");
+  report(state, "near", [4, 120, 60]);
+  assert.equal(choose(state, { ...LONG, bytes: 60_000 }), "far");
+});
+
+test("faster endpoint of the own domain gets the call", () => {
+  const state = createLoadBalancingState();
+  const second = candidateOf("second");
+  report(state, "near", [1, 0, 50]);
+  report(state, "second", [1, 0, 40]);
+  assert.equal(choose(state, LONG, [near, second, far]), "second");
+});
+
+test("refused call takes a free home only, of another domain if it must", () => {
+  const state = createLoadBalancingState();
+  report(state, "near", [4, 12, 60]);
+  report(state, "far", [4, 2, 60]);
+  const onlyFree = { ...LONG, onlyFree: true };
+  assert.equal(choose(state, onlyFree), undefined);
+  report(state, "far", [2, 0, 60]);
+  assert.equal(choose(state, onlyFree), "far");
+  report(state, "near", [4, 1, 60]);
+  assert.equal(choose(state, { ...onlyFree, objectiveLeftMs: 300 }), "far");
+  assert.equal(choose(state, { ...onlyFree, tried: ["far"] }), "near");
+});
+
+test("slow VM is avoided until its report is old", () => {
+  const state = createLoadBalancingState();
+  const second = candidateOf("second");
+  recordReport(state, {
+    home: "near",
+    report: {
+      running: 1,
+      waiting: 0,
+      meanMs: 50,
+      routeMs: 50,
+      pacePercent: 250,
+    },
+    route: "a",
+    now: 0,
+  });
+  report(state, "second", [1, 0, 70]);
+  const at = (now: number) => choose(state, { now }, [near, second]);
+  assert.equal(at(0), "second");
+  assert.equal(at(600), "near");
+});
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -285,6 +285,7 @@
       gossip.applyEvent({ type: "called", service, isFull, now: now() }),
     ownReport: home.report,
     isRunningHere: home.isRunning,
+    deadlineRatioOf: home.deadlineRatioOf,
     recordNestedFailure: home.recordNestedFailure,
     countCrashes: suspects.countCrashes,
     unsentBytes,
--- a/src/testing/start_test_callers.ts
+++ b/src/testing/start_test_callers.ts
@@ -87,6 +87,7 @@
     },
     recordDemand: () => {},
     isRunningHere: () => false,
+    deadlineRatioOf: () => undefined,
     recordNestedFailure: () => {},
     countCrashes: () => 0,
     ownReport: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
