--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -537,6 +537,7 @@
         ageMs: Math.round(opts.ageMs),
         firstOfferMs: Math.round(firstAttemptAt - startedAt),
         lastOfferMs: Math.round(lastAttemptAt - startedAt),
+        deadlineRatio: opts.deadlineRatio?.toFixed(1),
         lagMs: Math.round(ctx.lagMs()),
       });
     }
--- a/src/callers/serve_call_test.ts
+++ b/src/callers/serve_call_test.ts
@@ -184,3 +184,32 @@
   assert.equal(first.isCancelled, true);
   assert.equal(await isComplete, false);
 });
+
+/** Refuses the first attempt of a call since its home's queue is full. */
+async function refuseFirst(t: TestContext, objectiveMs: number) {
+  const callers = await startTestCallers(t, { objectiveMs });
+  callers.addHome("10.0.0.2:1");
+  callers.addHome("10.0.0.3:1");
+  const status = sendSafe(callers);
+  const isTrue = () => callers.attempts.length === 1;
+  await waitFor({ what: "the call was sent", limitMs: LIMIT_MS, isTrue });
+  const [first] = callers.attempts;
+  const refusal = { by: "home", reason: "crowded", waitMs: 9 } as const;
+  first?.emit({ type: "refused", refusal });
+  return { attempts: callers.attempts, status };
+}
+
+test("call with a long deadline goes on from a full home", async (t) => {
+  const { attempts, status } = await refuseFirst(t, 10_000);
+  assert.equal(attempts.length, 2);
+  assert.equal(attempts[1]?.call.deadlineRatio, 6);
+  assert.equal(attempts[1]?.call.isRetry, true);
+  attempts[1]?.emit({ type: "answered", head: HEAD, body: Buffer.from("x") });
+  assert.equal(await status, 200);
+});
+
+test("call with a short deadline ends at a full home", async (t) => {
+  const { attempts, status } = await refuseFirst(t, 15_000);
+  assert.equal(await status, 503);
+  assert.equal(attempts.length, 1);
+});
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -398,7 +398,13 @@
 
   function reportLateRun({ call, arrivedAt, startedAt }: OpenCall) {
     if (startedAt === undefined) return;
-    const late = describeLateRun({ call, arrivedAt, startedAt, now: now() });
+    const late = describeLateRun({
+      call,
+      arrivedAt,
+      startedAt,
+      pacePercent: pacePercentAt(queue.pace, now()),
+      now: now(),
+    });
     if (late !== undefined) opts.onLateRun(late);
   }
 
--- a/src/endpoint_proxy/describe_late_run.ts
+++ b/src/endpoint_proxy/describe_late_run.ts
@@ -18,6 +18,8 @@
   readonly ranMs: number;
   /** Time left to the latency objective when the call arrived. */
   readonly aimLeftMs: number;
+  /** Pace of the VM at the end, in percent, if it is not the usual one. */
+  readonly pacePercent?: number;
 }
 
 /** Options of `describeLateRun`. */
@@ -25,6 +27,7 @@
   readonly call: Pick<OfferedCall, "id" | "route" | "objectiveLeftMs">;
   readonly arrivedAt: MonotonicMs;
   readonly startedAt: MonotonicMs;
+  readonly pacePercent?: number | undefined;
   readonly now: MonotonicMs;
 }
 
@@ -32,7 +35,7 @@
 export function describeLateRun(
   opts: DescribeLateRunOptions,
 ): LateRun | undefined {
-  const { call, arrivedAt, startedAt, now } = opts;
+  const { call, arrivedAt, startedAt, pacePercent, now } = opts;
   if (now - arrivedAt <= call.objectiveLeftMs) return undefined;
   return {
     callId: call.id,
@@ -40,5 +43,6 @@
     waitedMs: Math.round(startedAt - arrivedAt),
     ranMs: Math.round(now - startedAt),
     aimLeftMs: Math.round(call.objectiveLeftMs),
+    ...(pacePercent === undefined ? {} : { pacePercent }),
   };
 }
--- a/src/endpoint_proxy/describe_late_run_test.ts
+++ b/src/endpoint_proxy/describe_late_run_test.ts
@@ -9,6 +9,7 @@
     call,
     arrivedAt: 10,
     startedAt: 70,
+    pacePercent: 250,
     now: 120,
   });
   assert.deepEqual(late, {
@@ -17,6 +18,7 @@
     waitedMs: 60,
     ranMs: 50,
     aimLeftMs: 100,
+    pacePercent: 250,
   });
 });
 
--- a/src/load_balancing/choose_candidate.ts
+++ b/src/load_balancing/choose_candidate.ts
@@ -119,8 +119,8 @@
  * Time for which the waiting calls of a report count, as a multiple of the
  * objective. Queues of calls that may wait long change slowly, and reports from
  * other domains are seconds old: taken for empty, those domains drew calls
- * during an overload of all (replay: 7.6 MB with a tenth of the objective, 0.5
- * MB with four objectives).
+ * during an overload of all (replay: 7.6 MB with 400 ms, 0.5 MB with four
+ * objectives).
  */
 const STALE_REPORT_OBJECTIVES = 4;
 
