fix(queue): an always slow VM is not taken for faster than it is

Cause: the pace decayed to 100. A VM that always states a slow pace, as where endpoints differ in speed, would seem faster to callers the older its report is.

Change: the usual pace of a VM is the mean of what it stated over 15 s. Run times are kept, and the pace decays, relative to that. Refusals for want of a free home say so. The simulation's timers are shorter.

--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -211,6 +211,8 @@
     if (attempts.size > 0 || waitForLink()) return;
     const reason = offers === 0
       ? "no endpoint is known"
+      : onlyFree
+      ? "no endpoint is free"
       : "no endpoint is left";
     if (!Number.isFinite(minWaitMs)) minWaitMs = NO_HOME_WAIT_MS;
     giveUp(mayHaveRun ? 502 : 503, reason);
--- a/src/queue/pace.ts
+++ b/src/queue/pace.ts
@@ -1,6 +1,6 @@
 /**
  * Pace of the endpoint's VM: how long runs take there now, as a multiple of
- * their usual time.
+ * their usual time on that VM.
  * @module
  */
 import type { MonotonicMs } from "../core/types.ts";
@@ -14,13 +14,28 @@
  */
 const PACE_HALF_LIFE_MS = 300 * Math.LN2;
 
+/**
+ * Time over which the usual pace of a VM is averaged, in milliseconds, and the
+ * weight of the assumption that it is 1. A VM that is always slow states so in
+ * each answer. Its run times are learned as they are, and nothing decays.
+ */
+const MEAN_PACE_MS = 15_000;
+const INITIAL_MEAN_MS = 2_000;
+
+/** Time between two answers from which the pace between them is unknown. */
+const MAX_HELD_MS = 600;
+
 /** Deviation from the usual pace below which the pace is not reported. */
 const MIN_REPORTED_DEVIATION = 0.05;
 
 /** The pace as last stated, and the work done until then. */
 export interface Pace {
-  /** 1 is the usual pace; 2 if runs take twice as long. */
+  /** 1 is the usual pace of the VM; 2 if runs take twice as long. */
   factor: number;
+  /** Mean of the stated paces. */
+  mean: number;
+  /** Time over which the mean is taken, in milliseconds. */
+  meanMs: number;
   statedAt: MonotonicMs;
   /**
    * Time that work done until `statedAt` takes at the usual pace, in
@@ -30,7 +45,13 @@
 }
 
 export function createPace(): Pace {
-  return { factor: 1, statedAt: 0, usualMs: 0 };
+  return {
+    factor: 1,
+    mean: 1,
+    meanMs: INITIAL_MEAN_MS,
+    statedAt: 0,
+    usualMs: 0,
+  };
 }
 
 /** Returns a pace that was `factor` some time ago. Decays to the usual one. */
@@ -45,9 +66,13 @@
 }
 
 /** Records a pace that the endpoint stated in an answer. */
-export function recordPace(pace: Pace, factor: number, now: MonotonicMs) {
+export function recordPace(pace: Pace, stated: number, now: MonotonicMs) {
+  const gapMs = now - pace.statedAt;
+  const heldMs = gapMs < MAX_HELD_MS ? gapMs : 0;
   pace.usualMs = usualTimeAt(pace, now);
-  pace.factor = factor;
+  pace.meanMs = Math.min(MEAN_PACE_MS, pace.meanMs + heldMs);
+  pace.mean += (stated - pace.mean) * heldMs / pace.meanMs;
+  pace.factor = stated / pace.mean;
   pace.statedAt = now;
 }
 
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -94,7 +94,7 @@
     readonly coldUntil: MonotonicMs;
     readonly now: MonotonicMs;
   }
-  /** The endpoint stated the pace of its VM. 1 is the usual pace. */
+  /** The endpoint stated the pace of its VM: 1, or 2 if runs take twice as long. */
   | {
     readonly type: "paced";
     readonly factor: number;
@@ -149,7 +149,8 @@
    */
   readonly routeMs: number;
   /**
-   * How long runs take on the endpoint's VM now, in percent of their usual time.
+   * How long runs take on the endpoint's VM now, in percent of their usual time
+   * there.
    * `meanMs` and `routeMs` are usual times. Undefined if it is the usual, or not
    * known.
    */
--- a/src/testing/simulate_placement.ts
+++ b/src/testing/simulate_placement.ts
@@ -392,44 +392,27 @@
   });
 }
 
-/** Timers of a simulated clock, in a binary heap. */
+/** Timers of a simulated clock. */
 function createTimers() {
-  const heap: { at: number; order: number; run: () => void }[] = [];
+  /** Latest first; of two for the same time, the earlier one is nearer the end. */
+  const timers: { readonly at: number; readonly run: () => void }[] = [];
   let now = 0;
-  let order = 0;
-  const isBefore = (a: number, b: number) => {
-    const [one, two] = [heap[a], heap[b]];
-    if (one === undefined || two === undefined) return one !== undefined;
-    return one.at < two.at || (one.at === two.at && one.order < two.order);
-  };
-  const swap = (a: number, b: number) => {
-    const [one, two] = [heap[a], heap[b]];
-    if (one === undefined || two === undefined) return;
-    heap[a] = two;
-    heap[b] = one;
-  };
   return {
     now: () => now,
     after(delayMs: number, run: () => void) {
-      let at = heap.push({ at: now + delayMs, order: ++order, run }) - 1;
-      while (at > 0 && isBefore(at, (at - 1) >> 1)) {
-        swap(at, (at - 1) >> 1);
-        at = (at - 1) >> 1;
+      const at = now + delayMs;
+      let [low, high] = [0, timers.length];
+      while (low < high) {
+        const middle = (low + high) >> 1;
+        if ((timers[middle]?.at ?? 0) > at) low = middle + 1;
+        else high = middle;
       }
+      timers.splice(low, 0, { at, run });
     },
     run() {
-      for (let first = heap[0]; first !== undefined; first = heap[0]) {
-        swap(0, heap.length - 1);
-        heap.pop();
-        for (let at = 0;;) {
-          const [left, right] = [2 * at + 1, 2 * at + 2];
-          const least = isBefore(right, left) ? right : left;
-          if (left >= heap.length || !isBefore(least, at)) break;
-          swap(at, least);
-          at = least;
-        }
-        now = first.at;
-        first.run();
+      for (let next = timers.pop(); next !== undefined; next = timers.pop()) {
+        now = next.at;
+        next.run();
       }
     },
   };
