fix(calls): retries of calls with long deadlines follow the same rule

Cause: a retry is estimated to have 0.85 of its caller's deadline, so a ratio of 5.8 became 4.9, and the rule for refusals needed 5.

Change: decisions that can't be mixed switch in the middle between the two rules, at 4.6.

Result: tests of queue, load_balancing, callers, endpoint_proxy, calls and links pass (238).

--- a/src/calls/deadline_share.ts
+++ b/src/calls/deadline_share.ts
@@ -28,3 +28,8 @@
     (LONG_DEADLINE_RATIO - SHORT_DEADLINE_RATIO);
   return Math.min(1, Math.max(0, share));
 }
+
+/** Returns whether the decisions about a call are those for long deadlines. */
+export function isLongDeadline(deadlineRatio: number | undefined): boolean {
+  return longDeadlineShare(deadlineRatio) >= 0.5;
+}
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -6,7 +6,7 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import { RefusalReason } from "../queue/state.ts";
-import { longDeadlineShare } from "./deadline_share.ts";
+import { isLongDeadline } from "./deadline_share.ts";
 import {
   type AnswerHead,
   type Failure,
@@ -138,7 +138,7 @@
     !areHomesFull(opts, refusal) && opts.canResend &&
     opts.leftMs > 0 &&
     opts.offers < MAX_HOME_ATTEMPTS && mayReachAnotherEndpoint(opts, refusal);
-  const strict = opts.wasFull || isLong(opts)
+  const strict = opts.wasFull || isLongDeadline(opts.deadlineRatio)
     ? STRICT_ATTEMPTS_WHEN_FULL
     : STRICT_ATTEMPTS;
   const mayBeLate = !isLate || opts.offers >= strict;
@@ -151,7 +151,8 @@
 function areHomesFull(opts: DecideNextOptions, refusal: Refusal): boolean {
   switch (refusal.reason) {
     case RefusalReason.QueueFull:
-      return !isLong(opts) || opts.offers > MAX_OFFERS_OF_LONG_CALLS;
+      return !isLongDeadline(opts.deadlineRatio) ||
+        opts.offers > MAX_OFFERS_OF_LONG_CALLS;
     case RefusalReason.NoTime:
       return opts.offers > STRICT_ATTEMPTS;
     default:
@@ -159,11 +160,6 @@
   }
 }
 
-/** Whether a late answer keeps most of its value for the caller. */
-function isLong({ deadlineRatio }: DecideNextOptions): boolean {
-  return longDeadlineShare(deadlineRatio) === 1;
-}
-
 function mayReachAnotherEndpoint(
   opts: DecideNextOptions,
   refusal: Refusal,
--- a/src/load_balancing/choose_candidate.ts
+++ b/src/load_balancing/choose_candidate.ts
@@ -3,7 +3,7 @@
  * the node on an endpoint's VM, which alone opens connections to the endpoint.
  * @module
  */
-import { longDeadlineShare } from "../calls/deadline_share.ts";
+import { isLongDeadline, longDeadlineShare } from "../calls/deadline_share.ts";
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import {
   COLD_START_FACTOR,
@@ -222,7 +222,8 @@
     isFull = isWaiting;
   }
   if (best === undefined) return undefined;
-  return { home: best.home, isFull, mayBeLate: isFull && longShare === 1 };
+  const mayBeLate = isFull && isLongDeadline(opts.deadlineRatio);
+  return { home: best.home, isFull, mayBeLate };
 }
 
 /** Cost of an answer after `tookMs`, and of leaving the failure domain. */
