--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -18,14 +18,11 @@
 import { retryAfterMs } from "../calls/retry_after.ts";
 import type { ShutdownState } from "../shutdown/state.ts";
 import type { CallerHead } from "../sidecar/platform_port.ts";
-import {
-  lateWaitShare,
-  MIN_LATE_WAIT_SHARE,
-} from "../shedding/late_wait_share.ts";
 import { admitRequest, Rejection } from "./admit_request.ts";
 import { answerLocally } from "./answer_caller.ts";
 import { createAcceptMeter } from "./create_accept_meter.ts";
 import { describeKeyRefusal, type KeyRefusal } from "./describe_key_refusal.ts";
+import { deadlineRatioOf } from "./deadline_ratio_of.ts";
 import { estimateAgeMs } from "./estimate_age.ts";
 import { isNestedCall } from "./is_nested_call.ts";
 import { serveCall, type ServedCall } from "./serve_call.ts";
@@ -151,6 +148,14 @@
     const ageMs = isNested || caller.waitMs === undefined
       ? 0
       : estimateAgeMs(ctx.timeouts, route.name, caller.waitMs);
+    const deadlineRatio = deadlineRatioOf({
+      parentRatio: isNested
+        ? ctx.deadlineRatioOf(caller.parentId ?? "")
+        : undefined,
+      callerWaitMs: caller.waitMs,
+      ageMs,
+      route,
+    });
     const now = ctx.now();
     const reason = admitRequest({ waitedMs, isNested, waitMs, stop, now });
     if (reason !== undefined) {
@@ -181,9 +186,7 @@
       parentId: isNested ? caller.parentId : undefined,
       waitMs,
       ageMs,
-      lateShare: isNested || caller.waitMs === undefined
-        ? undefined
-        : shareOf(route.objectiveMs, caller.waitMs + ageMs),
+      deadlineRatio,
       maxBodyBytes: bodyBytes,
       mayClose: () => mayClose(res),
       onDone() {
@@ -351,9 +354,3 @@
 function isClosing(res: ServerResponse): boolean {
   return res.headersSent && !res.shouldKeepAlive;
 }
-
-/** Returns undefined for the least share, which home nodes assume. */
-function shareOf(objectiveMs: number, deadlineMs: number): number | undefined {
-  const share = lateWaitShare({ objectiveMs, deadlineMs });
-  return share > MIN_LATE_WAIT_SHARE ? share : undefined;
-}
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -105,8 +105,8 @@
   readonly waitMs: number;
   /** Time that the caller has already waited, in milliseconds. */
   readonly ageMs: number;
-  /** Fraction of its time that the call may wait once it is late. */
-  readonly lateShare: number | undefined;
+  /** See `OfferedCall.deadlineRatio`. */
+  readonly deadlineRatio: number | undefined;
   readonly maxBodyBytes: number;
   /** Whether the connection may be closed after this answer. */
   readonly mayClose: () => boolean;
@@ -210,7 +210,7 @@
     if (offers === 0) attemptNext(false);
   }
 
-  function attemptNext(mayBeLate: boolean): void {
+  function attemptNext(mayBeLate: boolean, onlyFree = false): void {
     if (isDone) return;
     if (isQuarantined()) {
       if (attempts.size > 0) return;
@@ -221,15 +221,17 @@
     // A home that refused because of a late answer may still be the best choice
     // when a late answer is acceptable.
     if (mayBeLate) search.allowLateAnswers();
-    const found = findHome();
+    const found = findHome(onlyFree);
     if (found !== undefined) {
       if (offers === 0) wasFull = found.isFull;
-      return sendTo(found.home, mayBeLate);
+      return sendTo(found.home, mayBeLate || found.mayBeLate, onlyFree);
     }
     if (!mayBeLate && search.allowLateAnswers()) return attemptNext(true);
     if (attempts.size > 0 || waitForLink()) return;
     const reason = offers === 0
       ? "no endpoint is known"
+      : onlyFree
+      ? "no endpoint is free"
       : "no endpoint is left";
     if (!Number.isFinite(minWaitMs)) minWaitMs = NO_HOME_WAIT_MS;
     giveUp(mayHaveRun ? 502 : 503, reason);
@@ -280,9 +282,15 @@
     linkWait = { type: "over" };
   }
 
-  function findHome(): Choice | undefined {
-    const objectiveLeftMs = objectiveAt - ctx.now();
-    return search.find({ bodyBytes: bytesOf(body), objectiveLeftMs });
+  function findHome(onlyFree: boolean): Choice | undefined {
+    const now = ctx.now();
+    return search.find({
+      bodyBytes: bytesOf(body),
+      objectiveLeftMs: objectiveAt - now,
+      deadlineLeftMs: deadlineAt - now,
+      deadlineRatio: opts.deadlineRatio,
+      onlyFree,
+    });
   }
 
   function readHeaders(): HeaderList {
@@ -320,11 +328,11 @@
     giveUp(mayHaveRun ? 502 : status, text);
   }
 
-  function sendTo(node: NodeId, mayBeLate: boolean): void {
+  function sendTo(node: NodeId, mayBeLate: boolean, onlyFree: boolean): void {
     if (!checkAgain()) return;
     search.recordTried(node);
     const home = ctx.homes.homeOf(node);
-    if (home === undefined) return attemptNext(mayBeLate);
+    if (home === undefined) return attemptNext(mayBeLate, onlyFree);
     closeLinkWait();
     offers++;
     lastAttemptAt = ctx.now();
@@ -345,8 +353,9 @@
       mayBeLate,
       crashes,
       account,
-      lateShare: opts.lateShare,
       parentId,
+      deadlineRatio: opts.deadlineRatio,
+      isRetry: offers > 1,
     });
     const attempt = home.attempt(call, (event) => handleEvent(open, event));
     const sink = {
@@ -440,7 +449,7 @@
       const step = decideNextStep({ type: "answered", head });
       if (step.type === "attempt") {
         open.attempt.cancel();
-        return attemptNext(step.mayBeLate);
+        return attemptNext(step.mayBeLate, step.onlyFree);
       }
     }
     for (const other of attempts) {
@@ -461,7 +470,7 @@
     const step = decideNextStep(end);
     switch (step.type) {
       case "attempt":
-        return attemptNext(step.mayBeLate);
+        return attemptNext(step.mayBeLate, step.onlyFree);
       case "give-up":
         return giveUp(step.status, describeEnd(end));
       case "forward":
@@ -480,9 +489,9 @@
       maxArrivals: route.maxAttempts,
       mayHaveRun,
       wasFull,
+      deadlineRatio: opts.deadlineRatio,
       leftMs: deadlineAt - ctx.now(),
       canResend: body?.canResend() ?? true,
-      lateShare: opts.lateShare,
       spend,
     });
   }
@@ -507,7 +516,7 @@
     const mayHedge = route.isIdempotent && !isHedged &&
       arrivals < route.maxAttempts && (body?.canResend() ?? true) &&
       ctx.now() < deadlineAt;
-    if (!mayHedge || findHome() === undefined || !spend(true)) return;
+    if (!mayHedge || findHome(false) === undefined || !spend(true)) return;
     isHedged = true;
     log(LogLevel.Info, "call hedged: first attempt is overdue");
     attemptNext(false);
@@ -591,6 +600,7 @@
         ageMs: Math.round(opts.ageMs),
         firstOfferMs: Math.round(firstAttemptAt - startedAt),
         lastOfferMs: Math.round(lastAttemptAt - startedAt),
+        deadlineRatio: opts.deadlineRatio?.toFixed(1),
         lagMs: Math.round(ctx.lagMs()),
       });
     }
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -53,6 +53,8 @@
   readonly isRunningHere: (callId: string) => boolean;
   /** How long the endpoint on this VM has run the call with this id. */
   readonly runMsOf: (callId: string) => number;
+  /** `OfferedCall.deadlineRatio` of a call that the endpoint on this VM runs. */
+  readonly deadlineRatioOf: (callId: string) => number | undefined;
   /** Records that a nested call of the run with this id failed. */
   readonly recordNestedFailure: (callId: string) => void;
   /**
--- a/src/calls/decide_next.ts
+++ b/src/calls/decide_next.ts
@@ -6,8 +6,9 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import { RefusalReason } from "../queue/state.ts";
-import { MIN_LATE_WAIT_SHARE } from "../shedding/late_wait_share.ts";
+import { lateWaitShare } from "../shedding/late_wait_share.ts";
 import { mayTryElsewhere } from "../shedding/may_try_elsewhere.ts";
+import { isLongDeadline } from "./deadline_share.ts";
 import {
   type AnswerHead,
   type Failure,
@@ -67,10 +68,10 @@
    * be full.
    */
   readonly wasFull: boolean;
+  /** See `OfferedCall.deadlineRatio`. */
+  readonly deadlineRatio: number | undefined;
   /** Whether the complete body is still buffered, so that it can be resent. */
   readonly canResend: boolean;
-  /** Fraction of its time that the call may wait once it is late. */
-  readonly lateShare?: number | undefined;
   /**
    * Spends a retry of the retry budget, and returns false if the budget does
    * not allow it. Called only when all other conditions allow the retry.
@@ -80,11 +81,22 @@
 
 export type NextStep =
   /** Send the call to another home. */
-  | { readonly type: "attempt"; readonly mayBeLate: boolean }
+  | {
+    readonly type: "attempt";
+    readonly mayBeLate: boolean;
+    /** Whether only homes that are expected to have a slot in time qualify. */
+    readonly onlyFree: boolean;
+  }
   /** Forward the answer to the caller. */
   | { readonly type: "forward" }
   | { readonly type: "give-up"; readonly status: 401 | 502 | 503 | 504 };
 
+const LATE_ATTEMPT = {
+  type: "attempt",
+  mayBeLate: true,
+  onlyFree: false,
+} as const;
+
 /**
  * Decides whether a call is sent to another home.
  *
@@ -92,6 +104,11 @@
  * Each further endpoint that receives the call counts against the route's
  * attempts and the retry budget. After a possible run only an idempotent call
  * is retried.
+ *
+ * A call whose caller waits long is not sent from home to home until one answers
+ * it in time: after one refusal as late, the home with the least cost queues it,
+ * possibly the one that refused it. Only if a queue takes no more calls is it
+ * sent on to a home that is expected to have a slot, if there is one.
  */
 export function decideNext(opts: DecideNextOptions): NextStep {
   const { end } = opts;
@@ -99,13 +116,11 @@
     case "refused":
       return afterRefusal(opts, end.refusal);
     case "failed":
-      if (mayRetry(opts)) return { type: "attempt", mayBeLate: true };
+      if (mayRetry(opts)) return LATE_ATTEMPT;
       return { type: "give-up", status: end.failure.isTimeout ? 504 : 502 };
     case "answered": {
       const isFailed = end.head.status >= LOWEST_SERVER_ERROR;
-      return isFailed && mayRetry(opts)
-        ? { type: "attempt", mayBeLate: true }
-        : { type: "forward" };
+      return isFailed && mayRetry(opts) ? LATE_ATTEMPT : { type: "forward" };
     }
     default:
       return exhausted(end);
@@ -119,9 +134,12 @@
     !isRevoked && mayFindRoom(opts, refusal) && opts.canResend &&
     opts.leftMs > 0 &&
     opts.offers < MAX_HOME_ATTEMPTS && mayReachAnotherEndpoint(opts, refusal);
-  const strict = opts.wasFull ? STRICT_ATTEMPTS_WHEN_FULL : STRICT_ATTEMPTS;
+  const strict = opts.wasFull || isLongDeadline(opts.deadlineRatio)
+    ? STRICT_ATTEMPTS_WHEN_FULL
+    : STRICT_ATTEMPTS;
   const mayBeLate = !isLate || opts.offers >= strict;
-  if (mayAttempt) return { type: "attempt", mayBeLate };
+  const onlyFree = refusal.reason === RefusalReason.QueueFull;
+  if (mayAttempt) return { type: "attempt", mayBeLate, onlyFree };
   if (opts.mayHaveRun) return { type: "give-up", status: 502 };
   return { type: "give-up", status: isRevoked ? 401 : 503 };
 }
@@ -130,7 +148,7 @@
   return mayTryElsewhere({
     reason: refusal.reason,
     offers: opts.offers,
-    lateShare: opts.lateShare ?? MIN_LATE_WAIT_SHARE,
+    lateShare: lateWaitShare(opts.deadlineRatio),
   });
 }
 
--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -57,10 +57,17 @@
   /** Client account of the call. Undefined for calls without an API key. */
   readonly account?: CallAccount | undefined;
   /**
-   * Fraction of its time that the call may wait once it misses its latency
-   * objective. Undefined for the least.
+   * Time that the caller waits in all, as a multiple of the latency objective.
+   * `leftMs` can't tell it: the route's timeout limits it, and a retry has less
+   * of it left. A nested call has the ratio of its parent call. Undefined if it
+   * is not known.
    */
-  readonly lateShare?: number | undefined;
+  readonly deadlineRatio?: number | undefined;
+  /**
+   * Whether an earlier attempt of this call was sent to another home node. Not
+   * sent over links.
+   */
+  readonly isRetry?: boolean | undefined;
   /** How long the parent of a nested call has run, in milliseconds. */
   readonly parentUsedMs?: number | undefined;
 }
--- a/src/cold_start/cold_domain_test.ts
+++ b/src/cold_start/cold_domain_test.ts
@@ -110,6 +110,9 @@
       ownDomain: entry.call.key % 2 === 0 ? "d1" : "d2",
       bytes: 1_000,
       objectiveLeftMs: entry.call.objectiveAt - now,
+      objectiveMs: entry.call.objectiveAt - entry.call.arrivedAt,
+      deadlineLeftMs: entry.call.deadlineAt - now,
+      deadlineRatio: undefined,
       now,
       random: share,
     });
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -44,8 +44,10 @@
   CRASHES_TO_REFUSE,
   QUARANTINE_RETRY_MS,
 } from "../quarantine/crash_chain.ts";
+import { pacePercentAt } from "../queue/pace.ts";
 import type { RouteTable, ServiceTerms } from "../routes/state.ts";
-import type { CallDialect } from "../sidecar/platform_port.ts";
+import { lateWaitShare } from "../shedding/late_wait_share.ts";
+import type { CallDialect, EndpointLoad } from "../sidecar/platform_port.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import { createEndpointConnector } from "./connect_endpoint.ts";
 import { type BufferedBody, createBodyBuffer } from "./create_body_buffer.ts";
@@ -153,6 +155,10 @@
   isRunning(callId: string): boolean;
   /** How long the endpoint has run the call with this id, in milliseconds. */
   runMsOf(callId: string): number;
+  /** Records a load that the endpoint stated outside of a call. */
+  recordLoad(load: EndpointLoad): void;
+  /** `OfferedCall.deadlineRatio` of a running call. */
+  deadlineRatioOf(callId: string): number | undefined;
   /**
    * Records that a nested call of the running call `callId` failed, so that a
    * failure of the run is not held against the endpoint's version.
@@ -315,6 +321,8 @@
 
   function handleRunEvent(key: number, entry: OpenCall, event: RunEvent) {
     switch (event.type) {
+      case "load":
+        return recordLoad(event.load);
       case "chunk":
         if (opts.unsentBytes() > MAX_UNSENT_ANSWER_BYTES) {
           return abortRun(key, entry, "too many bytes of answers are unread");
@@ -362,6 +370,12 @@
     }
   }
 
+  function recordLoad({ pacePercent }: EndpointLoad) {
+    if (pacePercent === undefined) return;
+    const factor = pacePercent / 100;
+    apply(decideQueue(queue, { type: "paced", factor, now: now() }));
+  }
+
   function expire(key: number, entry: OpenCall) {
     abortRun(key, entry, "its time is over", true);
   }
@@ -449,7 +463,13 @@
 
   function reportLateRun({ call, arrivedAt, startedAt }: OpenCall) {
     if (startedAt === undefined) return;
-    const late = describeLateRun({ call, arrivedAt, startedAt, now: now() });
+    const late = describeLateRun({
+      call,
+      arrivedAt,
+      startedAt,
+      pacePercent: pacePercentAt(queue.pace, now()),
+      now: now(),
+    });
     if (late !== undefined) opts.onLateRun(late);
   }
 
@@ -596,6 +616,7 @@
       meanMs,
       routeMs: routeMs > 0 ? routeMs + Math.round(bodyMs) : 0,
       startsLeft: startsLeft(coldStart, queue.waiting.size, now()),
+      pacePercent: pacePercentAt(queue.pace, now()),
     };
   }
 
@@ -635,7 +656,7 @@
       const { route, urgency, isNested, mayBeLate } = call;
       const account = call.account?.name;
       const accountUrgency = call.account?.urgency;
-      const { lateShare, parentUsedMs } = call;
+      const { parentUsedMs, deadlineRatio } = call;
       const objectiveAt = at + call.objectiveLeftMs;
       const queued: QueuedCall = {
         key,
@@ -644,7 +665,7 @@
         isNested,
         account,
         accountUrgency,
-        lateShare,
+        lateShare: lateWaitShare(deadlineRatio),
         parentUsedMs,
         arrivedAt: at,
         objectiveAt,
@@ -715,6 +736,8 @@
       const startedAt = running.get(callId)?.startedAt;
       return startedAt === undefined ? 0 : now() - startedAt;
     },
+    recordLoad,
+    deadlineRatioOf: (callId) => running.get(callId)?.call.deadlineRatio,
     recordNestedFailure(callId) {
       const entry = running.get(callId);
       if (entry !== undefined) entry.hasNestedFailure = true;
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -291,19 +291,14 @@
     call.bodyBytes,
     call.crashes,
     accountFields(call.account),
-    sheddingFields(call),
+    call.parentUsedMs,
+    call.deadlineRatio === undefined
+      ? undefined
+      : Math.round(call.deadlineRatio * 10),
   ];
 }
 
-/** Most calls have neither field, so that the message stays as short. */
-function sheddingFields(call: OfferedCall): Fields | undefined {
-  const { lateShare, parentUsedMs } = call;
-  if (lateShare === undefined && parentUsedMs === undefined) return undefined;
-  return [lateShare, parentUsedMs];
-}
-
 function callOf(fields: Fields): OfferedCall {
-  const shedding = listOf(fields[17] ?? []);
   return {
     id: fields[0] as string,
     method: fields[1] as string,
@@ -322,11 +317,15 @@
     bodyBytes: (fields[14] ?? undefined) as number | undefined,
     crashes: fields[15] as number,
     account: accountOf(fields[16]),
-    lateShare: (shedding[0] ?? undefined) as number | undefined,
-    parentUsedMs: (shedding[1] ?? undefined) as number | undefined,
+    parentUsedMs: (fields[17] ?? undefined) as number | undefined,
+    deadlineRatio: tenthsOf(fields[18]),
   };
 }
 
+function tenthsOf(value: unknown): number | undefined {
+  return typeof value === "number" ? value / 10 : undefined;
+}
+
 function accountFields(account: CallAccount | undefined): Fields | undefined {
   if (account === undefined) return undefined;
   const { name, urgency, keyHash, tableVersion } = account;
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -16,8 +16,8 @@
   mayBeLate: true,
   body: Buffer.from("body"),
   account: { name: "acme", urgency: 1, keyHash: 2 ** 40 + 1, tableVersion: 7 },
-  lateShare: 0.75,
   parentUsedMs: 40,
+  deadlineRatio: 6.5,
 });
 const report = {
   running: 1,
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -14,6 +14,7 @@
   type FairSharingState,
 } from "../fair_sharing/state.ts";
 import { createSheddingState, type SheddingState } from "../shedding/state.ts";
+import { createPace, type Pace } from "./pace.ts";
 
 /** Identifies a call within this node. */
 export type CallKey = number;
@@ -56,11 +57,13 @@
 /** A call that the endpoint runs. */
 export interface RunningCall extends QueuedCall {
   readonly startedAt: MonotonicMs;
+  /** Start of the run on the clock of `usualTimeAt`. */
+  readonly startedUsualMs: number;
   /** Whether the overdue effect has been returned for this call. */
   isOverdue: boolean;
 }
 
-/** Moving mean of run times on a warm endpoint, in milliseconds. */
+/** Moving mean of usual run times on a warm endpoint, in milliseconds. */
 export interface RunTimes {
   mean: number;
   samples: number;
@@ -75,6 +78,7 @@
   gate: Gate;
   /** Time until which the endpoint is expected to be slow after its start. */
   coldUntil: MonotonicMs;
+  readonly pace: Pace;
   readonly running: Map<CallKey, RunningCall>;
   readonly waiting: Map<CallKey, QueuedCall>;
   /** Run times by route name. */
@@ -127,6 +131,12 @@
     readonly coldUntil: MonotonicMs;
     readonly now: MonotonicMs;
   }
+  /** The endpoint stated the pace of its VM: 1, or 2 if runs take twice as long. */
+  | {
+    readonly type: "paced";
+    readonly factor: number;
+    readonly now: MonotonicMs;
+  }
   | { readonly type: "ticked"; readonly now: MonotonicMs };
 
 export const RefusalReason = {
@@ -186,8 +196,10 @@
    */
   readonly routeMs: number;
   /**
-   * How long runs take on the endpoint's VM now, in percent of their usual time.
-   * `meanMs` and `routeMs` are usual times. Undefined if it is not known.
+   * How long runs take on the endpoint's VM now, in percent of their usual time
+   * there.
+   * `meanMs` and `routeMs` are usual times. Undefined if it is the usual, or not
+   * known.
    */
   readonly pacePercent?: number | undefined;
   /**
@@ -203,6 +215,7 @@
   return {
     gate: { type: "closed", reason: "no endpoint has announced itself" },
     coldUntil: -Infinity,
+    pace: createPace(),
     running: new Map(),
     waiting: new Map(),
     timesByRoute: new Map(),
--- a/src/shedding/shedding_test.ts
+++ b/src/shedding/shedding_test.ts
@@ -98,7 +98,7 @@
 
 test("only deadlines far behind the objective make callers patient", () => {
   const shareOf = (objectiveMs: number, deadlineMs: number) =>
-    lateWaitShare({ objectiveMs, deadlineMs });
+    lateWaitShare(deadlineMs / objectiveMs);
   for (const [aim, end] of [[200, 800], [700, 2_918], [1_073, 1_609]]) {
     assert.equal(shareOf(aim ?? 0, end ?? 0), 0.25);
   }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -388,6 +388,7 @@
     ownReport: home.report,
     isRunningHere: home.isRunning,
     runMsOf: home.runMsOf,
+    deadlineRatioOf: home.deadlineRatioOf,
     recordNestedFailure: home.recordNestedFailure,
     countCrashes: suspects.countCrashes,
     unsentBytes,
--- a/src/testing/simulate_overload.ts
+++ b/src/testing/simulate_overload.ts
@@ -368,7 +368,7 @@
 }
 
 function patienceOf({ objectiveMs, deadlineMs }: RouteLoad) {
-  return { lateShare: lateWaitShare({ objectiveMs, deadlineMs }) };
+  return { lateShare: lateWaitShare(deadlineMs / objectiveMs) };
 }
 
 /** Describes what callers got in percent of their calls. */
--- a/src/testing/start_test_callers.ts
+++ b/src/testing/start_test_callers.ts
@@ -90,6 +90,7 @@
     recordDemand: () => {},
     isRunningHere: () => false,
     runMsOf: () => 0,
+    deadlineRatioOf: () => undefined,
     recordNestedFailure: () => {},
     countCrashes: () => 0,
     ownReport: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
