--- a/src/testing/simulate_placement.ts
+++ b/src/testing/simulate_placement.ts
@@ -3,6 +3,7 @@
  * endpoints' VMs), without a network.
  * @module
  */
+import { lateWaitShare } from "../shedding/late_wait_share.ts";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { decideNext, type DecideNextOptions } from "../calls/decide_next.ts";
@@ -262,6 +263,7 @@
         arrivedAt: now,
         objectiveAt,
         deadlineAt,
+        lateShare: lateWaitShare(policy.deadlineRatio),
       };
       apply(
         home,
