refactor(queue): admission and displacement in files of their own

Cause: decide_queue.ts held the estimate of a wait, admission, displacement and the order of starts. Change: assess_call.ts and displace_calls.ts; decide_queue.ts applies events.

--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -17,12 +17,11 @@
 import type { MonotonicMs } from "../core/types.ts";
 import type { Instance } from "../local_endpoint/state.ts";
 import {
-  decideQueue,
   expectedStartMs,
   findRefusalReason,
   type FindRefusalReasonOptions,
-  reportQueue,
-} from "../queue/decide_queue.ts";
+} from "../queue/assess_call.ts";
+import { decideQueue, reportQueue } from "../queue/decide_queue.ts";
 import {
   createQueueState,
   type Gate,
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -8,31 +8,31 @@
   recordAccountOffer,
   recordAccountStart,
 } from "../fair_sharing/record_account_use.ts";
-import { chooseDisplaced } from "../shedding/choose_displaced.ts";
 import { classOf, NESTED_CLASS } from "../shedding/class_of.ts";
-import { delayOf } from "../shedding/delay_of.ts";
-import { estimateWait } from "../shedding/estimate_wait.ts";
-import { MIN_LATE_WAIT_SHARE } from "../shedding/late_wait_share.ts";
 import {
   findOwedClass,
   recordOffer,
   recordStart,
 } from "../shedding/record_use.ts";
 import type { ClassKey } from "../shedding/state.ts";
+import {
+  assessCall,
+  delayOfCall,
+  expectedStartMs,
+  lateShareOf,
+} from "./assess_call.ts";
 import {
   compareRanks,
   isPatient,
-  precedenceOf,
   rankOf,
   type StartRank,
 } from "./compare_calls.ts";
+import { displaceCalls, evictLateCalls } from "./displace_calls.ts";
 import {
   canMeetDeadline,
   canMeetObjective,
   expectedRunMs,
   expectedWaitMs,
-  keepsObjectiveMargin,
-  MAX_WAIT_SHARE,
   meanRunMs,
   recordRunTime,
   slowdownAt,
@@ -48,29 +48,6 @@
   type RunningCall,
 } from "./state.ts";
 
-/**
- * Maximum number of waiting calls. Bounds memory only: deadlines keep the queue
- * far shorter.
- */
-const MAX_WAITING_CALLS = 512;
-
-/**
- * Maximum number of waiting calls, per slot, that are expected to miss their
- * latency objective. They start only while no call waits that can still meet
- * its objective, so more of them would not get a slot. Calls whose callers wait
- * long are exempt: they are admitted only if the slots can serve them before
- * their deadline.
- */
-const LATE_CALLS_PER_SLOT = 2;
-
-/**
- * Maximum wait of a new call that puts its latency objective at risk, as a
- * fraction of a run. With more work ahead the queue is overloaded, and the call
- * is refused, since it would probably get no slot. Nested calls are exempt, and
- * calls whose callers wait long may wait longer (see `lateWaitShare`).
- */
-const MAX_RISKY_WAIT_RUNS = 0.5;
-
 /** A run that takes longer than this many times its route's mean is overdue. */
 const OVERDUE_FACTOR = 3;
 
@@ -154,251 +131,23 @@
     const use = { key: classOf(call), account, runMs, now };
     recordAccountOffer(state.fairSharing, use);
   }
-  const { reason, waitMs } = assess(state, event);
+  const { reason, waitMs } = assessCall(state, event);
   const displaced = reason === undefined
     ? []
-    : displaceLessUrgent(state, event, reason);
+    : displaceCalls(state, event, reason);
   if (reason !== undefined && displaced.length === 0) {
     return [refuse(state, call.key, reason, waitMs, now)];
   }
-  state.waiting.set(call.key, call);
-  return [
-    ...displaced,
-    ...evictLateCalls(state, now),
-    ...startWaitingCalls(state, now),
-  ];
-}
-
-/**
- * Refuses waiting calls that are less urgent, if the new call is admitted in
- * their place. A call that another home node may answer in time displaces none.
- */
-function displaceLessUrgent(
-  state: QueueState,
-  event: FindRefusalReasonOptions,
-  reason: RefusalReason,
-): readonly QueueEffect[] {
-  const { call, now } = event;
-  const isForRoom = reason === RefusalReason.QueueFull ||
-    reason === RefusalReason.NoTime;
-  const precedence = precedenceOf(state, call, now);
-  if (!isForRoom || !hasHigherPrecedence(state, precedence, now)) return [];
-  const rank = rankOf(state, call, now);
-  const ahead = [...state.waiting.values()]
-    .filter((other) => compareRanks(rankOf(state, other, now), rank) <= 0)
-    .map((other) => ({
-      call: other,
-      precedence: precedenceOf(state, other, now),
-      runMs: expectedRunMs(state, other, now),
-      isTimely: canMeetObjective(state, other, now),
-    }));
-  const neededMs = missingWorkMs(state, call, now);
-  const displaced = chooseDisplaced({ precedence, ahead, neededMs });
-  for (const { key } of displaced) state.waiting.delete(key);
-  if (assess(state, event).reason === undefined) {
-    return displaced.map((other) => {
-      const waitMs = expectedStartMs(state, other, now);
-      return refuse(state, other.key, RefusalReason.Displaced, waitMs, now);
-    });
-  }
-  for (const other of displaced) state.waiting.set(other.key, other);
-  return [];
-}
-
-function hasHigherPrecedence(
-  state: QueueState,
-  precedence: number,
-  now: MonotonicMs,
-): boolean {
-  for (const other of state.waiting.values()) {
-    if (precedenceOf(state, other, now) > precedence) return true;
-  }
-  return false;
-}
-
-/** Slot time ahead of a call beyond what it may wait for, in milliseconds. */
-function missingWorkMs(
-  state: QueueState,
-  call: QueuedCall,
-  now: MonotonicMs,
-): number {
-  const { waitMs } = waitOf(state, call, now);
-  const slackMs = call.objectiveAt - now - expectedRunMs(state, call, now);
-  const allowedMs = Math.max(
-    slackMs * MAX_WAIT_SHARE,
-    riskyWaitMs(state, call, now),
-  );
-  return Math.max(1, (waitMs - allowedMs) * slotsOf(state));
-}
-
-/** Options of `findRefusalReason`. */
-export interface FindRefusalReasonOptions {
-  readonly call: QueuedCall;
-  /**
-   * Whether the sender accepts an answer past the latency objective, since no
-   * other home node is expected to be faster.
-   */
-  readonly mayBeLate: boolean;
-  readonly now: MonotonicMs;
-}
-
-/**
- * Returns why a call that arrives now is refused, or undefined to accept it.
- */
-export function findRefusalReason(
-  state: QueueState,
-  opts: FindRefusalReasonOptions,
-): RefusalReason | undefined {
-  return assess(state, opts).reason;
-}
-
-/** Whether a call is refused, and the time until it would start. */
-interface Assessment {
-  readonly reason: RefusalReason | undefined;
-  readonly waitMs: number;
-}
-
-function assess(
-  state: QueueState,
-  opts: FindRefusalReasonOptions,
-): Assessment {
-  const { call, mayBeLate, now } = opts;
-  if (state.gate.type === "closed") {
-    return { reason: RefusalReason.Closed, waitMs: 0 };
-  }
-  const { aheadMs, waitMs } = waitOf(state, call, now);
-  const refused = (reason: RefusalReason) => ({ reason, waitMs });
-  if (!canMeetDeadline(state, call, now + waitMs, now)) {
-    return refused(RefusalReason.NoTime);
-  }
-  if (!keepsObjectiveMargin(state, call, waitMs, now)) {
-    if (!mayBeLate) return refused(RefusalReason.Late);
-    if (!call.isNested && aheadMs > riskyWaitMs(state, call, now)) {
-      return refused(RefusalReason.QueueFull);
-    }
-  }
-  const isFull = state.waiting.size >= MAX_WAITING_CALLS;
-  return { reason: isFull ? RefusalReason.QueueFull : undefined, waitMs };
-}
-
-/**
- * Refuses waiting calls that are expected to miss their latency objective, down
- * to `LATE_CALLS_PER_SLOT`: first the least urgent, the oldest first, and last
- * nested calls, those first whose parents have run for the shortest time.
- * Nested calls are not exempt: the parent holds a slot while its nested call
- * waits, and an early refusal frees that slot.
- */
-function evictLateCalls(state: QueueState, now: MonotonicMs): QueueEffect[] {
-  const limit = LATE_CALLS_PER_SLOT * slotsOf(state);
-  if (state.waiting.size <= limit) return [];
-  const late: QueuedCall[] = [];
-  for (const call of state.waiting.values()) {
-    if (!isPatient(call) && !canMeetObjective(state, call, now)) {
-      late.push(call);
-    }
-  }
-  if (late.length <= limit) return [];
-  const kept = late.toSorted((a, b) => compareLoss(state, a, b, now));
-  return kept.slice(limit).map((call) => {
-    state.waiting.delete(call.key);
-    return refuse(state, call.key, RefusalReason.QueueFull, 0, now);
+  const { Displaced, QueueFull } = RefusalReason;
+  const effects = displaced.map((other) => {
+    const otherMs = expectedStartMs(state, other, now);
+    return refuse(state, other.key, Displaced, otherMs, now);
   });
-}
-
-function compareLoss(
-  state: QueueState,
-  a: QueuedCall,
-  b: QueuedCall,
-  now: MonotonicMs,
-): number {
-  const usedMs = a.isNested && b.isNested
-    ? (b.parentUsedMs ?? 0) - (a.parentUsedMs ?? 0)
-    : 0;
-  return usedMs || classOf(a) - classOf(b) ||
-    compareRanks(rankOf(state, a, now), rankOf(state, b, now));
-}
-
-function slotsOf({ gate }: QueueState): number {
-  return gate.type === "open" ? gate.slots : 0;
-}
-
-/** Expected wait of a call that arrives now. */
-interface ExpectedWait {
-  /** Work of the calls ahead of it that wait now, per slot, in milliseconds. */
-  readonly aheadMs: number;
-  /** Time until it starts, with the more urgent calls that arrive later. */
-  readonly waitMs: number;
-}
-
-function waitOf(
-  state: QueueState,
-  call: QueuedCall,
-  now: MonotonicMs,
-): ExpectedWait {
-  const slots = Math.max(1, slotsOf(state));
-  const free = slots - state.running.size;
-  const meanMs = meanRunMs(state) * slowdownAt(state, now);
-  const rank = rankOf(state, call, now);
-  let ahead = 0;
-  let workMs = 0;
-  for (const other of state.waiting.values()) {
-    if (compareRanks(rankOf(state, other, now), rank) > 0) continue;
-    ahead++;
-    workMs += state.timesByRoute.has(other.route)
-      ? expectedRunMs(state, other, now)
-      : meanMs;
+  state.waiting.set(call.key, call);
+  for (const { key } of evictLateCalls(state, now)) {
+    effects.push(refuse(state, key, QueueFull, 0, now));
   }
-  if (ahead < free) return { aheadMs: 0, waitMs: 0 };
-  const startsMs = free > 0 ? workMs * (ahead - free) / ahead : workMs;
-  const runMs = expectedRunMs(state, call, now);
-  const waitMs = estimateWait(state.shedding, {
-    key: classOf(call),
-    delayMs: delayOfCall(state, call, runMs),
-    runMs,
-    aheadMs: (startsMs + meanMs) / slots,
-    slots,
-    now,
-  });
-  return { aheadMs: workMs / slots, waitMs };
-}
-
-/**
- * Returns the time until a call that arrives now is expected to start, in
- * milliseconds.
- */
-export function expectedStartMs(
-  state: QueueState,
-  call: QueuedCall,
-  now: MonotonicMs,
-): number {
-  return waitOf(state, call, now).waitMs;
-}
-
-function delayOfCall(
-  state: QueueState,
-  call: QueuedCall,
-  runMs: number,
-): number {
-  const slackMs = call.objectiveAt - call.arrivedAt - runMs;
-  return delayOf(state.shedding, call, slackMs);
-}
-
-/** Longest wait that may put the call's latency objective at risk. */
-function riskyWaitMs(
-  state: QueueState,
-  call: QueuedCall,
-  now: MonotonicMs,
-): number {
-  const runMs = expectedRunMs(state, call, now);
-  const meanMs = meanRunMs(state) * slowdownAt(state, now);
-  const shortMs = Math.max(runMs, meanMs) * MAX_RISKY_WAIT_RUNS;
-  if (!isPatient(call)) return shortMs;
-  const longMs = (call.deadlineAt - now - runMs) * lateShareOf(call);
-  return Math.max(shortMs, longMs);
-}
-
-function lateShareOf(call: QueuedCall): number {
-  return call.lateShare ?? MIN_LATE_WAIT_SHARE;
+  return [...effects, ...startWaitingCalls(state, now)];
 }
 
 function handleEnded(
