--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -16,11 +16,9 @@
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import type { Instance } from "../local_endpoint/state.ts";
-import {
-  expectedStartMs,
-  findRefusalReason,
-  type FindRefusalReasonOptions,
-} from "../queue/assess_call.ts";
+import { assessCall, type AssessCallOptions } from "../queue/assess_call.ts";
+import { isOver } from "../queue/compare_calls.ts";
+import { expectedRunMs } from "../queue/estimate.ts";
 import { decideQueue, reportQueue } from "../queue/decide_queue.ts";
 import {
   createQueueState,
@@ -84,7 +82,7 @@
   /** Called after each run that was answered or failed. */
   readonly onRun: (run: Run) => void;
   /** Called for each call that the queue refuses for lack of capacity. */
-  readonly onShed: (call: OfferedCall, reason: RefusalReason) => void;
+  readonly onShed: (call: OfferedCall, shed: ShedRefusal) => void;
   /** Called after each answer past the latency objective of its call. */
   readonly onLateRun: (run: LateRun) => void;
   /** Called for each answer that can't be trusted (see `AnswerDefect`). */
@@ -101,6 +99,13 @@
   readonly suspects: SuspectRecords;
 }
 
+/** Why the queue refused a call for lack of capacity. */
+export interface ShedRefusal {
+  readonly reason: RefusalReason;
+  /** Whether the call's account used more than its fair share. */
+  readonly isOverShare: boolean;
+}
+
 export interface LocalHome extends Home {
   /**
    * Opens the queue for the endpoint as last announced, or closes it for
@@ -199,7 +204,7 @@
       case "start":
         return start(effect.key, entry);
       case "refuse":
-        return shed(effect.key, entry, effect.reason, effect.waitMs);
+        return shed(effect.key, entry, effect);
       case "overdue":
         entry.onEvent({ type: "overdue" });
         return;
@@ -218,11 +223,11 @@
   function shed(
     key: number,
     entry: OpenCall,
-    reason: RefusalReason,
-    waitMs: number,
+    refusal: ShedRefusal & { readonly waitMs: number },
   ) {
+    const { reason, waitMs } = refusal;
     releaseCall(key, entry);
-    if (reason !== RefusalReason.Closed) opts.onShed(entry.call, reason);
+    if (reason !== RefusalReason.Closed) opts.onShed(entry.call, refusal);
     refuse(entry, reason, waitMs);
   }
 
@@ -443,7 +448,7 @@
   function receive(
     key: number,
     entry: OpenCall,
-    queueEntry: Omit<FindRefusalReasonOptions, "now">,
+    queueEntry: Omit<AssessCallOptions, "now">,
   ) {
     const { call } = entry;
     if (instance !== undefined && !isSameSoftware(call, instance)) {
@@ -467,10 +472,15 @@
       ...queueEntry,
       call: { ...queueEntry.call, objectiveAt, deadlineAt },
     };
-    const reason = findRefusalReason(queue, { ...shortened, now: now() });
+    const at = now();
+    const { reason, waitMs } = assessCall(queue, { ...shortened, now: at });
     if (reason !== undefined) {
-      const waitMs = expectedStartMs(queue, shortened.call, now());
-      return shed(key, entry, reason, Math.round(waitMs));
+      const runMs = expectedRunMs(queue, shortened.call, at);
+      return shed(key, entry, {
+        reason,
+        waitMs: Math.round(waitMs),
+        isOverShare: isOver(queue, shortened.call, runMs),
+      });
     }
     entry.timer = setTimeout(() => {
       releaseCall(key, entry);
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -45,9 +45,10 @@
   countRefusal(reason: string): void;
   /**
    * Counts a call that this node's queue refused for lack of capacity, also one
-   * that gave way to a more urgent call.
+   * that gave way to a more urgent call. `isOverShare`: its account used more
+   * than its fair share.
    */
-  countShed(route: string, reason: string): void;
+  countShed(route: string, reason: string, isOverShare: boolean): void;
   /** Counts a further attempt of a call that the retry budget allowed. */
   countRetry(service: string): void;
   /** Counts a call that reached an endpoint of another service or version. */
@@ -92,7 +93,7 @@
   const shed = new Counter({
     name: "lagoon_shed_calls_total",
     help: "Calls that the queue of this node refused for lack of capacity.",
-    labelNames: ["route", "reason"],
+    labelNames: ["route", "reason", "over_share"],
     registers,
   });
   const retries = new Counter({
@@ -134,7 +135,8 @@
     countCall: (route, result, tookMs) =>
       calls.observe({ route, result }, tookMs / 1_000),
     countRefusal: (reason) => refusals.inc({ reason }),
-    countShed: (route, reason) => shed.inc({ route, reason }),
+    countShed: (route, reason, isOverShare) =>
+      shed.inc({ route, reason, over_share: isOverShare ? "yes" : "no" }),
     countRetry: (service) => retries.inc({ service }),
     countMisdirected: (expected, present) =>
       misdirected.inc({ expected, present }),
--- a/src/metrics/create_metrics_test.ts
+++ b/src/metrics/create_metrics_test.ts
@@ -54,8 +54,8 @@
 
 test("calls that the queue refused are counted by route and reason", async () => {
   const metrics = createMetrics({ meter: createWorkMeter({ now: () => 0 }) });
-  metrics.countShed("/photos/", "displaced");
-  const labels = '{route="/photos/",reason="displaced"}';
+  metrics.countShed("/photos/", "displaced", false);
+  const labels = '{route="/photos/",reason="displaced",over_share="no"}';
   const text = await metrics.text();
   assert.ok(text.includes(`lagoon_shed_calls_total${labels} 1`));
 });
--- a/src/queue/assess_call.ts
+++ b/src/queue/assess_call.ts
@@ -31,8 +31,8 @@
  */
 const MAX_RISKY_WAIT_RUNS = 0.5;
 
-/** Options of `findRefusalReason`. */
-export interface FindRefusalReasonOptions {
+/** Options of `assessCall`. */
+export interface AssessCallOptions {
   readonly call: QueuedCall;
   /**
    * Whether the sender accepts an answer past the latency objective, since no
@@ -42,18 +42,9 @@
   readonly now: MonotonicMs;
 }
 
-/**
- * Returns why a call that arrives now is refused, or undefined to accept it.
- */
-export function findRefusalReason(
-  state: QueueState,
-  opts: FindRefusalReasonOptions,
-): RefusalReason | undefined {
-  return assessCall(state, opts).reason;
-}
-
 /** Whether a call is refused, and the time until it would start. */
 export interface Assessment {
+  /** Undefined to accept the call. */
   readonly reason: RefusalReason | undefined;
   readonly waitMs: number;
 }
@@ -61,7 +52,7 @@
 /** Decides whether a call that arrives now is refused. */
 export function assessCall(
   state: QueueState,
-  opts: FindRefusalReasonOptions,
+  opts: AssessCallOptions,
 ): Assessment {
   const { call, mayBeLate, now } = opts;
   if (state.gate.type === "closed") {
--- a/src/queue/compare_calls.ts
+++ b/src/queue/compare_calls.ts
@@ -91,7 +91,8 @@
   return 2 * classOf(call) + (isOver(state, call, runMs) ? 1 : 0);
 }
 
-function isOver(
+/** Whether the call's account uses more than its fair share. */
+export function isOver(
   state: QueueState,
   call: QueuedCall,
   runMs: number,
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -23,6 +23,7 @@
 } from "./assess_call.ts";
 import {
   compareRanks,
+  isOver,
   isPatient,
   rankOf,
   type StartRank,
@@ -38,7 +39,6 @@
   slowdownAt,
 } from "./estimate.ts";
 import {
-  type CallKey,
   type QueuedCall,
   type QueueEffect,
   type QueueEvent,
@@ -136,16 +136,16 @@
     ? []
     : displaceCalls(state, event, reason);
   if (reason !== undefined && displaced.length === 0) {
-    return [refuse(state, call.key, reason, waitMs, now)];
+    return [refuse(state, call, reason, waitMs, now)];
   }
   const { Displaced, QueueFull } = RefusalReason;
   const effects = displaced.map((other) => {
     const otherMs = expectedStartMs(state, other, now);
-    return refuse(state, other.key, Displaced, otherMs, now);
+    return refuse(state, other, Displaced, otherMs, now);
   });
   state.waiting.set(call.key, call);
-  for (const { key } of evictLateCalls(state, now)) {
-    effects.push(refuse(state, key, QueueFull, 0, now));
+  for (const late of evictLateCalls(state, now)) {
+    effects.push(refuse(state, late, QueueFull, 0, now));
   }
   return [...effects, ...startWaitingCalls(state, now)];
 }
@@ -189,7 +189,7 @@
     if (next === undefined) break;
     waiting.delete(next.key);
     if (!canMeetDeadline(state, next, now, now)) {
-      effects.push(refuse(state, next.key, RefusalReason.NoTime, 0, now));
+      effects.push(refuse(state, next, RefusalReason.NoTime, 0, now));
       continue;
     }
     const runMs = expectedRunMs(state, next, now);
@@ -247,7 +247,7 @@
     const reason = findExpiryReason(state, call, now);
     if (reason === undefined) continue;
     state.waiting.delete(call.key);
-    effects.push(refuse(state, call.key, reason, 0, now));
+    effects.push(refuse(state, call, reason, 0, now));
   }
   return effects;
 }
@@ -293,20 +293,21 @@
   state: QueueState,
   now: MonotonicMs,
 ): readonly QueueEffect[] {
-  const keys = [...state.waiting.keys()];
+  const calls = [...state.waiting.values()];
   state.waiting.clear();
-  return keys.map((key) => refuse(state, key, RefusalReason.Closed, 0, now));
+  return calls.map((call) => refuse(state, call, RefusalReason.Closed, 0, now));
 }
 
 /** `startMs` is the time until the call would start, as far as it is known. */
 function refuse(
   state: QueueState,
-  key: CallKey,
+  call: QueuedCall,
   reason: RefusalReason,
   startMs: number,
   now: MonotonicMs,
 ): QueueEffect {
   const drainMs = expectedWaitMs(state, state.waiting.size, now);
   const waitMs = Math.round(Math.max(drainMs, startMs));
-  return { type: "refuse", key, reason, waitMs };
+  const isOverShare = isOver(state, call, expectedRunMs(state, call, now));
+  return { type: "refuse", key: call.key, reason, waitMs, isOverShare };
 }
--- a/src/queue/displace_calls.ts
+++ b/src/queue/displace_calls.ts
@@ -6,9 +6,9 @@
 import { chooseDisplaced } from "../shedding/choose_displaced.ts";
 import { classOf } from "../shedding/class_of.ts";
 import {
+  assessCall,
+  type AssessCallOptions,
   expectedStartMs,
-  findRefusalReason,
-  type FindRefusalReasonOptions,
   riskyWaitMs,
   slotsOf,
 } from "./assess_call.ts";
@@ -37,7 +37,7 @@
  */
 export function displaceCalls(
   state: QueueState,
-  opts: FindRefusalReasonOptions,
+  opts: AssessCallOptions,
   reason: RefusalReason,
 ): readonly QueuedCall[] {
   const { call, now } = opts;
@@ -57,7 +57,7 @@
   const neededMs = missingWorkMs(state, call, now);
   const displaced = chooseDisplaced({ precedence, ahead, neededMs });
   for (const { key } of displaced) state.waiting.delete(key);
-  if (findRefusalReason(state, opts) === undefined) return displaced;
+  if (assessCall(state, opts).reason === undefined) return displaced;
   for (const other of displaced) state.waiting.set(other.key, other);
   return [];
 }
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -144,6 +144,8 @@
     readonly reason: RefusalReason;
     /** Time until a slot is expected to be free, in milliseconds. */
     readonly waitMs: number;
+    /** Whether the call's account used more than its fair share. */
+    readonly isOverShare: boolean;
   }
   /** The call has run much longer than calls of its route usually do. */
   | { readonly type: "overdue"; readonly key: CallKey };
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -161,8 +161,8 @@
       countRun(trafficShift, run);
       metrics.countVersionRun(run);
     },
-    onShed({ id, route }, reason) {
-      metrics.countShed(route, reason);
+    onShed({ id, route }, { reason, isOverShare }) {
+      metrics.countShed(route, reason, isOverShare);
       if (reason !== RefusalReason.Displaced) return;
       log.write("call", LogLevel.Info, "waiting call displaced", { id, route });
     },
