fix(fair_sharing): forget accounts of a class that gets no calls

Cause: accounts were dropped only when a call of their class was offered. Result: the test of bounded state covers two classes.

--- a/src/fair_sharing/fair_sharing_test.ts
+++ b/src/fair_sharing/fair_sharing_test.ts
@@ -42,7 +42,8 @@
     recordAccountOffer(state, { key: 0, account, runMs: 60, now: n / 10 });
     assert.ok((state.classes.get(0)?.accounts.size ?? 0) <= 1_024);
   }
-  const last = { key: 0, account: "last", runMs: 60, now: 40_000 };
+  const last = { key: 1, account: "last", runMs: 60, now: 40_000 };
   recordAccountOffer(state, last);
-  assert.deepEqual([...state.classes.get(0)?.accounts.keys() ?? []], ["last"]);
+  assert.equal(state.classes.get(0)?.accounts.size, 0);
+  assert.equal(state.classes.get(1)?.accounts.size, 1);
 });
--- a/src/fair_sharing/record_account_use.ts
+++ b/src/fair_sharing/record_account_use.ts
@@ -63,7 +63,10 @@
     };
     state.classes.set(key, shares);
   }
-  if (now - shares.computedAt >= LEVEL_INTERVAL_MS) computeLevel(shares, now);
+  // Of all classes, so that accounts of a class without calls are forgotten.
+  for (const one of state.classes.values()) {
+    if (now - one.computedAt >= LEVEL_INTERVAL_MS) computeLevel(one, now);
+  }
   let use = shares.accounts.get(account);
   if (use === undefined) {
     // Accounts are dropped when the level is computed. More than this many new
