--- a/src/accounts/create_account_table.ts
+++ b/src/accounts/create_account_table.ts
@@ -26,9 +26,17 @@
   readonly keys: readonly string[];
 }
 
+/** Why a listed account is rejected. Contains no key. */
+export interface AccountProblem {
+  /** Position of the account in the list. */
+  readonly index: number;
+  /** Position of the key in the account. Undefined if no key is to blame. */
+  readonly keyIndex?: number;
+  readonly message: string;
+}
+
 /**
- * Returns the table of the listed accounts, or why they are contradictory. The
- * reason contains no key.
+ * Returns the table of the listed accounts, or all that is wrong with them.
  *
  * Accounts and keys that are unchanged since the table `previous` are taken
  * from it, and so is the table if all are: hashing and indexing all keys takes
@@ -37,37 +45,43 @@
 export function createAccountTable(
   listed: readonly ListedAccount[],
   previous: AccountTable | undefined,
-): Result<AccountTable, string> {
+): Result<AccountTable, readonly AccountProblem[]> {
   if (previous !== undefined && isUnchanged(listed, previous)) {
     return ok(previous);
   }
   const byKey = new Map<string, KeyEntry>();
   const byName = new Map<string, Account>();
   const keyHashes = new Set<number>();
-  for (const { account: decoded, keys } of listed) {
+  const problems: AccountProblem[] = [];
+  for (const [index, { account: decoded, keys }] of listed.entries()) {
     const { name } = decoded;
-    const problem = findNameProblem(name);
-    if (problem !== undefined) return err(problem);
-    if (byName.has(name)) return err(`two accounts have the name ${name}`);
+    const message = findNameProblem(name) ??
+      (byName.has(name) ? `two accounts have the name ${name}` : undefined);
+    if (message !== undefined) {
+      problems.push({ index, message });
+      continue;
+    }
     const known = previous?.byName.get(name);
     const account = known !== undefined && isSameAccount(known, decoded)
       ? known
       : decoded;
     byName.set(name, account);
-    for (const key of keys) {
+    for (const [keyIndex, key] of keys.entries()) {
       const owner = byKey.get(key)?.account;
       if (owner === account) continue;
-      if (owner !== undefined) {
-        return err(`accounts ${owner.name} and ${name} have the same key`);
+      const keyMessage = owner === undefined
+        ? findKeyProblem(name, key)
+        : `accounts ${owner.name} and ${name} have the same key`;
+      if (keyMessage !== undefined) {
+        problems.push({ index, keyIndex, message: keyMessage });
+        continue;
       }
-      const keyProblem = findKeyProblem(key);
-      if (keyProblem !== undefined) return err(`${name}: ${keyProblem}`);
       const entry = entryOf(key, account, previous?.byKey.get(key));
       byKey.set(key, entry);
       keyHashes.add(entry.keyHash);
     }
   }
-  return ok({ byKey, byName, keyHashes });
+  return problems.length > 0 ? err(problems) : ok({ byKey, byName, keyHashes });
 }
 
 function findNameProblem(name: string): string | undefined {
@@ -80,10 +94,10 @@
     : undefined;
 }
 
-function findKeyProblem(key: string): string | undefined {
-  if (key === "") return "a key is empty";
+function findKeyProblem(name: string, key: string): string | undefined {
+  if (key === "") return `${name}: a key is empty`;
   return Buffer.byteLength(key) > MAX_KEY_BYTES
-    ? `a key has over ${MAX_KEY_BYTES} B`
+    ? `${name}: a key has over ${MAX_KEY_BYTES} B`
     : undefined;
 }
 
--- a/src/routes/find_route.ts
+++ b/src/routes/find_route.ts
@@ -27,7 +27,7 @@
 }
 
 /** Returns the host name without its port, in lower case. */
-function hostnameOf(host: string): string {
+export function hostnameOf(host: string): string {
   const colon = host.lastIndexOf(":");
   return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
 }
