fix(queue): refuse waiting calls before their deadline, not after it

Cause: the queue was checked every 40 ms, so a waiting call with a short run was found too late only after its deadline. Change: the next check is due when the first waiting call can no longer be answered in time.

--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -41,6 +41,7 @@
   CRASHES_TO_REFUSE,
   QUARANTINE_RETRY_MS,
 } from "../quarantine/crash_chain.ts";
+import { nextTickMs } from "../queue/next_tick.ts";
 import { pacePercentAt } from "../queue/pace.ts";
 import type { RouteTable, ServiceTerms } from "../routes/state.ts";
 import { lateWaitShare } from "../shedding/late_wait_share.ts";
@@ -72,9 +73,6 @@
 /** Timeout for opening a connection on the same VM, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 500;
 
-/** Interval of queue checks while calls wait or run, in milliseconds. */
-const TICK_MS = 40;
-
 /**
  * Time during which no call is started after the endpoint accepted no
  * connection or another endpoint answered at its address, in milliseconds.
@@ -240,7 +238,7 @@
       ticker = setTimeout(() => {
         ticker = undefined;
         apply(decideQueue(queue, { type: "ticked", now: now() }));
-      }, TICK_MS);
+      }, nextTickMs(queue, now()));
     }
   }
 
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -164,6 +164,14 @@
   startAt: MonotonicMs,
   now: MonotonicMs,
 ): boolean {
-  const runMs = expectedRunMs(state, call, now);
-  return startAt + runMs * MIN_RUN_SHARE <= call.deadlineAt;
+  return startAt <= latestStartAt(state, call, now);
+}
+
+/** Returns the time after which a call can't be answered before its deadline. */
+export function latestStartAt(
+  state: QueueState,
+  call: QueuedCall,
+  now: MonotonicMs,
+): MonotonicMs {
+  return call.deadlineAt - expectedRunMs(state, call, now) * MIN_RUN_SHARE;
 }
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -3,6 +3,7 @@
 import fc from "fast-check";
 import { checkProperty } from "../testing/check_property.ts";
 import { decideColdStart } from "../cold_start/decide_cold_start.ts";
+import { nextTickMs } from "./next_tick.ts";
 import { decideQueue, reportQueue } from "./decide_queue.ts";
 import {
   createQueueState,
@@ -116,6 +117,23 @@
   assert.ok(effect?.type === "refuse" && effect.waitMs > 0);
 });
 
+// Guards against a call that is held until its deadline has passed: its caller
+// can't be told any more that it has not run.
+test("waiting call is refused before its deadline, whenever that is", () => {
+  for (let deadlineAt = 200; deadlineAt < 300; deadlineAt += 7) {
+    const state = openQueue(1);
+    offer(state, callOf({ deadlineAt: 9_000 }));
+    const second = callOf({ isNested: true, objectiveAt: 60, deadlineAt });
+    offer(state, second);
+    let now = 0;
+    while (state.waiting.size > 0) {
+      now += nextTickMs(state, now);
+      decideQueue(state, { type: "ticked", now });
+    }
+    assert.ok(now < deadlineAt, `${now} of ${deadlineAt}`);
+  }
+});
+
 test("waiting call is refused when it can't meet its deadline", () => {
   const state = openQueue(1);
   offer(state, callOf());
