feat(allowance): limits of accounts over all nodes

Cause: nothing limits the requests of a client account. Change: a pure decision. Each node owns an equal share of every limit and leases it to the allocator of its failure domain, which leases it to the fleet's. Allocators generate tokens from the shares that they hold and grant them on request, for 300 ms. A share generates tokens at one place at a time, and granted tokens count toward the capacity of their bucket.

--- /dev/null
+++ b/src/allowance/bucket.ts
@@ -0,0 +1,178 @@
+/**
+ * The token bucket of an account at a tier.
+ * @module
+ */
+import type { Allowance } from "../accounts/state.ts";
+import { usedShare } from "./settle_shares.ts";
+import {
+  type AllowanceTerms,
+  type AllowanceTime,
+  type Batch,
+  type Entry,
+  GRANT_MS,
+  type Tier,
+} from "./state.ts";
+
+/**
+ * Fractions of the permitted excess that buckets use. The rest covers nodes that
+ * joined and are not known everywhere (one of 14 adds 7% to all shares), and
+ * requests that wait to be read.
+ */
+const OVERAGE_SHARE = 0.5;
+const SLACK_SHARE = 0.8;
+
+/** Time constant of the demand estimate. */
+const DEMAND_MS = 500;
+
+/** Grants that expire within this time of each other are counted together. */
+const MERGE_MS = 25;
+
+/** Tokens taken from a bucket. */
+export interface Taken {
+  readonly count: number;
+  /** Expiry on the `latest` clock. */
+  readonly until: number;
+}
+
+/** Capacity of the whole fleet's bucket of an account. */
+export function capacityOf(
+  { perSecond, burst }: Allowance,
+  { overage, slack }: AllowanceTerms,
+): number {
+  const excess = OVERAGE_SHARE * overage * (perSecond + burst);
+  return burst + excess + SLACK_SHARE * slack;
+}
+
+/** Creates the entry of an account that has had no demand for a while. */
+export function createEntry(
+  tier: Tier,
+  allowance: Allowance,
+  terms: AllowanceTerms,
+  { steady }: AllowanceTime,
+): Entry {
+  const capacity = capacityOf(allowance, terms);
+  let level = 0;
+  for (const { share, since } of tier.parts) {
+    const generatingMs = Math.max(0, steady - since);
+    const generated = allowance.perSecond * generatingMs / 1_000;
+    level += share * Math.min(capacity, generated);
+  }
+  return {
+    level,
+    refilledAt: steady,
+    granted: [],
+    received: [],
+    waiters: [],
+    demand: 0,
+    demandAt: steady,
+    asked: undefined,
+    askAfter: -Infinity,
+    shortUntil: -Infinity,
+  };
+}
+
+/** Adds the tokens generated since the last call and removes expired ones. */
+export function refill(
+  tier: Tier,
+  entry: Entry,
+  allowance: Allowance,
+  terms: AllowanceTerms,
+  { steady, latest }: AllowanceTime,
+) {
+  const elapsedMs = steady - entry.refilledAt;
+  entry.refilledAt = steady;
+  entry.received = unexpired(entry.received, latest);
+  entry.granted = unexpired(entry.granted, steady);
+  for (const { share, since } of tier.parts) {
+    const generatingMs = Math.max(0, Math.min(elapsedMs, steady - since));
+    entry.level += share * allowance.perSecond * generatingMs / 1_000;
+  }
+  const capacity = usedShare(tier) * capacityOf(allowance, terms) -
+    sum(entry.granted);
+  entry.level = Math.max(0, Math.min(entry.level, capacity));
+}
+
+/** Whole tokens that can be taken now. Call `refill` before. */
+export function available(entry: Entry): number {
+  return sum(entry.received) + Math.floor(entry.level);
+}
+
+/** Takes up to `count` tokens. Undefined if there is none. */
+export function take(
+  entry: Entry,
+  count: number,
+  { steady, latest }: AllowanceTime,
+): Taken | undefined {
+  let taken = 0;
+  let until = latest + GRANT_MS;
+  while (taken < count) {
+    const batch = entry.received[0];
+    if (batch === undefined) break;
+    const part = Math.min(count - taken, batch.count);
+    taken += part;
+    until = Math.min(until, batch.until);
+    if (part === batch.count) entry.received.shift();
+    else entry.received[0] = { ...batch, count: batch.count - part };
+  }
+  const part = Math.min(count - taken, Math.floor(entry.level));
+  if (part > 0) {
+    taken += part;
+    entry.level -= part;
+    addBatch(entry.granted, { count: part, until: steady + GRANT_MS });
+  }
+  return taken > 0 ? { count: taken, until } : undefined;
+}
+
+/** Time until the bucket has a token, if nothing else takes it. */
+export function tokenWaitMs(
+  tier: Tier,
+  entry: Entry,
+  allowance: Allowance,
+  terms: AllowanceTerms,
+  { steady }: AllowanceTime,
+): number {
+  const used = usedShare(tier);
+  const capacity = used * capacityOf(allowance, terms) - sum(entry.granted);
+  const oldest = entry.granted[0];
+  const blockedMs = capacity < 1 && oldest !== undefined
+    ? oldest.until - steady
+    : 0;
+  const startMs = Math.min(...tier.parts.map(({ since }) => since - steady));
+  const rate = used * allowance.perSecond / 1_000;
+  return Math.max(0, startMs, blockedMs) + (1 - entry.level) / rate;
+}
+
+export function recordDemand(entry: Entry, count: number, steady: number) {
+  const decay = Math.exp((entry.demandAt - steady) / DEMAND_MS);
+  entry.demand = entry.demand * decay + count;
+  entry.demandAt = steady;
+}
+
+/** Recently requested tokens per millisecond. */
+export function demandRate(entry: Entry, steady: number): number {
+  const decay = Math.exp((entry.demandAt - steady) / DEMAND_MS);
+  return entry.demand * decay / DEMAND_MS;
+}
+
+function addBatch(batches: Batch[], batch: Batch) {
+  const last = batches.at(-1);
+  if (last === undefined || batch.until - last.until > MERGE_MS) {
+    batches.push(batch);
+    return;
+  }
+  const count = last.count + batch.count;
+  batches[batches.length - 1] = { count, until: batch.until };
+}
+
+function unexpired(batches: Batch[], now: number): Batch[] {
+  if (batches.length === 0 || batches.every(({ until }) => until > now)) {
+    return batches;
+  }
+  return batches.filter(({ until }) => until > now);
+}
+
+function sum(batches: readonly Batch[]): number {
+  let count = 0;
+  for (const batch of batches) count += batch.count;
+  return count;
+}
