feat(sidecar): quotas of accounts on requests

Cause: the decision on account limits was not connected to anything. Change: a service runs it with a timer while some account has an allowance, named messages of type allowance/... carry its leases and tokens, and nodes keep links to the allocators that they use. Requests wait for the decision before they are served; over the quota they get 429 with Retry-After. A token is given back if its request reached no endpoint. No request has an account yet; accountOf in create_caller_server.ts is where it comes in.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -23,6 +23,7 @@
 import { isNestedCall } from "./is_nested_call.ts";
 import { serveCall, type ServedCall } from "./serve_call.ts";
 import type { CallContext } from "./state.ts";
+import { waitForToken } from "./wait_for_token.ts";
 
 /**
  * Limit on the size of a request's head. Node.js takes this limit when the
@@ -150,25 +151,56 @@
       return refuse(req, res, 413, "the body is too large");
     }
     const { calls } = connection;
-    let isDone = false;
-    let call: ServedCall | undefined = undefined;
-    call = serveCall({
+    let waiting: ServedCall | undefined = undefined;
+    const endWait = () => {
+      if (waiting !== undefined) calls.delete(waiting);
+    };
+    const serve = (giveBack: () => void) => {
+      endWait();
+      const quotaMs = ctx.now() - now;
+      let isDone = false;
+      let call: ServedCall | undefined = undefined;
+      call = serveCall({
+        ctx,
+        req,
+        res,
+        id: caller.id,
+        route,
+        parentId: isNested ? caller.parentId : undefined,
+        waitMs: waitMs - quotaMs,
+        ageMs: ageMs + quotaMs,
+        maxBodyBytes: bodyBytes,
+        mayClose: () => mayClose(res),
+        onDone(isUnsent) {
+          isDone = true;
+          if (call !== undefined) calls.delete(call);
+          if (isUnsent) giveBack();
+        },
+      });
+      if (!isDone) calls.add(call);
+    };
+    waiting = waitForToken({
       ctx,
-      req,
-      res,
-      id: caller.id,
-      route,
-      parentId: isNested ? caller.parentId : undefined,
-      waitMs,
-      ageMs,
-      maxBodyBytes: bodyBytes,
-      mayClose: () => mayClose(res),
-      onDone() {
-        isDone = true;
-        if (call !== undefined) calls.delete(call);
+      account: accountOf(),
+      onAdmitted: serve,
+      onRefused(quotaMs) {
+        endWait();
+        const headers = ctx.dialect.refusalHeaders(caller.id, quotaMs);
+        refuse(req, res, 429, "the account's quota is used up", headers);
+      },
+      onStopped() {
+        endWait();
+        const retryMs = retryDelayMs(Rejection.Stopping, waitedMs);
+        const headers = ctx.dialect.refusalHeaders(caller.id, retryMs);
+        refuse(req, res, 503, Rejection.Stopping, headers);
       },
     });
-    if (!isDone) calls.add(call);
+    if (waiting !== undefined) calls.add(waiting);
+  }
+
+  /** Name of the account that a request counts for. */
+  function accountOf(): string | undefined {
+    return undefined;
   }
 
   /** A connection is closed after its newest request, never before. */
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -97,8 +97,11 @@
   readonly maxBodyBytes: number;
   /** Whether the connection may be closed after this answer. */
   readonly mayClose: () => boolean;
-  /** Called once, when the request is finished. */
-  readonly onDone: () => void;
+  /**
+   * Called once, when the request is finished. `isUnsent` is true if it is
+   * certain not to have reached an endpoint.
+   */
+  readonly onDone: (isUnsent: boolean) => void;
 }
 
 /** A request that is being served. */
@@ -532,7 +535,8 @@
     if (result === CallResult.EndpointFailed) {
       log(LogLevel.Warn, "endpoint answered with a server error", { status });
     }
-    opts.onDone();
+    const isNotRun = result === CallResult.NotRun && arrivals === 0;
+    opts.onDone(offers === 0 || isNotRun);
   }
 
   function log(
--- a/src/callers/state.ts
+++ b/src/callers/state.ts
@@ -15,6 +15,7 @@
 import type { LoadBalancingState } from "../load_balancing/state.ts";
 import type { QueueReport } from "../queue/state.ts";
 import type { RoutesState } from "../routes/state.ts";
+import type { AllowanceService } from "../sidecar/create_allowance_service.ts";
 import type { CallDialect } from "../sidecar/platform_port.ts";
 import type { CheckedCall } from "../quarantine/fingerprint_of.ts";
 import type { TrafficShiftState } from "../traffic_shift/state.ts";
@@ -61,6 +62,11 @@
     target: string,
     describe: () => CheckedCall,
   ) => number;
+  /**
+   * Requests the admission of a request by its account's quota. Calls back once,
+   * at once or within 100 ms.
+   */
+  readonly admitAccount: AllowanceService["admit"];
   /** Queue report of the endpoint on this VM, for a route. */
   readonly ownReport: (route: string) => QueueReport;
   /** Bytes of answers that their receivers have not read yet. */
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -177,6 +177,11 @@
       case "move-report":
       case "move-fault":
       case "quarantine/rows":
+      case "allowance/join":
+      case "allowance/beat":
+      case "allowance/lease":
+      case "allowance/ask":
+      case "allowance/grant":
         break;
     }
     opts.onGossip(from, message, send);
--- a/src/links/create_packer.ts
+++ b/src/links/create_packer.ts
@@ -135,6 +135,11 @@
     case "move-report":
     case "move-fault":
     case "quarantine/rows":
+    case "allowance/join":
+    case "allowance/beat":
+    case "allowance/lease":
+    case "allowance/ask":
+    case "allowance/grant":
       return false;
     default:
       return exhausted(message);
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -8,6 +8,7 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { Packr } from "msgpackr";
 import * as v from "valibot";
+import { allowanceSchema } from "../allowance/messages.ts";
 import type { CallAccount } from "../accounts/state.ts";
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import { exhausted } from "../core/exhausted.ts";
@@ -124,6 +125,11 @@
     case "move-report":
     case "move-fault":
     case "quarantine/rows":
+    case "allowance/join":
+    case "allowance/beat":
+    case "allowance/lease":
+    case "allowance/ask":
+    case "allowance/grant":
       return [Kind.Named, message];
     case "operator": {
       const { from, end, records } = message;
@@ -200,6 +206,11 @@
   "move-report",
   "move-fault",
   "quarantine/rows",
+  "allowance/join",
+  "allowance/beat",
+  "allowance/lease",
+  "allowance/ask",
+  "allowance/grant",
 ]);
 
 function namedMessage(value: unknown): LinkMessage {
@@ -210,6 +221,7 @@
     );
   }
   if (type === "quarantine/rows") v.assert(quarantineSchema, value);
+  if (type.startsWith("allowance/")) v.assert(allowanceSchema, value);
   return value as LinkMessage;
 }
 
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -105,6 +105,25 @@
       { key: "b", value: undefined },
     ],
   },
+  { type: "allowance/join", tier: "domain" },
+  { type: "allowance/beat", tier: "node", stamp: 1.5 },
+  {
+    type: "allowance/lease",
+    tier: "fleet",
+    echo: 1.5,
+    share: 0.25,
+    termMs: 400,
+  },
+  { type: "allowance/ask", tier: "domain", stamp: 2, account: "a", count: 3 },
+  {
+    type: "allowance/grant",
+    tier: "node",
+    echo: 2,
+    account: "a",
+    count: 3,
+    lifeMs: 250.5,
+    waitMs: 0,
+  },
 ];
 
 test("messages are decoded as they were encoded", () => {
@@ -131,6 +150,16 @@
     [13, [["a:1", "d1", 0, 1, 7, 0]]],
     [7, { type: "rows", rows: [row] }],
     [7, null],
+    [7, { type: "allowance/join", tier: "node" }],
+    [7, { type: "allowance/beat", tier: "node", stamp: NaN }],
+    [7, { type: "allowance/lease", tier: "fleet", echo: 1, share: 2 }],
+    [7, {
+      type: "allowance/ask",
+      tier: "domain",
+      stamp: 1,
+      account: "a",
+      count: -1,
+    }],
   ];
   for (const fields of malformed) {
     assert.throws(() => decodeMessage(pack(fields)), JSON.stringify(fields));
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -2,6 +2,7 @@
  * Messages between two nodes over one link.
  * @module
  */
+import type { AllowanceMessage } from "../allowance/messages.ts";
 import type { AttemptEvent, OfferedCall } from "../calls/state.ts";
 import type { Offset } from "../core/types.ts";
 import type { DomainDigest, LostNotice, NodeRow } from "../fleet/messages.ts";
@@ -115,6 +116,8 @@
   | { readonly type: "move-report"; readonly report: ShiftReport }
   | { readonly type: "move-fault"; readonly fault: ShiftFault }
   /** Crashes of requests that the receiver may not know. */
-  | Extract<QuarantineMessage, { type: "quarantine/rows" }>;
+  | Extract<QuarantineMessage, { type: "quarantine/rows" }>
+  /** Leases and tokens of the limits on client accounts. */
+  | AllowanceMessage;
 
 export type LinkMessage = CallMessage | EventMessage | Gossip;
--- a/src/links/open_channel.ts
+++ b/src/links/open_channel.ts
@@ -199,6 +199,11 @@
       case "move-report":
       case "move-fault":
       case "quarantine/rows":
+      case "allowance/join":
+      case "allowance/beat":
+      case "allowance/lease":
+      case "allowance/ask":
+      case "allowance/grant":
         if (!isAbandoned) opts.onGossip(message);
         return;
     }
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -40,6 +40,17 @@
 } as const;
 export type CallResult = typeof CallResult[keyof typeof CallResult];
 
+/** What became of a request of an account that has an allowance. */
+export const QuotaResult = {
+  Admitted: "admitted",
+  Refused: "refused",
+  /** Counted in addition, if the request had to wait for its answer. */
+  Waited: "waited",
+  /** Counted in addition, if an admitted request reached no endpoint. */
+  Returned: "returned",
+} as const;
+export type QuotaResult = typeof QuotaResult[keyof typeof QuotaResult];
+
 export interface Metrics {
   countCall(route: string, result: CallResult, tookMs: number): void;
   countRefusal(reason: string): void;
@@ -51,6 +62,9 @@
   countUntrustedAnswer(defect: string): void;
   /** Counts a run at the endpoint on this VM. */
   countVersionRun(run: Run): void;
+  countQuota(result: QuotaResult): void;
+  /** Counts a message about quotas to another node, by its type. */
+  countQuotaMessage(type: string): void;
   setTableVersion(version: number): void;
   /** Replaces the numbers of ready endpoints of all services. */
   setReadyEndpoints(byService: ReadonlyMap<string, number>): void;
@@ -108,6 +122,18 @@
     labelNames: ["service", "version", "result"],
     registers,
   });
+  const quotas = new Counter({
+    name: "lagoon_quota_requests_total",
+    help: "Requests of accounts that have a quota, by result.",
+    labelNames: ["result"],
+    registers,
+  });
+  const quotaMessages = new Counter({
+    name: "lagoon_quota_messages_total",
+    help: "Messages about quotas sent to other nodes, by type.",
+    labelNames: ["type"],
+    registers,
+  });
   const table = new Gauge({
     name: "lagoon_route_table_version",
     help: "Version of the route table in force.",
@@ -132,6 +158,8 @@
       const result = resultOf(run);
       versionRuns.inc({ service, version, result });
     },
+    countQuota: (result) => quotas.inc({ result }),
+    countQuotaMessage: (type) => quotaMessages.inc({ type }),
     setTableVersion: (version) => table.set(version),
     setReadyEndpoints(byService) {
       ready.reset();
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -6,6 +6,7 @@
  * opens connections to it.
  * @module
  */
+import type { AllowanceMessage } from "../allowance/messages.ts";
 import type { Homes } from "../calls/state.ts";
 import { type ControlLoop, Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
@@ -31,6 +32,7 @@
   isNewStep,
 } from "../traffic_shift/select_news.ts";
 import type { TrafficShiftEvent } from "../traffic_shift/state.ts";
+import type { AllowanceService } from "./create_allowance_service.ts";
 import { createBeatService } from "./create_beat_service.ts";
 import { createFleetExchange } from "./create_fleet_exchange.ts";
 import { createLinkTable } from "./create_link_table.ts";
@@ -69,6 +71,7 @@
   readonly onRecall: (gone: readonly StoppedInstance[]) => void;
   readonly shifts: () => readonly ShiftDescription[];
   readonly onShift: (event: TrafficShiftEvent) => void;
+  readonly allowance: Pick<AllowanceService, "receive" | "allocators">;
   readonly suspects: Pick<SuspectWatch, "receive" | "summary">;
 }
 
@@ -148,7 +151,8 @@
   // One timer serves all links, because each wake-up of a timer has a cost.
   const checker = setInterval(() => {
     const work = meter.begin();
-    exchange.apply({ type: "ticked", leaders: leaders(), now: now() });
+    const direct = union(leaders(), opts.allowance.allocators());
+    exchange.apply({ type: "ticked", leaders: direct, now: now() });
     dialer.countLinks();
     links.check();
     beats.tick();
@@ -227,6 +231,7 @@
     if (message.type === "ping" || message.type === "pong") {
       return handleStatus(from, message);
     }
+    if (isAllowance(message)) return handleAllowance(from, message);
     opts.control.post(
       priorityOf(message),
       () => {
@@ -300,6 +305,13 @@
       case "move-fault":
         if (isNewFault(shiftNews, message.fault)) forward(message, from);
         return opts.onShift({ type: "fault-received", fault: message.fault });
+      case "allowance/join":
+      case "allowance/beat":
+      case "allowance/lease":
+      case "allowance/ask":
+      case "allowance/grant":
+        // Handled on arrival, in handleMessage.
+        return handleAllowance(from, message);
       case "quarantine/rows":
         return opts.suspects.receive(message.rows, from);
       default:
@@ -336,6 +348,17 @@
     }
   }
 
+  /** Not queued: a request may wait for the tokens. */
+  function handleAllowance(
+    from: NodeId | undefined,
+    message: AllowanceMessage,
+  ) {
+    if (from === undefined) return;
+    const work = meter.begin();
+    opts.allowance.receive(from, message);
+    meter.end(work, Duty.Control);
+  }
+
   function handleStatus(from: NodeId | undefined, message: NodeStatus) {
     if (from === undefined) return;
     dialer.recordExchange(from);
@@ -382,6 +405,17 @@
   };
 }
 
+function isAllowance(message: Gossip): message is AllowanceMessage {
+  return message.type.startsWith("allowance/");
+}
+
+function union(
+  a: ReadonlySet<NodeId>,
+  b: ReadonlySet<NodeId>,
+): ReadonlySet<NodeId> {
+  return b.size === 0 ? a : new Set([...a, ...b]);
+}
+
 function priorityOf(message: Gossip): Priority {
   switch (message.type) {
     case "move-fault":
@@ -402,6 +436,11 @@
     case "ask-rows":
     case "ask-operator":
     case "move-report":
+    case "allowance/join":
+    case "allowance/beat":
+    case "allowance/lease":
+    case "allowance/ask":
+    case "allowance/grant":
       return Priority.Gossip;
     default:
       return exhausted(message);
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -43,6 +43,7 @@
   createTrafficShiftState,
   type TrafficShiftEvent,
 } from "../traffic_shift/state.ts";
+import { createAllowanceService } from "./create_allowance_service.ts";
 import { createGossipService } from "./create_gossip_service.ts";
 import { createPingServer } from "./create_ping_server.ts";
 import { driveTrafficShift } from "./drive_traffic_shift.ts";
@@ -227,6 +228,7 @@
     callers.setLimits(table.limits);
     const services = [...table.services.keys()];
     gossip.applyEvent({ type: "services-listed", services, now: now() });
+    allowance.adoptAccounts(table.accounts);
     metrics.setTableVersion(table.version);
     log.write("config", LogLevel.Info, "new route table in force", {
       version: table.version,
@@ -246,6 +248,20 @@
     random,
   });
 
+  const allowance = createAllowanceService({
+    self: settings.node,
+    domain: settings.domain,
+    domainCount: settings.domainCount,
+    terms: settings.allowance,
+    fleet,
+    send: (node, message) => gossip.send(node, message),
+    log,
+    metrics,
+    meter,
+    now,
+    wall: Date.now,
+  });
+
   const gossip = createGossipService({
     self: settings.node,
     domain: settings.domain,
@@ -261,6 +277,7 @@
     operator: feed,
     onRecall: (gone) => instance.recall(gone),
     shifts: () => describeShifts(trafficShift, now()),
+    allowance,
     suspects,
     onShift: handleShiftEvent,
   });
@@ -287,6 +304,7 @@
     isRunningHere: home.isRunning,
     recordNestedFailure: home.recordNestedFailure,
     countCrashes: suspects.countCrashes,
+    admitAccount: allowance.admit,
     unsentBytes,
     dialect: platform.dialect,
     log,
@@ -517,6 +535,7 @@
     stoppedRecorder.close();
     registration?.close();
     control.close();
+    allowance.close();
     gossip.close();
     links.close();
     for (const server of servers) {
--- a/src/testing/start_test_callers.ts
+++ b/src/testing/start_test_callers.ts
@@ -89,6 +89,8 @@
     isRunningHere: () => false,
     recordNestedFailure: () => {},
     countCrashes: () => 0,
+    admitAccount: (_account, onResult) =>
+      onResult({ type: "admitted", giveBack() {} }),
     ownReport: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
     unsentBytes: () => 0,
     dialect: testDialect,
