--- a/src/sidecar/create_allowance_service.ts
+++ b/src/sidecar/create_allowance_service.ts
@@ -18,7 +18,10 @@
   type AllowanceTerms,
   type AllowanceTime,
   createAllowanceState,
+  GRANT_MS,
+  START_WAIT_MS,
 } from "../allowance/state.ts";
+import { isConnected } from "../allowance/serve_waiters.ts";
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, NodeId, WallMs } from "../core/types.ts";
 import { type FleetState, isLive } from "../fleet/state.ts";
@@ -71,6 +74,11 @@
    */
   admit(account: string, onResult: (result: AllowanceResult) => void): void;
   receive(from: NodeId, message: AllowanceMessage): void;
+  /**
+   * Whether requests can get tokens. False for up to 1.3 s after the start of
+   * the process, while leases of an earlier process may be in force.
+   */
+  isReady(): boolean;
   /** Nodes that this node exchanges messages with and needs links to. */
   allocators(): ReadonlySet<NodeId>;
   close(): void;
@@ -239,6 +247,12 @@
     receive(from, message) {
       if (timer !== undefined) apply({ type: "received", from, message });
     },
+    isReady() {
+      if (timer === undefined) return true;
+      const now = opts.now();
+      return now - startedAt >= START_WAIT_MS + GRANT_MS ||
+        isConnected(state.tiers.node, now);
+    },
     allocators: () => linked,
     close: stop,
   };
@@ -251,6 +265,7 @@
     admit: (_account, onResult) =>
       onResult({ type: "admitted", giveBack() {} }),
     receive() {},
+    isReady: () => true,
     allocators: () => NO_NODES,
     close() {},
   };
--- a/src/sidecar/create_allowance_service_test.ts
+++ b/src/sidecar/create_allowance_service_test.ts
@@ -66,6 +66,17 @@
   assert.deepEqual(node.sent, []);
 });
 
+// Requests of the first second after a start were refused.
+test("node is ready once requests can get tokens", (t) => {
+  const node = startService(t, { perSecond: 100, burst: 100 });
+  assert.equal(node.service.isReady(), false);
+  node.run(1_350);
+  assert.equal(node.service.isReady(), true);
+  node.request();
+  node.run(100);
+  assert.equal(node.results[0]?.type, "admitted");
+});
+
 test("node alone admits a burst, then refuses with the wait", (t) => {
   const node = startService(t, { perSecond: 2, burst: 3 });
   node.run(FULL_MS);
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -382,7 +382,8 @@
   });
   const pings = createPingServer({
     match: platform.matchPingCall,
-    isReady: () => stop === undefined && routes.table !== undefined,
+    isReady: () =>
+      stop === undefined && routes.table !== undefined && allowance.isReady(),
     onPing: instance.ping,
     onLeave: instance.leave,
   });
