--- a/src/sidecar/create_allowance_service.ts
+++ b/src/sidecar/create_allowance_service.ts
@@ -112,6 +112,8 @@
   let chosen: Allocators | undefined;
   let chosenAt = -Infinity;
   let linked = NO_NODES;
+  /** Allocator to which the node's share was last seen leased. */
+  let lentTo: NodeId | undefined;
 
   function apply(event: Untimed<AllowanceEvent>) {
     decide(event);
@@ -178,9 +180,21 @@
     const work = meter.begin();
     if (opts.now() - chosenAt >= CHOOSE_INTERVAL_MS) choose();
     apply({ type: "ticked" });
+    logLease();
     meter.end(work, Duty.Timers);
   }
 
+  /** Logs where this node's share is used, when that changes. */
+  function logLease() {
+    const { lent } = state.tiers.node;
+    if (lent?.to === lentTo) return;
+    lentTo = lent?.to;
+    const text = lent === undefined
+      ? "share of quotas is used by this node"
+      : "share of quotas is leased to its allocator";
+    log.write("fleet", LogLevel.Info, text, { allocator: lentTo });
+  }
+
   function tickWaiting() {
     waitTimer = undefined;
     tick();
