--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -40,7 +40,7 @@
 } from "../quarantine/crash_chain.ts";
 import { RefusalReason } from "../queue/state.ts";
 import { pickService } from "../routes/pick_service.ts";
-import type { Route } from "../routes/state.ts";
+import type { Route, RouteTable } from "../routes/state.ts";
 import { Rejection } from "./admit_request.ts";
 import { answerLocally, forwardAnswer } from "./answer_caller.ts";
 import { createHomeSearch } from "./create_home_search.ts";
@@ -97,6 +97,8 @@
   readonly route: Route;
   /** Client account of the call, if it has one. */
   readonly account: CallAccount | undefined;
+  /** Route table that the key was checked with. It may have been replaced. */
+  readonly checkedTable: RouteTable;
   /** Checks the call's API key by the route table in force. */
   readonly recheckKey: () => KeyCheck;
   /** Id of the parent call, if the endpoint on this VM runs it. */
@@ -110,8 +112,11 @@
   readonly maxBodyBytes: number;
   /** Whether the connection may be closed after this answer. */
   readonly mayClose: () => boolean;
-  /** Called once, when the request is finished. */
-  readonly onDone: () => void;
+  /**
+   * Called once, when the request is finished. `isUnsent` is true if it is
+   * certain not to have reached an endpoint.
+   */
+  readonly onDone: (isUnsent: boolean) => void;
 }
 
 /** A request that is being served. */
@@ -158,7 +163,7 @@
   const objectiveAt = startedAt + route.objectiveMs - opts.ageMs - DELIVERY_MS;
   const service = pickService(ctx.routes, route);
   /** Route table by which the API key was last checked. */
-  let checkedTable = ctx.routes.table;
+  let checkedTable: RouteTable | undefined = opts.checkedTable;
   let { account } = opts;
   let headers = readHeaders();
   const search = createHomeSearch({ ctx, service, route });
@@ -607,7 +612,8 @@
     if (result === CallResult.EndpointFailed) {
       log(LogLevel.Warn, "endpoint answered with a server error", { status });
     }
-    opts.onDone();
+    const isNotRun = result === CallResult.NotRun && arrivals === 0;
+    opts.onDone(offers === 0 || isNotRun);
   }
 
   function log(
--- a/src/links/traffic_cause_of.ts
+++ b/src/links/traffic_cause_of.ts
@@ -32,6 +32,12 @@
     case "ask-operator":
     case "operator":
       return TrafficCause.Configuration;
+    case "allowance/join":
+    case "allowance/beat":
+    case "allowance/lease":
+    case "allowance/ask":
+    case "allowance/grant":
+      return TrafficCause.Quotas;
     case "move-step":
     case "move-report":
     case "move-fault":
--- a/src/metrics/create_work_meter.ts
+++ b/src/metrics/create_work_meter.ts
@@ -34,6 +34,8 @@
   /** State of the fleet, and pings. */
   Fleet: "fleet",
   Configuration: "configuration",
+  /** Shares and tokens of the quotas of client accounts. */
+  Quotas: "quotas",
   Other: "other",
 } as const;
 export type TrafficCause = typeof TrafficCause[keyof typeof TrafficCause];
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -6,6 +6,7 @@
  * opens connections to it.
  * @module
  */
+import type { AllowanceMessage } from "../allowance/messages.ts";
 import type { Homes } from "../calls/state.ts";
 import { type ControlLoop, Priority } from "../control/create_control_loop.ts";
 import { exhausted } from "../core/exhausted.ts";
@@ -32,6 +33,7 @@
   isNewStep,
 } from "../traffic_shift/select_news.ts";
 import type { TrafficShiftEvent } from "../traffic_shift/state.ts";
+import type { AllowanceService } from "./create_allowance_service.ts";
 import { createBeatService } from "./create_beat_service.ts";
 import { createFleetExchange } from "./create_fleet_exchange.ts";
 import { createLinkTable } from "./create_link_table.ts";
@@ -75,6 +77,7 @@
   readonly onRejoined: () => void;
   readonly shifts: () => readonly ShiftDescription[];
   readonly onShift: (event: TrafficShiftEvent) => void;
+  readonly allowance: Pick<AllowanceService, "receive" | "allocators">;
   readonly suspects: Pick<SuspectWatch, "receive" | "summary">;
 }
 
@@ -156,7 +159,8 @@
   // One timer serves all links, because each wake-up of a timer has a cost.
   const checker = setInterval(() => {
     const work = meter.begin();
-    exchange.apply({ type: "ticked", leaders: leaders(), now: now() });
+    const direct = union(leaders(), opts.allowance.allocators());
+    exchange.apply({ type: "ticked", leaders: direct, now: now() });
     dialer.countLinks();
     links.check();
     checkRejoined();
@@ -243,6 +247,7 @@
     if (message.type === "ping" || message.type === "pong") {
       return handleStatus(from, message);
     }
+    if (isAllowance(message)) return handleAllowance(from, message);
     opts.control.post(
       priorityOf(message),
       () => {
@@ -316,6 +321,13 @@
       case "move-fault":
         if (isNewFault(shiftNews, message.fault)) forward(message, from);
         return opts.onShift({ type: "fault-received", fault: message.fault });
+      case "allowance/join":
+      case "allowance/beat":
+      case "allowance/lease":
+      case "allowance/ask":
+      case "allowance/grant":
+        // Handled on arrival, in handleMessage.
+        return handleAllowance(from, message);
       case "quarantine/rows":
         return opts.suspects.receive(message.rows, from);
       default:
@@ -352,6 +364,17 @@
     }
   }
 
+  /** Not queued: a request may wait for the tokens. */
+  function handleAllowance(
+    from: NodeId | undefined,
+    message: AllowanceMessage,
+  ) {
+    if (from === undefined) return;
+    const work = meter.begin();
+    opts.allowance.receive(from, message);
+    meter.end(work, Duty.Control);
+  }
+
   function handleStatus(from: NodeId | undefined, message: NodeStatus) {
     if (from === undefined) return;
     dialer.recordExchange(from);
@@ -398,6 +421,17 @@
   };
 }
 
+function isAllowance(message: Gossip): message is AllowanceMessage {
+  return message.type.startsWith("allowance/");
+}
+
+function union(
+  a: ReadonlySet<NodeId>,
+  b: ReadonlySet<NodeId>,
+): ReadonlySet<NodeId> {
+  return b.size === 0 ? a : new Set([...a, ...b]);
+}
+
 function priorityOf(message: Gossip): Priority {
   switch (message.type) {
     case "move-fault":
@@ -418,6 +452,11 @@
     case "ask-rows":
     case "ask-operator":
     case "move-report":
+    case "allowance/join":
+    case "allowance/beat":
+    case "allowance/lease":
+    case "allowance/ask":
+    case "allowance/grant":
       return Priority.Gossip;
     default:
       return exhausted(message);
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -50,6 +50,7 @@
   createTrafficShiftState,
   type TrafficShiftEvent,
 } from "../traffic_shift/state.ts";
+import { createAllowanceService } from "./create_allowance_service.ts";
 import { createGossipService } from "./create_gossip_service.ts";
 import { createPingServer } from "./create_ping_server.ts";
 import { driveTrafficShift } from "./drive_traffic_shift.ts";
@@ -326,6 +327,7 @@
     callers.recheckUnsentCalls();
     const services = [...table.services.keys()];
     gossip.applyEvent({ type: "services-listed", services, now: now() });
+    allowance.adoptAccounts(table.accounts);
     metrics.setTableVersion(table.version);
     log.write("config", LogLevel.Info, "new route table in force", {
       version: table.version,
@@ -347,6 +349,20 @@
     random,
   });
 
+  const allowance = createAllowanceService({
+    self: settings.node,
+    domain: settings.domain,
+    domainCount: settings.domainCount,
+    terms: settings.allowance,
+    fleet,
+    send: (node, message) => gossip.send(node, message),
+    log,
+    metrics,
+    meter,
+    now,
+    wall: Date.now,
+  });
+
   const gossip = createGossipService({
     self: settings.node,
     domain: settings.domain,
@@ -363,6 +379,7 @@
     onRecall: (gone) => instance.recall(gone),
     onRejoined: () => home.invalidateColdTime("the node was cut off"),
     shifts: () => describeShifts(trafficShift, now()),
+    allowance,
     suspects,
     onShift: handleShiftEvent,
   });
@@ -391,6 +408,7 @@
     deadlineRatioOf: home.deadlineRatioOf,
     recordNestedFailure: home.recordNestedFailure,
     countCrashes: suspects.countCrashes,
+    admitAccount: allowance.admit,
     unsentBytes,
     dialect: platform.dialect,
     log,
@@ -468,7 +486,8 @@
   });
   const pings = createPingServer({
     match: platform.matchPingCall,
-    isReady: () => stop === undefined && routes.table !== undefined,
+    isReady: () =>
+      stop === undefined && routes.table !== undefined && allowance.isReady(),
     onPing: instance.ping,
     onLeave: instance.leave,
   });
@@ -622,6 +641,7 @@
     stoppedRecorder.close();
     registration?.close();
     control.close();
+    allowance.close();
     gossip.close();
     links.close();
     for (const server of servers) {
