--- a/src/load_balancing/choose_candidate.ts
+++ b/src/load_balancing/choose_candidate.ts
@@ -85,9 +85,8 @@
 
 /**
  * Costs of leaving the failure domain. A small call leaves once the risk to be
- * late is a fifth, a call of 30 KB and more only rather than be lost. In the
- * replay with costs of 0.2 and 0.1 per kilobyte, queues in the domain grew until
- * the calls behind were late, for hardly fewer bytes.
+ * late is a fifth, a call of 30 KB and more only rather than be lost. With
+ * higher costs, queues in the domain grow until the calls behind are late too.
  */
 const MIN_CROSSING_COST = 0.1;
 const CROSSING_COST_PER_KILOBYTE = 0.03;
@@ -110,17 +109,15 @@
 /**
  * Random part of the cost, against callers with the same view that all choose
  * the same endpoint until its next report. It is worth 5% of the objective,
- * about two calls in the queue of an endpoint. Shares from 0 to 15% made no
- * difference in the replays.
+ * about two calls in the queue of an endpoint.
  */
 const LONG_RANDOM_COST = 0.05 * LONG_TIME_COST;
 
 /**
  * Time for which the waiting calls of a report count, as a multiple of the
  * objective. Queues of calls that may wait long change slowly, and reports from
- * other domains are seconds old: taken for empty, those domains drew calls
- * during an overload of all (replay: 7.6 MB with 400 ms, 0.5 MB with four
- * objectives).
+ * other domains are seconds old: taken for empty, those domains would draw calls
+ * during an overload of all.
  */
 const STALE_REPORT_OBJECTIVES = 4;
 
