feat(allowance): the permitted excess of a window as a rate

Cause: buckets held the permitted excess as capacity, so an account that sends steadily got its bare rate, though rate and burst may be sent in each window. Change: 0.3 of the overage and 0.6 of the slack are generated beside the rate; 0.2 of the slack stays capacity.

--- a/src/allowance/bucket.ts
+++ b/src/allowance/bucket.ts
@@ -15,12 +15,14 @@
 } from "./state.ts";
 
 /**
- * Fractions of the permitted excess that buckets use. The rest covers nodes that
- * joined and are not known everywhere (one of 14 adds 7% to all shares), and
- * requests that wait to be read.
+ * Fractions of the permitted excess of a window that buckets use, as a higher
+ * rate and as a higher capacity. An account with steady demand may send its rate
+ * and its burst in each window, so it needs the excess as a rate. The rest
+ * covers nodes that joined and are not known everywhere (one of 14 adds 7% to
+ * all shares), and requests that wait to be read.
  */
-const OVERAGE_SHARE = 0.5;
-const SLACK_SHARE = 0.8;
+const RATE_SHARES = { overage: 0.3, slack: 0.6 } as const;
+const CAPACITY_SLACK_SHARE = 0.2;
 
 /** Fraction of its capacity above which a bucket has tokens to spare. */
 const SPARE_SHARE = 0.5;
@@ -40,11 +42,21 @@
 
 /** Capacity of the whole fleet's bucket of an account. */
 export function capacityOf(
+  { burst }: Allowance,
+  { slack }: AllowanceTerms,
+): number {
+  return burst + CAPACITY_SLACK_SHARE * slack;
+}
+
+/** Tokens that the whole fleet's bucket of an account generates per second. */
+export function rateOf(
   { perSecond, burst }: Allowance,
-  { overage, slack }: AllowanceTerms,
+  { windowMs, overage, slack }: AllowanceTerms,
 ): number {
-  const excess = OVERAGE_SHARE * overage * (perSecond + burst);
-  return burst + excess + SLACK_SHARE * slack;
+  const windowS = windowMs / 1_000;
+  const excess = RATE_SHARES.overage * overage * (perSecond * windowS + burst) +
+    RATE_SHARES.slack * slack;
+  return perSecond + excess / windowS;
 }
 
 /** Creates the entry of an account that has had no demand for a while. */
@@ -55,10 +67,11 @@
   { steady }: AllowanceTime,
 ): Entry {
   const capacity = capacityOf(allowance, terms);
+  const rate = rateOf(allowance, terms);
   let level = 0;
   for (const { share, since } of tier.parts) {
     const generatingMs = Math.max(0, steady - since);
-    const generated = allowance.perSecond * generatingMs / 1_000;
+    const generated = rate * generatingMs / 1_000;
     level += share * Math.min(capacity, generated);
   }
   return {
@@ -92,9 +105,10 @@
   entry.refilledAt = steady;
   entry.received = unexpired(entry.received, latest);
   entry.granted = unexpired(entry.granted, steady);
+  const rate = rateOf(allowance, terms);
   for (const { share, since } of entry.parts) {
     const generatingMs = Math.max(0, Math.min(elapsedMs, steady - since));
-    entry.level += share * allowance.perSecond * generatingMs / 1_000;
+    entry.level += share * rate * generatingMs / 1_000;
   }
   const capacity = sumShares(entry.parts) * capacityOf(allowance, terms) -
     sum(entry.granted);
@@ -160,7 +174,7 @@
     ? oldest.until - steady
     : 0;
   const startMs = Math.min(...entry.parts.map(({ since }) => since - steady));
-  const rate = used * allowance.perSecond / 1_000;
+  const rate = used * rateOf(allowance, terms) / 1_000;
   return Math.max(0, startMs, blockedMs) +
     Math.max(0, count - entry.level) / rate;
 }
--- a/src/allowance/keep_shares.ts
+++ b/src/allowance/keep_shares.ts
@@ -4,7 +4,7 @@
  * depend on the fleet's allocator.
  * @module
  */
-import { capacityOf, demandRate } from "./bucket.ts";
+import { capacityOf, demandRate, rateOf } from "./bucket.ts";
 import { MAX_KEPT } from "./messages.ts";
 import { keptRatio } from "./settle_shares.ts";
 import type { AllowanceState, AllowanceTime, Entry, Tier } from "./state.ts";
@@ -66,7 +66,7 @@
   if (allowance === undefined) return 0;
   const tokens = tier.held * capacityOf(allowance, state.terms);
   if (tokens < MIN_TOKENS) return 0;
-  const perMs = tier.held * allowance.perSecond / 1_000;
+  const perMs = tier.held * rateOf(allowance, state.terms) / 1_000;
   const demand = demandRate(entry, steady) / perMs;
   const elapsed = Math.min(1, (steady - entry.trendAt) / TREND_MS);
   entry.trend += elapsed * (demand - entry.trend);
