--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -15,11 +15,6 @@
 import { createControlLoop } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
 import { exhausted } from "../core/exhausted.ts";
-import { decideEvacuation } from "../evacuation/decide_evacuation.ts";
-import {
-  createEvacuationState,
-  type EvacuationEffect,
-} from "../evacuation/state.ts";
 import { countReady } from "../fleet/count_ready.ts";
 import { createFleetState } from "../fleet/state.ts";
 import { createHome } from "../endpoint_proxy/create_home.ts";
@@ -62,6 +57,7 @@
 import { createShiftRecorder } from "./record_shifts.ts";
 import { createStoppedRecorder } from "./record_stopped.ts";
 import { registerNode, type Registration } from "./register_node.ts";
+import { watchEvacuations } from "./watch_evacuations.ts";
 import { watchInstance } from "./watch_instance.ts";
 import { watchSuspects } from "./watch_suspects.ts";
 
@@ -245,7 +241,7 @@
     platform,
     log,
     onTable: applyTable,
-    onEvacuation: applyEvacuation,
+    onEvacuation: (domain, isActive) => evacuations.apply(domain, isActive),
     onOrder(order, isNew) {
       log.write("move", LogLevel.Info, "traffic shift ordered", {
         ...order,
@@ -279,46 +275,18 @@
     }, random() * RESTORE_SPREAD_MS);
   }
 
-  const evacuation = createEvacuationState();
-
-  function applyEvacuation(domain: string, isActive: boolean) {
-    const { domains } = settings;
-    const isKnown = domains.length === 0 || domains.includes(domain) ||
+  const evacuations = watchEvacuations({
+    isKnown: (domain) =>
+      settings.domains.length === 0 || settings.domains.includes(domain) ||
       domain === settings.domain ||
-      [...fleet.rows.values()].some(({ row }) => row.domain === domain);
-    const event = { type: "recorded", domain, isActive, isKnown } as const;
-    const effects = decideEvacuation(evacuation, event);
-    for (const effect of effects) writeEvacuation(effect);
-    gossip.applyEvent({
-      type: "evacuations-changed",
-      domains: evacuation.domains,
-    });
-    home.setEvacuated(evacuation.domains.has(settings.domain));
-    metrics.setEvacuatedDomains(
-      evacuation.domains.size - evacuation.unknown.size,
-    );
-  }
-
-  function writeEvacuation({ type, domain }: EvacuationEffect) {
-    switch (type) {
-      case "began":
-        log.write("config", LogLevel.Info, "evacuation began", { domain });
-        return;
-      case "ended":
-        log.write("config", LogLevel.Info, "evacuation ended", { domain });
-        return;
-      case "unknown-domain":
-        log.write(
-          "config",
-          LogLevel.Warn,
-          "evacuation names an unknown failure domain",
-          { domain },
-        );
-        return;
-      default:
-        exhausted(type);
-    }
-  }
+      [...fleet.rows.values()].some(({ row }) => row.domain === domain),
+    log,
+    onChanged(domains, known) {
+      gossip.applyEvent({ type: "evacuations-changed", domains });
+      home.setEvacuated(domains.has(settings.domain));
+      metrics.setEvacuatedDomains(known);
+    },
+  });
 
   function applyTable(table: RouteTable, bytes: number) {
     if (!adoptTable(routes, table)) return;
