feat(allowance): shorter leases, more of the permitted excess, fewer wake-ups

Change: buckets generate 0.75 of the overage and 0.5 of the slack beside the rate; leases of 0.6 and 0.3 s; nodes that are no allocators wake up every 150 ms in place of 50, and not at all for tokens that have come. The model check passes with 300 runs, utilization without a refusal.

--- a/src/allowance/bucket.ts
+++ b/src/allowance/bucket.ts
@@ -21,8 +21,8 @@
  * covers nodes that joined and are not known everywhere (one of 14 adds 7% to
  * all shares), and requests that wait to be read.
  */
-const RATE_SHARES = { overage: 0.3, slack: 0.6 } as const;
-const CAPACITY_SLACK_SHARE = 0.2;
+const RATE_SHARES = { overage: 0.75, slack: 0.5 } as const;
+const CAPACITY_SLACK_SHARE = 0.4;
 
 /** Fraction of its capacity above which a bucket has tokens to spare. */
 const SPARE_SHARE = 0.5;
--- a/src/allowance/state.ts
+++ b/src/allowance/state.ts
@@ -22,13 +22,13 @@
 }
 
 /** Term of a lease of a node's base share to the allocator of its domain. */
-export const NODE_LEASE_MS = 1_000;
+export const NODE_LEASE_MS = 600;
 
 /**
  * Term of a lease of a domain to the fleet's allocator. It is shorter than what
  * is left of the nodes' leases when the domain's allocator is on time.
  */
-export const FLEET_LEASE_MS = 500;
+export const FLEET_LEASE_MS = 300;
 
 /** Time for which granted tokens may be used, in milliseconds. */
 export const GRANT_MS = 300;
--- a/src/sidecar/create_allowance_service.ts
+++ b/src/sidecar/create_allowance_service.ts
@@ -29,9 +29,11 @@
 import { type Metrics, QuotaResult } from "../metrics/create_metrics.ts";
 import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
 
-/** Time between ticks, and while something waits for tokens. */
-const TICK_MS = 50;
-const WAITING_TICK_MS = 10;
+/**
+ * Time between ticks: of an allocator, which has to be on time for its lenders,
+ * of other nodes, and while something waits for tokens. Each wake-up has a cost.
+ */
+const TICK_MS = { allocator: 50, other: 150, waiting: 10 } as const;
 
 /** Time between choices of the allocators. */
 const CHOOSE_INTERVAL_MS = 500;
@@ -123,7 +125,11 @@
     const isWaiting = open.size > 0 || state.tiers.domain.waiting.size > 0 ||
       state.tiers.fleet.waiting.size > 0;
     if (isWaiting && timer !== undefined) {
-      waitTimer ??= setTimeout(tickWaiting, WAITING_TICK_MS);
+      waitTimer ??= setTimeout(tickWaiting, TICK_MS.waiting);
+    } else {
+      // Most tokens come within a few milliseconds.
+      clearTimeout(waitTimer);
+      waitTimer = undefined;
     }
   }
 
@@ -181,9 +187,19 @@
     if (opts.now() - chosenAt >= CHOOSE_INTERVAL_MS) choose();
     apply({ type: "ticked" });
     logLease();
+    if (timer !== undefined) {
+      clearTimeout(timer);
+      timer = setTimeout(tick, tickMs());
+    }
     meter.end(work, Duty.Timers);
   }
 
+  function tickMs(): number {
+    const { domain, fleet: upper } = state.tiers;
+    const isAllocator = domain.lenders.size + upper.lenders.size > 0;
+    return isAllocator ? TICK_MS.allocator : TICK_MS.other;
+  }
+
   /** Logs where this node's share is used, when that changes. */
   function logLease() {
     const { lent } = state.tiers.node;
@@ -223,12 +239,12 @@
 
   function start() {
     if (timer !== undefined) return;
-    timer = setInterval(tick, TICK_MS);
+    timer = setTimeout(tick, TICK_MS.allocator);
     choose();
   }
 
   function stop() {
-    clearInterval(timer);
+    clearTimeout(timer);
     clearTimeout(waitTimer);
     timer = undefined;
     waitTimer = undefined;
