--- a/tools/experiments/accounts.ts
+++ b/tools/experiments/accounts.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { createHash } from "node:crypto";
 import process from "node:process";
 import { checkKey, Parent } from "../../src/accounts/check_key.ts";
 import { encodeMessage } from "../../src/links/encode_message.ts";
@@ -14,6 +13,11 @@
   createOperatorDecoder,
   type OperatorDecoder,
 } from "../../platform/decode_operator_record.ts";
+import {
+  createTenants,
+  keysOf,
+  replaceFirstKey,
+} from "../../platform/testing/many_tenants.ts";
 import {
   configOf,
   type TestTenant,
@@ -22,7 +26,6 @@
 
 const ACCOUNT_COUNT = 10_000;
 const KEYS_PER_ACCOUNT = 2;
-const KEY_LENGTH = 32;
 const RULES = [{ prefix: "/one/", service: "one" }];
 
 /** Versions that are decoded for one figure; the median is reported. */
@@ -35,17 +38,18 @@
 export function runAccounts(
   opts: ExperimentOptions,
 ): Promise<readonly Figure[]> {
-  const tenants = createTenants(opts.seed);
+  const tenants = createTenants({
+    count: ACCOUNT_COUNT,
+    keysPerTenant: KEYS_PER_ACCOUNT,
+    seed: opts.seed,
+  });
   opts.onProgress(`Decoding ${ACCOUNT_COUNT} accounts.`);
   const before = usedHeap();
   const decode = createOperatorDecoder();
   const first = recordOf(1, tenants);
   const table = decodeTable(decode, first);
   const heap = usedHeap() - before;
-  const [changed, ...rest] = tenants;
-  const next = changed === undefined
-    ? rest
-    : [{ ...changed, apiKeys: ["new"] }, ...rest];
+  const next = replaceFirstKey(tenants);
   const records = [{ key: "config", value: first }];
   const page = encodeMessage({ type: "operator", from: -1, end: 1, records });
   const withoutReuse = median((version) => {
@@ -79,21 +83,6 @@
   ]);
 }
 
-function createTenants(seed: number): TestTenant[] {
-  return Array.from({ length: ACCOUNT_COUNT }, (_, at) => ({
-    name: `account-${at}`,
-    apiKeys: Array.from(
-      { length: KEYS_PER_ACCOUNT },
-      (_, key) =>
-        createHash("sha256").update(`${seed} ${at} ${key}`).digest("hex")
-          .slice(0, KEY_LENGTH),
-    ),
-    priority: at % 3,
-    ratePerS: 5 + at % 50,
-    burst: 5 + at % 50,
-  }));
-}
-
 function recordOf(version: number, tenants?: readonly TestTenant[]): Buffer {
   return Buffer.from(JSON.stringify(configOf(version, RULES, tenants)));
 }
@@ -126,7 +115,7 @@
 
 /** Mean time to check the key of a request. */
 function checkNs(table: RouteTable, tenants: readonly TestTenant[]): number {
-  const keys = tenants.flatMap(({ apiKeys }) => apiKeys);
+  const keys = keysOf(tenants);
   const route = table.hosts.values().next().value?.values().next().value;
   const parent = Parent.None;
   const ms = timeOf(() => {
