--- a/src/shedding/may_try_elsewhere.ts
+++ b/src/shedding/may_try_elsewhere.ts
@@ -37,6 +37,7 @@
     case RefusalReason.Displaced:
       return opts.offers <= MAX_HOMES_FOR_ROOM;
     default:
+      // The reason is an open string: another release may send one of its own.
       return true;
   }
 }
