--- a/src/calls/deadline_share.ts
+++ b/src/calls/deadline_share.ts
@@ -4,21 +4,19 @@
  */
 
 /**
- * Ratio of deadline to objective up to which a late answer is worth little. The
- * customers for whom the placement of such calls was measured have ratios of
- * 1.5 to 4.2, and a tenth to a third of a call's value for a late answer.
+ * Ratio of deadline to objective up to which a late answer has little value. At
+ * ratios of 1.5 to 4.2, it has a tenth to a third of that of one on time.
  */
 const SHORT_DEADLINE_RATIO = 4.25;
 
 /**
- * Ratio from which a late answer has half the value of one on time. The calls of
- * such customers have ratios of 5.8 to 6.5, and retries are estimated to have
- * 0.85 of it.
+ * Ratio from which a late answer has half the value of one on time. Such routes
+ * have ratios of 5.8 to 6.5. A retry has an estimated 0.85 of its call's ratio.
  */
 const LONG_DEADLINE_RATIO = 5;
 
 /**
- * Returns 0 for a call that is worth little past its latency objective, 1 for
+ * Returns 0 for a call whose answer has little value past its objective, 1 for
  * one whose caller waits long, and a share between them otherwise. Undefined is
  * an unknown ratio.
  */
--- a/src/config_check/compare_tables.ts
+++ b/src/config_check/compare_tables.ts
@@ -178,7 +178,7 @@
   const cold = coldPerSecond === 0 ? "no limit" : `${coldPerSecond} per second`;
   return [
     { name: "connections", value: `${terms.maxConnections}` },
-    { name: "health path", value: terms.healthPath },
+    { name: "health path", value: terms.healthCheckPath },
     { name: "while cold", value: cold },
   ];
 }
--- a/src/config_check/config_check_test.ts
+++ b/src/config_check/config_check_test.ts
@@ -103,7 +103,7 @@
 
 test("service without a rule is reported", () => {
   const table = tableOf(1, { "/": "one" });
-  const spare = { maxConnections: 1, healthPath: "/" };
+  const spare = { maxConnections: 1, healthCheckPath: "/" };
   const services = new Map([...table.services, ["spare", spare]]);
   assert.deepEqual(typesIn({ ...table, services }), ["unused-service"]);
 });
@@ -142,7 +142,11 @@
     "+ service three: connections 100, health path /health, " +
     "while cold no limit",
   ]);
-  const terms = { maxConnections: 9, healthPath: "/h", coldPerSecond: 8.4 };
+  const terms = {
+    maxConnections: 9,
+    healthCheckPath: "/h",
+    coldPerSecond: 8.4,
+  };
   const services = new Map([["one", terms], ["two", terms]]);
   const limits = { ...from.limits, bodyBytes: 5 };
   assert.deepEqual(lines(from, { ...from, services, limits }).slice(0, 4), [
--- a/src/endpoint_proxy/cold_endpoint_test.ts
+++ b/src/endpoint_proxy/cold_endpoint_test.ts
@@ -40,7 +40,7 @@
   clock.now += 1_000;
   home.setTerms({
     maxConnections: 10,
-    healthPath: "/health",
+    healthCheckPath: "/health",
     coldPerSecond: 2,
   });
   home.setInstance({ ...ANNOUNCED_INSTANCE, heardAt: clock.now }, "");
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -513,7 +513,7 @@
     const coldMs = await requestHealth({
       pool,
       dialect,
-      path: terms.healthPath,
+      path: terms.healthCheckPath,
       address: opts.endpointAddress,
       id: `health ${++healthRequests}`,
     });
--- a/src/queue/next_tick.ts
+++ b/src/queue/next_tick.ts
@@ -15,8 +15,9 @@
 /**
  * Returns the time until the next check, in milliseconds: at most the longest
  * tick, and early enough to refuse each waiting call while its caller can still
- * be told that it has not run. Checks every 40 ms alone found calls with short
- * runs only after their deadline, when it is not known whether they have run.
+ * be told that it has not run. With checks every 40 ms alone, calls with short
+ * runs would be found only after their deadline, when the caller can't know that
+ * they have not run.
  */
 export function nextTickMs(state: QueueState, now: MonotonicMs): number {
   let nextMs: number = TICK_BOUNDS_MS.longest;
--- a/src/routes/state.ts
+++ b/src/routes/state.ts
@@ -48,7 +48,7 @@
    * Maximum number of connections that an endpoint accepts from all callers.
    */
   readonly maxConnections: number;
-  readonly healthPath: string;
+  readonly healthCheckPath: string;
   /**
    * Requests per second that an endpoint tolerates while it is cold. Undefined
    * or 0 if a cold endpoint needs no limit.
--- a/src/shedding/delay_of.ts
+++ b/src/shedding/delay_of.ts
@@ -17,9 +17,9 @@
 /**
  * Steps that calls stand back for each other where callers wait long, besides
  * twice the steps of urgency: the longer the slack, the later. A late answer
- * keeps half of its worth there. At twice the capacity, calls of 268 and 681 ms
- * of the same urgency get 89 and 49% of their worth; without it 54 and 79%,
- * which is less per slot time.
+ * has half of its value there. At a load of twice the capacity, calls of 268 ms
+ * get 89% of their value and calls of 681 ms 49%. Without these steps they get
+ * 54% and 79%, which is less value per slot time.
  */
 const PATIENT_STEPS = 2;
 
--- a/src/sidecar/watch_instance_test.ts
+++ b/src/sidecar/watch_instance_test.ts
@@ -13,7 +13,7 @@
   const home = createTestHome(t, { address, now: () => now });
   home.setTerms({
     maxConnections: 10,
-    healthPath: "/health",
+    healthCheckPath: "/health",
     coldPerSecond: 3,
   });
   now += 1_000;
--- a/src/testing/route_tables.ts
+++ b/src/testing/route_tables.ts
@@ -37,14 +37,17 @@
   const routes = new Map<string, Route>();
   const services = new Map<
     string,
-    { maxConnections: number; healthPath: string }
+    { maxConnections: number; healthCheckPath: string }
   >();
   for (const [prefix, to] of Object.entries(prefixes)) {
     const weights = typeof to === "string" ? { [to]: 1 } : to;
     const parts = Object.entries(weights)
       .map(([service, weight]) => ({ service, weight }));
     for (const { service } of parts) {
-      services.set(service, { maxConnections: 100, healthPath: "/health" });
+      services.set(service, {
+        maxConnections: 100,
+        healthCheckPath: "/health",
+      });
     }
     routes.set(prefix, routeOf({ name: prefix, prefix, parts }));
   }
