--- a/review/lib-2/endpoint.mjs
+++ b/review/lib-2/endpoint.mjs
@@ -196,6 +196,11 @@
   return {
     start,
     stopServer,
+    /** Stops to accept requests; pings go on. */
+    closeServer() {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
     drain,
     ping,
     post,
--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -155,7 +155,7 @@
       terms: {
         contracts: ["base", "drain", "config", "cost", "retry", "recover", "rollout", "platform"],
         faultTolerance: { machines: 2, zones: 1, regions: 0 },
-        bounds: BOUNDS,
+        bounds: opts.bounds ?? BOUNDS,
       },
     };
     writeFileSync(file, JSON.stringify(settings));
