--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -22,7 +22,9 @@
 const PATH = "/book/7f3a";
 const BODY = "parcel=7f3a&blade=cleaver";
 
-const record = createRecord(fileURLToPath(new URL("record.txt", import.meta.url)));
+const record = createRecord(
+  fileURLToPath(new URL("record.txt", import.meta.url)),
+);
 
 await runCase(record, async () => {
   const mesh = await startMesh({
@@ -45,7 +47,9 @@
     await mesh.start();
     // All machines are in touch.
     await sleep(BOUNDS.stabilityMs + 2_000);
-    const callers = mesh.machines.filter(({ service }) => service === "tracker");
+    const callers = mesh.machines.filter(({ service }) =>
+      service === "tracker"
+    );
     for (let wave = 0; wave < WAVES; wave++) {
       await Promise.all(callers.map((machine) =>
         send({
@@ -69,7 +73,9 @@
 
 /** The rule BUDGET: what comes late after the third crash. */
 function judge() {
-  const begun = record.entries.filter(({ what, path }) => what === "begins" && path === PATH);
+  const begun = record.entries.filter(({ what, path }) =>
+    what === "begins" && path === PATH
+  );
   if (begun.length === 0) throw new Error("no endpoint got the request");
   const crashes = record.entries.filter(({ what }) => what === "crashed");
   const [, , third] = crashes;
--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -5,7 +5,9 @@
 let lastId = 0;
 
 export function newId() {
-  return `c${process.pid.toString(16)}${(++lastId).toString(16).padStart(8, "0")}`;
+  return `c${process.pid.toString(16)}${
+    (++lastId).toString(16).padStart(8, "0")
+  }`;
 }
 
 /**
@@ -13,7 +15,14 @@
  * if the connection ended without a complete answer.
  */
 export function send(opts) {
-  const { address, host, path, method = "GET", deadlineMs = 1_000, headers = {} } = opts;
+  const {
+    address,
+    host,
+    path,
+    method = "GET",
+    deadlineMs = 1_000,
+    headers = {},
+  } = opts;
   const { body, record, machine } = opts;
   const id = opts.id ?? newId();
   const [ip, port] = address.split(":");
@@ -39,11 +48,20 @@
       isOver = true;
       clearTimeout(timer);
       const tookMs = Date.now() - sentAt;
-      record?.add("answered", { machine, id, status, tookMs, reason: extra.reason });
+      record?.add("answered", {
+        machine,
+        id,
+        status,
+        tookMs,
+        reason: extra.reason,
+      });
       req.destroy();
       resolve({ id, status, tookMs, ...extra });
     };
-    const timer = setTimeout(() => finish(0, { reason: "deadline" }), deadlineMs + 1_000);
+    const timer = setTimeout(
+      () => finish(0, { reason: "deadline" }),
+      deadlineMs + 1_000,
+    );
     req.on("response", (res) => {
       const parts = [];
       res.on("data", (part) => parts.push(part));
--- a/review/lib-2/endpoint.mjs
+++ b/review/lib-2/endpoint.mjs
@@ -104,7 +104,8 @@
     if (got === undefined) return;
     if (!got) return refuse(req, res, 503);
     try {
-      const plan = opts.plan?.(req, { id, version: opts.version ?? "v1" }) ?? {};
+      const plan = opts.plan?.(req, { id, version: opts.version ?? "v1" }) ??
+        {};
       record.add("begins", { endpoint: id, id: callId, path: req.url });
       if (plan.crash) return crash(req);
       if (plan.readDelayMs > 0) {
@@ -116,13 +117,24 @@
       const deadlineMs = Number(req.headers["x-deadline-ms"] ?? 60_000);
       await new Promise((resolve) => setTimeout(resolve, plan.workMs ?? 60));
       if (boot !== boots || res.destroyed) return;
+      const leftMs = deadlineMs - (Date.now() - readAt);
+      const isCallOk =
+        await plan.calls?.({ id: callId, endpoint: id, leftMs }) ?? true;
+      if (boot !== boots || res.destroyed) return;
+      if (plan.losesAnswer) {
+        record.add("answer lost", { endpoint: id, id: callId, path: req.url });
+        req.socket.resetAndDestroy();
+        return;
+      }
       if (Date.now() - readAt > deadlineMs) {
         res.writeHead(504, { "x-server-stamp": `${id}.${callId}` });
         res.end("late");
         return;
       }
-      const status = plan.status ?? 200;
-      const answer = `${id} ran ${callId} ${createHash("sha256").update(body).digest("hex")}`;
+      const status = isCallOk ? plan.status ?? 200 : 500;
+      const answer = `${id} ran ${callId} ${
+        createHash("sha256").update(body).digest("hex")
+      }`;
       record.add("ran", { endpoint: id, id: callId, path: req.url, status });
       res.writeHead(status, {
         "x-server-stamp": `${id}.${callId}`,
--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -12,7 +12,11 @@
 import { startStore } from "./store.mjs";
 
 /** The `run` line of deploy/system.toml. */
-const RUN = ["--max-old-space-size=160", "--liftoff-only", "target/lagoon_sidecar.mjs"];
+const RUN = [
+  "--max-old-space-size=160",
+  "--liftoff-only",
+  "target/lagoon_sidecar.mjs",
+];
 
 export const BOUNDS = {
   seedLagS: 3,
@@ -68,7 +72,9 @@
   const lastInternal = ports.at(-1);
   const folder = mkdtempSync(join(tmpdir(), "review-"));
   const store = await startStore({ ip: storeIp, port: app });
-  const zones = Object.fromEntries(machines.map(({ zone }) => [zone, "region"]));
+  const zones = Object.fromEntries(
+    machines.map(({ zone }) => [zone, "region"]),
+  );
   let isClosed = false;
   const all = [];
 
@@ -153,7 +159,16 @@
         },
       },
       terms: {
-        contracts: ["base", "drain", "config", "cost", "retry", "recover", "rollout", "platform"],
+        contracts: [
+          "base",
+          "drain",
+          "config",
+          "cost",
+          "retry",
+          "recover",
+          "rollout",
+          "platform",
+        ],
         faultTolerance: { machines: 2, zones: 1, regions: 0 },
         bounds: opts.bounds ?? BOUNDS,
       },
@@ -232,7 +247,8 @@
       isClosed = true;
       for (const { endpoint } of all) endpoint.close();
       const ended = all.map(({ child }) =>
-        child === undefined || child.exitCode !== null || child.signalCode !== null
+        child === undefined || child.exitCode !== null ||
+          child.signalCode !== null
           ? undefined
           : new Promise((resolve) => {
             child.once("exit", resolve);
@@ -258,7 +274,9 @@
       headerTimeoutMs: 3_000,
       idleTimeoutMs: 15_000,
     },
-    listeners: rules.map(({ name, host, prefix, service, kind, aimMs, timeoutMs, attempts }) => ({
+    listeners: rules.map((
+      { name, host, prefix, service, kind, aimMs, timeoutMs, attempts },
+    ) => ({
       host,
       rules: [{
         name,
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -11,7 +11,12 @@
   function topicOf(name) {
     let topic = topics.get(name);
     if (topic === undefined) {
-      topic = { records: [], newest: new Map(), wakes: new Set(), fences: new Map() };
+      topic = {
+        records: [],
+        newest: new Map(),
+        wakes: new Set(),
+        fences: new Map(),
+      };
       topics.set(name, topic);
     }
     return topic;
@@ -25,7 +30,11 @@
       const key = content.subarray(1, 1 + keyLength).toString();
       const value = content.subarray(1 + keyLength);
       if (value.length === 0) topic.newest.delete(key);
-      else topic.newest.set(key, { key, value: value.toString("base64"), offset: at });
+      else {topic.newest.set(key, {
+          key,
+          value: value.toString("base64"),
+          offset: at,
+        });}
     }
     for (const wake of [...topic.wakes]) wake();
     return offset;
@@ -48,7 +57,9 @@
 
   function handleAppend(query, body, res) {
     const name = query.get("topic");
-    if (name === "keyed.op" || name === "keyed.servers") return json(res, 403, {});
+    if (name === "keyed.op" || name === "keyed.servers") {
+      return json(res, 403, {});
+    }
     const topic = topicOf(name);
     const end = topic.records.length;
     if (query.has("at") && Number(query.get("at")) !== end) {
