--- a/review/lib-2/endpoint.mjs
+++ b/review/lib-2/endpoint.mjs
@@ -38,17 +38,7 @@
   }
 
   function ping() {
-    return post(`/v1/instances/${id}/heartbeat`, {
-      service,
-      address,
-      zone: opts.zone,
-      version: opts.version ?? "v1",
-      slots,
-      state,
-      coldRemainingMs: 0,
-      sequence: ++sequence,
-      born,
-    }).catch(() => 0);
+    return post(`/v1/instances/${id}/heartbeat`, describePing()).catch(() => 0);
   }
 
   async function slot(res) {
@@ -193,6 +183,47 @@
     pinger = setInterval(ping, heartbeatMs);
   }
 
+  /** The body of a ping that is sent now and may arrive later. */
+  function describePing() {
+    return {
+      service,
+      address,
+      zone: opts.zone,
+      version: opts.version ?? "v1",
+      slots,
+      state,
+      coldRemainingMs: 0,
+      sequence: ++sequence,
+      born,
+    };
+  }
+
+  /**
+   * Sends the leave message first, and serves on without a ping. A ping from
+   * before, `latePing`, arrives `lateMs` after it was sent.
+   */
+  async function leaveFirst({ lateMs, serveMs }) {
+    clearInterval(pinger);
+    const latePing = describePing();
+    const leftId = id;
+    const sentAt = Date.now();
+    const status = await post(`/v1/instances/${leftId}/leave`, { born }).catch(
+      () => 0,
+    );
+    record.add("leave answered", { endpoint: leftId, status });
+    setTimeout(async () => {
+      const got = await post(`/v1/instances/${leftId}/heartbeat`, latePing)
+        .catch(() => 0);
+      record.add("late ping answered", { endpoint: leftId, status: got });
+    }, Math.max(0, lateMs - (Date.now() - sentAt)));
+    setTimeout(() => {
+      record.add("endpoint ended", { endpoint: leftId });
+      isClosed = true;
+      stopServer();
+    }, serveMs);
+    return status;
+  }
+
   /** Drains, leaves and ends, as before a planned shutdown. */
   async function drain(drainMs) {
     state = "draining";
@@ -214,6 +245,7 @@
       for (const socket of sockets) socket.destroy();
     },
     drain,
+    leaveFirst,
     ping,
     post,
     id: () => id,
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -7,6 +7,7 @@
 
 export async function startStore({ ip, port, answerMs = 4 }) {
   const topics = new Map();
+  let isSilent = false;
 
   function topicOf(name) {
     let topic = topics.get(name);
@@ -111,6 +112,7 @@
         res.once("close", done);
       });
     }
+    if (isSilent) return;
     const head = Buffer.alloc(16);
     head.writeBigUInt64BE(BigInt(topic.records.length));
     const parts = [head];
@@ -127,6 +129,8 @@
     const url = new URL(req.url, "http://store");
     const parts = [];
     for await (const part of req) parts.push(part);
+    // A store that is down: nothing is done, and nothing is answered.
+    if (isSilent) return;
     await new Promise((resolve) => setTimeout(resolve, answerMs));
     res.setHeader("Store-Era", "1");
     switch (url.pathname) {
@@ -172,6 +176,11 @@
       const item = topicOf(topic).newest.get(key);
       return item && JSON.parse(Buffer.from(item.value, "base64").toString());
     },
+    /** Takes the store down, also for the reads that wait, or brings it back. */
+    setSilent(next) {
+      isSilent = next;
+      if (!next) server.closeAllConnections();
+    },
     close() {
       server.closeAllConnections();
       server.close();
