--- a/review/lib-2/mesh.mjs
+++ b/review/lib-2/mesh.mjs
@@ -39,6 +39,15 @@
   recoverS: 15,
 };
 
+/** Processes that are to end with this one, however it ends. */
+const children = new Set();
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+  process.on(signal, () => process.exit(2));
+}
+
 function tryBind(ip, port) {
   return new Promise((resolve) => {
     const server = createServer();
@@ -89,8 +98,10 @@
       stdio: ["ignore", log, log],
     });
     machine.child = child;
+    children.add(child);
     record.add("process started", { machine: machine.name, pid: child.pid });
     child.once("exit", (code, signal) => {
+      children.delete(child);
       record.add("process ended", { machine: machine.name, code, signal });
       machine.ends.push({ at: record.now(), code, signal });
       if (!isClosed && machine.restarts) {
@@ -229,7 +240,7 @@
       store.put("keyed.op", "config", opts.config);
       const first = all.filter(({ isLater }) => !isLater);
       await Promise.all(first.map(startMachine));
-      for (let tries = 0; tries < 150; tries++) {
+      for (let tries = 0; tries < 200; tries++) {
         const states = await Promise.all(first.map(isReady));
         if (states.every(Boolean)) {
           record.add("all nodes are ready");
