feat(metrics): calls that run and wait at a node's endpoint

The lines of a shutdown told what a node's callers had open, but not whether a call of another node ran or waited at its home node: the queue's report, which they printed, leaves out late calls and bodies that are being received.

`lagoon_home_calls` counts the calls of the endpoint by state, and the line "sidecar closing connections" states the same figures.

--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -129,6 +129,13 @@
   readonly isOverShare: boolean;
 }
 
+/** Number of calls at a home node. */
+export interface HomeCalls {
+  readonly running: number;
+  /** Calls that have not started, with those that are sending their bodies. */
+  readonly waiting: number;
+}
+
 export interface LocalHome extends Home {
   /**
    * Opens the queue for the endpoint as last announced, or closes it for
@@ -158,6 +165,7 @@
   /** How long the endpoint has run the call with this id, in milliseconds. */
   runMsOf(callId: string): number;
   /** Records a load that the endpoint stated outside of a call. */
+  countCalls(): HomeCalls;
   recordLoad(load: EndpointLoad): void;
   /** `OfferedCall.deadlineRatio` of a running call. */
   deadlineRatioOf(callId: string): number | undefined;
@@ -760,3 +768,7 @@
     },
   };
 }
+    countCalls: () => ({
+      running: queue.running.size,
+      waiting: openCalls.size - queue.running.size,
+    }),
--- a/src/metrics/create_metrics.ts
+++ b/src/metrics/create_metrics.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { HomeCalls } from "../endpoint_proxy/create_home.ts";
 import type { KeyFault } from "../accounts/check_key.ts";
 import type { Run } from "../traffic_shift/count_run.ts";
 import type { WorkMeter } from "./create_work_meter.ts";
@@ -80,6 +81,8 @@
   setEvacuatedDomains(count: number): void;
   /** Replaces the numbers of ready endpoints of all services. */
   setReadyEndpoints(byService: ReadonlyMap<string, number>): void;
+  /** Replaces the numbers of calls at this node's endpoint. */
+  setHomeCalls(calls: HomeCalls): void;
   /** All metrics in the text format of Prometheus. */
   text(): Promise<string>;
 }
@@ -179,6 +182,12 @@
     labelNames: ["service"],
     registers,
   });
+  const homeCalls = new Gauge({
+    name: "lagoon_home_calls",
+    help: "Calls for this node's endpoint, by whether they run or wait.",
+    labelNames: ["state"],
+    registers,
+  });
   return {
     countCall: (route, result, tookMs) =>
       calls.observe({ route, result }, tookMs / 1_000),
@@ -204,6 +213,10 @@
       ready.reset();
       for (const [service, count] of byService) ready.set({ service }, count);
     },
+    setHomeCalls({ running, waiting }) {
+      homeCalls.set({ state: "running" }, running);
+      homeCalls.set({ state: "waiting" }, waiting);
+    },
     text: () => registry.metrics(),
   };
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -467,6 +467,7 @@
 
   const metricsApp = polka().get("/metrics", async (_req, res) => {
     metrics.setReadyEndpoints(countReady(fleet));
+    metrics.setHomeCalls(home.countCalls());
     res.end(await metrics.text());
   });
 
@@ -585,7 +586,7 @@
       if (stop.phase === ShutdownPhase.Over) break;
       await sleep(SHUTDOWN_TICK_MS);
     }
-    const { running, waiting } = home.report();
+    const { running, waiting } = home.countCalls();
     log.write("process", LogLevel.Info, "sidecar closing connections", {
       afterMs: Math.round(now() - requestedAt),
       open: callers.open(),
