fix(shutdown): requests that wait at other nodes are refused, not cut

Cause: a stopping node knew only whether it had sent a call to a home node, not whether the call had started there. It could neither refuse such a call truthfully nor have it withdrawn, since a cancellation is not answered. The home node knew, but not when the caller's node ends, and kept the call until its own deadline, 12 s away. A trial with a line at each withdrawal shows the lost requests waiting at their home nodes, one offer, no arrival.

The decision now lies with the home node's queue, which alone knows what has started. With SIGTERM the node states in the new message `limit-answer`, for each open call and each later attempt, how long an answer is of use. The queue refuses a call, as not run, as soon as it can't be answered in that time; a call that runs goes on. The same limit holds for the calls of other nodes at a home that stops, waiting or sending their bodies: their senders got 502 before, as if they could have run, and now try another home. A call without a word from its home at the end is answered 502 in place of a closed connection. Protocol 5: nodes of other versions refuse each other's links.

--- a/src/callers/create_caller_server.ts
+++ b/src/callers/create_caller_server.ts
@@ -60,7 +60,10 @@
 export interface CallerServer {
   readonly server: Server;
   setLimits(limits: ClientLimits): void;
-  /** From now on, closes each connection after its newest request. */
+  /**
+   * From now on, closes each connection after its newest request, and has calls
+   * refused that home nodes can't run before this node ends.
+   */
   drain(state: ShutdownState): void;
   /** Refuses the requests that have not been sent to any home node yet. */
   refuseUnsentCalls(): void;
@@ -196,6 +199,7 @@
         waitMs: waitMs - quotaMs,
         ageMs: ageMs + quotaMs,
         deadlineRatio,
+        answerBy: () => stop?.times.answerBy ?? Infinity,
         maxBodyBytes: bodyBytes,
         mayClose: () => mayClose(res),
         onDone(isUnsent) {
@@ -341,6 +345,9 @@
     },
     drain(state) {
       stop = state;
+      for (const { calls } of connections.values()) {
+        for (const call of [...calls]) call.limitAnswer();
+      }
     },
     refuseUnsentCalls() {
       for (const { calls } of connections.values()) {
--- a/src/callers/serve_call.ts
+++ b/src/callers/serve_call.ts
@@ -24,7 +24,7 @@
 } from "../calls/state.ts";
 import { abortAnswer } from "../core/abort_answer.ts";
 import { exhausted } from "../core/exhausted.ts";
-import type { NodeId } from "../core/types.ts";
+import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { countLive } from "../fleet/state.ts";
 import { LogLevel } from "../logs/create_log.ts";
 import { CallResult } from "../metrics/create_metrics.ts";
@@ -109,6 +109,11 @@
   readonly ageMs: number;
   /** See `OfferedCall.deadlineRatio`. */
   readonly deadlineRatio: number | undefined;
+  /**
+   * When this node can no longer forward an answer. Infinity while it is not
+   * shutting down.
+   */
+  readonly answerBy: () => MonotonicMs;
   readonly maxBodyBytes: number;
   /** Whether the connection may be closed after this answer. */
   readonly mayClose: () => boolean;
@@ -123,6 +128,11 @@
 export interface ServedCall {
   /** Ends the call after the caller's connection was closed. */
   abandon(): void;
+  /**
+   * Tells the home nodes when this node ends, once a shutdown has begun. They
+   * refuse the call, as not run, unless they can run it by then.
+   */
+  limitAnswer(): void;
   /** Refuses the call on shutdown, unless it was sent to a home node. */
   refuseUnsent(): void;
   /**
@@ -130,7 +140,10 @@
    * sent to a home node.
    */
   recheckUnsent(): void;
-  /** Ends the call on shutdown, before its connection is closed. */
+  /**
+   * Ends the call on shutdown, before its connection is closed. It is not known
+   * whether it has run.
+   */
   abort(): void;
 }
 
@@ -217,6 +230,10 @@
 
   function attemptNext(mayBeLate: boolean, onlyFree = false): void {
     if (isDone) return;
+    if (ctx.now() >= opts.answerBy()) {
+      if (attempts.size > 0) return;
+      return giveUp(mayHaveRun ? 502 : 503, Rejection.Stopping);
+    }
     if (isQuarantined()) {
       if (attempts.size > 0) return;
       minWaitMs = QUARANTINE_RETRY_MS;
@@ -375,6 +392,12 @@
       hasArrived: false,
     };
     attempts.add(open);
+    limitAttempt(open);
+  }
+
+  function limitAttempt({ attempt }: OpenAttempt) {
+    const leftMs = opts.answerBy() - ctx.now();
+    if (leftMs < Infinity) attempt.limitAnswer(leftMs);
   }
 
   function handleEvent(open: OpenAttempt, event: AttemptEvent) {
@@ -636,6 +659,9 @@
 
   return {
     abandon: () => finish(CallResult.Left, 0),
+    limitAnswer() {
+      for (const open of attempts) limitAttempt(open);
+    },
     refuseUnsent() {
       if (offers === 0) giveUp(503, Rejection.Stopping);
     },
@@ -650,7 +676,9 @@
         bodyBytes: body?.size() ?? 0,
         isStreaming: streaming !== undefined,
       });
-      if (streaming !== undefined) abortAnswer(res);
+      // An answer tells the caller more than a closed connection does.
+      if (streaming === undefined) return giveUp(502, Rejection.Stopping);
+      abortAnswer(res);
       finish(CallResult.Unknown, 0);
     },
   };
--- a/src/callers/serve_call_test.ts
+++ b/src/callers/serve_call_test.ts
@@ -6,6 +6,7 @@
   startTestCallers,
   type TestCallers,
 } from "../testing/start_test_callers.ts";
+import { createShutdownState } from "../shutdown/create_shutdown_state.ts";
 import { waitFor } from "../../tools/wait_for.ts";
 import { INLINE_BODY_BYTES } from "./describe_call.ts";
 
@@ -185,6 +186,36 @@
   assert.equal(await isComplete, false);
 });
 
+/** Sends a call to a home node, then begins the shutdown of its own node. */
+async function stopDuringCall(t: TestContext) {
+  const callers = await startTestCallers(t);
+  for (const host of [2, 3]) callers.addHome(`10.0.0.${host}:1`);
+  const status = sendSafe(callers);
+  const isTrue = () => callers.attempts.length === 1;
+  await waitFor({ what: "the call was sent", limitMs: LIMIT_MS, isTrue });
+  const now = callers.ctx.now();
+  callers.drain(createShutdownState({ graceMs: 6_000, lagMs: 0, now }));
+  return { callers, status };
+}
+
+// Homes ran calls, or kept them waiting, whose caller's node had ended.
+test("shutdown tells home nodes when answers are of no more use", async (t) => {
+  const { callers, status } = await stopDuringCall(t);
+  const refusal = { by: "home", reason: "no-time", waitMs: 9 } as const;
+  callers.attempts[0]?.emit({ type: "refused", refusal });
+  const limits = callers.attempts.map(({ limitMs }) => limitMs ?? Infinity);
+  assert.equal(limits.length, 2);
+  for (const limitMs of limits) assert.ok(limitMs > 0 && limitMs < 5_300);
+  callers.attempts[1]?.emit({ type: "refused", refusal });
+  assert.equal(await status, 503);
+});
+
+test("call without any word of its home at the end gets 502", async (t) => {
+  const { callers, status } = await stopDuringCall(t);
+  callers.close();
+  assert.equal(await status, 502);
+});
+
 /** Refuses the first attempt of a call since its home's queue is full. */
 async function refuseFirst(t: TestContext, objectiveMs: number) {
   const callers = await startTestCallers(t, { objectiveMs });
--- a/src/callers/wait_for_token.ts
+++ b/src/callers/wait_for_token.ts
@@ -52,6 +52,8 @@
   if (isOver) return undefined;
   return {
     abandon: end,
+    // It has not been sent to a home node.
+    limitAnswer() {},
     refuseUnsent() {
       if (isOver) return;
       end();
--- a/src/calls/state.ts
+++ b/src/calls/state.ts
@@ -140,6 +140,12 @@
   send(chunk: Buffer): void;
   /** Ends the body. */
   finish(): void;
+  /**
+   * States that an answer is of use only within `leftMs`, as the sender ends
+   * then. The home node refuses the call, as not run, if it has not started and
+   * is not expected to be answered in that time. A call that runs goes on.
+   */
+  limitAnswer(leftMs: number): void;
   /** Ends the attempt without any further event. */
   cancel(): void;
 }
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -156,16 +156,21 @@
    * node is evacuated.
    */
   setEvacuated(isEvacuated: boolean): void;
+  /**
+   * Refuses, as not run, the calls that have not started and are not expected to
+   * be answered by `endAt`, when this node ends.
+   */
+  limitAnswers(endAt: MonotonicMs): void;
   /** State of the queue as sent to other nodes, for `route` if it is given. */
   report(route?: string): QueueReport;
   /** Whether any call runs, waits or is sending its body. */
   isBusy(): boolean;
+  countCalls(): HomeCalls;
   /** Whether the endpoint runs the call with this id. */
   isRunning(callId: string): boolean;
   /** How long the endpoint has run the call with this id, in milliseconds. */
   runMsOf(callId: string): number;
   /** Records a load that the endpoint stated outside of a call. */
-  countCalls(): HomeCalls;
   recordLoad(load: EndpointLoad): void;
   /** `OfferedCall.deadlineRatio` of a running call. */
   deadlineRatioOf(callId: string): number | undefined;
@@ -204,6 +209,8 @@
   readonly arrivedAt: MonotonicMs;
   readonly deadlineAt: MonotonicMs;
   readonly onEvent: (event: AttemptEvent) => void;
+  /** See `QueuedCall.answerBy`. */
+  answerBy?: MonotonicMs;
   /** The body, if it is buffered before the run. */
   body?: BufferedBody;
   /** Whether the complete body has been received into `call`. */
@@ -234,6 +241,8 @@
   let reopener: NodeJS.Timeout | undefined;
   let terms: ServiceTerms | undefined;
   let isEvacuated = false;
+  /** When this node ends. Infinity while it is not shutting down. */
+  let endAt = Infinity;
   let healthRequests = 0;
   /** Calls whose connections the endpoint closed, until it is known why. */
   const cut = new Set<OpenCall>();
@@ -550,13 +559,37 @@
   /** Refuses the calls whose bodies are still being received. */
   function refuseUploads() {
     for (const [key, entry] of openCalls) {
-      if (entry.body === undefined || entry.isBuffered) continue;
-      if (entry.run !== undefined) continue;
+      if (!isUpload(entry)) continue;
       releaseCall(key, entry);
       refuse(entry, RefusalReason.Closed, 0);
     }
   }
 
+  /** Whether the body of a call that has not started is being received. */
+  function isUpload({ body, isBuffered = false, run }: OpenCall): boolean {
+    return body !== undefined && !isBuffered && run === undefined;
+  }
+
+  /** Refuses an upload that is not complete in time. */
+  function watchUpload(key: number, entry: OpenCall) {
+    const { deadlineAt, answerBy = Infinity } = entry;
+    clearTimeout(entry.timer);
+    entry.timer = setTimeout(() => {
+      releaseCall(key, entry);
+      refuse(entry, RefusalReason.NoTime, reportQueue(queue).meanMs);
+    }, Math.max(0, Math.min(deadlineAt, answerBy) - now()));
+  }
+
+  /** See `Attempt.limitAnswer`. */
+  function limitAnswer(key: number, entry: OpenCall, at: MonotonicMs) {
+    if (openCalls.get(key) !== entry || entry.run !== undefined) return;
+    const answerBy = Math.min(at, entry.answerBy ?? Infinity);
+    entry.answerBy = answerBy;
+    if (isUpload(entry)) return watchUpload(key, entry);
+    const event = { type: "answer-limited", key, answerBy } as const;
+    apply(decideQueue(queue, { ...event, now: now() }));
+  }
+
   /**
    * Refuses a call for another service or version: the sender has not received
    * the announcement of the present endpoint yet.
@@ -573,9 +606,12 @@
   function receive(
     key: number,
     entry: OpenCall,
-    queueEntry: Omit<AssessCallOptions, "now">,
+    received: Omit<AssessCallOptions, "now">,
   ) {
-    const { call } = entry;
+    const { call, answerBy } = entry;
+    const queueEntry = answerBy === undefined
+      ? received
+      : { ...received, call: { ...received.call, answerBy } };
     if (instance !== undefined && !isSameSoftware(call, instance)) {
       return refuseMisdirected(key, entry, instance);
     }
@@ -607,10 +643,7 @@
         isOverShare: isOver(queue, shortened.call, runMs),
       });
     }
-    entry.timer = setTimeout(() => {
-      releaseCall(key, entry);
-      refuse(entry, RefusalReason.NoTime, reportQueue(queue).meanMs);
-    }, Math.max(0, entry.deadlineAt - now()));
+    watchUpload(key, entry);
     entry.body = bodyBuffer.begin(call, (body) => {
       // This callback may run before `begin` returns.
       entry.body = body;
@@ -667,6 +700,7 @@
       const at = now();
       const deadlineAt = at + call.leftMs;
       const entry: OpenCall = { call, arrivedAt: at, deadlineAt, onEvent };
+      if (endAt < Infinity) entry.answerBy = endAt;
       openCalls.set(key, entry);
       const { route, urgency, isNested, mayBeLate } = call;
       const account = call.account?.name;
@@ -696,6 +730,7 @@
       return {
         send: (chunk) => handleChunk(key, entry, queued, chunk),
         finish: () => entry.run?.finish(),
+        limitAnswer: (leftMs) => limitAnswer(key, entry, now() + leftMs),
         cancel: () => withdraw(key, entry),
       };
     },
@@ -746,6 +781,10 @@
       decideCold({ type: "invalidated", reason, now: now() });
       openGate();
     },
+    limitAnswers(at) {
+      endAt = at;
+      for (const [key, entry] of [...openCalls]) limitAnswer(key, entry, at);
+    },
     isRunning: (callId) => running.has(callId),
     runMsOf(callId) {
       const startedAt = running.get(callId)?.startedAt;
@@ -759,6 +798,10 @@
     },
     report,
     isBusy: () => openCalls.size > 0,
+    countCalls: () => ({
+      running: queue.running.size,
+      waiting: openCalls.size - queue.running.size,
+    }),
     async close() {
       clearTimeout(ticker);
       clearTimeout(reopener);
@@ -768,7 +811,3 @@
     },
   };
 }
-    countCalls: () => ({
-      running: queue.running.size,
-      waiting: openCalls.size - queue.running.size,
-    }),
--- a/src/endpoint_proxy/endpoint_proxy_test.ts
+++ b/src/endpoint_proxy/endpoint_proxy_test.ts
@@ -8,7 +8,7 @@
   RefusedBy,
 } from "../calls/state.ts";
 import { RefusalReason } from "../queue/state.ts";
-import type { SuspectRecords } from "./create_home.ts";
+import type { LocalHome, SuspectRecords } from "./create_home.ts";
 import { ANNOUNCED_INSTANCE } from "../testing/announced_instance.ts";
 import {
   createTestHome,
@@ -399,6 +399,47 @@
   ]);
 });
 
+/** Attempts a call and lists its events. */
+function listEvents(home: LocalHome, change: Partial<OfferedCall>) {
+  const events: AttemptEvent[] = [];
+  const attempt = home.attempt(
+    { ...call, ...change },
+    (event) => events.push(event),
+  );
+  return { attempt, events };
+}
+
+// Their callers' connections were cut, or they got 502 for a call not run.
+test("calls that have not started are refused before a node ends", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  let at = 0;
+  const { home } = await startHome(t, () => {}, { now: () => at });
+  home.setInstance({ ...ANNOUNCED_INSTANCE, slots: 1 }, "");
+  const times = { leftMs: 60_000, objectiveLeftMs: 60_000 };
+  const running = listEvents(home, { ...times, id: "r-1" });
+  const waiting = listEvents(home, { ...times, id: "r-2" });
+  const upload = { ...times, body: undefined, bodyBytes: 6 };
+  const uploading = listEvents(home, { ...upload, id: "r-3" });
+  for (let turns = 0; turns < 3; turns++) await nextTurn();
+  const late = listEvents(home, { ...times, id: "r-4" });
+  for (const { attempt } of [running, waiting, uploading, late]) {
+    attempt.limitAnswer(2_000);
+  }
+  await nextTurn();
+  at = 2_000;
+  t.mock.timers.tick(2_000);
+  assert.deepEqual(running.events.map(({ type }) => type), ["admitted"]);
+  for (const { events } of [waiting, uploading, late]) {
+    const last = events.at(-1);
+    assert.ok(last?.type === "refused");
+    assert.equal(last.refusal.reason, RefusalReason.NoTime);
+  }
+  home.limitAnswers(at);
+  const next = listEvents(home, { ...times, id: "r-5" });
+  await nextTurn();
+  assert.equal(next.events.at(-1)?.type, "refused");
+});
+
 test("memory for bodies that wait for a slot is limited", async (t) => {
   const { home } = await startHome(t, () => {});
   home.setInstance({ ...ANNOUNCED_INSTANCE, slots: 1 }, "");
--- a/src/links/accept_links.ts
+++ b/src/links/accept_links.ts
@@ -156,6 +156,7 @@
       case "body":
       case "body-end":
       case "cancel":
+      case "limit-answer":
         return calls.handle(message);
       case "event":
       case "pong":
--- a/src/links/accept_links_test.ts
+++ b/src/links/accept_links_test.ts
@@ -17,7 +17,12 @@
   const hellos: (string | undefined)[] = [];
   const links = acceptLinks({
     home: {
-      attempt: () => ({ send() {}, finish() {}, cancel() {} }),
+      attempt: () => ({
+        send() {},
+        finish() {},
+        limitAnswer() {},
+        cancel() {},
+      }),
     },
     report: () => REPORT,
     status: () => ({
--- a/src/links/create_packer.ts
+++ b/src/links/create_packer.ts
@@ -120,6 +120,7 @@
     case "body":
     case "body-end":
     case "cancel":
+    case "limit-answer":
     case "hello":
     case "ping":
     case "pong":
--- a/src/links/dial_link.ts
+++ b/src/links/dial_link.ts
@@ -162,7 +162,7 @@
         waitMs: 0,
       };
       queueMicrotask(() => onEvent({ type: "refused", refusal }));
-      return { send() {}, finish() {}, cancel() {} };
+      return { send() {}, finish() {}, limitAnswer() {}, cancel() {} };
     },
     send: (message) => channel?.send(message),
     check,
--- a/src/links/encode_message.ts
+++ b/src/links/encode_message.ts
@@ -47,6 +47,7 @@
   Lost: 11,
   Digest: 12,
   Beats: 13,
+  LimitAnswer: 14,
 } as const;
 
 const EventKind = {
@@ -90,6 +91,8 @@
       return [Kind.BodyEnd, message.key];
     case "cancel":
       return [Kind.Cancel, message.key];
+    case "limit-answer":
+      return [Kind.LimitAnswer, message.key, Math.round(message.leftMs)];
     case "event":
       return [
         Kind.Event,
@@ -151,6 +154,8 @@
       return { type: "body-end", key };
     case Kind.Cancel:
       return { type: "cancel", key };
+    case Kind.LimitAnswer:
+      return { type: "limit-answer", key, leftMs: numberOf(fields[2]) };
     case Kind.Event:
       return {
         type: "event",
--- a/src/links/links_test.ts
+++ b/src/links/links_test.ts
@@ -64,6 +64,7 @@
   { type: "body", key: 1, chunk: Buffer.from("more") },
   { type: "body-end", key: 1 },
   { type: "cancel", key: 1 },
+  { type: "limit-answer", key: 1, leftMs: -4 },
   ...events.map((event) => ({
     type: "event" as const,
     key: 3,
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -22,7 +22,7 @@
  * Version of the messages. Nodes with different versions refuse each other's
  * links, since they would misread each other's messages.
  */
-export const PROTOCOL_VERSION = 4;
+export const PROTOCOL_VERSION = 5;
 
 /** Identifies a call on one link. */
 export type LinkKey = number;
@@ -36,7 +36,14 @@
   }
   | { readonly type: "body"; readonly key: LinkKey; readonly chunk: Buffer }
   | { readonly type: "body-end"; readonly key: LinkKey }
-  | { readonly type: "cancel"; readonly key: LinkKey };
+  | { readonly type: "cancel"; readonly key: LinkKey }
+  /** See `Attempt.limitAnswer`. */
+  | {
+    readonly type: "limit-answer";
+    readonly key: LinkKey;
+    /** Time left when the message is sent, in milliseconds. */
+    readonly leftMs: number;
+  };
 
 /** Message from a home node about a call that it received. */
 export interface EventMessage {
--- a/src/links/open_channel.ts
+++ b/src/links/open_channel.ts
@@ -181,6 +181,7 @@
       case "body":
       case "body-end":
       case "cancel":
+      case "limit-answer":
         throw new TypeError(`${message.type} came from a home`);
       case "pong":
         health.peerLagMs = message.lagMs;
@@ -242,6 +243,10 @@
       return {
         send: (chunk) => send({ type: "body", key, chunk }, isRetry),
         finish: () => send({ type: "body-end", key }, isRetry),
+        limitAnswer(leftMs) {
+          if (!pendingCalls.has(key)) return;
+          send({ type: "limit-answer", key, leftMs }, isRetry);
+        },
         cancel() {
           if (!pendingCalls.has(key)) return;
           send({ type: "cancel", key }, isRetry);
--- a/src/links/serve_link.ts
+++ b/src/links/serve_link.ts
@@ -120,6 +120,10 @@
           return handleAttempt(key, (one) => one.send(message.chunk));
         case "body-end":
           return handleAttempt(key, (one) => one.finish());
+        case "limit-answer": {
+          const leftMs = message.leftMs - opts.lagMs();
+          return handleAttempt(key, (one) => one.limitAnswer(leftMs));
+        }
         case "cancel":
           handleAttempt(key, (one) => one.cancel());
           attempts.delete(key);
--- a/src/links/serve_link_test.ts
+++ b/src/links/serve_link_test.ts
@@ -11,7 +11,7 @@
     home: {
       attempt(call) {
         offered.push(call);
-        return { send() {}, finish() {}, cancel() {} };
+        return { send() {}, finish() {}, limitAnswer() {}, cancel() {} };
       },
     },
     report: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
@@ -27,6 +27,30 @@
   assert.equal(offered[0]?.objectiveLeftMs, -1_840);
 });
 
+test("time that a limit waited unread is subtracted from it", () => {
+  const limits: number[] = [];
+  const link = serveLink({
+    home: {
+      attempt: () => ({
+        send() {},
+        finish() {},
+        limitAnswer: (leftMs) => limits.push(leftMs),
+        cancel() {},
+      }),
+    },
+    report: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
+    lagMs: () => 400,
+    now: () => 0,
+    canAccept: () => true,
+    onCallFault: (_id, err) => assert.fail(String(err)),
+    send() {},
+  });
+  link.handle({ type: "limit-answer", key: 1, leftMs: 5_000 });
+  link.handle({ type: "offer", key: 1, call: offeredCall({}) });
+  link.handle({ type: "limit-answer", key: 1, leftMs: 5_000 });
+  assert.deepEqual(limits, [4_600]);
+});
+
 test("an attempt event carries the time since its offer was received", () => {
   const sent: LinkMessage[] = [];
   let now = 100;
@@ -35,7 +59,7 @@
     home: {
       attempt(_call, onEvent) {
         answer = () => onEvent({ type: "ended" });
-        return { send() {}, finish() {}, cancel() {} };
+        return { send() {}, finish() {}, limitAnswer() {}, cancel() {} };
       },
     },
     report: () => ({ running: 0, waiting: 0, meanMs: 0, routeMs: 0 }),
@@ -82,6 +106,7 @@
             throw new Error("thrown by the attempt");
           },
           finish() {},
+          limitAnswer() {},
           cancel() {},
         };
       },
--- a/src/links/traffic_cause_of.ts
+++ b/src/links/traffic_cause_of.ts
@@ -16,6 +16,7 @@
     case "body":
     case "body-end":
     case "cancel":
+    case "limit-answer":
       return isRetry ? TrafficCause.Retries : TrafficCause.Calls;
     case "event":
       return TrafficCause.Answers;
--- a/src/queue/assess_call.ts
+++ b/src/queue/assess_call.ts
@@ -100,6 +100,7 @@
   let ahead = 0;
   let workMs = 0;
   for (const other of state.waiting.values()) {
+    if (other.key === call.key) continue;
     if (compareRanks(rankOf(state, other, now), rank) > 0) continue;
     ahead++;
     workMs += state.timesByRoute.has(other.route)
@@ -122,8 +123,8 @@
 }
 
 /**
- * Returns the time until a call that arrives now is expected to start, in
- * milliseconds.
+ * Returns the time until a call that arrives now, or that waits, is expected to
+ * start, in milliseconds.
  */
 export function expectedStartMs(
   state: QueueState,
--- a/src/queue/decide_queue.ts
+++ b/src/queue/decide_queue.ts
@@ -80,6 +80,8 @@
     case "withdrawn":
       state.waiting.delete(event.key);
       return startWaitingCalls(state, event.now);
+    case "answer-limited":
+      return handleAnswerLimited(state, event);
     case "gate-changed":
       state.gate = event.gate;
       state.coldUntil = event.coldUntil;
@@ -166,6 +168,25 @@
   ];
 }
 
+/** Refuses a waiting call that is not expected to be answered in time. */
+function handleAnswerLimited(
+  state: QueueState,
+  event: Extract<QueueEvent, { type: "answer-limited" }>,
+): readonly QueueEffect[] {
+  const { key, answerBy, now } = event;
+  const waiting = state.waiting.get(key);
+  if (waiting === undefined) return [];
+  const call = { ...waiting, answerBy };
+  state.waiting.set(key, call);
+  const startMs = expectedStartMs(state, call, now);
+  if (canMeetDeadline(state, call, now + startMs, now)) return [];
+  state.waiting.delete(key);
+  return [
+    refuse(state, call, RefusalReason.NoTime, startMs, now),
+    ...startWaitingCalls(state, now),
+  ];
+}
+
 /** Finds out whether a call waits though a slot is free. */
 function findDelay(state: QueueState, key: CallKey): readonly QueueEffect[] {
   const isDelayed = state.waiting.has(key) &&
--- a/src/queue/estimate.ts
+++ b/src/queue/estimate.ts
@@ -154,9 +154,16 @@
  */
 const MIN_RUN_SHARE = 0.7;
 
+/**
+ * Run time, as a multiple of its mean, that must be left before the sender or
+ * this node ends. A run that is not answered by then is lost, while a call that
+ * is refused can be sent again.
+ */
+const LIMITED_RUN_FACTOR = 2;
+
 /**
  * Returns whether a call that starts at `startAt` may be answered before its
- * deadline.
+ * deadline, and before its sender or this node ends.
  */
 export function canMeetDeadline(
   state: QueueState,
@@ -167,11 +174,19 @@
   return startAt <= latestStartAt(state, call, now);
 }
 
-/** Returns the time after which a call can't be answered before its deadline. */
+/**
+ * Returns the time after which a call can't be answered before its deadline, or
+ * before its sender or this node ends.
+ */
 export function latestStartAt(
   state: QueueState,
   call: QueuedCall,
   now: MonotonicMs,
 ): MonotonicMs {
-  return call.deadlineAt - expectedRunMs(state, call, now) * MIN_RUN_SHARE;
+  const runMs = expectedRunMs(state, call, now);
+  const { deadlineAt, answerBy = Infinity } = call;
+  return Math.min(
+    deadlineAt - runMs * MIN_RUN_SHARE,
+    answerBy - runMs * LIMITED_RUN_FACTOR,
+  );
 }
--- a/src/queue/queue_test.ts
+++ b/src/queue/queue_test.ts
@@ -143,6 +143,41 @@
   assert.equal(effect?.type === "refuse" && effect.key, second.key);
 });
 
+function limit(state: QueueState, key: number, answerBy: number, now: number) {
+  const event = { type: "answer-limited", key, answerBy, now } as const;
+  return decideQueue(state, event);
+}
+
+// Such calls ran when their caller's node had ended, or were cut in the queue.
+test("waiting call is refused if it can't be answered before a node ends", () => {
+  const state = openQueue(1);
+  const times = { objectiveAt: 3_000, deadlineAt: 9_000 };
+  const running = callOf(times);
+  const [soon, never] = [callOf(times), callOf(times)];
+  for (const call of [running, soon, never]) offer(state, call);
+  assert.deepEqual(limit(state, running.key, 10, 5), []);
+  assert.deepEqual(limit(state, soon.key, 8_000, 5), []);
+  const [effect] = limit(state, never.key, 1_000, 5);
+  assert.ok(effect?.type === "refuse" && effect.key === never.key);
+  assert.equal(effect.reason, "no-time");
+  assert.deepEqual(startedKeys(end(state, running.key, 90)), [soon.key]);
+});
+
+test("limited call that still waits is refused before a node ends", () => {
+  const state = openQueue(1);
+  offer(state, callOf({ deadlineAt: 9_000 }));
+  const waiting = callOf({ deadlineAt: 9_000 });
+  offer(state, waiting);
+  assert.deepEqual(limit(state, waiting.key, 2_000, 5), []);
+  for (let now = 5; now < 2_000; now += nextTickMs(state, now)) {
+    const effects = decideQueue(state, { type: "ticked", now });
+    if (effects.length === 0) continue;
+    assert.ok(effects[0]?.type === "refuse");
+    return;
+  }
+  assert.fail("the call still waits when the node ends");
+});
+
 test("call past its objective is queued only if it may be late", () => {
   const state = openQueue(1);
   offer(state, callOf());
--- a/src/queue/state.ts
+++ b/src/queue/state.ts
@@ -36,6 +36,11 @@
   readonly objectiveAt: MonotonicMs;
   /** When the caller stops waiting. */
   readonly deadlineAt: MonotonicMs;
+  /**
+   * When the sender or this node ends, so that a later answer would be lost.
+   * Undefined while neither is shutting down.
+   */
+  readonly answerBy?: MonotonicMs | undefined;
   /** Client account of the call. Undefined if it has none. */
   readonly account?: string | undefined;
   /**
@@ -118,6 +123,13 @@
     readonly key: CallKey;
     readonly now: MonotonicMs;
   }
+  /** The sender of a call, or this node, ends at `answerBy`. */
+  | {
+    readonly type: "answer-limited";
+    readonly key: CallKey;
+    readonly answerBy: MonotonicMs;
+    readonly now: MonotonicMs;
+  }
   /** The endpoint started or stopped accepting calls, or its slots changed. */
   | {
     readonly type: "gate-changed";
@@ -151,7 +163,7 @@
   QueueFull: "crowded",
   /** The call was waiting, and gave way to a more urgent one. */
   Displaced: "displaced",
-  /** The call can't be answered before its deadline. */
+  /** The call can't be answered before its deadline, or before a node ends. */
   NoTime: "no-time",
   /** The call is for another service or version than the endpoint runs. */
   Misdirected: "misdirected",
--- a/src/shutdown/create_shutdown_state.ts
+++ b/src/shutdown/create_shutdown_state.ts
@@ -29,6 +29,12 @@
  */
 const ACCEPT_ALL_SHARE = 0.5;
 
+/**
+ * Fraction of the time from SIGTERM to the end that is left for answers and
+ * refusals of other nodes to arrive and be forwarded.
+ */
+const FORWARD_SHARE = 0.05;
+
 /** Options of `createShutdownState`. */
 export interface CreateShutdownStateOptions {
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
@@ -56,6 +62,7 @@
       acceptAllUntil: signalledAt + acceptAllMs,
       withdrawAt: Math.min(signalledAt + SERVING_MS, endAt),
       mayEndAt: Math.min(signalledAt + DRAIN_MS, endAt),
+      answerBy: endAt - (endAt - signalledAt) * FORWARD_SHARE,
       endAt,
     },
     phase: ShutdownPhase.Serving,
--- a/src/shutdown/shutdown_test.ts
+++ b/src/shutdown/shutdown_test.ts
@@ -49,6 +49,13 @@
   assert.equal(times.acceptAllUntil, 1_800);
 });
 
+test("answers of other nodes are due before the node ends", () => {
+  for (const graceMs of GRACE_TIMES_MS) {
+    const { answerBy, acceptAllUntil, endAt } = createState(graceMs).times;
+    assert.ok(acceptAllUntil < answerBy && answerBy < endAt);
+  }
+});
+
 test("event loop delay counts when a request is accepted", () => {
   const state = createState(6_000);
   const options = { now: 4_000, waitMs: 1_200 };
--- a/src/shutdown/state.ts
+++ b/src/shutdown/state.ts
@@ -15,6 +15,11 @@
   readonly withdrawAt: MonotonicMs;
   /** Time from which the node ends as soon as no call is open. */
   readonly mayEndAt: MonotonicMs;
+  /**
+   * Time by which the answers of other nodes have to be on their way, so that
+   * this node can forward them.
+   */
+  readonly answerBy: MonotonicMs;
   /** Time by which every accepted call should be answered. */
   readonly endAt: MonotonicMs;
 }
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -580,6 +580,7 @@
       lagMs: Math.round(lag.lagMs()),
     });
     callers.drain(stop);
+    home.limitAnswers(stop.times.answerBy);
     for (;;) {
       const event = { type: "ticked", isBusy: isBusy(), now: now() } as const;
       for (const effect of decideShutdown(stop, event)) applyEffect(effect);
--- a/src/testing/start_test_callers.ts
+++ b/src/testing/start_test_callers.ts
@@ -19,6 +19,7 @@
 import { createRetryBudgetState } from "../retry_budget/state.ts";
 import { adoptTable } from "../routes/adopt_table.ts";
 import { createRoutesState, type Route } from "../routes/state.ts";
+import type { ShutdownState } from "../shutdown/state.ts";
 import { createTrafficShiftState } from "../traffic_shift/state.ts";
 import { routeOf, tableOf } from "./route_tables.ts";
 import { testDialect } from "./test_dialect.ts";
@@ -36,6 +37,8 @@
   readonly call: OfferedCall;
   readonly emit: (event: AttemptEvent) => void;
   isCancelled: boolean;
+  /** Time left that the call's node stated in its shutdown, in milliseconds. */
+  limitMs?: number;
 }
 
 export interface TestCallers {
@@ -51,6 +54,10 @@
   recheckUnsentCalls(): void;
   /** Reports to the waiting calls that a link to a home has opened. */
   reportLink(): void;
+  /** Begins the node's shutdown. */
+  drain(state: ShutdownState): void;
+  /** Ends the server, as at the end of a shutdown. */
+  close(): void;
 }
 
 /** Starts the server and closes it after the test. */
@@ -116,6 +123,7 @@
     return {
       send() {},
       finish() {},
+      limitAnswer: (leftMs: number) => void (attempt.limitMs = leftMs),
       cancel: () => void (attempt.isCancelled = true),
     };
   }
@@ -143,6 +151,8 @@
     },
     waiting: () => linkWaits.size,
     recheckUnsentCalls: callers.recheckUnsentCalls,
+    drain: callers.drain,
+    close: callers.close,
     reportLink() {
       for (const onReady of [...linkWaits]) onReady();
     },
