fix(local_endpoint): a late ping doesn't bring back what had left

Its node had confirmed the leave message while the store was silent, all processes were killed, and a ping from before the leave message arrived at the new process.

Cause: a process that starts took its lack of knowledge for knowledge. It does not know what earlier processes confirmed, since the store may not have it and all peers may be new; yet it used an endpoint without end on the strength of one ping, which may be seconds old.

The decision lies with the slice that reads the pings. Until the process knows what earlier ones were told, an instance that is older than the process is used on one ping only as long as nodes needn't keep earlier promises (`stabilityMs`), after that on regular pings, each of which counts for two intervals. The process knows once a peer that has long known its node answers the hello (`recall` says whether it is complete), or once no ping can be from before the start. Endpoints born after the process, and processes that restart beside others, wait for nothing.

The same cause on related paths: - in memory: an instance that drained was forgotten when its successor pinged; - at peers: the first announcement of a new process replaced what was known of the processes before it, and what peers recalled was never written to the store if the earlier process had ended before writing it; - in the store: a new process could replace the record of an earlier one that it had not read yet; - a leave message was confirmed though neither the store nor a peer knew of it.

--- a/src/bin/lagoon_sidecar.ts
+++ b/src/bin/lagoon_sidecar.ts
@@ -24,7 +24,7 @@
 }
 const settings = firstRead.value;
 const platform = createPlatform({ storeAddress: settings.storeAddress });
-const starting = runSidecar({ settings, platform });
+const starting = runSidecar({ settings, platform, startedAt: 0 });
 // Handlers stay registered, since without them a second signal would kill the
 // process before its shutdown ends.
 const stop = () =>
--- a/src/fleet/apply_rows.ts
+++ b/src/fleet/apply_rows.ts
@@ -5,6 +5,7 @@
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { clearLost } from "./apply_lost.ts";
 import type { NodeRow } from "./messages.ts";
+import { rememberStopped } from "./remember_stopped.ts";
 import { type FleetEffect, type FleetState, ownRow } from "./state.ts";
 
 /** Options of `applyRows`. */
@@ -42,8 +43,7 @@
 export function storeRow(state: FleetState, row: NodeRow, now: MonotonicMs) {
   state.rows.set(row.node, { row, receivedAt: now });
   state.seeds.delete(row.node);
-  const { gone = [] } = row;
-  if (gone.length > 0) state.gone.set(row.node, gone);
+  rememberStopped(state, row, now);
   state.isIndexStale = true;
   state.isPlanStale = true;
 }
--- a/src/fleet/fleet_test.ts
+++ b/src/fleet/fleet_test.ts
@@ -161,7 +161,7 @@
   confirm(state, { ...rowOf("b", 1), gone });
   lose(state, "b");
   confirm(state, rowOf("b", 0, undefined, { life: "second" }));
-  assert.deepEqual(state.gone.get("b"), gone);
+  assert.deepEqual(state.gone.get("b")?.stopped, gone);
 });
 
 test("lost node is removed after a time", () => {
--- a/src/fleet/state.ts
+++ b/src/fleet/state.ts
@@ -5,6 +5,7 @@
  */
 import type { MonotonicMs, NodeId, WallMs } from "../core/types.ts";
 import type { StoppedInstance } from "../local_endpoint/state.ts";
+import type { StoppedMemory } from "./remember_stopped.ts";
 import type { Candidate } from "../load_balancing/state.ts";
 import { indexCandidates } from "./index_candidates.ts";
 import type {
@@ -74,10 +75,10 @@
   /** Failure domains whose endpoints get no calls. */
   evacuated: ReadonlySet<string>;
   /**
-   * Stopped instances that each node last reported. Kept when a node's process
-   * restarts, since the new process does not know them.
+   * Stopped instances of each node. Kept when a node's process restarts, since
+   * the new process does not know them.
    */
-  readonly gone: Map<NodeId, readonly StoppedInstance[]>;
+  readonly gone: Map<NodeId, StoppedMemory>;
   /**
    * Index of candidates. Rebuilt at the first use after a change, since changes
    * come in bursts.
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -93,10 +93,15 @@
   }
   | { readonly type: "beats"; readonly beats: readonly ReaderBeat[] }
   /**
-   * Answer to a hello: the stopped endpoint processes that an earlier process
-   * of the hello's sender had announced.
+   * Answer to a hello: the stopped endpoint processes that earlier processes of
+   * the hello's sender had announced.
    */
-  | { readonly type: "recall"; readonly gone: readonly StoppedInstance[] }
+  | {
+    readonly type: "recall";
+    readonly gone: readonly StoppedInstance[];
+    /** Whether the earlier processes had announced no others. */
+    readonly isComplete: boolean;
+  }
   | {
     readonly type: "ask-rows";
     /** Failure domains whose rows are requested. Undefined requests all. */
--- a/src/local_endpoint/decide_local_endpoint.ts
+++ b/src/local_endpoint/decide_local_endpoint.ts
@@ -5,6 +5,7 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
+import { isPresent, judgePresence } from "./judge_presence.ts";
 import {
   type Instance,
   InstancePhase,
@@ -43,7 +44,9 @@
     case "left":
       return handleLeave(state, event);
     case "stopped-received":
-      return handleStoppedReceived(state, event.gone);
+      return handleStoppedReceived(state, event);
+    case "presence-checked":
+      return handlePresenceChecked(state, event.now);
     default:
       return exhausted(event);
   }
@@ -67,13 +70,31 @@
     coldUntil: now + coldMs,
     heardAt: now,
   };
+  if (current !== undefined && isReplacedDraining(current, ping)) {
+    recordStopped(state, current);
+  }
   state.current = instance;
+  const wasPresent = isPresent(state);
+  const { bornAt } = ping;
+  state.presence = judgePresence(state, { isFirst: !isSameStart, bornAt, now });
   if (instance.phase === InstancePhase.Draining) {
     return wasDraining ? { type: "refreshed" } : { type: "draining", instance };
   }
-  return isSameStart && hasSameTerms(current, instance)
-    ? { type: "refreshed" }
-    : { type: "started", instance };
+  if (!isSameStart || !hasSameTerms(current, instance)) {
+    return { type: "started", instance };
+  }
+  return isPresent(state) && !wasPresent
+    ? { type: "resumed", instance }
+    : { type: "refreshed" };
+}
+
+/**
+ * Whether the ping's start replaces an instance that drains. A late ping would
+ * bring that one back if it were forgotten.
+ */
+function isReplacedDraining(current: Instance, ping: InstancePing): boolean {
+  const isOther = current.id !== ping.id || current.bornAt < ping.bornAt;
+  return isOther && current.phase === InstancePhase.Draining;
 }
 
 function findIgnoreReason(
@@ -121,16 +142,38 @@
 
 function handleStoppedReceived(
   state: LocalEndpointState,
-  gone: readonly StoppedInstance[],
+  { gone, isComplete }: Extract<
+    LocalEndpointEvent,
+    { type: "stopped-received" }
+  >,
 ): LocalEndpointChange {
   for (const start of gone) recordStopped(state, start);
+  if (isComplete) state.isInformed = true;
   const { current } = state;
   const leftBornAt = state.left.get(current?.id ?? "") ?? -Infinity;
-  if (current === undefined || current.bornAt > leftBornAt) {
-    return { type: "none", reason: "the current endpoint is not concerned" };
+  if (current !== undefined && current.bornAt <= leftBornAt) {
+    state.current = undefined;
+    return { type: "left", id: current.id };
+  }
+  const wasPresent = isPresent(state);
+  if (isComplete) state.presence = { type: "proven" };
+  return current === undefined || wasPresent === isPresent(state)
+    ? { type: "none", reason: "the current endpoint is not concerned" }
+    : { type: "resumed", instance: current };
+}
+
+function handlePresenceChecked(
+  state: LocalEndpointState,
+  now: MonotonicMs,
+): LocalEndpointChange {
+  const { current, presence } = state;
+  if (
+    current === undefined || presence.type !== "assumed" || now < presence.until
+  ) {
+    return { type: "none", reason: "a ping has arrived in time" };
   }
-  state.current = undefined;
-  return { type: "left", id: current.id };
+  state.presence = { type: "overdue", since: presence.since };
+  return { type: "overdue", instance: current };
 }
 
 function recordStopped(
--- /dev/null
+++ b/src/local_endpoint/judge_presence.ts
@@ -0,0 +1,71 @@
+/**
+ * Judges whether the endpoint on this VM may be used by the pings of it that
+ * have arrived.
+ *
+ * A process that has just started does not know which instances have left: an
+ * earlier process may have confirmed it while the store could not be reached,
+ * and the other nodes may have restarted too. A ping may be seconds late, so it
+ * does not prove that its sender has not left since.
+ * @module
+ */
+import type { MonotonicMs } from "../core/types.ts";
+import type { LocalEndpointState, Presence } from "./state.ts";
+
+/**
+ * Longest time that a ping may take to arrive, in milliseconds. Whoever sent a
+ * ping that arrives later than this after the start of the process, has not
+ * left before that start.
+ */
+export const MAX_PING_DELAY_MS = 10_000;
+
+/**
+ * Number of ping intervals for which a ping counts if earlier pings came at
+ * intervals too: one ping may be lost.
+ */
+const PING_LEASE_INTERVALS = 2;
+
+/**
+ * Time between two pings, as a fraction of the ping interval, that shows that
+ * the endpoint pings regularly. Delayed pings may arrive together.
+ */
+const MIN_INTERVAL_SHARE = 0.5;
+
+/** A ping that counts for the current instance. */
+export interface CountedPing {
+  /** Whether it is the first ping of its start that this process counts. */
+  readonly isFirst: boolean;
+  /** When the instance started, by the wall clock. */
+  readonly bornAt: number;
+  readonly now: MonotonicMs;
+}
+
+/** Returns the presence of the current instance after a ping of it. */
+export function judgePresence(
+  state: LocalEndpointState,
+  ping: CountedPing,
+): Presence {
+  const { start, isInformed, presence } = state;
+  const { now } = ping;
+  if (
+    isInformed || ping.bornAt >= start.wallAt ||
+    now - start.at >= MAX_PING_DELAY_MS ||
+    (!ping.isFirst && presence.type === "proven")
+  ) {
+    return { type: "proven" };
+  }
+  const since = ping.isFirst || presence.type === "proven"
+    ? now
+    : presence.since;
+  const isRegular = now - since >= start.pingIntervalMs * MIN_INTERVAL_SHARE;
+  const until = isRegular
+    ? now + start.pingIntervalMs * PING_LEASE_INTERVALS
+    : start.at + start.unprovenMs;
+  return until > now
+    ? { type: "assumed", since, until }
+    : { type: "overdue", since };
+}
+
+/** Whether the current instance gets calls, as far as its pings decide. */
+export function isPresent({ presence }: LocalEndpointState): boolean {
+  return presence.type !== "overdue";
+}
--- a/src/local_endpoint/local_endpoint_test.ts
+++ b/src/local_endpoint/local_endpoint_test.ts
@@ -1,6 +1,7 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import fc from "fast-check";
+import { PROCESS_START } from "../testing/announced_instance.ts";
 import { checkProperty } from "../testing/check_property.ts";
 import { decideLocalEndpoint } from "./decide_local_endpoint.ts";
 import {
@@ -25,8 +26,12 @@
   };
 }
 
+function createState() {
+  return createLocalEndpointState(PROCESS_START);
+}
+
 test("delayed ping does not bring back an endpoint that left", () => {
-  const state = createLocalEndpointState();
+  const state = createState();
   decideLocalEndpoint(state, { type: "pinged", ping: pingOf({}), now: 0 });
   decideLocalEndpoint(state, { type: "left", id: "i-1", saidAt: 0 });
   const late = pingOf({ seq: 2 });
@@ -40,7 +45,7 @@
 });
 
 test("draining instance never becomes ready again", () => {
-  const state = createLocalEndpointState();
+  const state = createState();
   const draining = pingOf({ seq: 5, phase: InstancePhase.Draining });
   decideLocalEndpoint(state, { type: "pinged", ping: draining, now: 0 });
   const again = pingOf({ seq: 6 });
@@ -49,7 +54,7 @@
 });
 
 test("endpoint may restart with the same id and a new sequence of pings", () => {
-  const state = createLocalEndpointState();
+  const state = createState();
   const first = pingOf({ seq: 50, phase: InstancePhase.Draining });
   decideLocalEndpoint(state, { type: "pinged", ping: first, now: 0 });
   const restarted = pingOf({ bornAt: 2_000, seq: 1 });
@@ -63,7 +68,7 @@
 });
 
 test("instance that looks older replaces an unresponsive one", () => {
-  const state = createLocalEndpointState();
+  const state = createState();
   const ping = (bornAt: number, now: number) =>
     decideLocalEndpoint(state, {
       type: "pinged",
@@ -79,7 +84,7 @@
 });
 
 test("leave message of an unknown endpoint sets no current endpoint", () => {
-  const state = createLocalEndpointState();
+  const state = createState();
   const left = { type: "left", id: "i-9", saidAt: 7 } as const;
   // A change, so that peers and the store are told of it.
   assert.equal(decideLocalEndpoint(state, left).type, "left");
@@ -97,7 +102,7 @@
   );
   checkProperty(
     fc.property(pings, (all) => {
-      const state = createLocalEndpointState();
+      const state = createState();
       for (const { bornAt, seq } of all) {
         const ping = pingOf({ id: `i-${bornAt}`, bornAt, seq });
         decideLocalEndpoint(state, { type: "pinged", ping, now: 0 });
@@ -116,10 +121,14 @@
 });
 
 test("instance that left during an earlier node process is not used again", () => {
-  const state = createLocalEndpointState();
+  const state = createState();
   const gone = [{ id: "i-1", bornAt: 100 }];
   const recall = () =>
-    decideLocalEndpoint(state, { type: "stopped-received", gone });
+    decideLocalEndpoint(state, {
+      type: "stopped-received",
+      gone,
+      isComplete: true,
+    });
   const ping = (fields: Partial<InstancePing>) =>
     decideLocalEndpoint(state, {
       type: "pinged",
@@ -134,7 +143,7 @@
 });
 
 test("leave message that arrives before any ping ends its instance", () => {
-  const state = createLocalEndpointState();
+  const state = createState();
   const ping = (fields: Partial<InstancePing>) =>
     decideLocalEndpoint(state, {
       type: "pinged",
--- a/src/local_endpoint/state.ts
+++ b/src/local_endpoint/state.ts
@@ -53,7 +53,43 @@
   readonly bornAt: WallMs;
 }
 
+/** Start of this process, and what it may assume of endpoints until then. */
+export interface ProcessStart {
+  readonly at: MonotonicMs;
+  /** The same time by the wall clock of the VM, which the endpoint shares. */
+  readonly wallAt: WallMs;
+  /** Time between two pings of an endpoint, in milliseconds. */
+  readonly pingIntervalMs: number;
+  /**
+   * Time after the start in which a single ping is enough to use the endpoint,
+   * in milliseconds.
+   */
+  readonly unprovenMs: number;
+}
+
+/** What the pings say of the current instance. */
+export type Presence =
+  /** It has not left. */
+  | { readonly type: "proven" }
+  /**
+   * It may have left while an earlier process ran. It is used until `until`
+   * unless another ping arrives.
+   */
+  | {
+    readonly type: "assumed";
+    /** When its first ping arrived. */
+    readonly since: MonotonicMs;
+    readonly until: MonotonicMs;
+  }
+  /** It may have left, and is not used before its next ping. */
+  | { readonly type: "overdue"; readonly since: MonotonicMs };
+
 export interface LocalEndpointState {
+  readonly start: ProcessStart;
+  /** Whether `left` holds what earlier processes of this node were told. */
+  isInformed: boolean;
+  /** Presence of the current instance. */
+  presence: Presence;
   /** Undefined before the first ping and after a leave message. */
   current: Instance | undefined;
   /**
@@ -84,7 +120,11 @@
   | {
     readonly type: "stopped-received";
     readonly gone: readonly StoppedInstance[];
-  };
+    /** Whether no other instance had stopped. */
+    readonly isComplete: boolean;
+  }
+  /** Time has passed without a ping. */
+  | { readonly type: "presence-checked"; readonly now: MonotonicMs };
 
 /** What an event changed. */
 export type LocalEndpointChange =
@@ -95,9 +135,21 @@
   /** An instance started, or its service, version or slots changed. */
   | { readonly type: "started"; readonly instance: Instance }
   | { readonly type: "draining"; readonly instance: Instance }
+  /** The current instance is not used before its next ping. */
+  | { readonly type: "overdue"; readonly instance: Instance }
+  /** The current instance is used again. */
+  | { readonly type: "resumed"; readonly instance: Instance }
   /** An instance left, which need not be the current one. */
   | { readonly type: "left"; readonly id: string };
 
-export function createLocalEndpointState(): LocalEndpointState {
-  return { current: undefined, left: new Map() };
+export function createLocalEndpointState(
+  start: ProcessStart,
+): LocalEndpointState {
+  return {
+    start,
+    isInformed: false,
+    presence: { type: "proven" },
+    current: undefined,
+    left: new Map(),
+  };
 }
--- a/src/sidecar/create_gossip_service.ts
+++ b/src/sidecar/create_gossip_service.ts
@@ -13,6 +13,7 @@
 import type { MonotonicMs, NodeId } from "../core/types.ts";
 import { isCutOff } from "../fleet/is_cut_off.ts";
 import type { NodeRow } from "../fleet/messages.ts";
+import { recallStopped } from "../fleet/remember_stopped.ts";
 import {
   type FleetEvent,
   type FleetState,
@@ -20,7 +21,6 @@
   ownRow,
 } from "../fleet/state.ts";
 import type { LocalHome } from "../endpoint_proxy/create_home.ts";
-import type { StoppedInstance } from "../local_endpoint/state.ts";
 import type { Gossip, NodeStatus } from "../links/messages.ts";
 import type { Log } from "../logs/create_log.ts";
 import { Duty, type WorkMeter } from "../metrics/create_work_meter.ts";
@@ -41,6 +41,7 @@
 import { createPeerDialer } from "./create_peer_dialer.ts";
 import type { FeedPeers, OperatorFeed } from "./feed_operator.ts";
 import { findLeaders } from "./find_leaders.ts";
+import type { InstanceWatch } from "./watch_instance.ts";
 import type { SuspectWatch } from "./watch_suspects.ts";
 
 /** Time between health checks of all links, in milliseconds. */
@@ -69,7 +70,7 @@
   /**
    * Called with instances that stopped during an earlier process of this node.
    */
-  readonly onRecall: (gone: readonly StoppedInstance[]) => void;
+  readonly onRecall: InstanceWatch["recall"];
   /**
    * Called when this node has a link to another failure domain again, after it
    * lost all of them.
@@ -295,7 +296,7 @@
       case "beats":
         return beats.handle(message.beats, from);
       case "recall":
-        return opts.onRecall(message.gone);
+        return opts.onRecall(message.gone, message.isComplete);
       case "ask-rows":
         return exchange.sendRows(message.domains, reply);
       case "ping":
@@ -345,10 +346,10 @@
     // A node that has just started is dialled without backoff.
     links.find(row.node)?.connectNow();
     reply({ type: "rows", rows: [ownRow(fleet)] });
-    const gone = fleet.gone.get(row.node);
     // A process that has just started does not know which instances stopped
     // during an earlier process of its node.
-    if (gone !== undefined) reply({ type: "recall", gone });
+    const recalled = recallStopped(fleet, row.node, now());
+    if (recalled !== undefined) reply({ type: "recall", ...recalled });
     if (isNeighbor) reply(allBeats());
     sendNews(reply);
   }
--- a/src/sidecar/platform_port.ts
+++ b/src/sidecar/platform_port.ts
@@ -35,6 +35,13 @@
   readonly exposure: ExposureTerms;
   /** Time between SIGTERM and SIGKILL, in milliseconds. */
   readonly graceMs: number;
+  /** Time between two pings of an endpoint, in milliseconds. */
+  readonly pingIntervalMs: number;
+  /**
+   * Time after its start from which a node has to keep promises that earlier
+   * processes of it made, in milliseconds.
+   */
+  readonly stabilityMs: number;
   /** Failure domains of the deployment. Empty if the settings name none. */
   readonly domains: readonly string[];
   /** Number of failure domains of the deployment. */
--- a/src/sidecar/record_stopped.ts
+++ b/src/sidecar/record_stopped.ts
@@ -1,7 +1,6 @@
 /**
- * Writes the stopped instances of the endpoint on this VM to the store. Without
- * the record, a late ping would bring a stopped endpoint back after the
- * processes of all nodes have started again.
+ * Writes the stopped instances of the endpoint on this VM to the store, from
+ * which this node's next process reads them.
  * @module
  */
 import { setTimeout as sleep } from "node:timers/promises";
@@ -17,8 +16,9 @@
 const RETRY_BACKOFF_MS = { firstMs: 150, longestMs: 1_500 };
 
 /**
- * Longest time that a confirmation waits for the store, in milliseconds. An
- * endpoint expects its confirmation within a second.
+ * Longest time that a confirmation waits for the store while other nodes know
+ * the instance, in milliseconds. An endpoint expects its confirmation within a
+ * second.
  */
 const MAX_CONFIRMATION_WAIT_MS = 500;
 
@@ -29,15 +29,27 @@
   readonly topic: string;
   readonly log: Log;
   readonly random: () => number;
+  /** Whether a link to another node is open. */
+  readonly hasPeers: () => boolean;
 }
 
 export interface StoppedRecorder {
   /**
    * Writes the list, which replaces earlier ones. Resolves when the store has
-   * it, or after `MAX_CONFIRMATION_WAIT_MS`: while the store is unreachable,
-   * peers remember the instances, and the record is written later.
+   * it, or after `MAX_CONFIRMATION_WAIT_MS` if there are peers: they remember
+   * the instances, and the record is written later.
    */
   record(stopped: readonly StoppedInstance[]): Promise<void>;
+  /** Writes a list that another node knew. Nothing waits for it. */
+  add(stopped: readonly StoppedInstance[]): void;
+  /**
+   * Adopts the list that an earlier process stored, which must not be replaced
+   * unread, and then writes `stopped` if it differs. Nothing is written before.
+   */
+  adopt(
+    stored: readonly StoppedInstance[],
+    stopped: readonly StoppedInstance[],
+  ): void;
   /** Writes the list again after the store has lost it. */
   writeAgain(): void;
   close(): void;
@@ -53,13 +65,26 @@
   let wanted: readonly StoppedInstance[] = [];
   let writing: Promise<void> | undefined;
   let storedValue: Buffer | undefined;
+  let isAdopted = false;
+  let markAdopted = () => {};
+  const adopted = new Promise<void>((resolve) => markAdopted = resolve);
 
   function isStored(): boolean {
     const { value } = encodeStopped(self, wanted);
     return value !== undefined && storedValue?.equals(value) === true;
   }
 
+  /** Resolves when the store has the list, or when the recorder is closed. */
+  function update(stopped: readonly StoppedInstance[]): Promise<void> {
+    wanted = stopped;
+    writing ??= write().finally(() => {
+      writing = undefined;
+    });
+    return writing;
+  }
+
   async function write() {
+    if (!isAdopted) await adopted;
     for (let failures = 0; !signal.aborted && !isStored();) {
       const record = encodeStopped(self, wanted);
       const appended = await store.append({
@@ -89,30 +114,39 @@
 
   return {
     async record(stopped) {
-      wanted = stopped;
-      writing ??= write().finally(() => {
-        writing = undefined;
-      });
+      const written = update(stopped);
       const waited = new AbortController();
       const isLate = await Promise.race([
-        writing.then(() => false),
+        written.then(() => false),
         sleep(MAX_CONFIRMATION_WAIT_MS, true, { signal: waited.signal })
           // The abort below stops the timer once the record is stored.
           .catch(() => false),
       ]);
       waited.abort();
-      if (isLate) {
+      if (!isLate) return;
+      if (opts.hasPeers()) {
         const text = "stopped endpoint confirmed before it was stored";
-        log.write("store", LogLevel.Warn, text, { stopped });
+        return log.write("store", LogLevel.Warn, text, { stopped });
       }
+      const text = "stopped endpoint not confirmed: known to this node only";
+      log.write("store", LogLevel.Warn, text, { stopped });
+      await written;
+    },
+    add: (stopped) => void update(stopped),
+    adopt(stored, stopped) {
+      if (stored.length > 0) storedValue = encodeStopped(self, stored).value;
+      isAdopted = true;
+      markAdopted();
+      if (stopped.length > 0) void update(stopped);
     },
     writeAgain() {
       if (wanted.length === 0) return;
       storedValue = undefined;
-      writing ??= write().finally(() => {
-        writing = undefined;
-      });
+      void update(wanted);
+    },
+    close() {
+      closing.abort();
+      markAdopted();
     },
-    close: () => closing.abort(),
   };
 }
--- a/src/sidecar/record_stopped_test.ts
+++ b/src/sidecar/record_stopped_test.ts
@@ -1,6 +1,7 @@
 import { test, type TestContext } from "node:test";
 import assert from "node:assert/strict";
 import { err, ok, ResultAsync } from "neverthrow";
+import { waitFor } from "../../tools/wait_for.ts";
 import { decodeStopped } from "../local_endpoint/messages.ts";
 import type { AppendOptions, StoreError } from "../store/state.ts";
 import { createStoppedRecorder } from "./record_stopped.ts";
@@ -16,7 +17,10 @@
 };
 
 /** A recorder whose store answers each append when the test says so. */
-function startRecorder(t: TestContext) {
+function startRecorder(
+  t: TestContext,
+  { hasPeers = true, isAdopted = true } = {},
+) {
   const appends: { opts: AppendOptions; end: (isOk: boolean) => void }[] = [];
   const lines: string[] = [];
   const recorder = createStoppedRecorder({
@@ -34,7 +38,9 @@
     } as never,
     log: { write: (_part, _level, text) => lines.push(text), close() {} },
     random: () => 0,
+    hasPeers: () => hasPeers,
   });
+  if (isAdopted) recorder.adopt([], []);
   t.after(() => recorder.close());
   return { recorder, appends, lines };
 }
@@ -88,6 +94,36 @@
   appends[0]?.end(true);
 });
 
+// The confirmation was forgotten with the only process that knew of it.
+test("stop that no other process knows is not confirmed", async (t) => {
+  const { recorder, appends, lines } = startRecorder(t, { hasPeers: false });
+  let isConfirmed = false;
+  const confirmed = recorder.record(STOPPED).then(() => isConfirmed = true);
+  await waitFor({
+    what: "the wait for the store is over",
+    limitMs: 60_000,
+    isTrue: () => lines.length > 0,
+  });
+  await turn();
+  assert.equal(isConfirmed, false);
+  appends[0]?.end(true);
+  await confirmed;
+});
+
+test("list of an earlier process is read before it is replaced", async (t) => {
+  const { recorder, appends } = startRecorder(t, { isAdopted: false });
+  const next = { id: "i-2", bornAt: 2_000 };
+  recorder.add([next]);
+  await turn();
+  assert.equal(appends.length, 0);
+  recorder.adopt(STOPPED, [...STOPPED, next]);
+  await turn();
+  const [record] = appends[0]?.opts.records ?? [];
+  assert.ok(record);
+  assert.deepEqual(decodeStopped(record), [...STOPPED, next]);
+  appends[0]?.end(true);
+});
+
 test("failed write is repeated until the store has the list", async (t) => {
   const { recorder, appends } = startRecorder(t);
   const confirmed = recorder.record(STOPPED);
--- a/src/sidecar/register_node.ts
+++ b/src/sidecar/register_node.ts
@@ -35,7 +35,10 @@
   readonly log: Log;
   readonly random: () => number;
   readonly onNodes: (nodes: readonly Member[]) => void;
-  /** Called with the instances that stopped beside an earlier process here. */
+  /**
+   * Called once, with the instances that stopped beside earlier processes here
+   * by the store.
+   */
   readonly onStopped: (stopped: readonly StoppedInstance[]) => void;
   readonly onStatus: (status: ShiftStatus) => void;
   readonly onOrderTime: (time: OrderTime) => void;
@@ -111,6 +114,7 @@
       "find nodes",
       () => newest(topics.nodes),
     );
+    if (signal.aborted) return;
     const records = (nodes ?? []).filter((one) => !isStoppedRecord(one));
     recallStopped(nodes ?? []);
     // Other programs write to the store too.
@@ -134,11 +138,12 @@
   function recallStopped(records: readonly KeyedRecord[]) {
     const key = keyOfStopped(settings.node);
     const own = records.find((record) => record.key === key);
-    if (own === undefined) return;
-    const stopped = decodeStopped(own);
-    if (stopped !== undefined) return opts.onStopped(stopped);
-    const text = "malformed entry of stopped endpoints ignored";
-    log.write("store", LogLevel.Warn, text, { key });
+    const stopped = own === undefined ? [] : decodeStopped(own);
+    if (stopped === undefined) {
+      const text = "malformed entry of stopped endpoints ignored";
+      log.write("store", LogLevel.Warn, text, { key });
+    }
+    opts.onStopped(stopped ?? []);
   }
 
   let reading: Promise<void> | undefined;
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -14,6 +14,7 @@
 import { createLagMeter } from "../control/create_lag_meter.ts";
 import { createControlLoop } from "../control/create_control_loop.ts";
 import { formatError } from "../core/errors.ts";
+import type { MonotonicMs } from "../core/types.ts";
 import { exhausted } from "../core/exhausted.ts";
 import { countReady } from "../fleet/count_ready.ts";
 import { createFleetState } from "../fleet/state.ts";
@@ -98,10 +99,21 @@
 /** Time between ticks of the shutdown, in milliseconds. */
 const SHUTDOWN_TICK_MS = 50;
 
+/**
+ * Time from the start of the process by the platform to the start of its clock,
+ * and from a decision here to its effect at the endpoint, in milliseconds.
+ */
+const START_MARGIN_MS = 200;
+
 /** Options of `runSidecar`. */
 export interface RunSidecarOptions {
   readonly settings: SidecarSettings;
   readonly platform: Platform;
+  /**
+   * When the process started, on the clock of `performance.now()`. Defaults to
+   * the time of the call.
+   */
+  readonly startedAt?: MonotonicMs;
 }
 
 export interface Sidecar {
@@ -123,7 +135,7 @@
     onRestored: handleRestored,
   });
   const platform = { ...opts.platform, store };
-  const startedAt = now();
+  const startedAt = opts.startedAt ?? now();
   const random = () => randomInt(2 ** 32) / 2 ** 32;
   const log = createLog({ node: settings.node, now });
   const metrics = createMetrics({ meter });
@@ -344,7 +356,11 @@
     lagMs: lag.lagMs,
     meter,
     operator: feed,
-    onRecall: (gone) => instance.recall(gone),
+    onRecall(gone, isComplete) {
+      instance.recall(gone, isComplete);
+      // The earlier process may have ended before the store had it.
+      if (gone.length > 0) stoppedRecorder.add(instance.stopped());
+    },
     onRejoined: () => home.invalidateColdTime("the node was cut off"),
     shifts: () => describeShifts(trafficShift, now()),
     allowance,
@@ -411,11 +427,18 @@
     topic: platform.topics.nodes,
     log,
     random,
+    hasPeers: () => fleet.linked.size > 0,
   });
   const instance = watchInstance({
     decodePing: platform.decodePing,
     service: settings.service,
     address: settings.endpointAddress,
+    start: {
+      at: startedAt,
+      wallAt: Date.now() - (now() - startedAt),
+      pingIntervalMs: settings.pingIntervalMs,
+      unprovenMs: Math.max(0, settings.stabilityMs - START_MARGIN_MS),
+    },
     home,
     log,
     now,
@@ -530,7 +553,10 @@
     random,
     onNodes: (nodes) =>
       gossip.applyEvent({ type: "nodes-found", nodes, now: now() }),
-    onStopped: instance.recall,
+    onStopped(stored) {
+      instance.recall(stored, false);
+      stoppedRecorder.adopt(stored, instance.stopped());
+    },
     onStatus: (status) =>
       handleShiftEvent({ type: "status-read", status, now: now() }),
     onOrderTime({ service, target, orderedAt }) {
@@ -609,6 +635,7 @@
     feed.close();
     recorder.close();
     stoppedRecorder.close();
+    instance.close();
     registration?.close();
     control.close();
     allowance.close();
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -3,15 +3,18 @@
  * @module
  */
 import { formatError } from "../core/errors.ts";
+import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs, WallMs } from "../core/types.ts";
 import type { RowEndpoint } from "../fleet/messages.ts";
 import type { LocalHome } from "../endpoint_proxy/create_home.ts";
 import { decideLocalEndpoint } from "../local_endpoint/decide_local_endpoint.ts";
+import { isPresent } from "../local_endpoint/judge_presence.ts";
 import { stoppedInstances } from "../local_endpoint/stopped_instances.ts";
 import {
   createLocalEndpointState,
   InstancePhase,
   type LocalEndpointChange,
+  type ProcessStart,
   type StoppedInstance,
 } from "../local_endpoint/state.ts";
 import { type Log, LogLevel } from "../logs/create_log.ts";
@@ -27,6 +30,7 @@
   readonly service: string;
   /** Address of that endpoint, by the settings. */
   readonly address: string;
+  readonly start: ProcessStart;
   readonly home: LocalHome;
   readonly log: Log;
   readonly now: () => MonotonicMs;
@@ -56,19 +60,27 @@
   ping(id: string, body: Buffer): PingResult;
   /** Resolves when the leave message may be confirmed. */
   leave(id: string): Promise<void>;
-  /** Applies the stopped instances that an earlier process here announced. */
-  recall(gone: readonly StoppedInstance[]): void;
+  /**
+   * Applies the stopped instances that an earlier process here announced.
+   * `isComplete`: it announced no others.
+   */
+  recall(gone: readonly StoppedInstance[], isComplete: boolean): void;
+  /** The newest instances that stopped, the newest last. */
+  stopped(): readonly StoppedInstance[];
   /** Hides the endpoint from other nodes; this node still uses it. */
   withdraw(): void;
+  close(): void;
 }
 
 /** Creates the watch. No endpoint is known before the first ping. */
 export function watchInstance(opts: WatchInstanceOptions): InstanceWatch {
   const { home, log, now } = opts;
-  const state = createLocalEndpointState();
+  const state = createLocalEndpointState(opts.start);
   let isWithdrawn = false;
+  let presenceTimer: NodeJS.Timeout | undefined;
 
   function applyChange(change: LocalEndpointChange) {
+    watchPresence();
     switch (change.type) {
       case "none":
         return;
@@ -85,10 +97,33 @@
       case "left":
         write("endpoint announced that it stops", { instance: change.id });
         break;
+      case "overdue":
+        write("endpoint not used: it may have left before this process began", {
+          instance: change.instance.id,
+        });
+        break;
+      case "resumed":
+        write("endpoint used again", { instance: change.instance.id });
+        break;
+      default:
+        exhausted(change);
     }
     updateEndpoint();
   }
 
+  function watchPresence() {
+    clearTimeout(presenceTimer);
+    const { presence } = state;
+    if (presence.type !== "assumed") return;
+    presenceTimer = setTimeout(
+      () =>
+        applyChange(
+          decideLocalEndpoint(state, { type: "presence-checked", now: now() }),
+        ),
+      presence.until - now(),
+    );
+  }
+
   function write(text: string, fields: Record<string, unknown>) {
     log.write("endpoint", LogLevel.Info, text, fields);
   }
@@ -102,8 +137,11 @@
 
   function updateEndpoint() {
     const { current } = state;
-    const isReady = current?.phase === InstancePhase.Ready;
-    home.setInstance(isReady ? current : undefined, "the endpoint is leaving");
+    const isReady = current?.phase === InstancePhase.Ready && isPresent(state);
+    const reason = isPresent(state)
+      ? "the endpoint is leaving"
+      : "the endpoint may have left";
+    home.setInstance(isReady ? current : undefined, reason);
     opts.onEndpoint(
       !isReady || isWithdrawn ? undefined : {
         id: current.id,
@@ -147,13 +185,15 @@
       const event = { type: "left", id, saidAt: opts.wall() } as const;
       return applyAnnounced(decideLocalEndpoint(state, event));
     },
-    recall: (gone) =>
-      applyChange(
-        decideLocalEndpoint(state, { type: "stopped-received", gone }),
-      ),
+    recall(gone, isComplete) {
+      const event = { type: "stopped-received", gone, isComplete } as const;
+      applyChange(decideLocalEndpoint(state, event));
+    },
+    stopped: () => stoppedInstances(state),
     withdraw() {
       isWithdrawn = true;
       updateEndpoint();
     },
+    close: () => clearTimeout(presenceTimer),
   };
 }
--- a/src/sidecar/watch_instance_test.ts
+++ b/src/sidecar/watch_instance_test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { ok } from "neverthrow";
 import { InstancePhase } from "../local_endpoint/state.ts";
+import { PROCESS_START } from "../testing/announced_instance.ts";
 import { createTestHome } from "../testing/create_test_home.ts";
 import { watchInstance } from "./watch_instance.ts";
 
@@ -33,6 +34,7 @@
       }),
     service: "one",
     address,
+    start: PROCESS_START,
     home,
     log: { write: () => {}, close: () => {} },
     now: () => now,
--- a/src/testing/announced_instance.ts
+++ b/src/testing/announced_instance.ts
@@ -2,7 +2,11 @@
  * An endpoint instance as decoded from its pings, for tests.
  * @module
  */
-import { type Instance, InstancePhase } from "../local_endpoint/state.ts";
+import {
+  type Instance,
+  InstancePhase,
+  type ProcessStart,
+} from "../local_endpoint/state.ts";
 
 /** A ready endpoint with two slots, past its cold start. */
 export const ANNOUNCED_INSTANCE: Instance = {
@@ -17,3 +21,11 @@
   coldUntil: -Infinity,
   heardAt: 0,
 };
+
+/** Start of a node's process, before that of any endpoint. */
+export const PROCESS_START: ProcessStart = {
+  at: 0,
+  wallAt: 0,
+  pingIntervalMs: 1_500,
+  unprovenMs: 2_800,
+};
