fix(local_endpoint): several late pings don't bring back what had left

The endpoint itself knows. While its pings prove nothing, a new process asks its health path once, when the path is known; an answer that it leaves or fails takes away what regular pings would have granted. A good answer proves nothing, as health answers may be false. Only processes that restart without any older peer ask.

--- a/src/endpoint_proxy/cold_endpoint_test.ts
+++ b/src/endpoint_proxy/cold_endpoint_test.ts
@@ -153,3 +153,16 @@
   home.recordPing({ coldUntil: clock.now + 500, heardAt: clock.now });
   assert.equal(home.report().startsLeft, 2);
 });
+
+test("endpoint is asked whether it leaves", async (t) => {
+  let answer = (res: ServerResponse) => void res.writeHead(200).end();
+  const { home } = await startColdHome(t, (res) => answer(res));
+  assert.equal(await home.askWhetherLeaving(), false);
+  answer = (res) => void res.writeHead(503).end();
+  assert.equal(await home.askWhetherLeaving(), true);
+  // It is full, which says nothing of whether it leaves.
+  answer = (res) => void res.writeHead(503, { "not-run": "1" }).end();
+  assert.equal(await home.askWhetherLeaving(), undefined);
+  answer = (res) => void res.destroy();
+  assert.equal(await home.askWhetherLeaving(), undefined);
+});
--- a/src/endpoint_proxy/create_home.ts
+++ b/src/endpoint_proxy/create_home.ts
@@ -3,6 +3,7 @@
  * the only one that opens connections to it.
  * @module
  */
+import type { Result } from "neverthrow";
 import { isKeyRevoked } from "../accounts/is_key_revoked.ts";
 import {
   type Attempt,
@@ -55,7 +56,11 @@
 } from "./create_endpoint_pool.ts";
 import { isEndpointUp } from "./is_endpoint_up.ts";
 import { isSameSoftware } from "./is_same_software.ts";
-import { requestHealth } from "./request_health.ts";
+import {
+  type HealthAnswer,
+  requestHealth,
+  requireColdMs,
+} from "./request_health.ts";
 import { describeLateRun, type LateRun } from "./describe_late_run.ts";
 import {
   runCall,
@@ -170,6 +175,11 @@
   isRunning(callId: string): boolean;
   /** How long the endpoint has run the call with this id, in milliseconds. */
   runMsOf(callId: string): number;
+  /**
+   * Asks the endpoint whether it leaves or fails. Resolves with undefined if it
+   * did not say.
+   */
+  askWhetherLeaving(): Promise<boolean | undefined>;
   /** Records a load that the endpoint stated outside of a call. */
   recordLoad(load: EndpointLoad): void;
   /** `OfferedCall.deadlineRatio` of a running call. */
@@ -511,7 +521,7 @@
     for (const effect of decideColdStart(coldStart, event)) {
       switch (effect.type) {
         case "request-health":
-          void checkHealth();
+          void checkColdStart();
           break;
         case "limit-began":
         case "limit-ended":
@@ -523,17 +533,27 @@
     }
   }
 
-  async function checkHealth() {
-    if (pool === undefined || terms === undefined) return;
-    const requestedAt = now();
-    decideCold({ type: "started", now: requestedAt });
-    const coldMs = await requestHealth({
+  /** Returns undefined if no endpoint or no health path is known. */
+  function askHealth(): Promise<Result<HealthAnswer, LagoonError>> | undefined {
+    if (pool === undefined || terms === undefined) return undefined;
+    return requestHealth({
       pool,
       dialect,
       path: terms.healthCheckPath,
       address: opts.endpointAddress,
       id: `health ${++healthRequests}`,
     });
+  }
+
+  async function checkColdStart() {
+    const asked = askHealth();
+    if (asked === undefined) return;
+    const requestedAt = now();
+    decideCold({ type: "started", now: requestedAt });
+    const answer = await asked;
+    const coldMs = answer.andThen((one) =>
+      requireColdMs(one, opts.endpointAddress)
+    );
     if (coldMs.isErr()) return opts.onHealthFailed(coldMs.error);
     recordColdUntil(now() + coldMs.value, requestedAt);
   }
@@ -790,6 +810,13 @@
       const startedAt = running.get(callId)?.startedAt;
       return startedAt === undefined ? 0 : now() - startedAt;
     },
+    async askWhetherLeaving() {
+      const answer = await askHealth();
+      if (answer?.isErr()) opts.onHealthFailed(answer.error);
+      if (answer === undefined || answer.isErr()) return undefined;
+      const { status, isRejected } = answer.value;
+      return isRejected ? undefined : status >= LOWEST_SERVER_ERROR;
+    },
     recordLoad,
     deadlineRatioOf: (callId) => running.get(callId)?.call.deadlineRatio,
     recordNestedFailure(callId) {
--- a/src/endpoint_proxy/request_health.ts
+++ b/src/endpoint_proxy/request_health.ts
@@ -25,21 +25,28 @@
   readonly id: string;
 }
 
-/**
- * Resolves with the remaining time of the cold start that the answer states, in
- * milliseconds.
- */
+/** What an endpoint answers to a health request. */
+export interface HealthAnswer {
+  readonly status: number;
+  /** Whether the endpoint rejected the request as it rejects calls. */
+  readonly isRejected: boolean;
+  /** Remaining time of the cold start, in milliseconds, if it is stated. */
+  readonly coldMs: number | undefined;
+}
+
+/** Resolves when the head of the answer has arrived. */
 export function requestHealth(
   opts: RequestHealthOptions,
-): Promise<Result<number, LagoonError>> {
+): Promise<Result<HealthAnswer, LagoonError>> {
   return new Promise((resolve) => {
     let abort = () => {};
     let bytes = 0;
-    const finish = (result: Result<number, LagoonError>) => {
+    const finish = (result: Result<HealthAnswer, LagoonError>) => {
       clearTimeout(timer);
       resolve(result);
     };
-    const fail = (message: string) => finish(err(healthError(opts, message)));
+    const fail = (message: string) =>
+      finish(err(healthError(opts.address, message)));
     const timer = setTimeout(() => {
       fail(`no answer within ${HEALTH_TIMEOUT_MS} ms`);
       abort();
@@ -52,9 +59,8 @@
         },
         onResponseStart(controller, status, headers) {
           const list = toHeaderList(controller.rawHeaders, headers);
-          const { coldMs } = opts.dialect.readAnswer(status, list);
-          if (coldMs !== undefined) return finish(ok(coldMs));
-          fail(`the answer with status ${status} states no cold start`);
+          const { coldMs, isNotRun } = opts.dialect.readAnswer(status, list);
+          finish(ok({ status, isRejected: isNotRun, coldMs }));
         },
         onResponseData(_controller, chunk) {
           bytes += chunk.length;
@@ -70,15 +76,21 @@
   });
 }
 
-function healthError(
-  { address }: RequestHealthOptions,
-  message: string,
-): LagoonError {
+/** Returns the remaining cold start that an answer states, in milliseconds. */
+export function requireColdMs(
+  { status, coldMs }: HealthAnswer,
+  address: string,
+): Result<number, LagoonError> {
+  const message = `the answer with status ${status} states no cold start`;
+  return coldMs === undefined ? err(healthError(address, message)) : ok(coldMs);
+}
+
+function healthError(address: string, message: string): LagoonError {
   return {
     code: "LAGOON_HEALTH_REQUEST_FAILED",
     step: "request the health path",
     peer: address,
     message,
-    hint: "Starts stay limited until a ping states that the endpoint is warm.",
+    hint: "What the pings of the endpoint state holds on.",
   };
 }
--- a/src/local_endpoint/decide_local_endpoint.ts
+++ b/src/local_endpoint/decide_local_endpoint.ts
@@ -5,7 +5,12 @@
  */
 import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
-import { isPresent, judgePresence } from "./judge_presence.ts";
+import {
+  isPresent,
+  judgeHealth,
+  judgePresence,
+  judgeTime,
+} from "./judge_presence.ts";
 import {
   type Instance,
   InstancePhase,
@@ -13,6 +18,7 @@
   type LocalEndpointChange,
   type LocalEndpointEvent,
   type LocalEndpointState,
+  type Presence,
   type StoppedInstance,
 } from "./state.ts";
 
@@ -45,8 +51,12 @@
       return handleLeave(state, event);
     case "stopped-received":
       return handleStoppedReceived(state, event);
+    case "health-answered":
+      return event.id === state.current?.id
+        ? changePresence(state, judgeHealth(state, event.isDenied, event.now))
+        : { type: "none", reason: "the answer is of another instance" };
     case "presence-checked":
-      return handlePresenceChecked(state, event.now);
+      return changePresence(state, judgeTime(state, event.now));
     default:
       return exhausted(event);
   }
@@ -155,25 +165,23 @@
     state.current = undefined;
     return { type: "left", id: current.id };
   }
-  const wasPresent = isPresent(state);
-  if (isComplete) state.presence = { type: "proven" };
-  return current === undefined || wasPresent === isPresent(state)
-    ? { type: "none", reason: "the current endpoint is not concerned" }
-    : { type: "resumed", instance: current };
+  return changePresence(
+    state,
+    isComplete ? { type: "proven" } : state.presence,
+  );
 }
 
-function handlePresenceChecked(
+function changePresence(
   state: LocalEndpointState,
-  now: MonotonicMs,
+  presence: Presence,
 ): LocalEndpointChange {
-  const { current, presence } = state;
-  if (
-    current === undefined || presence.type !== "assumed" || now < presence.until
-  ) {
-    return { type: "none", reason: "a ping has arrived in time" };
+  const { current } = state;
+  const wasPresent = isPresent(state);
+  state.presence = presence;
+  if (current === undefined || wasPresent === isPresent(state)) {
+    return { type: "none", reason: "the current endpoint is not concerned" };
   }
-  state.presence = { type: "overdue", since: presence.since };
-  return { type: "overdue", instance: current };
+  return { type: wasPresent ? "overdue" : "resumed", instance: current };
 }
 
 function recordStopped(
--- a/src/local_endpoint/judge_presence.ts
+++ b/src/local_endpoint/judge_presence.ts
@@ -5,9 +5,11 @@
  * A process that has just started does not know which instances have left: an
  * earlier process may have confirmed it while the store could not be reached,
  * and the other nodes may have restarted too. A ping may be seconds late, so it
- * does not prove that its sender has not left since.
+ * does not prove that its sender has not left since. Several pings may be late;
+ * the endpoint itself states on its health path whether it is leaving.
  * @module
  */
+import { exhausted } from "../core/exhausted.ts";
 import type { MonotonicMs } from "../core/types.ts";
 import type { LocalEndpointState, Presence } from "./state.ts";
 
@@ -53,16 +55,63 @@
   ) {
     return { type: "proven" };
   }
-  const since = ping.isFirst || presence.type === "proven"
-    ? now
-    : presence.since;
+  const { since, isDenied } = ping.isFirst || presence.type === "proven"
+    ? { since: now, isDenied: false }
+    : presence;
   const isRegular = now - since >= start.pingIntervalMs * MIN_INTERVAL_SHARE;
-  const until = isRegular
+  const until = isRegular && !isDenied
     ? now + start.pingIntervalMs * PING_LEASE_INTERVALS
     : start.at + start.unprovenMs;
+  return assumeUntil({ since, isDenied, until, now });
+}
+
+/**
+ * Returns the presence of the current instance after its answer to a health
+ * request. Health answers may be false, so a good one proves nothing.
+ */
+export function judgeHealth(
+  { start, presence }: LocalEndpointState,
+  isDenied: boolean,
+  now: MonotonicMs,
+): Presence {
+  switch (presence.type) {
+    case "proven":
+      return presence;
+    case "overdue":
+      return { ...presence, isDenied };
+    case "assumed": {
+      const { since } = presence;
+      const until = isDenied ? start.at + start.unprovenMs : presence.until;
+      return assumeUntil({ since, isDenied, until, now });
+    }
+    default:
+      return exhausted(presence);
+  }
+}
+
+/** Returns the presence after time has passed. */
+export function judgeTime(
+  { presence }: LocalEndpointState,
+  now: MonotonicMs,
+): Presence {
+  return presence.type === "assumed"
+    ? assumeUntil({ ...presence, now })
+    : presence;
+}
+
+interface Assumption {
+  readonly since: MonotonicMs;
+  readonly isDenied: boolean;
+  readonly until: MonotonicMs;
+  readonly now: MonotonicMs;
+}
+
+function assumeUntil(
+  { since, isDenied, until, now }: Assumption,
+): Presence {
   return until > now
-    ? { type: "assumed", since, until }
-    : { type: "overdue", since };
+    ? { type: "assumed", since, until, isDenied }
+    : { type: "overdue", since, isDenied };
 }
 
 /** Whether the current instance gets calls, as far as its pings decide. */
--- a/src/local_endpoint/judge_presence_test.ts
+++ b/src/local_endpoint/judge_presence_test.ts
@@ -43,6 +43,15 @@
   });
 }
 
+function answerHealth(
+  state: LocalEndpointState,
+  isDenied: boolean,
+  now: number,
+) {
+  const event = { type: "health-answered", id: "i-1", isDenied, now } as const;
+  return decideLocalEndpoint(state, event);
+}
+
 /** Whether the endpoint is used at a time without another ping. */
 function isUsedAt(state: LocalEndpointState, now: number): boolean {
   decideLocalEndpoint(state, { type: "presence-checked", now });
@@ -89,6 +98,41 @@
   );
 });
 
+// Several late pings look like those of an endpoint that stays.
+test("endpoint that states that it leaves is not used on late pings", () => {
+  const late = fc.integer({ min: 0, max: MAX_PING_DELAY_MS - 1 });
+  checkProperty(
+    fc.property(fc.array(late, { minLength: 1, maxLength: 6 }), (times) => {
+      const state = createState();
+      times.sort((a, b) => a - b);
+      for (const [index, now] of times.entries()) {
+        ping(state, now, index);
+        answerHealth(state, true, now);
+      }
+      const last = Math.max(START.unprovenMs, times.at(-1) ?? 0);
+      assert.equal(isUsedAt(state, last), false);
+    }),
+    { runs: 200 },
+  );
+});
+
+test("health answer of an endpoint that stays takes back an earlier one", () => {
+  const state = createState();
+  ping(state, 500, 1);
+  answerHealth(state, true, 600);
+  assert.equal(ping(state, 4_000, 2).type, "refreshed");
+  assert.equal(isUsedAt(state, 4_000), false);
+  answerHealth(state, false, 4_100);
+  assert.equal(ping(state, 5_500, 3).type, "resumed");
+  const other = {
+    type: "health-answered",
+    isDenied: true,
+    now: 5_600,
+  } as const;
+  decideLocalEndpoint(state, { ...other, id: "i-0" });
+  assert.equal(isUsedAt(state, 5_600), true);
+});
+
 test("endpoint that pings regularly is used without a gap", () => {
   const state = createState();
   let seq = 0;
--- a/src/local_endpoint/state.ts
+++ b/src/local_endpoint/state.ts
@@ -80,9 +80,15 @@
     /** When its first ping arrived. */
     readonly since: MonotonicMs;
     readonly until: MonotonicMs;
+    /** Whether it answered that it leaves or fails. */
+    readonly isDenied: boolean;
   }
   /** It may have left, and is not used before its next ping. */
-  | { readonly type: "overdue"; readonly since: MonotonicMs };
+  | {
+    readonly type: "overdue";
+    readonly since: MonotonicMs;
+    readonly isDenied: boolean;
+  };
 
 export interface LocalEndpointState {
   readonly start: ProcessStart;
@@ -123,6 +129,13 @@
     /** Whether no other instance had stopped. */
     readonly isComplete: boolean;
   }
+  /** The instance answered to a health request whether it leaves or fails. */
+  | {
+    readonly type: "health-answered";
+    readonly id: string;
+    readonly isDenied: boolean;
+    readonly now: MonotonicMs;
+  }
   /** Time has passed without a ping. */
   | { readonly type: "presence-checked"; readonly now: MonotonicMs };
 
--- a/src/sidecar/run_sidecar.ts
+++ b/src/sidecar/run_sidecar.ts
@@ -303,6 +303,7 @@
   function applyTable(table: RouteTable, bytes: number) {
     if (!adoptTable(routes, table)) return;
     home.setTerms(table.services.get(settings.service));
+    void instance.checkHealth();
     callers.setLimits(table.limits);
     callers.recheckUnsentCalls();
     const services = [...table.services.keys()];
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -65,6 +65,11 @@
    * `isComplete`: it announced no others.
    */
   recall(gone: readonly StoppedInstance[], isComplete: boolean): void;
+  /**
+   * Asks the endpoint whether it leaves, if its pings prove nothing yet. Called
+   * when the health path may have become known.
+   */
+  checkHealth(): Promise<void>;
   /** The newest instances that stopped, the newest last. */
   stopped(): readonly StoppedInstance[];
   /** Hides the endpoint from other nodes; this node still uses it. */
@@ -78,6 +83,8 @@
   const state = createLocalEndpointState(opts.start);
   let isWithdrawn = false;
   let presenceTimer: NodeJS.Timeout | undefined;
+  /** Instance that has answered whether it leaves, and was not leaving. */
+  let healthyId: string | undefined;
 
   function applyChange(change: LocalEndpointChange) {
     watchPresence();
@@ -128,6 +135,18 @@
     log.write("endpoint", LogLevel.Info, text, fields);
   }
 
+  async function checkHealth() {
+    const { current, presence } = state;
+    if (current === undefined || presence.type === "proven") return;
+    const { id } = current;
+    if (id === healthyId) return;
+    const isDenied = await home.askWhetherLeaving();
+    if (isDenied === undefined) return;
+    if (!isDenied) healthyId = id;
+    const event = { type: "health-answered", id, isDenied } as const;
+    applyChange(decideLocalEndpoint(state, { ...event, now: now() }));
+  }
+
   /** Applies what the endpoint itself announced, and records that it stops. */
   async function applyAnnounced(change: LocalEndpointChange) {
     applyChange(change);
@@ -179,6 +198,7 @@
       }
       const event = { type: "pinged", ping: ping.value, now: now() } as const;
       const recorded = applyAnnounced(decideLocalEndpoint(state, event));
+      void checkHealth();
       return { type: "accepted", recorded };
     },
     leave(id) {
@@ -189,6 +209,7 @@
       const event = { type: "stopped-received", gone, isComplete } as const;
       applyChange(decideLocalEndpoint(state, event));
     },
+    checkHealth,
     stopped: () => stoppedInstances(state),
     withdraw() {
       isWithdrawn = true;
