refactor(local_endpoint): health is asked for only where it matters

Cause: a new process asked on the first ping, before an older peer's answer or a second ping could make the question needless, and each health request is a cost to the endpoint. Change: it asks once regular pings alone are the reason to use the endpoint, or after a denial. An unused endpoint is logged at its first ping too.

--- a/src/local_endpoint/judge_presence.ts
+++ b/src/local_endpoint/judge_presence.ts
@@ -89,6 +89,17 @@
   }
 }
 
+/**
+ * Whether it is of use to ask the current instance for its health: it is used
+ * for its regular pings only, or it is not used for its last health answer.
+ */
+export function isHealthWanted({ start, presence }: LocalEndpointState) {
+  if (presence.type === "proven") return false;
+  const isRegular = presence.type === "assumed" &&
+    presence.until > start.at + start.unprovenMs;
+  return isRegular || presence.isDenied;
+}
+
 /** Returns the presence after time has passed. */
 export function judgeTime(
   { presence }: LocalEndpointState,
--- a/src/local_endpoint/judge_presence_test.ts
+++ b/src/local_endpoint/judge_presence_test.ts
@@ -4,7 +4,11 @@
 import { PROCESS_START } from "../testing/announced_instance.ts";
 import { checkProperty } from "../testing/check_property.ts";
 import { decideLocalEndpoint } from "./decide_local_endpoint.ts";
-import { isPresent, MAX_PING_DELAY_MS } from "./judge_presence.ts";
+import {
+  isHealthWanted,
+  isPresent,
+  MAX_PING_DELAY_MS,
+} from "./judge_presence.ts";
 import {
   createLocalEndpointState,
   InstancePhase,
@@ -133,6 +137,19 @@
   assert.equal(isUsedAt(state, 5_600), true);
 });
 
+test("health is asked for only where the answer matters", () => {
+  const state = createState();
+  ping(state, 500, 1);
+  assert.equal(isHealthWanted(state), false);
+  ping(state, 2_000, 2);
+  assert.equal(isHealthWanted(state), true);
+  answerHealth(state, true, 4_000);
+  assert.equal(isUsedAt(state, 4_000), false);
+  assert.equal(isHealthWanted(state), true);
+  ping(state, MAX_PING_DELAY_MS, 3);
+  assert.equal(isHealthWanted(state), false);
+});
+
 test("endpoint that pings regularly is used without a gap", () => {
   const state = createState();
   let seq = 0;
--- a/src/sidecar/watch_instance.ts
+++ b/src/sidecar/watch_instance.ts
@@ -8,10 +8,11 @@
 import type { RowEndpoint } from "../fleet/messages.ts";
 import type { LocalHome } from "../endpoint_proxy/create_home.ts";
 import { decideLocalEndpoint } from "../local_endpoint/decide_local_endpoint.ts";
-import { isPresent } from "../local_endpoint/judge_presence.ts";
+import { isHealthWanted, isPresent } from "../local_endpoint/judge_presence.ts";
 import { stoppedInstances } from "../local_endpoint/stopped_instances.ts";
 import {
   createLocalEndpointState,
+  type Instance,
   InstancePhase,
   type LocalEndpointChange,
   type ProcessStart,
@@ -97,6 +98,7 @@
         return;
       case "started":
         write("endpoint started", { ...change.instance });
+        if (!isPresent(state)) writeUnused(change.instance);
         break;
       case "draining":
         write("endpoint is draining", { instance: change.instance.id });
@@ -105,9 +107,7 @@
         write("endpoint announced that it stops", { instance: change.id });
         break;
       case "overdue":
-        write("endpoint not used: it may have left before this process began", {
-          instance: change.instance.id,
-        });
+        writeUnused(change.instance);
         break;
       case "resumed":
         write("endpoint used again", { instance: change.instance.id });
@@ -118,6 +118,11 @@
     updateEndpoint();
   }
 
+  function writeUnused({ id }: Instance) {
+    const text = "endpoint not used: it may have left before this process";
+    write(text, { instance: id });
+  }
+
   function watchPresence() {
     clearTimeout(presenceTimer);
     const { presence } = state;
@@ -136,8 +141,8 @@
   }
 
   async function checkHealth() {
-    const { current, presence } = state;
-    if (current === undefined || presence.type === "proven") return;
+    const { current } = state;
+    if (current === undefined || !isHealthWanted(state)) return;
     const { id } = current;
     if (id === healthyId) return;
     const isDenied = await home.askWhetherLeaving();
