--- a/src/local_endpoint/judge_presence_test.ts
+++ b/src/local_endpoint/judge_presence_test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import fc from "fast-check";
-import { PROCESS_START } from "../testing/announced_instance.ts";
+import { pingOf, PROCESS_START } from "../testing/announced_instance.ts";
 import { checkProperty } from "../testing/check_property.ts";
 import { decideLocalEndpoint } from "./decide_local_endpoint.ts";
 import {
@@ -32,17 +32,7 @@
 ) {
   return decideLocalEndpoint(state, {
     type: "pinged",
-    ping: {
-      id: "i-1",
-      bornAt,
-      seq,
-      service: "one",
-      address: "10.0.0.1:8080",
-      version: "v1",
-      slots: 6,
-      phase: InstancePhase.Ready,
-      coldMs: 0,
-    },
+    ping: pingOf({ bornAt, seq }),
     now,
   });
 }
--- a/src/local_endpoint/local_endpoint_test.ts
+++ b/src/local_endpoint/local_endpoint_test.ts
@@ -1,7 +1,7 @@
 import { test } from "node:test";
 import assert from "node:assert/strict";
 import fc from "fast-check";
-import { PROCESS_START } from "../testing/announced_instance.ts";
+import { pingOf, PROCESS_START } from "../testing/announced_instance.ts";
 import { checkProperty } from "../testing/check_property.ts";
 import { decideLocalEndpoint } from "./decide_local_endpoint.ts";
 import {
@@ -11,21 +11,6 @@
 } from "./state.ts";
 import { stoppedInstances } from "./stopped_instances.ts";
 
-function pingOf(fields: Partial<InstancePing>): InstancePing {
-  return {
-    id: "i-1",
-    bornAt: 1_000,
-    seq: 1,
-    service: "one",
-    address: "10.0.0.1:8080",
-    version: "v1",
-    slots: 6,
-    phase: InstancePhase.Ready,
-    coldMs: 0,
-    ...fields,
-  };
-}
-
 function createState() {
   return createLocalEndpointState(PROCESS_START);
 }
--- a/src/testing/announced_instance.ts
+++ b/src/testing/announced_instance.ts
@@ -5,6 +5,7 @@
 import {
   type Instance,
   InstancePhase,
+  type InstancePing,
   type ProcessStart,
 } from "../local_endpoint/state.ts";
 
@@ -29,3 +30,19 @@
   pingIntervalMs: 1_500,
   unprovenMs: 2_800,
 };
+
+/** A ping of a ready endpoint, with other values for some fields. */
+export function pingOf(fields: Partial<InstancePing>): InstancePing {
+  return {
+    id: "i-1",
+    bornAt: 1_000,
+    seq: 1,
+    service: "one",
+    address: "10.0.0.1:8080",
+    version: "v1",
+    slots: 6,
+    phase: InstancePhase.Ready,
+    coldMs: 0,
+    ...fields,
+  };
+}
