--- a/src/local_endpoint/judge_presence.ts
+++ b/src/local_endpoint/judge_presence.ts
@@ -15,8 +15,8 @@
 
 /**
  * Longest time that a ping may take to arrive, in milliseconds. Whoever sent a
- * ping that arrives later than this after the start of the process, has not
- * left before that start.
+ * ping that arrives later than this after the start of the process has not left
+ * before that start.
  */
 export const MAX_PING_DELAY_MS = 10_000;
 
--- a/src/local_endpoint/state.ts
+++ b/src/local_endpoint/state.ts
@@ -53,7 +53,7 @@
   readonly bornAt: WallMs;
 }
 
-/** Start of this process, and what it may assume of endpoints until then. */
+/** Start of this process, and the terms by which it judges older endpoints. */
 export interface ProcessStart {
   readonly at: MonotonicMs;
   /** The same time by the wall clock of the VM, which the endpoint shares. */
