--- a/review/lib-3/endpoint.mjs
+++ b/review/lib-3/endpoint.mjs
@@ -14,7 +14,11 @@
  * Creates an endpoint that is not started yet.
  *
  * `onRun` is called when a run begins, and decides what it does: it returns
- * undefined to run as usual, or `{ crash: true }`, `{ workMs, status }`.
+ * undefined to run as usual, or `{ crash: true }`, `{ workMs, status, calls }`.
+ * `calls` makes the run's own calls and resolves with its status.
+ *
+ * `onArrival` is called for each request; the endpoint refuses it, as not run,
+ * if that returns false.
  */
 export function createEndpoint(opts) {
   const { name, host, port, service, pingAddress, record } = opts;
@@ -37,7 +41,7 @@
       return;
     }
     const callId = String(req.headers["x-request-id"]);
-    opts.onArrival?.(callId);
+    const isTaken = opts.onArrival?.(callId) !== false;
     record("arrival", { endpoint: name, id: callId });
     const refuse = (status, headers = {}) => {
       req.resume();
@@ -51,6 +55,7 @@
     if (target !== undefined && target !== id) {
       return refuse(421, { "x-instance-id": id });
     }
+    if (!isTaken) return refuse(503);
     const parts = [];
     for await (const part of req) parts.push(part);
     const body = Buffer.concat(parts);
@@ -80,8 +85,8 @@
       record("run", { ...run, crash: plan.crash === true });
       if (plan.crash === true) return crash();
       await sleep(plan.workMs ?? opts.workMs ?? 20);
+      const status = plan.status ?? await plan.calls?.() ?? 200;
       if (isGone) return;
-      const status = plan.status ?? 200;
       const text = `${name} ran ${callId}`;
       res.writeHead(status, {
         "x-request-id": callId,
