--- a/review/lib-3/endpoint.mjs
+++ b/review/lib-3/endpoint.mjs
@@ -105,7 +105,7 @@
   function crash() {
     record("crash", { endpoint: name, instance: id });
     stop();
-    setTimeout(start, opts.restartMs ?? 2_000).unref();
+    setTimeout(() => start(), opts.restartMs ?? 2_000).unref();
   }
 
   function stop() {
@@ -117,10 +117,11 @@
     for (const resume of waiting.splice(0)) resume();
   }
 
-  async function start() {
+  /** Starts a boot: under a new id or the last one, with or without pings. */
+  async function start({ isSameId = false, isPinging = true } = {}) {
     if (isClosed) return;
     boot++;
-    id = `${name}-${boot}`;
+    if (!isSameId) id = `${name}-${boot}`;
     born = Date.now();
     sequence = 0;
     state = "ready";
@@ -129,6 +130,7 @@
       handle(req, res).catch(() => res.destroy());
     });
     await new Promise((resolve) => server.listen(port, host, resolve));
+    if (!isPinging) return;
     await ping();
     pinger = setInterval(ping, 1_500);
   }
@@ -175,6 +177,8 @@
     address: () => `${host}:${port}`,
     id: () => id,
     start,
+    /** Ends the boot without a word. */
+    kill: stop,
     ping,
     /** Announces that the endpoint drains; resolves with the status. */
     drain() {
