--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -83,10 +83,9 @@
   await endpoint.start({ isSameId: true, isPinging: false });
   record("started", { instance: endpoint.id() });
   // The ping is sent now. It arrives at once, or late.
-  const pinged = sleep(IS_TROUBLE ? PING_DELAY_MS : 0).then(async () => {
-    const status = await endpoint.ping();
-    record("ping-arrived", { instance: endpoint.id(), status });
-  });
+  const pinged = endpoint.ping(IS_TROUBLE ? PING_DELAY_MS : 0).then((status) =>
+    record("ping-arrived", { instance: endpoint.id(), status })
+  );
   await sleep(LEAVE_AFTER_MS);
   const status = await endpoint.leave();
   const confirmedAt = Date.now();
--- a/review/lib-3/endpoint.mjs
+++ b/review/lib-3/endpoint.mjs
@@ -119,7 +119,7 @@
 
   /** Starts a boot: under a new id or the last one, with or without pings. */
   async function start({ isSameId = false, isPinging = true } = {}) {
-    if (isClosed) return;
+    if (isClosed || server !== undefined) return;
     boot++;
     if (!isSameId) id = `${name}-${boot}`;
     born = Date.now();
@@ -132,18 +132,16 @@
     await new Promise((resolve) => server.listen(port, host, resolve));
     if (!isPinging) return;
     await ping();
-    pinger = setInterval(ping, 1_500);
+    pinger = setInterval(() => ping(), 1_500);
   }
 
-  async function post(verb, body) {
-    const url = `http://${pingAddress}/v1/instances/${id}/${verb}`;
+  async function post(path, body) {
     try {
-      const signal = AbortSignal.timeout(1_000);
-      const res = await fetch(url, {
+      const res = await fetch(`http://${pingAddress}${path}`, {
         method: "POST",
         headers: { "content-type": "application/json" },
         body: JSON.stringify(body),
-        signal,
+        signal: AbortSignal.timeout(1_000),
       });
       await res.arrayBuffer();
       return res.status;
@@ -152,8 +150,14 @@
     }
   }
 
-  function ping() {
-    return post("heartbeat", {
+  function pathOf(verb) {
+    return `/v1/instances/${id}/${verb}`;
+  }
+
+  /** Sends a ping; it arrives after `delayMs`. Resolves with the status. */
+  async function ping(delayMs = 0) {
+    const path = pathOf("heartbeat");
+    const body = {
       service,
       address: `${host}:${port}`,
       zone: opts.zone,
@@ -163,7 +167,9 @@
       coldRemainingMs: 0,
       sequence: ++sequence,
       born,
-    });
+    };
+    if (delayMs > 0) await sleep(delayMs);
+    return post(path, body);
   }
 
   let isClosed = false;
@@ -185,7 +191,7 @@
       state = "draining";
       return ping();
     },
-    leave: () => post("leave", { service, born }),
+    leave: () => post(pathOf("leave"), { service, born }),
     setVersion: (next) => version = next,
     close() {
       isClosed = true;
